Count apart what reaches a cold engine before it can tell

No answer of it could have told; the check asked for the impossible and hid what can be mended.

Change: the stand-in knows whether it has given a sign (an answer, or the death before a restart). Arrivals after it still count as ColdOverruns, without any grace; the ones before are UntoldColdOverruns, one at most for each turn.

--- a/dogwoodload/dogwoodjudge/judge.go
+++ b/dogwoodload/dogwoodjudge/judge.go
@@ -68,9 +68,10 @@
 	RunsOfKey map[string]int
 	// LastRun is when each load id was last run.
 	LastRun map[string]time.Time
-	// LeakedMemory and ColdOverruns are summed over the engines and servers.
-	LeakedMemory int
-	ColdOverruns int
+	// LeakedMemory and the overruns are summed over the engines and servers.
+	LeakedMemory       int
+	ColdOverruns       int
+	UntoldColdOverruns int
 }
 
 // ran tells whether what the caller was answered about was run. A call with a key is one
@@ -120,6 +121,7 @@
 	}
 	result.LeakedMemory = ran.LeakedMemory
 	result.ColdOverruns = ran.ColdOverruns
+	result.UntoldColdOverruns = ran.UntoldColdOverruns
 	result.FirstToken = firstTokens(samples)
 	result.ShortSlowdownP50, result.ShortSlowdownP99 = shortSlowdown(samples, speed)
 	result.InTimeByCustomer = byCustomer(samples)
--- a/dogwoodload/dogwoodresult/result.go
+++ b/dogwoodload/dogwoodresult/result.go
@@ -49,8 +49,11 @@
 	FalseNotRun int
 	// LeakedMemory is in tokens, on any engine 5 s after the load ended.
 	LeakedMemory int
-	// ColdOverruns are the times an endpoint got more than it bears while cold.
+	// ColdOverruns are the times an endpoint got more than it bears while cold, after any
+	// answer of it could tell.
 	ColdOverruns int
+	// UntoldColdOverruns are those before: one at most each time a warm engine turns cold.
+	UntoldColdOverruns int
 	// NewWorkAfterTakeOut is how long after an accepted take-out new work still arrived.
 	NewWorkAfterTakeOut Duration
 	// ConfigSpread is the worst time from an accepted change to the last daemon that had it.
--- a/dogwoodload/dogwoodscenario/run.go
+++ b/dogwoodload/dogwoodscenario/run.go
@@ -217,6 +217,7 @@
 		}
 		ran.LeakedMemory += engine.HeldTokens()
 		ran.ColdOverruns += engine.ColdOverruns()
+		ran.UntoldColdOverruns += engine.UntoldColdOverruns()
 	}
 	for _, server := range site.Plain {
 		for _, run := range server.Ran() {
--- a/dogwoodlocal/dogwoodenginestandin/engine.go
+++ b/dogwoodlocal/dogwoodenginestandin/engine.go
@@ -93,10 +93,12 @@
 
 // life is what an engine process knows and loses when it dies.
 type life struct {
-	instance     dogwoodfleet.InstanceID
-	alive        bool
-	leaving      bool
-	coldUntil    time.Time
+	instance  dogwoodfleet.InstanceID
+	alive     bool
+	leaving   bool
+	coldUntil time.Time
+	// coldTold is whether the cold engine gave a sign of it: an answer, or the death before.
+	coldTold     bool
 	sequences    map[dogwoodfleet.RequestID]*sequence
 	cancelled    map[dogwoodfleet.RequestID]time.Time
 	reservations map[dogwoodfleet.RequestID]*reservation
@@ -185,6 +187,7 @@
 		instance:     dogwoodfleet.InstanceID(uuid.NewString()),
 		alive:        true,
 		coldUntil:    now.Add(engine.options.ColdFor),
+		coldTold:     true,
 		sequences:    map[dogwoodfleet.RequestID]*sequence{},
 		cancelled:    map[dogwoodfleet.RequestID]time.Time{},
 		reservations: map[dogwoodfleet.RequestID]*reservation{},
--- a/dogwoodlocal/dogwoodenginestandin/faults.go
+++ b/dogwoodlocal/dogwoodenginestandin/faults.go
@@ -78,6 +78,7 @@
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	engine.life.coldUntil = time.Now().Add(engine.options.ColdFor)
+	engine.life.coldTold = false
 	engine.life.cache.clear()
 }
 
@@ -121,13 +122,14 @@
 
 // counts outlive the engine's deaths.
 type counts struct {
-	runs         []RanRecord
-	byRequest    map[dogwoodfleet.RequestID]int
-	byTag        map[string]int
-	coldOverruns int
-	crashes      int
-	orders       int
-	lastNewWork  time.Time
+	runs               []RanRecord
+	byRequest          map[dogwoodfleet.RequestID]int
+	byTag              map[string]int
+	coldOverruns       int
+	untoldColdOverruns int
+	crashes            int
+	orders             int
+	lastNewWork        time.Time
 }
 
 func newCounts() counts {
@@ -161,7 +163,16 @@
 	return append([]RanRecord(nil), engine.counts.runs...)
 }
 
-// ColdOverruns returns how often the engine got more than it bears while cold.
+// UntoldColdOverruns returns how often the engine got more than it bears while cold before
+// any answer could tell that it turned cold.
+func (engine *Engine) UntoldColdOverruns() int {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.counts.untoldColdOverruns
+}
+
+// ColdOverruns returns how often the engine got more than it bears while cold, after it had
+// given a sign of that.
 func (engine *Engine) ColdOverruns() int {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
--- a/dogwoodlocal/dogwoodenginestandin/handlers.go
+++ b/dogwoodlocal/dogwoodenginestandin/handlers.go
@@ -16,6 +16,7 @@
 	writer.Header().Set(dogwoodengine.HeaderInstance, string(engine.life.instance))
 	if time.Now().Before(engine.life.coldUntil) {
 		writer.Header().Set(dogwoodengine.HeaderCold, "true")
+		engine.life.coldTold = true
 	}
 }
 
