Read a cold engine's word from each of its answers

Cause: an engine that turned cold had told of it in the header of a list or a report at 295 ms, and prompts over its limit came at 345, 415 and 608 ms. The header was read from the answers to prompts only; the report's body lags by a second.

Change: the engine client reads the header of lists and reports too, and the owner gets it with the list.

--- a/core/dogwooddaemon/reconcile.go
+++ b/core/dogwooddaemon/reconcile.go
@@ -62,6 +62,7 @@
 	asked.members.SetEndpointLeaving(endpoint.ID, listed.Leaving)
 	state := dogwoodreconcile.State{
 		Instance:     listed.Instance,
+		Cold:         listed.Cold,
 		MemoryTokens: listed.MemoryTokens,
 		Listed:       listedMemory(&listed, asked.members.AliveInstance),
 	}
@@ -69,7 +70,7 @@
 	if err != nil || load.Instance != listed.Instance {
 		return state, nil //nolint:nilerr // the list alone is worth telling
 	}
-	state.Cold = load.Cold
+	state.Cold = state.Cold || load.Cold
 	if load.Holds.Model != "" {
 		state.Models = []dogwoodfleet.Model{load.Holds.Model}
 		state.Adapters = load.Holds.Adapters
--- a/core/edge/dogwoodengine/engine.go
+++ b/core/edge/dogwoodengine/engine.go
@@ -100,14 +100,23 @@
 	return "http://" + endpoint.Address.String() + path
 }
 
-// Load asks an engine for its lagging report.
+// Load asks an engine for its lagging report. That it is cold is told without a lag.
 func (client *Client) Load(ctx context.Context, endpoint dogwoodfleet.Endpoint) (Load, error) {
-	return get[Load](ctx, client, endpoint, PathLoad)
+	load, header, err := get[Load](ctx, client, endpoint, PathLoad)
+	load.Cold = load.Cold || isCold(header)
+	return load, err
 }
 
 // State asks an engine for its own list of what holds its memory.
 func (client *Client) State(ctx context.Context, endpoint dogwoodfleet.Endpoint) (State, error) {
-	return get[State](ctx, client, endpoint, PathStreams)
+	state, header, err := get[State](ctx, client, endpoint, PathStreams)
+	state.Cold = isCold(header)
+	return state, err
+}
+
+// isCold reads the word that a cold engine gives with each of its answers.
+func isCold(header http.Header) bool {
+	return header.Get(HeaderCold) == "true"
 }
 
 // Streams asks an engine for the requests that it knows.
@@ -119,7 +128,7 @@
 // CacheEvents asks an engine for its cache events after a sequence number. The gap is true
 // when an event between was lost, so that what is known of the cache may be wrong.
 func (client *Client) CacheEvents(ctx context.Context, endpoint dogwoodfleet.Endpoint, after uint64) (answer CacheEvents, gap bool, err error) {
-	answer, err = get[CacheEvents](ctx, client, endpoint, PathEvents+"?after="+strconv.FormatUint(after, 10))
+	answer, _, err = get[CacheEvents](ctx, client, endpoint, PathEvents+"?after="+strconv.FormatUint(after, 10))
 	if err != nil {
 		return answer, false, err
 	}
@@ -151,14 +160,21 @@
 	return cancelled, err
 }
 
-func get[T any](ctx context.Context, client *Client, endpoint dogwoodfleet.Endpoint, path string) (T, error) {
+func get[T any](ctx context.Context, client *Client, endpoint dogwoodfleet.Endpoint, path string) (T, http.Header, error) {
 	var answer T
-	err := client.send(ctx, http.MethodGet, endpoint, path, nil, &answer)
-	return answer, err
+	header, err := client.exchange(ctx, http.MethodGet, endpoint, path, nil, &answer)
+	return answer, header, err
 }
 
-// send makes one control call, bounded by the time a connection may be silent.
+// send makes one control call of whose answer only the body matters.
 func (client *Client) send(ctx context.Context, method string, endpoint dogwoodfleet.Endpoint, path string, body, answer any) error {
+	_, err := client.exchange(ctx, method, endpoint, path, body, answer)
+	return err
+}
+
+// exchange makes one control call, bounded by the time a connection may be silent. The
+// header is nil when no answer came.
+func (client *Client) exchange(ctx context.Context, method string, endpoint dogwoodfleet.Endpoint, path string, body, answer any) (http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, client.silence)
 	defer cancel()
 	var refused Refused
@@ -171,12 +187,12 @@
 	}
 	response, err := call.Execute(method, address(endpoint, path))
 	if err != nil {
-		return Error.New("%s %s at %s: %w", method, path, endpoint.ID, err)
+		return nil, Error.New("%s %s at %s: %w", method, path, endpoint.ID, err)
 	}
 	if response.IsSuccess() {
-		return nil
+		return response.Header(), nil
 	}
-	return refusal(response.StatusCode(), response.Header(), &refused)
+	return response.Header(), refusal(response.StatusCode(), response.Header(), &refused)
 }
 
 func refusal(status int, header http.Header, refused *Refused) error {
--- a/core/edge/dogwoodengine/run.go
+++ b/core/edge/dogwoodengine/run.go
@@ -145,7 +145,7 @@
 	}
 	if stream.instance == "" {
 		stream.instance = dogwoodfleet.InstanceID(response.Header().Get(HeaderInstance))
-		stream.cold = response.Header().Get(HeaderCold) == "true"
+		stream.cold = isCold(response.Header())
 	}
 	return newConnection(lifetime, end, response.RawBody()), nil
 }
--- a/core/edge/dogwoodengine/wire.go
+++ b/core/edge/dogwoodengine/wire.go
@@ -76,7 +76,9 @@
 	Instance dogwoodfleet.InstanceID
 	// Leaving is true when the engine shuts down in good order: it finishes what it has and
 	// wants no new work.
-	Leaving      bool `json:",omitempty"`
+	Leaving bool `json:",omitempty"`
+	// Cold is told by the answer's header, not in the list.
+	Cold         bool `json:"-"`
 	MemoryTokens int
 	Running      []Running
 	Reservations []Reservation
