Have all daemons learn the pace of an engine from what any has seen

Cause: each daemon learnt an engine's slowness from its own streams alone, at a slow weight; with six or eight daemons an engine that turns slow for six seconds was known to few of them before it was well again.

Change: the pace that one daemon sees rides along with its announcements. Neither failures (a daemon whose own network fails sees all endpoints fail) nor first tokens of long prompts are shared: what is read ahead of them would count at each.

--- a/core/decision/dogwoodpacking/health.go
+++ b/core/decision/dogwoodpacking/health.go
@@ -55,18 +55,17 @@
 }
 
 // paced learns from the pace at which an engine writes: a short pause between two events of
-// one answer over the time of a pass in which nothing is read. First tokens say nothing of
+// one answer over the time of a pass in which nothing is read; 0 if that is not known. First tokens say nothing of
 // an engine's speed: after a restart of all daemons they are late for seconds because the
 // engines go on with old answers, and engines that were taken for slow got nothing.
-func (health *health) paced(pause, pass time.Duration) {
-	if pass <= 0 {
+func (health *health) paced(pace float64) {
+	if pace <= 0 {
 		return
 	}
-	ratio := min(max(float64(pause)/float64(pass), 1), slowMost)
 	if health.slow == 0 {
 		health.slow = 1
 	}
-	health.slow += slowWeight * (ratio - health.slow)
+	health.slow += slowWeight * (min(max(pace, 1), slowMost) - health.slow)
 }
 
 func (health *health) slowness() float64 {
@@ -82,12 +81,32 @@
 	}
 }
 
-// Paced notes a short pause between two events of an answer that an engine wrote.
-func (board *Board) Paced(id dogwoodfleet.EndpointID, pause time.Duration) {
+// Paced notes a short pause between two events of an answer that an engine wrote. It
+// returns the pace, which is what PeerPaced takes at the other daemons.
+func (board *Board) Paced(id dogwoodfleet.EndpointID, pause time.Duration) float64 {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
-	if place := board.places[id]; place != nil && place.Engine != nil {
-		place.health.paced(pause, place.Engine.Pass(1, 0))
+	place := board.places[id]
+	if place == nil || place.Engine == nil {
+		return 0
+	}
+	pass := place.Engine.Pass(1, 0)
+	if pass <= 0 {
+		return 0
+	}
+	pace := float64(pause) / float64(pass)
+	place.health.paced(pace)
+	return pace
+}
+
+// PeerPaced notes the pace that another daemon has seen. Failures are not taken over: a
+// daemon whose own network fails sees all endpoints fail. Nor are the first tokens of long
+// prompts: what is read ahead of them would count at each daemon.
+func (board *Board) PeerPaced(id dogwoodfleet.EndpointID, pace float64) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	if place := board.places[id]; place != nil {
+		place.health.paced(pace)
 	}
 }
 
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -66,6 +66,12 @@
 	For      time.Duration
 }
 
+// Pace is the pace at which an engine was last seen to write, over that of one that is well.
+type Pace struct {
+	Endpoint dogwoodfleet.EndpointID
+	Pace     float64
+}
+
 // Batch is one announcement.
 type Batch struct {
 	From dogwoodfleet.InstanceID
@@ -76,6 +82,7 @@
 	Items  []Item
 	Ended  []dogwoodpacking.WorkID
 	Avoid  []Avoid
+	Paces  []Pace
 }
 
 // Options are what a duty is made from.
@@ -201,9 +208,18 @@
 	duty.options.Board.Failed(now, endpoint)
 }
 
-// Paced notes a short pause between two events of an answer that an engine wrote.
+// Paced notes a short pause between two events of an answer that an engine wrote. All daemons
+// learn of it: each alone would have to meet an engine that turns slow a few times.
 func (duty *Duty) Paced(endpoint dogwoodfleet.EndpointID, pause time.Duration) {
-	duty.options.Board.Paced(endpoint, pause)
+	pace := duty.options.Board.Paced(endpoint, pause)
+	if pace <= 0 {
+		return
+	}
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	for _, link := range duty.links {
+		link.paced(endpoint, pace)
+	}
 }
 
 // Avoid keeps new work of all daemons from an endpoint that can't be reached.
@@ -287,6 +303,9 @@
 	for _, avoid := range batch.Avoid {
 		board.Avoid(now, avoid.Endpoint, avoid.For)
 	}
+	for _, pace := range batch.Paces {
+		board.PeerPaced(pace.Endpoint, pace.Pace)
+	}
 	*reply = true
 	return nil
 }
--- a/core/duty/dogwoodboard/board_test.go
+++ b/core/duty/dogwoodboard/board_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"dogwoodmux.example/core/decision/dogwoodenginetime"
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/dogwoodfleet"
 )
@@ -182,3 +183,39 @@
 		}
 	})
 }
+
+// An engine turns five times slower. The one daemon that has a stream there sees it within a
+// second or two; the others sent their drafts there until each had seen it for itself.
+func TestAllLearnThatAnEngineIsSlow(t *testing.T) {
+	engine := &dogwoodenginetime.Engine{Slots: 16, MemoryTokens: 400_000, Step: 2 * time.Millisecond, TokensPerSecond: 150_000, Chunk: 2048, Stride: 34}
+	story(t, 3, func(t *testing.T, nodes []*node, _ *mesh) {
+		var endpoints []dogwoodpacking.Endpoint
+		for _, id := range []dogwoodfleet.EndpointID{"slow", "well"} {
+			endpoints = append(endpoints, dogwoodpacking.Endpoint{
+				Endpoint: dogwoodfleet.Endpoint{ID: id, Service: "models", Kind: dogwoodfleet.EnginePool, InForce: true},
+				Slots:    engine.Slots, Engine: engine,
+			})
+		}
+		for _, node := range nodes {
+			node.board.SetEndpoints(endpoints)
+			node.board.Put(time.Now(), dogwoodpacking.Work{
+				ID: "stream", Holder: "0", Service: "models", Endpoint: "slow", Tokens: 4_000, Writing: true,
+				Pause: 250 * time.Millisecond, Begun: time.Now(), Until: time.Now().Add(time.Minute),
+			})
+		}
+		for range 5 {
+			nodes[0].duty.Paced("slow", 5*engine.Pass(1, 0))
+			time.Sleep(2 * tellEvery)
+		}
+		for i, node := range nodes {
+			ask := &dogwoodpacking.Ask{
+				ID: dogwoodpacking.WorkID(fmt.Sprint("draft", i)), Service: "models", Prompt: 3_000, Answer: 100,
+				Aim: 300 * time.Millisecond, Pause: 250 * time.Millisecond, Until: time.Now().Add(time.Minute),
+			}
+			placement, refusal := node.board.Place(time.Now(), ask)
+			if refusal != dogwoodpacking.Placed || placement.Endpoint.ID != "well" {
+				t.Errorf("daemon %d: got %q and refusal %q, want the engine that is well", i, placement.Endpoint.ID, refusal)
+			}
+		}
+	})
+}
--- a/core/duty/dogwoodboard/link.go
+++ b/core/duty/dogwoodboard/link.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodpacking"
+	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
 )
 
@@ -21,12 +22,14 @@
 	works   map[dogwoodpacking.WorkID]dogwoodpacking.Work
 	ended   []dogwoodpacking.WorkID
 	avoided []Avoid
+	paces   map[dogwoodfleet.EndpointID]float64
 }
 
 func newLink(peer Peer, cancel context.CancelFunc) *link {
 	return &link{
 		peer: peer, cancel: cancel, whole: true, wake: make(chan struct{}, 1),
 		works: map[dogwoodpacking.WorkID]dogwoodpacking.Work{},
+		paces: map[dogwoodfleet.EndpointID]float64{},
 	}
 }
 
@@ -52,6 +55,13 @@
 	link.signal()
 }
 
+// paced waits for other news: it is worth no announcement of its own.
+func (link *link) paced(endpoint dogwoodfleet.EndpointID, pace float64) {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	link.paces[endpoint] = pace
+}
+
 func (link *link) signal() {
 	select {
 	case link.wake <- struct{}{}:
@@ -67,7 +77,11 @@
 	for _, work := range link.works {
 		works = append(works, work)
 	}
+	for endpoint, pace := range link.paces {
+		batch.Paces = append(batch.Paces, Pace{Endpoint: endpoint, Pace: pace})
+	}
 	clear(link.works)
+	clear(link.paces)
 	link.whole, link.ended, link.avoided = false, nil, nil
 	return batch, works
 }
--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -96,6 +96,10 @@
 	places.Board.Writes(time.Now(), id, predicted, seen)
 }
 
+func (places places) Paced(endpoint dogwoodfleet.EndpointID, pause time.Duration) {
+	places.Board.Paced(endpoint, pause)
+}
+
 // fixture is a relay over a pool of three endpoints.
 type fixture struct {
 	relay     *Relay
--- a/core/edge/dogwoodengine/cold_test.go
+++ b/core/edge/dogwoodengine/cold_test.go
@@ -25,7 +25,7 @@
 		{"cold by the report", "", `{"Cold":true}`, true},
 	}
 	for _, test := range tests {
-		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 			writer.Header().Set("Content-Type", "application/json")
 			if test.header != "" {
 				writer.Header().Set(HeaderCold, test.header)
