--- a/core/dogwoodlog/writer_test.go
+++ b/core/dogwoodlog/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -53,6 +54,43 @@
 	})
 }
 
+// The log's reader is slow in a burst. The lines of requests that go well filled the ring, and
+// those of the refusals that an engineer looks for were dropped.
+func TestFailuresKeepTheirLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &blockedWriter{released: make(chan struct{})}
+		writer := New(target)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { _ = writer.Run(ctx) })
+		synctest.Wait()
+		const requests, refused = 1000, 200
+		for i := range requests {
+			for _, message := range []string{"Placed.", "First event.", "Answered."} {
+				_, _ = fmt.Fprintf(writer, "{\"@level\":\"info\",\"@message\":%q,\"request\":\"r%d\"}\n", message, i)
+			}
+			if i%(requests/refused) == 0 {
+				_, _ = fmt.Fprintf(writer, "{\"@level\":\"info\",\"@message\":\"Refused.\",\"request\":\"f%d\"}\n", i)
+			}
+		}
+		close(target.released)
+		synctest.Wait()
+		cancel()
+		group.Wait()
+		got := target.written.String()
+		if count := strings.Count(got, "Refused."); count != refused {
+			t.Errorf("got the lines of %d refusals, want all %d", count, refused)
+		}
+		if strings.Contains(got, "dropped") || !strings.Contains(got, "sampled") {
+			t.Error("want that lines were left out and none dropped, as the log tells")
+		}
+		placed, answered := strings.Count(got, "Placed."), strings.Count(got, "Answered.")
+		if difference := placed - answered; placed < 150 || difference < -1 || difference > 1 {
+			t.Errorf("got %d requests placed and %d answered, want the same ones", placed, answered)
+		}
+	})
+}
+
 func BenchmarkWrite(b *testing.B) {
 	writer := New(&bytes.Buffer{})
 	ctx, cancel := context.WithCancel(b.Context())
