Tell the retry budget that is left, and how many wait, as gauges

Cause: an engineer could see that repeats were refused, not how near the others were to it, and that requests waited only once they had ended.

--- a/core/decision/dogwoodretry/share.go
+++ b/core/decision/dogwoodretry/share.go
@@ -42,14 +42,29 @@
 	shared.mutex.Lock()
 	defer shared.mutex.Unlock()
 	counts := shared.counts(now, service)
-	allowed := shared.Ratio*float64(len(counts.first)) + shared.Allowance/float64(max(daemons, 1))
-	if float64(len(counts.repeats)+1) > allowed {
+	if shared.left(counts, daemons) < 1 {
 		return false
 	}
 	counts.repeats = append(counts.repeats, now)
 	return true
 }
 
+// Left is how many repeats the service with the fewest left may still get now.
+func (shared *Shared) Left(now time.Time, daemons int) float64 {
+	shared.mutex.Lock()
+	defer shared.mutex.Unlock()
+	least := shared.left(&counts{}, daemons)
+	for service := range shared.services {
+		least = min(least, shared.left(shared.counts(now, service), daemons))
+	}
+	return least
+}
+
+func (shared *Shared) left(counts *counts, daemons int) float64 {
+	allowed := shared.Ratio*float64(len(counts.first)) + shared.Allowance/float64(max(daemons, 1))
+	return allowed - float64(len(counts.repeats))
+}
+
 func (shared *Shared) counts(now time.Time, service dogwoodfleet.Service) *counts {
 	if shared.services == nil {
 		shared.services = map[dogwoodfleet.Service]*counts{}
--- a/core/decision/dogwoodretry/share_test.go
+++ b/core/decision/dogwoodretry/share_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"dogwoodmux.example/core/dogwoodfleet"
 )
 
 // All daemons meet a service whose endpoints fail, and each would retry what it took. Added
@@ -37,6 +39,41 @@
 	}
 }
 
+// An operator sees a daemon refuse repeats. What is left must tell of the service that has
+// the least, not of those that nobody repeats.
+func TestLeftIsOfTheServiceWithTheLeast(t *testing.T) {
+	const daemons = 2
+	shared, now := &Shared{Ratio: 0.5, Allowance: 8, Window: 10 * time.Second}, time.Now()
+	tests := []struct {
+		name           string
+		service        dogwoodfleet.Service
+		first, repeats int
+		want           float64
+	}{
+		{"nothing came", "a", 0, 0, 4},
+		{"first requests add to it", "a", 4, 0, 4},
+		{"repeats use it up", "a", 0, 5, 1},
+		{"another service", "b", 2, 0, 1},
+		{"the other one used more", "b", 0, 5, 0},
+	}
+	for _, test := range tests {
+		for range test.first {
+			shared.First(now, test.service)
+		}
+		for range test.repeats {
+			if !shared.Take(now, test.service, daemons) {
+				t.Fatalf("%s: got no repeat", test.name)
+			}
+		}
+		if got := shared.Left(now, daemons); got != test.want {
+			t.Errorf("%s: got %v left, want %v", test.name, got, test.want)
+		}
+	}
+	if got := shared.Left(now.Add(time.Minute), daemons); got != 4 {
+		t.Errorf("got %v left after the window, want the allowance's 4", got)
+	}
+}
+
 func within(moments []time.Time, end time.Time, window time.Duration) int {
 	count := 0
 	for _, moment := range moments {
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -180,6 +180,19 @@
 	return relay.line.run(ctx)
 }
 
+// RetriesLeft is how many repeats this daemon may still make of requests to the service that
+// has the fewest left.
+func (relay *Relay) RetriesLeft() float64 {
+	return relay.options.Retries.Left(time.Now(), relay.options.Daemons())
+}
+
+// Waiting is how many tries wait for a place.
+func (relay *Relay) Waiting() int {
+	relay.line.mutex.Lock()
+	defer relay.line.mutex.Unlock()
+	return len(relay.line.waiters)
+}
+
 // Wait waits until the memory of all requests that ended is given back.
 func (relay *Relay) Wait() {
 	_ = relay.background.Wait() // releases log their failures
