--- a/core/decision/dogwoodpacking/health.go
+++ b/core/decision/dogwoodpacking/health.go
@@ -55,9 +55,10 @@
 }
 
 // paced learns from the pace at which an engine writes: a short pause between two events of
-// one answer over the time of a pass in which nothing is read; 0 if that is not known. First tokens say nothing of
-// an engine's speed: after a restart of all daemons they are late for seconds because the
-// engines go on with old answers, and engines that were taken for slow got nothing.
+// one answer over the time of a pass in which nothing is read; 0 if that is not known. First
+// tokens say nothing of an engine's speed: after a restart of all daemons they are late for
+// seconds because the engines go on with old answers, and engines that were taken for slow
+// got nothing.
 func (health *health) paced(pace float64) {
 	if pace <= 0 {
 		return
--- a/core/decision/dogwoodpacking/others.go
+++ b/core/decision/dogwoodpacking/others.go
@@ -2,9 +2,8 @@
 
 import "time"
 
-// spare is the time by which what waits to be read here may be put off, which has the given
-// time of reading before it. Prompts that are
-// late already hold nothing back.
+// spare is the time by which what waits to be read here may be put off, given the time of
+// reading that is queued. Prompts that are late already hold nothing back.
 func (place *place) spare(now time.Time, queued time.Duration) time.Duration {
 	spare := noWait
 	consider := func(work *Work) {
--- a/dogwoodload/dogwoodresult/result.go
+++ b/dogwoodload/dogwoodresult/result.go
@@ -52,7 +52,8 @@
 	// ColdOverruns are the times an endpoint got more than it bears while cold, after any
 	// answer of it could tell.
 	ColdOverruns int
-	// UntoldColdOverruns are those before: one at most each time a warm engine turns cold.
+	// UntoldColdOverruns are those before: each time a warm engine turns cold, what arrives
+	// until its first answer has begun.
 	UntoldColdOverruns int
 	// NewWorkAfterTakeOut is how long after an accepted take-out new work still arrived.
 	NewWorkAfterTakeOut Duration
