Keep one backoff and one way to spread a wait

The follower of the store wrote out the doubling wait that the table's Backoff already was, and its register and the relay each their own spread. Backoff moves beside Sleep in dogwoodkernel, with Jittered and Reset. Waits stay as they were.

--- a/core/duty/dogwoodrelay/line.go
+++ b/core/duty/dogwoodrelay/line.go
@@ -9,6 +9,7 @@
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/decision/dogwoodwaiting"
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodkernel"
 )
 
 // placeAgain is the mean time between two looks for places without a sign of one: other
@@ -85,7 +86,7 @@
 
 // run looks for places whenever one may have come free, until the context ends.
 func (line *line) run(ctx context.Context) error {
-	timer := time.NewTimer(jittered(placeAgain))
+	timer := time.NewTimer(dogwoodkernel.Jittered(placeAgain))
 	defer timer.Stop()
 	for {
 		changed := line.places.Changed()
@@ -99,7 +100,7 @@
 			return nil
 		case <-changed:
 		case <-timer.C:
-			timer.Reset(jittered(placeAgain))
+			timer.Reset(dogwoodkernel.Jittered(placeAgain))
 		}
 	}
 }
--- a/core/duty/dogwoodrelay/place.go
+++ b/core/duty/dogwoodrelay/place.go
@@ -8,6 +8,7 @@
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/decision/dogwoodwaiting"
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodkernel"
 )
 
 // ask is what a new try wants of the pool.
@@ -67,7 +68,7 @@
 	}
 	if placement.Predicted > dogwoodwaiting.Borne(time.Now(), &waiter.request) {
 		attempt.relay.options.Places.End(waiter.ask.ID)
-		return placement, attempt.refuse(dogwoodfleet.ReasonLimit, jittered(fullRetry),
+		return placement, attempt.refuse(dogwoodfleet.ReasonLimit, dogwoodkernel.Jittered(fullRetry),
 			fmt.Sprintf("the first event would come after %s", placement.Predicted))
 	}
 	return placement, nil
@@ -84,5 +85,5 @@
 		return attempt.refuse(dogwoodfleet.ReasonNoEndpoint, awayRetry, "no endpoint of the service is in force")
 	case dogwoodpacking.Full:
 	}
-	return attempt.refuse(dogwoodfleet.ReasonLimit, jittered(fullRetry), "all endpoints are full")
+	return attempt.refuse(dogwoodfleet.ReasonLimit, dogwoodkernel.Jittered(fullRetry), "all endpoints are full")
 }
--- a/core/duty/dogwoodrelay/plain.go
+++ b/core/duty/dogwoodrelay/plain.go
@@ -10,6 +10,7 @@
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/decision/dogwoodroute"
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodkernel"
 )
 
 const (
@@ -116,7 +117,7 @@
 	attempt.relay.options.Logger.Info("An endpoint did not begin.", "request", order.Request.ID,
 		"endpoint", placement.Endpoint.ID, "status", response.Status, "fault", response.Fault)
 	return verdict{again: true, arrived: true, why: "the endpoint did not begin", otherwise: func() error {
-		return attempt.refuse(dogwoodfleet.ReasonLimit, jittered(fullRetry), "the endpoints did not begin")
+		return attempt.refuse(dogwoodfleet.ReasonLimit, dogwoodkernel.Jittered(fullRetry), "the endpoints did not begin")
 	}}, true
 }
 
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -4,12 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodkernel"
 )
 
 const (
@@ -168,12 +168,6 @@
 	return &Failure{Reason: reason, Run: attempt.known, RetryAfter: after, Detail: detail}
 }
 
-// jittered spreads a wait by half both ways, so that those who were refused together don't
-// come back together.
-func jittered(mean time.Duration) time.Duration {
-	return mean/2 + rand.N(mean)
-}
-
 // unreachable is the verdict on a try that found no way to its endpoint.
 func (attempt *attempt) unreachable(placement dogwoodpacking.Placement, err error) verdict {
 	attempt.relay.options.Places.Avoid(time.Now(), placement.Endpoint.ID, unreachableFor)
@@ -183,7 +177,7 @@
 // unsent is the verdict on a try of which no byte went out.
 func (attempt *attempt) unsent(err error) verdict {
 	return verdict{again: true, why: err.Error(), otherwise: func() error {
-		return attempt.refuse(dogwoodfleet.ReasonEndpointDied, jittered(unreachableFor), err.Error())
+		return attempt.refuse(dogwoodfleet.ReasonEndpointDied, dogwoodkernel.Jittered(unreachableFor), err.Error())
 	}}
 }
 
--- a/core/state/dogwoodchange/submit.go
+++ b/core/state/dogwoodchange/submit.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/uuid"
 
+	"dogwoodmux.example/core/dogwoodkernel"
 	"dogwoodmux.example/core/dogwoodsettings"
 	"dogwoodmux.example/core/state/dogwoodtable"
 )
@@ -98,7 +99,7 @@
 func (log *Log) enter(
 	ctx context.Context, change Change, check func(View, Change) error,
 ) (Accepted, error) {
-	wait := dogwoodtable.Backoff{First: firstBackoff, Longest: longestBackoff}
+	wait := dogwoodkernel.Backoff{First: firstBackoff, Longest: longestBackoff}
 	// uncertainAt is the version at which a write of this change may be, or may yet come.
 	var uncertainAt uint64
 	for {
--- a/core/state/dogwoodclaim/claim.go
+++ b/core/state/dogwoodclaim/claim.go
@@ -25,6 +25,7 @@
 	"github.com/zeebo/errs"
 
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodkernel"
 	"dogwoodmux.example/core/state/dogwoodtable"
 )
 
@@ -221,7 +222,7 @@
 		KeepFor: claims.options.KeepFor,
 	}
 	attempt := attempt{row: insert.Key, wanted: wanted}
-	wait := dogwoodtable.Backoff{First: firstBackoff, Longest: longestBackoff}
+	wait := dogwoodkernel.Backoff{First: firstBackoff, Longest: longestBackoff}
 	for {
 		again, err := claims.tryTake(ctx, insert, &attempt)
 		if !again || wait.Sleep(ctx) != nil {
