--- a/core/decision/dogwoodpacking/health.go
+++ b/core/decision/dogwoodpacking/health.go
@@ -47,11 +47,7 @@
 	if predicted <= 0 {
 		return
 	}
-	if health.slow == 0 {
-		health.slow = 1
-	}
-	ratio := min(max(float64(seen)/float64(predicted), 1), slowMost)
-	health.slow += readWeight * (ratio - health.slow)
+	health.learn(float64(seen)/float64(predicted), readWeight)
 }
 
 // paced learns from the pace at which an engine writes: a short pause between two events of
@@ -63,10 +59,12 @@
 	if pace <= 0 {
 		return
 	}
-	if health.slow == 0 {
-		health.slow = 1
-	}
-	health.slow += slowWeight * (min(max(pace, 1), slowMost) - health.slow)
+	health.learn(pace, slowWeight)
+}
+
+func (health *health) learn(ratio, weight float64) {
+	slow := health.slowness()
+	health.slow = slow + weight*(min(max(ratio, 1), slowMost)-slow)
 }
 
 func (health *health) slowness() float64 {
