--- a/core/duty/dogwoodrelay/plain.go
+++ b/core/duty/dogwoodrelay/plain.go
@@ -51,10 +51,7 @@
 	}
 	whole := func() error { return attempt.deliver(response, data) }
 	if response.Status >= http.StatusInternalServerError && attempt.request.repeatable() {
-		attempt.sent++
-		attempt.known = dogwoodfleet.WasRun
-		attempt.relay.options.Places.Failed(time.Now(), placement.Endpoint.ID)
-		return verdict{again: true, arrived: true, why: http.StatusText(response.Status), otherwise: whole}
+		return attempt.ranBadly(placement, response, whole)
 	}
 	if err := whole(); err != nil {
 		return verdict{err: err}
@@ -62,6 +59,14 @@
 	return verdict{done: true}
 }
 
+// ranBadly is the verdict on a failure that an endpoint answered with.
+func (attempt *attempt) ranBadly(placement dogwoodpacking.Placement, response *Response, otherwise func() error) verdict {
+	attempt.sent++
+	attempt.known = dogwoodfleet.WasRun
+	attempt.relay.options.Places.Failed(time.Now(), placement.Endpoint.ID)
+	return verdict{again: true, arrived: true, why: http.StatusText(response.Status), otherwise: otherwise}
+}
+
 // hang is how long this try may take, or 0 for as long as there is time: a call that must
 // not run twice gains nothing from giving up, and a last try neither.
 func (attempt *attempt) hang() time.Duration {
--- a/core/duty/dogwoodrelay/stream.go
+++ b/core/duty/dogwoodrelay/stream.go
@@ -98,8 +98,6 @@
 	if err != nil {
 		return attempt.sendFailed(ctx, placement, &Broken{Cause: err})
 	}
-	attempt.known = dogwoodfleet.WasRun
-	attempt.sent++
 	otherwise := func() error {
 		if attempt.stream.begun {
 			return ErrCut
@@ -112,8 +110,7 @@
 		}
 		return verdict{done: true}
 	}
-	attempt.relay.options.Places.Failed(time.Now(), placement.Endpoint.ID)
-	return verdict{again: true, arrived: true, why: http.StatusText(response.Status), otherwise: otherwise}
+	return attempt.ranBadly(placement, response, otherwise)
 }
 
 func (attempt *attempt) beginStream(response *Response) error {
