Begin no cancels in the background once the engine client closes

A user's killed daemon: its requests end, and cancel their streams in the background, while the client closes and waits for such work.

Cause: a daemon that is killed, or whose time to stop is over, closes its client under handlers that still run.

Change: after Close has begun nothing more is begun in the background, which the log tells; what is left at the engines the owners find in their lists, as after a crash.

--- a/core/edge/dogwoodengine/engine.go
+++ b/core/edge/dogwoodengine/engine.go
@@ -46,6 +46,9 @@
 	silence    time.Duration
 	logger     hclog.Logger
 	background sync.WaitGroup
+	// mutex guards closing, which is true once no more work is begun in the background.
+	mutex   sync.Mutex
+	closing bool
 	// lifetime ends the work in the background; the calls for requests have contexts of their own.
 	lifetime context.Context //nolint:containedctx // the lifetime of the client's own work, not of a call
 	end      context.CancelFunc
@@ -81,9 +84,25 @@
 	}
 }
 
+// inBackground runs work that Close waits for. A daemon that is killed, or whose time to stop
+// is over, closes the client under requests that still run; what these leave behind at the
+// engines the soft owners find in the engines' lists, as they do after a crash.
+func (client *Client) inBackground(work func()) {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	if client.closing {
+		client.logger.Debug("nothing more is cancelled or released at the end")
+		return
+	}
+	client.background.Go(work)
+}
+
 // Close returns when the cancels under way in the background are done or given up. The end
 // of the context gives them up: the soft owners find what is left in the engines' lists.
 func (client *Client) Close(ctx context.Context) {
+	client.mutex.Lock()
+	client.closing = true
+	client.mutex.Unlock()
 	stop := context.AfterFunc(ctx, client.end)
 	defer stop()
 	client.background.Wait()
--- a/core/edge/dogwoodengine/gang.go
+++ b/core/edge/dogwoodengine/gang.go
@@ -114,7 +114,7 @@
 // keep renews the shares until the release.
 func (gang *heldGang) keep(ctx context.Context) {
 	ctx, gang.stop = context.WithCancel(context.WithoutCancel(ctx))
-	gang.client.background.Go(func() {
+	gang.client.inBackground(func() {
 		for pause(ctx, gangRenewal) == nil {
 			for _, member := range gang.members {
 				// A lost share shows at the running engine, which checks the others itself.
--- a/core/edge/dogwoodengine/stream.go
+++ b/core/edge/dogwoodengine/stream.go
@@ -239,7 +239,7 @@
 func (client *Client) afterwards(ctx context.Context) func(func(ctx context.Context)) {
 	ctx = context.WithoutCancel(ctx)
 	return func(work func(ctx context.Context)) {
-		client.background.Go(func() {
+		client.inBackground(func() {
 			ctx, cancel := context.WithTimeout(ctx, cancelFor)
 			defer cancel()
 			stop := context.AfterFunc(client.lifetime, cancel) //nolint:contextcheck // both contexts end the work
