Have callers go to as many daemons as their requests need

Cause: on 61 daemons each request is told to 60 others three times, and each daemon tells every other three times a second that it serves: 38,000 calls a second, most of the processor.

Change: callers are told the largest daemons, as many as the requests of the last seconds need and twelve at least; only these hear of each request at once, the others once a second. Up to twelve daemons nothing changes.

--- /dev/null
+++ b/core/decision/dogwoodentry/active_test.go
@@ -0,0 +1,113 @@
+package dogwoodentry
+
+import (
+	"math"
+	"net/netip"
+	"testing"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+// fleetOf returns daemons in three data centres: in each two of 0.8 cores, the others of
+// 0.192.
+func fleetOf(perCentre int) []Member {
+	var members []Member
+	for c, centre := range []dogwoodfleet.DataCentre{"a", "b", "c"} {
+		for i := range perCentre {
+			member := memberOf(uint16(1000*(c+1)+i), centre, 0)
+			member.Cores = 0.192
+			if i < 2 {
+				member.Cores = 0.8
+			}
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
+func countByCentre(members []Member, active map[netip.AddrPort]bool) (byCentre map[dogwoodfleet.DataCentre]int, cores float64) {
+	byCentre = map[dogwoodfleet.DataCentre]int{}
+	for _, member := range members {
+		if active[member.Serve] {
+			byCentre[member.Place.DataCentre]++
+			cores += member.Cores
+		}
+	}
+	return byCentre, cores
+}
+
+// Sixty daemons each told every other of two requests a second; announcements took more
+// processor than the requests, and small VMs fell behind with them.
+func TestAsManyDaemonsTakeCallersAsTheirRequestsNeed(t *testing.T) {
+	tests := []struct {
+		name      string
+		perCentre int
+		rate      float64
+		want      int // in each data centre
+	}{
+		{name: "a small fleet, all", perCentre: 3, rate: 60, want: 3},
+		{name: "as many as the fewest, all", perCentre: 4, rate: 0, want: 4},
+		{name: "idle", perCentre: 20, rate: 0, want: 4},
+		{name: "a hundred and fifty requests a second", perCentre: 20, rate: 150, want: 4},
+		{name: "twice that", perCentre: 20, rate: 300, want: 8},
+		{name: "more than all bear", perCentre: 20, rate: 10_000, want: 20},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			members := fleetOf(test.perCentre)
+			active := Active(members, test.rate)
+			byCentre, cores := countByCentre(members, active)
+			for _, centre := range []dogwoodfleet.DataCentre{"a", "b", "c"} {
+				if got := byCentre[centre]; got != test.want {
+					t.Errorf("data centre %s: got %d active, want %d", centre, got, test.want)
+				}
+			}
+			needed := math.Min(test.rate*coresPerRequest/aimedUse, float64(3*test.perCentre-6)*0.192+4.8)
+			if cores < needed-1e-9 {
+				t.Errorf("got %.2f cores, want at least %.2f", cores, needed)
+			}
+			if got := active[members[0].Serve]; !got {
+				t.Error("got a large daemon that is not active, want the largest first")
+			}
+		})
+	}
+}
+
+// A data centre is lost and the large daemons of another one shut down. The same number of
+// daemons must take callers as before, of those that are left.
+func TestOthersTakeOverForDaemonsThatAreMissing(t *testing.T) {
+	var left []Member
+	for i, member := range fleetOf(20) {
+		if member.Place.DataCentre == "c" {
+			continue
+		}
+		member.Leaving = member.Place.DataCentre == "b" && i%20 < 2
+		left = append(left, member)
+	}
+	active := Active(left, 100)
+	byCentre, _ := countByCentre(left, active)
+	if got, want := byCentre["a"]+byCentre["b"], fewestActive; got < want || byCentre["b"] < want/2 {
+		t.Errorf("got %v active, want at least %d in all and half of them in b", byCentre, want)
+	}
+	for _, member := range left {
+		if member.Leaving && active[member.Serve] {
+			t.Error("got a daemon that leaves, want none")
+		}
+	}
+}
+
+// Daemons list each other in another order, and must choose alike.
+func TestAllDaemonsChooseTheSame(t *testing.T) {
+	members := fleetOf(20)
+	want := Active(members, 150)
+	reversed := make([]Member, 0, len(members))
+	for i := range members {
+		reversed = append(reversed, members[len(members)-1-i])
+	}
+	got := Active(reversed, 150)
+	for address := range want {
+		if !got[address] {
+			t.Errorf("got that %s is not active, want the same daemons in any order", address)
+		}
+	}
+}
--- a/core/decision/dogwoodentry/entry.go
+++ b/core/decision/dogwoodentry/entry.go
@@ -29,6 +29,8 @@
 	Leaving bool
 	// Load is the requests it holds; 0 if unknown.
 	Load int
+	// Cores is the processor that the daemon has; 0 if unknown.
+	Cores float64
 }
 
 // Choose returns at most count addresses, the best first. The place is the caller's if it
--- a/core/decision/dogwoodpacking/cold.go
+++ b/core/decision/dogwoodpacking/cold.go
@@ -28,6 +28,17 @@
 	return len(place.sends)
 }
 
+// Sent returns how many requests all daemons sent within the last second.
+func (board *Board) Sent(now time.Time) int {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	sent := 0
+	for _, place := range board.places {
+		sent += place.recent(now)
+	}
+	return sent
+}
+
 // bears reports whether one more request may be sent now.
 func (place *place) bears(now time.Time) bool {
 	if place.ColdPerSecond <= 0 {
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -5,8 +5,9 @@
 // An owner that places for all would see as much, at the price of a call for each request
 // and of a time without one whenever it dies, freezes or is cut off. Announcements cost no
 // waiting, and a daemon that is lost takes only the sight of its own work with it, until
-// that work's deadlines pass. They grow with the square of the daemons of a pool, so they
-// are for pools of some tens of daemons.
+// that work's deadlines pass. They would grow with the square of the daemons, so only those
+// that callers are told to use hear of each request at once; the others are told once a
+// second.
 package dogwoodboard
 
 import (
@@ -28,6 +29,10 @@
 	// tellEvery is how often a daemon tells whether it serves when nothing else is to be
 	// said: callers are sent to one that can't serve for this much longer.
 	tellEvery = 300 * time.Millisecond
+	// tellIdleEvery is how often peers that stand by are told the news since the last time:
+	// what they know of the pool when callers come to them is so much older, and half of
+	// heardWithin leaves time for one announcement that is late.
+	tellIdleEvery = time.Second
 	// tellWithin bounds one announcement; what it held is sent again, whole.
 	tellWithin = time.Second
 	// gather is how long news waits for more: a part of the way to another data centre.
@@ -98,6 +103,8 @@
 	Watch func() <-chan struct{}
 	// Serves tells whether this daemon can serve callers.
 	Serves func() bool
+	// Active tells whether a peer is one of those that callers are told to use; nil if all are.
+	Active func(instance dogwoodfleet.InstanceID) bool
 	Logger hclog.Logger
 }
 
--- a/core/duty/dogwoodboard/board_test.go
+++ b/core/duty/dogwoodboard/board_test.go
@@ -23,11 +23,31 @@
 	mutex     sync.Mutex
 	receivers map[netip.AddrPort]*Receiver
 	cut       bool
+	calls     map[netip.AddrPort]int
+	standby   map[dogwoodfleet.InstanceID]bool
+}
+
+func (mesh *mesh) isActive(instance dogwoodfleet.InstanceID) bool {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	return !mesh.standby[instance]
+}
+
+// callsTo returns how often the node was called.
+func (mesh *mesh) callsTo(index int) int {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	return mesh.calls[addressOf(index)]
+}
+
+func addressOf(index int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(index)}), 1)
 }
 
 func (mesh *mesh) Call(_ context.Context, peer netip.AddrPort, _ string, args, reply any) error {
 	mesh.mutex.Lock()
 	receiver, cut := mesh.receivers[peer], mesh.cut
+	mesh.calls[peer]++
 	mesh.mutex.Unlock()
 	if cut {
 		return errors.New("no path")
@@ -51,12 +71,14 @@
 
 // meshOf starts duties that all know each other and returns them with the mesh.
 func meshOf(ctx context.Context, group *sync.WaitGroup, count int) ([]*node, *mesh) {
-	mesh := &mesh{receivers: map[netip.AddrPort]*Receiver{}}
+	mesh := &mesh{
+		receivers: map[netip.AddrPort]*Receiver{}, calls: map[netip.AddrPort]int{}, standby: map[dogwoodfleet.InstanceID]bool{},
+	}
 	var peers []Peer
 	for i := range count {
 		peers = append(peers, Peer{
 			Instance: dogwoodfleet.InstanceID(fmt.Sprint(i)),
-			Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1),
+			Address:  addressOf(i),
 		})
 	}
 	var nodes []*node
@@ -77,7 +99,8 @@
 				}
 				return others
 			},
-			Watch: func() <-chan struct{} { return nil }, Serves: made.serves.Load, Expected: func() int { return count }, Logger: hclog.NewNullLogger(),
+			Watch: func() <-chan struct{} { return nil }, Serves: made.serves.Load, Active: mesh.isActive,
+			Expected: func() int { return count }, Logger: hclog.NewNullLogger(),
 		})
 		mesh.receivers[peers[i].Address] = made.duty.Receiver()
 		nodes = append(nodes, made)
@@ -142,6 +165,42 @@
 	})
 }
 
+// Two daemons take callers and one stands by. If each request were told there too, the
+// announcements would grow with the square of the daemons. It must hear once a second, and
+// know all that runs when it takes over.
+func TestADaemonThatStandsByHearsOnceASecond(t *testing.T) {
+	story(t, 3, func(t *testing.T, nodes []*node, mesh *mesh) {
+		mesh.mutex.Lock()
+		mesh.standby["2"] = true
+		mesh.mutex.Unlock()
+		time.Sleep(tellIdleEvery)
+		before := mesh.callsTo(2)
+		const requests, seconds = 50, 5
+		for i := range requests * seconds {
+			nodes[0].place(fmt.Sprint("short", i))
+			time.Sleep(time.Second / requests / 2)
+			nodes[0].duty.End(dogwoodpacking.WorkID(fmt.Sprint("short", i)))
+			time.Sleep(time.Second / requests / 2)
+		}
+		// Two peers call it, each once a second.
+		if got, most := mesh.callsTo(2)-before, 2*(seconds+1); got > most {
+			t.Errorf("got %d announcements, want at most %d", got, most)
+		}
+		nodes[0].place("w1")
+		time.Sleep(5 * time.Millisecond)
+		if got := nodes[1].sees(); got != 1 {
+			t.Errorf("an active daemon: got %d requests, want 1 at once", got)
+		}
+		time.Sleep(tellIdleEvery + 10*time.Millisecond)
+		if got := nodes[2].sees(); got != 1 {
+			t.Errorf("the daemon that stands by: got %d requests a second later, want 1", got)
+		}
+		if !nodes[0].duty.Serves("2") || !nodes[2].duty.Serves("0") {
+			t.Error("got a daemon that is not known to serve, want that all are")
+		}
+	})
+}
+
 // Daemons lose each other for a while, and ends of requests are never heard. When they are
 // back each must see just what runs, or engines would look full for ever.
 func TestALostAnnouncementIsMadeUpFor(t *testing.T) {
--- a/core/duty/dogwoodboard/link.go
+++ b/core/duty/dogwoodboard/link.go
@@ -98,17 +98,14 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		select {
-		case <-ctx.Done():
+		// A slot that is freed and taken again at once is told in one announcement.
+		if !duty.await(ctx, link, timer) || !dogwoodkernel.Sleep(ctx, gather) {
 			return
-		case <-link.wake:
-			// A slot that is freed and taken again at once is told in one announcement.
-			if !dogwoodkernel.Sleep(ctx, gather) {
-				return
-			}
-		case <-timer.C:
 		}
-		pause := tellEvery
+		pause := tellIdleEvery
+		if duty.isActive(link.peer.Instance) {
+			pause = tellEvery
+		}
 		if err := duty.announce(ctx, link); err != nil {
 			duty.options.Logger.Debug("An announcement failed.", "peer", link.peer.Instance, "error", err)
 			link.lost()
@@ -121,6 +118,27 @@
 	}
 }
 
+// await returns when it is time for an announcement, false when the context has ended. News
+// makes a peer's time come at once if that peer is active.
+func (duty *Duty) await(ctx context.Context, link *link, timer *time.Timer) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-link.wake:
+			if duty.isActive(link.peer.Instance) {
+				return true
+			}
+		case <-timer.C:
+			return true
+		}
+	}
+}
+
+func (duty *Duty) isActive(instance dogwoodfleet.InstanceID) bool {
+	return duty.options.Active == nil || duty.options.Active(instance)
+}
+
 func (duty *Duty) announce(ctx context.Context, link *link) error {
 	ctx, cancel := context.WithTimeout(ctx, tellWithin)
 	defer cancel()
--- a/core/state/dogwoodmember/member.go
+++ b/core/state/dogwoodmember/member.go
@@ -66,6 +66,8 @@
 	Serve    netip.AddrPort
 	Peer     netip.AddrPort
 	Admin    netip.AddrPort
+	// Cores is the processor that the daemon has; 0 if unknown.
+	Cores float64
 	// Started is on the daemon's own clock; of two starts on one VM the later counts.
 	Started time.Time
 	// Leaving is true when the daemon takes no more new work.
