Have a few daemons read the store and tell the others

Cause: each daemon followed the store by itself, so a start of 72 endpoints that register one by one cost a question of each of 61 daemons for each of them, and then each asked twice a second. Ruled out: one question for both tables (the store has none), longer waits (they are the proof for keys).

Change: up to twelve daemons read the store as before. In a larger fleet the two largest of each data centre do; the others ask one of these, which answers at once on a change and after 0.4 s without. The proof that an answer is stays safe: it is taken from when the daemon asked, on its own clock, less the age of the store's own answer; nothing is passed on that a peer told, or that is older than 1.4 s.

--- a/core/decision/dogwoodentry/active.go
+++ b/core/decision/dogwoodentry/active.go
@@ -35,14 +35,7 @@
 // moment, callers are spread over a few more daemons than needed.
 func Active(members []Member, requestsPerSecond float64) map[netip.AddrPort]bool {
 	active := make(map[netip.AddrPort]bool, len(members))
-	centres := map[dogwoodfleet.Place][]Member{}
-	usable := 0
-	for _, member := range members {
-		if !member.Leaving && member.Serve.IsValid() {
-			centres[member.Place] = append(centres[member.Place], member)
-			usable++
-		}
-	}
+	centres, usable := byPlace(members)
 	for _, inCentre := range centres {
 		chosen := inCentre
 		if usable > fewestActive {
@@ -55,6 +48,18 @@
 	return active
 }
 
+// byPlace sorts the daemons that may be used by data centre, and counts them.
+func byPlace(members []Member) (centres map[dogwoodfleet.Place][]Member, usable int) {
+	centres = map[dogwoodfleet.Place][]Member{}
+	for _, member := range members {
+		if !member.Leaving && member.Serve.IsValid() {
+			centres[member.Place] = append(centres[member.Place], member)
+			usable++
+		}
+	}
+	return centres, usable
+}
+
 // enough returns the largest daemons of a data centre, as many as its requests need and no
 // fewer than least.
 func enough(members []Member, least int, requestsPerSecond float64) []Member {
--- a/core/decision/dogwoodentry/active_test.go
+++ b/core/decision/dogwoodentry/active_test.go
@@ -111,3 +111,34 @@
 		}
 	}
 }
+
+// Sixty daemons each asked the store, which is paid for by the call. Two in each data centre
+// must do so, each as many others asking it, and a daemon that is alone asks the store.
+func TestAFewDaemonsReadTheStore(t *testing.T) {
+	members := fleetOf(20)
+	asked := map[netip.AddrPort]int{}
+	direct := 0
+	for _, member := range members {
+		readers := Readers(members, member.Serve, member.Place)
+		if len(readers) == 0 {
+			direct++
+			continue
+		}
+		if got, want := len(readers), 3*readersInCentre; got != want {
+			t.Fatalf("got %d readers, want %d", got, want)
+		}
+		asked[readers[0]]++
+	}
+	if got, want := direct, 3*readersInCentre; got != want {
+		t.Errorf("got %d daemons that read the store, want %d", got, want)
+	}
+	for reader, count := range asked {
+		if most := 16; count > most {
+			t.Errorf("got %d daemons that ask %s, want at most %d", count, reader, most)
+		}
+	}
+	small := fleetOf(4)
+	if got := Readers(small, small[0].Serve, small[0].Place); len(got) != 0 {
+		t.Errorf("got readers %v in a small fleet, want none", got)
+	}
+}
--- /dev/null
+++ b/core/duty/dogwoodreader/receiver.go
@@ -0,0 +1,55 @@
+package dogwoodreader
+
+import (
+	"time"
+
+	"dogwoodmux.example/core/state/dogwoodcopy"
+)
+
+// Question asks a reader for the changes of a table.
+type Question struct {
+	Table string
+	After int64
+}
+
+// Told is a reader's answer. Its Proven means nothing to another daemon, whose clock differs.
+type Told struct {
+	Answer dogwoodcopy.Answer
+	// ProvenAfter is from the arrival of the question to the moment as of which the store
+	// proved the answer; mostly below zero.
+	ProvenAfter time.Duration
+}
+
+// Receiver returns what other daemons call, to be registered as Name.
+func (reader *Reader) Receiver() *Receiver {
+	return &Receiver{reader: reader}
+}
+
+// Receiver answers other daemons.
+type Receiver struct {
+	reader *Reader
+}
+
+// Changes answers as soon as the table has changed after the version, or after holdFor.
+func (receiver *Receiver) Changes(question Question, told *Told) error {
+	reader := receiver.reader
+	clock, table := reader.options.Clock, reader.table(question.Table)
+	arrived := clock()
+	timer := time.NewTimer(holdFor)
+	defer timer.Stop()
+	for over := false; ; {
+		answer, changed, ok := table.Since(question.After)
+		if !ok || clock()-answer.Proven > staleAfter {
+			return Error.Wrap(errStale)
+		}
+		if over || answer.Whole || len(answer.Rows) > 0 {
+			*told = Told{Answer: answer, ProvenAfter: answer.Proven - arrived}
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		}
+	}
+}
