--- a/core/decision/dogwoodpacking/engines.go
+++ b/core/decision/dogwoodpacking/engines.go
@@ -39,6 +39,8 @@
 type engine struct {
 	place *place
 	load  dogwoodenginetime.Load
+	// parts is the load that a part finds here which it reads as a helper.
+	parts dogwoodenginetime.Load
 	count int
 	used  int
 	// pause is the shortest of the good pauses of those who are there; 0 if any is good.
@@ -58,7 +60,7 @@
 	for _, place := range candidates {
 		load := place.load(now)
 		engines = append(engines, engine{
-			place: place, load: load, count: len(place.work), used: place.used(),
+			place: place, load: load, parts: place.partsLoad(now, load), count: len(place.work), used: place.used(),
 			pause: place.tightest(), spare: place.spare(now, load.Queued), slow: place.health.slowness(), bad: place.health.badness(now) >= 1,
 			waits: place.waits(), packed: float64(len(place.work)) >= board.seen*packShare*float64(place.Slots),
 		})
@@ -67,10 +69,25 @@
 	return engines
 }
 
-// firstToken predicts when a part of a prompt is read here.
+// firstToken predicts when a prompt's own part is read at its first engine.
 func (engine *engine) firstToken(tokens int, reading time.Duration) time.Duration {
+	return engine.read(engine.load, tokens, reading)
+}
+
+// partToken predicts when a part is read here by a helper.
+func (engine *engine) partToken(tokens int, reading time.Duration) time.Duration {
+	return engine.read(engine.parts, tokens, reading)
+}
+
+func (engine *engine) read(load dogwoodenginetime.Load, tokens int, reading time.Duration) time.Duration {
 	slowed := time.Duration(engine.slow * float64(reading))
-	return engine.place.Engine.FirstToken(engine.load, tokens, slowed)
+	return engine.place.Engine.FirstToken(load, tokens, slowed)
+}
+
+// helpsLate reports whether a part may be read here although no place is good: where nothing
+// is written, and no prompt waits that could not be put off.
+func (engine *engine) helpsLate() bool {
+	return engine.load.Writers == 0 && engine.spare > 0
 }
 
 // flows reports whether the answers here, and one more with the given longest pause, go on
@@ -223,7 +240,7 @@
 			continue
 		}
 		found.helpers = append(found.helpers, helper)
-		found.predicted = max(found.predicted, helper.firstToken(search.ask.Prompt/parts, reading))
+		found.predicted = max(found.predicted, helper.partToken(search.ask.Prompt/parts, reading))
 	}
 	return found, len(found.helpers) == parts-1
 }
--- a/core/decision/dogwoodpacking/leastbad.go
+++ b/core/decision/dogwoodpacking/leastbad.go
@@ -36,7 +36,7 @@
 		for parts := search.holders; parts <= 1+mostHelpers; parts++ {
 			reading := first.place.Engine.Read(search.ask.Prompt, parts)
 			found, ok := search.try(first, parts, func(helper *engine) bool {
-				return helper.load.Writers == 0 || helper.flows(reading, 0)
+				return helper.helpsLate() || helper.flows(reading, 0)
 			})
 			if !ok {
 				continue // a smaller part may suit more helpers
--- a/core/decision/dogwoodpacking/load.go
+++ b/core/decision/dogwoodpacking/load.go
@@ -31,6 +31,24 @@
 		waiting += work.Reading
 		place.queue(work)
 	}
+	load.Queued, load.QueuedTokens = place.backlog(now)
+	load.Queued = max(load.Queued, time.Duration(waitingShare*float64(waiting)))
+	return load
+}
+
+// partsLoad estimates what an engine reads before a part that it gets as a helper: only the
+// parts of others that came before, since an engine reads these ahead of its own prompts.
+// Taken for part of one queue, a helper with a prompt of its own looked busy for seconds,
+// and joint prompts were read by few engines that had none.
+func (place *place) partsLoad(now time.Time, load dogwoodenginetime.Load) dogwoodenginetime.Load {
+	place.unread = place.unread[:0]
+	load.Queued, load.QueuedTokens = place.backlog(now)
+	return load
+}
+
+// backlog is the time until the engine has read the prompts gathered so far and the parts
+// that it helps with, and the tokens of those that it still has to read.
+func (place *place) backlog(now time.Time) (queued time.Duration, tokens int) {
 	for _, work := range place.parts {
 		if !work.Writing {
 			place.queue(work)
@@ -44,11 +62,10 @@
 		}
 		free = free.Add(time.Duration(float64(each.reading) * place.health.slowness()))
 		if free.After(now) {
-			load.QueuedTokens += each.tokens
+			tokens += each.tokens
 		}
 	}
-	load.Queued = max(free.Sub(now), time.Duration(waitingShare*float64(waiting)))
-	return load
+	return max(free.Sub(now), 0), tokens
 }
 
 // waitingShare is the part of what has not answered that counts at least: the engine may
--- a/core/decision/dogwoodpacking/others.go
+++ b/core/decision/dogwoodpacking/others.go
@@ -3,12 +3,14 @@
 import "time"
 
 // spare is the time by which what waits to be read here may be put off, given the time of
-// reading that is queued. Prompts that are late already hold nothing back.
+// reading that is queued: none once a prompt is late. Helpers read parts ahead of the prompts
+// that wait, so that one that was late already was put off by each later part, for up to eight
+// seconds.
 func (place *place) spare(now time.Time, queued time.Duration) time.Duration {
 	spare := noWait
 	consider := func(work *Work) {
 		left := time.Duration(spareShare*float64(work.Aim)) - now.Sub(work.Begun)
-		if !work.Writing && left > 0 {
+		if !work.Writing {
 			spare = min(spare, max(left-queued, 0))
 		}
 	}
