Spread callers over the large daemons, and bound what each sends a cold endpoint

Change: two fifths of the processors are aimed at, and a large daemon counts as several of the usual size, so that six of 0.8 cores take the callers of up to 295 requests a second. What a cold endpoint bears is divided among the daemons that take callers, besides the limit over all; one that stands by sends it nothing. Four fifths of the allowance of repeats is for those that take callers.

--- a/core/decision/dogwoodentry/active.go
+++ b/core/decision/dogwoodentry/active.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 
@@ -11,15 +12,18 @@
 )
 
 const (
-	// fewestActive is the least number of daemons that callers are spread over: one that dies
-	// takes a twelfth of the requests with it. All daemons of a smaller fleet are active.
+	// fewestActive is the least number of daemons of the usual size that callers are spread
+	// over: one that dies takes a twelfth of the requests with it. A larger one counts as
+	// several. All daemons of a smaller fleet are active.
 	fewestActive = 12
+	// usualCores is the processor of a daemon of the usual size.
+	usualCores = 0.4
 	// coresPerRequest is the processor time that a request takes, in seconds of a core: 6.5 ms
 	// with all that a daemon does besides, measured with 8 daemons at 60 requests a second.
 	coresPerRequest = 0.0065
 	// aimedUse is the part of their processors that the active daemons use for requests: the
-	// load may double, and a third of the daemons die, before one waits for its processor.
-	aimedUse = 0.25
+	// load may double before one waits for its processor.
+	aimedUse = 0.4
 )
 
 // Active chooses the daemons that callers are told to use, by their addresses.
@@ -39,7 +43,7 @@
 	for _, inCentre := range centres {
 		chosen := inCentre
 		if usable > fewestActive {
-			chosen = enough(inCentre, ceilDivide(fewestActive, len(centres)), requestsPerSecond/float64(len(centres)))
+			chosen = enough(inCentre, fewestActive/float64(len(centres)), requestsPerSecond/float64(len(centres)))
 		}
 		for _, member := range chosen {
 			active[member.Serve] = true
@@ -61,26 +65,48 @@
 }
 
 // enough returns the largest daemons of a data centre, as many as its requests need and no
-// fewer than least.
-func enough(members []Member, least int, requestsPerSecond float64) []Member {
-	slices.SortFunc(members, func(one, other Member) int {
-		return cmp.Or(cmp.Compare(other.Cores, one.Cores), cmp.Compare(rank(one), rank(other)))
-	})
+// fewer than least of the usual size.
+func enough(members []Member, least, requestsPerSecond float64) []Member {
+	members = largest(members, len(members))
 	needed := requestsPerSecond * coresPerRequest / aimedUse
 	for i, member := range members {
-		if i >= least && needed <= 0 {
+		if least <= 0 && needed <= 0 {
 			return members[:i]
 		}
+		least -= max(member.Cores/usualCores, 1)
 		needed -= member.Cores
 	}
 	return members
 }
 
+// largest returns so many of the largest daemons, the first of them first.
+func largest(members []Member, count int) []Member {
+	slices.SortFunc(members, func(one, other Member) int {
+		return cmp.Or(cmp.Compare(other.Cores, one.Cores), cmp.Compare(rank(one), rank(other)))
+	})
+	return members[:min(count, len(members))]
+}
+
 // rank orders daemons of one size, the same at each daemon.
 func rank(member Member) uint64 {
 	return xxhash.Sum64String(member.Serve.String())
 }
 
-func ceilDivide(count, parts int) int {
-	return (count + parts - 1) / parts
+// activeShare is the part of what all daemons may do together that the active ones may; the
+// rest is for callers who still use the address of one that stands by.
+const activeShare = 0.8
+
+// Sharers is by how many daemons an allowance for all is divided to get one daemon's part.
+// Divided evenly, a hundred repeats are one or two for each of sixty daemons, and the few
+// that take nearly all requests refuse what the others could still try again.
+func Sharers(daemons, active int, isActive bool) int {
+	idle := daemons - active
+	switch {
+	case idle <= 0 || active <= 0:
+		return max(daemons, 1)
+	case isActive:
+		return int(math.Ceil(float64(active) / activeShare))
+	default:
+		return int(math.Ceil(float64(idle) / (1 - activeShare)))
+	}
 }
--- a/core/decision/dogwoodentry/readers.go
+++ b/core/decision/dogwoodentry/readers.go
@@ -26,7 +26,7 @@
 	}
 	var readers []Member
 	for _, inCentre := range centres {
-		readers = append(readers, enough(inCentre, readersInCentre, 0)...)
+		readers = append(readers, largest(inCentre, readersInCentre)...)
 	}
 	slices.SortFunc(readers, func(one, other Member) int {
 		return cmp.Or(
--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -73,11 +73,12 @@
 type place struct {
 	Endpoint
 	// rank orders endpoints that are equal otherwise.
-	rank   uint64
-	work   works
-	parts  works       // work at other endpoints that this one helps with
-	sends  []time.Time // within the last second, by all daemons
-	health health
+	rank  uint64
+	work  works
+	parts works // work at other endpoints that this one helps with
+	// sends are within the last second, by all daemons, ownSends by this one.
+	sends, ownSends moments
+	health          health
 	// readAt is when a prompt was last known to have been read here.
 	readAt time.Time
 	unread []unread // reused by load
@@ -93,6 +94,9 @@
 	owner   string
 	// seen is the part of the daemons whose work is on the board.
 	seen float64
+	// senders are the daemons that take callers; this one does not if it stands by.
+	senders  int
+	standsBy bool
 	// scratch is reused by each decision; the mutex is held meanwhile.
 	scratch scratch
 }
@@ -111,7 +115,7 @@
 func NewBoard(owner dogwoodfleet.InstanceID) *Board {
 	return &Board{
 		places: map[dogwoodfleet.EndpointID]*place{}, works: map[WorkID]*Work{},
-		changed: make(chan struct{}), owner: string(owner), seen: 1,
+		changed: make(chan struct{}), owner: string(owner), seen: 1, senders: 1,
 	}
 }
 
@@ -178,7 +182,7 @@
 	board.works[work.ID] = &work
 	board.attach(&work)
 	if place := board.places[work.Endpoint]; place != nil && !known {
-		place.sent(now)
+		place.sent(now, string(work.Holder) == board.owner)
 	}
 }
 
--- a/core/decision/dogwoodpacking/choose.go
+++ b/core/decision/dogwoodpacking/choose.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		known = true
-		if len(place.work) >= place.most() || !place.bears(now) {
+		if len(place.work) >= place.most() || !board.bears(place, now) {
 			continue
 		}
 		open = append(open, place)
--- a/core/decision/dogwoodpacking/cold.go
+++ b/core/decision/dogwoodpacking/cold.go
@@ -10,22 +10,42 @@
 	// without a sign must outlive the second until it is seen.
 	warmShare = 1.2
 	coldSpan  = time.Second
+	// ownShare is how much more than its even part of what a cold endpoint bears one daemon
+	// sends it: callers come unevenly.
+	ownShare = 1.5
 )
 
-// sent counts a request. The caller holds the board's mutex.
-func (place *place) sent(now time.Time) {
-	place.recent(now)
-	place.sends = append(place.sends, now)
-}
+// moments are when requests were sent, the first ones first.
+type moments []time.Time
 
-// recent returns how many requests were sent within the last second.
-func (place *place) recent(now time.Time) int {
+// recent drops those that are older than coldSpan and counts the others.
+func (moments *moments) recent(now time.Time) int {
 	start, old := now.Add(-coldSpan), 0
-	for old < len(place.sends) && !place.sends[old].After(start) {
+	for old < len(*moments) && !(*moments)[old].After(start) {
 		old++
 	}
-	place.sends = append(place.sends[:0], place.sends[old:]...)
-	return len(place.sends)
+	*moments = append((*moments)[:0], (*moments)[old:]...)
+	return len(*moments)
+}
+
+// SetSenders says how many daemons take callers, and whether this one stands by. What a cold
+// endpoint bears is divided among those that take callers, besides the limit over all that are
+// known of: when many daemons place at once, or announcements are late, each takes an endpoint
+// that has just come for empty, and together they send it several times what it bears. A
+// daemon that stands by knows the others' requests too late to send a cold endpoint any.
+func (board *Board) SetSenders(senders int, standsBy bool) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	board.senders, board.standsBy = max(senders, 1), standsBy
+}
+
+// sent counts a request, and whether this daemon sent it. The caller holds the board's mutex.
+func (place *place) sent(now time.Time, own bool) {
+	place.sends = append(place.sends, now)
+	place.sends.recent(now)
+	if own {
+		place.ownSends = append(place.ownSends, now)
+	}
 }
 
 // Sent returns how many requests all daemons sent within the last second.
@@ -34,19 +54,21 @@
 	defer board.mutex.Unlock()
 	sent := 0
 	for _, place := range board.places {
-		sent += place.recent(now)
+		sent += place.sends.recent(now)
 	}
 	return sent
 }
 
-// bears reports whether one more request may be sent now.
-func (place *place) bears(now time.Time) bool {
+// bears reports whether this daemon may send one more request now.
+func (board *Board) bears(place *place, now time.Time) bool {
 	if place.ColdPerSecond <= 0 {
 		return true
 	}
-	limit := place.ColdPerSecond * warmShare
-	if now.Before(place.ColdUntil) {
-		limit = place.ColdPerSecond * coldShare
+	recent := float64(place.sends.recent(now) + 1)
+	if !now.Before(place.ColdUntil) {
+		return recent <= place.ColdPerSecond*warmShare
 	}
-	return float64(place.recent(now)+1) <= limit
+	limit := place.ColdPerSecond * coldShare
+	own := max(ownShare*limit/float64(board.senders), 1)
+	return recent <= limit && !board.standsBy && float64(place.ownSends.recent(now)+1) <= own
 }
--- /dev/null
+++ b/core/decision/dogwoodpacking/cold_test.go
@@ -0,0 +1,37 @@
+package dogwoodpacking
+
+import (
+	"testing"
+	"time"
+)
+
+// A burst keeps many daemons busy, so that they hear late of each other's requests, and an
+// endpoint starts and is cold. To each it looks empty: in one second it got 35 requests where
+// it bore 17, and a little more was allowed. Together they must stay within one and a half
+// times what it bears, and one that stands by must send it nothing.
+func TestDaemonsThatHearLateSpareAColdEndpoint(t *testing.T) {
+	const daemons, bears = 8, 17
+	now := time.Now()
+	endpoint := engineEndpoint(0)
+	endpoint.ColdPerSecond, endpoint.ColdUntil = bears, now.Add(3*time.Second)
+	placed := func(standsBy bool) int {
+		board := NewBoard("me")
+		board.SetEndpoints([]Endpoint{endpoint})
+		board.SetSenders(daemons, standsBy)
+		count := 0
+		for i := range 50 {
+			ask := short(now, 3_000)
+			if _, refusal := board.Place(now.Add(time.Duration(i)*10*time.Millisecond), ask); refusal == Placed {
+				count++
+				board.End(ask.ID)
+			}
+		}
+		return count
+	}
+	if got, most := daemons*placed(false), bears*3/2; got > most || got < daemons {
+		t.Errorf("got %d requests by %d daemons, want at most %d and one by each", got, daemons, most)
+	}
+	if got := placed(true); got != 0 {
+		t.Errorf("got %d requests by a daemon that stands by, want none", got)
+	}
+}
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -99,6 +99,8 @@
 	Peers func() []Peer
 	// Expected is how many daemons there should be, this one included.
 	Expected func() int
+	// Senders is how many daemons take callers, and whether this one stands by; nil for all.
+	Senders func() (senders int, standsBy bool)
 	// Watch returns a channel that is closed when the peers change.
 	Watch func() <-chan struct{}
 	// Serves tells whether this daemon can serve callers.
@@ -142,6 +144,11 @@
 		changed := duty.options.Watch()
 		peers := duty.options.Peers()
 		duty.options.Board.SetSeen(len(peers)+1, duty.options.Expected())
+		if duty.options.Senders != nil {
+			duty.options.Board.SetSenders(duty.options.Senders())
+		} else {
+			duty.options.Board.SetSenders(len(peers)+1, false)
+		}
 		duty.connect(ctx, group, peers)
 		select {
 		case <-ctx.Done():
