Say in words what took a request's time, and that an endpoint's own failure was one

dogwoodctl explain printed durations as 1.01866631e+08, said "It was answered." of a request that ended in an endpoint's 500, and nothing of a stream whose engine was slow. Durations are written as people write them; the sentence names the status of a failure, a first event far over its prediction and a long writing.

--- a/dogwoodctl/dogwoodexplain/conclusion.go
+++ b/dogwoodctl/dogwoodexplain/conclusion.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
+	"time"
 
 	"dogwoodmux.example/core/dogwoodlog"
 )
@@ -42,6 +44,9 @@
 			break
 		}
 	}
+	if status, known := last.fields["status"].(float64); known && last.text("@message") == dogwoodlog.Answered && status >= http.StatusBadRequest {
+		sentence = fmt.Sprintf("It failed: the endpoint itself answered %d, which was passed on.", int(status))
+	}
 	var tries []string
 	for _, each := range lines {
 		if each.text("@message") == dogwoodlog.Placed {
@@ -56,5 +61,32 @@
 			sentence += fmt.Sprintf(" %s After: %s.", each.text("@message"), each.text("after"))
 		}
 	}
-	return sentence
+	return sentence + slowness(lines, last)
+}
+
+const (
+	// lateBy is how many times its prediction a first event may take before it is named.
+	lateBy = 1.5
+	// mostWritten is how long after its first event an answer may go on before that is named.
+	mostWritten = 2 * time.Second
+)
+
+// slowness says what took the time of a stream whose first event or whose writing was slow;
+// nothing if neither was.
+func slowness(lines []line, last line) string {
+	var text string
+	for _, each := range lines {
+		if each.text("@message") != dogwoodlog.FirstEvent {
+			continue
+		}
+		predicted, seen := each.duration("predicted"), each.duration("seen")
+		if predicted > 0 && float64(seen) > lateBy*float64(predicted) {
+			text += fmt.Sprintf(" Its first event came %s after it was sent to %s, predicted were %s: other prompts were read ahead of it, or the engine was slow.",
+				readable(seen), each.text("endpoint"), readable(predicted))
+		}
+		if written := last.duration("taken") - seen; last.text("@message") == dogwoodlog.Answered && written > mostWritten {
+			text += fmt.Sprintf(" Waiting for a place and writing after the first event took %s together.", readable(written))
+		}
+	}
+	return text
 }
--- a/dogwoodctl/dogwoodexplain/explain.go
+++ b/dogwoodctl/dogwoodexplain/explain.go
@@ -13,6 +13,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"dogwoodmux.example/core/dogwoodsubcommand"
 	"dogwoodmux.example/dogwoodctl/dogwoodcommand"
@@ -67,6 +68,23 @@
 	return fmt.Sprint(value)
 }
 
+// duration returns a field in which the daemons log a duration, 0 if it is not there.
+func (line *line) duration(field string) time.Duration {
+	nanoseconds, _ := line.fields[field].(float64) // another type is no duration
+	return time.Duration(nanoseconds)
+}
+
+// durations are the fields that hold durations, which the daemons log in nanoseconds.
+var durations = []string{"predicted", "seen", "waited", "queued", "taken", "limit", "age", "cold", "after"}
+
+// readable writes a duration to three digits or so.
+func readable(duration time.Duration) string {
+	if duration >= time.Second {
+		return duration.Round(10 * time.Millisecond).String()
+	}
+	return duration.Round(10 * time.Microsecond).String()
+}
+
 var errNoLines = errors.New("no line of the files names this request: it reached none of these daemons, or their lines were dropped")
 
 // Run prints the lines and the sentence.
@@ -133,7 +151,11 @@
 	slices.Sort(names)
 	var text strings.Builder
 	for _, name := range names {
-		fmt.Fprintf(&text, "%s=%v ", name, fields[name])
+		value := fields[name]
+		if nanoseconds, isNumber := value.(float64); isNumber && slices.Contains(durations, name) {
+			value = readable(time.Duration(nanoseconds))
+		}
+		fmt.Fprintf(&text, "%s=%v ", name, value)
 	}
 	return strings.TrimSpace(text.String())
 }
--- a/dogwoodctl/dogwoodexplain/explain_test.go
+++ b/dogwoodctl/dogwoodexplain/explain_test.go
@@ -18,6 +18,10 @@
 `
 
 const secondLog = `{"@level":"info","@message":"Answered.","@module":"front","@timestamp":"2026-01-31T16:19:47.00Z","request":"r2","status":200}
+{"@level":"info","@message":"Answered.","@module":"front","@timestamp":"2026-01-31T16:19:47.00Z","request":"failed","status":500,"taken":101866631}
+{"@level":"info","@message":"Placed.","@module":"relay","@timestamp":"2026-01-31T16:19:50.00Z","endpoint":"i-3","predicted":630000000,"request":"slow","try":1}
+{"@level":"info","@message":"First event.","@module":"relay","@timestamp":"2026-01-31T16:19:59.00Z","endpoint":"i-3","predicted":630000000,"seen":8974000000,"request":"slow"}
+{"@level":"info","@message":"Answered.","@module":"front","@timestamp":"2026-01-31T16:20:03.00Z","request":"slow","status":200,"taken":12580000000}
 `
 
 func explain(t *testing.T, id string) (string, error) {
@@ -38,6 +42,8 @@
 	}{
 		{"r1", []string{"Its stream broke off", "placed at i-1, then i-2", "fell silent"}},
 		{"r2", []string{"It was answered", "no known key"}},
+		{"failed", []string{"It failed: the endpoint itself answered 500", "taken=101.87ms"}},
+		{"slow", []string{"It was answered", "8.97s after it was sent to i-3, predicted were 630ms", "took 3.61s together"}},
 	}
 	for _, test := range tests {
 		got, err := explain(t, test.id)
