Keep no entry for longer than a living endpoint takes to be back after an outage

By the logs the store had turned the daemon away until 23.6 s; at 25.7 the endpoint's entry was removed, which the daemon heard 0.34 s later, since it now gathers changes for 0.4 s; as that was within 2.5 s of the store's return it took the entry for lapsed and kept it for 1.7 s more.

Change: such an entry is kept until 2.5 s after the store's return at most, by when a living endpoint is back.

--- a/core/state/dogwoodview/view.go
+++ b/core/state/dogwoodview/view.go
@@ -31,7 +31,9 @@
 	// outage is how long the store must have been away for entries to have lapsed. It counts
 	// from the last answer before the first question that failed.
 	outage = time.Second
-	// outageEcho is how long after an outage missing entries are put down to it.
+	// outageEcho is how long after an outage missing entries are put down to it, and kept at
+	// most: by then a living endpoint is back. An entry that goes missing near its end, and is
+	// heard of late, was kept for longer than an endpoint that leaves serves on.
 	outageEcho = 2500 * time.Millisecond
 )
 
@@ -183,7 +185,7 @@
 	}
 	afterOutage := !view.returned.IsZero() && now.Sub(view.returned) < outageEcho
 	if afterOutage && !known.Draining {
-		known.goneAt = now.Add(lapseGrace)
+		known.goneAt = earlier(now.Add(lapseGrace), view.returned.Add(outageEcho))
 		view.options.Logger.Info("Endpoint's entry lapsed in an outage.", "endpoint", id)
 		return
 	}
@@ -191,6 +193,13 @@
 	view.options.Logger.Info("Endpoint gone.", "endpoint", id)
 }
 
+func earlier(one, other time.Time) time.Time {
+	if one.Before(other) {
+		return one
+	}
+	return other
+}
+
 // SetServers takes in all entries at once.
 func (view *View) SetServers(now time.Time, servers []Server) {
 	view.mutex.Lock()
--- a/core/state/dogwoodview/view_test.go
+++ b/core/state/dogwoodview/view_test.go
@@ -96,6 +96,26 @@
 	}
 }
 
+// One daemon was turned away by the store. Two and a half seconds after its return an endpoint
+// leaves, which the daemon hears 0.4 s late, since it gathers changes. Put down to the outage
+// for the usual time, it got requests for more than the two seconds for which it serves on.
+func TestAnEntryIsNotPutDownToAnOutageForLong(t *testing.T) {
+	fixture := newFixture()
+	start := time.Now()
+	fixture.view.Answered(start)
+	fixture.view.SetServers(start, []Server{server("x"), server("y")})
+	fixture.view.Lost()
+	returned := start.Add(7 * time.Second)
+	fixture.view.Answered(returned)
+	const late, servesOn = 400 * time.Millisecond, 2 * time.Second
+	left := returned.Add(2050 * time.Millisecond)
+	fixture.view.RemoveServer(left.Add(late), "x")
+	fixture.view.Tick(left.Add(servesOn))
+	if got, want := fixture.inForce(), "y"; got != want {
+		t.Errorf("got %q two seconds after an endpoint left, want %q", got, want)
+	}
+}
+
 // Nothing changes for seconds, so that the store's answers are seconds apart, and then
 // endpoints die. Callers would be sent to dead endpoints for almost two seconds more if the
 // quiet were taken for an outage.
