Forget a daemon's own sends after a second

Read in review: the moments at which this daemon sent an endpoint requests were only dropped while the endpoint was cold, so that a long run would remember all of them and go over them in each decision. The test failed first (10 and 500 remembered).

--- a/core/decision/dogwoodentry/active.go
+++ b/core/decision/dogwoodentry/active.go
@@ -33,7 +33,7 @@
 // with the square of the daemons that take callers, and nothing is won by spreading a hundred
 // requests a second over sixty of them. So callers go to as many daemons as their requests
 // need, the largest first, evenly over the data centres; the others stand by, know the
-// pool's state to some hundred milliseconds, and take over as soon as one is missing.
+// pool's state of a second ago, and take over as soon as one is missing.
 //
 // All daemons choose the same ones from the same members; while their lists differ for a
 // moment, callers are spread over a few more daemons than needed.
--- a/core/decision/dogwoodpacking/cold.go
+++ b/core/decision/dogwoodpacking/cold.go
@@ -61,6 +61,7 @@
 	place.sends.recent(now)
 	if own {
 		place.ownSends = append(place.ownSends, now)
+		place.ownSends.recent(now)
 	}
 }
 
--- a/core/decision/dogwoodpacking/cold_test.go
+++ b/core/decision/dogwoodpacking/cold_test.go
@@ -75,3 +75,19 @@
 		t.Errorf("got %d requests within a second by one daemon, want at least %d", got, least)
 	}
 }
+
+// A daemon runs for weeks before an endpoint that never turns cold. What it remembers of its
+// sends must not grow, or each decision would go over all of them.
+func TestSendsAreForgotten(t *testing.T) {
+	board, now := pool(1), time.Now()
+	for range 500 {
+		now = now.Add(100 * time.Millisecond)
+		ask := short(now, 3_000)
+		mustPlace(t, board, now, ask)
+		board.End(ask.ID)
+	}
+	place := board.places["e00"]
+	if got, most := len(place.sends)+len(place.ownSends), 2*10; got > most {
+		t.Errorf("got %d remembered sends at ten a second, want at most %d", got, most)
+	}
+}
--- a/core/decision/dogwoodpacking/engines.go
+++ b/core/decision/dogwoodpacking/engines.go
@@ -31,8 +31,8 @@
 	// spareShare is the part of its aim by which a prompt that waits must be read, as predicted,
 	// for a later one to go ahead of it: helpers read their parts before what they had to read.
 	// The rest is for what the prediction does not see: of the long prompts that wait beside
-	// parts one in ten takes over twice as long as predicted. With 0.8 the
-	// largest prompts lost 27 in 100 of their worth, with 0.55 23.
+	// parts one in ten takes over twice as long as predicted. With 0.8 the largest prompts lost
+	// 27 in 100 of their worth, with 0.55 23.
 	spareShare = 0.55
 	// noWait is the spare time where nothing waits.
 	noWait = time.Hour
