Forget deleted rows only up to the version that was told

Read in review: a copy that has more than a thousand deleted rows forgot them as of the version before the answer that was being taken in, the rows deleted by that answer among them; who had been told just before it was never told of these, and would have sent to endpoints that had left. The test failed first.

--- a/core/state/dogwoodcopy/copy.go
+++ b/core/state/dogwoodcopy/copy.go
@@ -69,15 +69,15 @@
 	for _, row := range answer.Rows {
 		table.put(row)
 	}
-	if table.deleted > mostDeleted {
-		table.forget()
-	}
 	if direct {
 		table.proven, table.direct = answer.Proven, true
 	}
 	if answer.Version > table.version || answer.Whole {
 		table.version = answer.Version
 	}
+	if table.deleted > mostDeleted {
+		table.forget()
+	}
 	if answer.Whole || len(answer.Rows) > 0 {
 		close(table.changed)
 		table.changed = make(chan struct{})
--- a/core/state/dogwoodcopy/copy_test.go
+++ b/core/state/dogwoodcopy/copy_test.go
@@ -97,3 +97,25 @@
 		}
 	}
 }
+
+// So many rows went that a daemon forgets the deleted ones, the last of them told by the same
+// answer. Who was told just before it must still learn of that one, or it sends to an endpoint
+// that has left until the table is read whole.
+func TestTheRowThatMakesACopyForgetIsTold(t *testing.T) {
+	table := New()
+	table.Take(Answer{Whole: true, Rows: []Row{{Key: "last", Version: 1}}, Version: 1}, true)
+	for i := range int64(mostDeleted) {
+		table.Take(Answer{Rows: []Row{{Key: fmt.Sprint(i), Version: i + 2, Deleted: true}}, Version: i + 2}, true)
+	}
+	follower := New()
+	before, _, _ := table.Since(-1)
+	follower.Take(before, true)
+	version := int64(mostDeleted) + 2
+	table.Take(Answer{Rows: []Row{{Key: "last", Version: version, Deleted: true}}, Version: version}, true)
+	after, _, _ := table.Since(follower.version)
+	follower.Take(after, true)
+	got, _, _ := follower.Since(-1)
+	if len(got.Rows) != 0 {
+		t.Errorf("got rows %v at who was told before, want none", got.Rows)
+	}
+}
