--- a/core/duty/dogwooddispatch/tries.go
+++ b/core/duty/dogwooddispatch/tries.go
@@ -7,6 +7,7 @@
 
 	"dogwoodmux.example/core/decision/dogwoodretry"
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodkernel"
 	"dogwoodmux.example/core/duty/dogwoodowner"
 )
 
@@ -87,14 +88,7 @@
 		return false
 	}
 	counters.Add("Retries", 1)
-	timer := time.NewTimer(verdict.Wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return dogwoodkernel.Sleep(ctx, verdict.Wait)
 }
 
 // dependencyDown refuses what can't be answered because a service that it depends on
