Make a few daemons hubs, and give every other one link

Change: two or more of the largest daemons of a data centre are hubs (dogwoodhubs decides which): callers are told of them, they place requests, beat to each other, and the first of them reads the store for all. Every other daemon is a leaf with one link to a hub and one held-back question there (dogwoodhub), which brings what the store told with its age, and the hubs that callers may use. Hubs promote leaves where hubs are missing and become leaves when they are not needed; a daemon that finds no hub offers itself, the larger the sooner. A leaf to which callers come has its hub tell the pool's work while they do. The store's list holds hubs alone and is read once by each daemon at its start.

--- a/core/decision/dogwoodentry/entry.go
+++ b/core/decision/dogwoodentry/entry.go
@@ -48,8 +48,12 @@
 			continue
 		}
 		// Weighted sampling without replacement: the highest u^(1/w), here as log(u)/w with
-		// the weight 1/(load+1).
-		key := math.Log(1-random.Float64()) * float64(member.Load+1)
+		// the weight cores/(load+1).
+		cores := member.Cores
+		if cores <= 0 {
+			cores = 1
+		}
+		key := math.Log(1-random.Float64()) * float64(member.Load+1) / cores
 		draws = append(draws, drawn{member: member, distance: distance(place, member.Place), key: key})
 	}
 	slices.SortFunc(draws, func(one, other drawn) int {
--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -213,6 +213,36 @@
 	board.announce()
 }
 
+// Works lists the work of all daemons but one.
+func (board *Board) Works(except dogwoodfleet.InstanceID) []Work {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	works := make([]Work, 0, len(board.works))
+	for _, work := range board.works {
+		if work.Holder != except {
+			works = append(works, *work)
+		}
+	}
+	return works
+}
+
+// Replace takes in all work of other daemons at once, and forgets theirs that is not listed.
+func (board *Board) Replace(now time.Time, works []Work) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	listed := make(map[WorkID]bool, len(works))
+	for _, work := range works {
+		listed[work.ID] = true
+		board.put(now, work)
+	}
+	for id, work := range board.works {
+		if string(work.Holder) != board.owner && !listed[id] {
+			board.detach(id)
+		}
+	}
+	board.announce()
+}
+
 // Expire forgets work whose last moment has passed: its daemon died or was cut off before
 // it could say so.
 func (board *Board) Expire(now time.Time) {
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -5,13 +5,14 @@
 // An owner that places for all would see as much, at the price of a call for each request
 // and of a time without one whenever it dies, freezes or is cut off. Announcements cost no
 // waiting, and a daemon that is lost takes only the sight of its own work with it, until
-// that work's deadlines pass. They would grow with the square of the daemons, so only those
-// that callers are told to use hear of each request at once; the others are told once a
-// second.
+// that work's deadlines pass. They grow with the square of the daemons that announce, so only
+// hubs do (dogwoodhubs). A leaf to which callers come asks its hub for the whole view while
+// they do, and announces its own work to that hub, which passes it on.
 package dogwoodboard
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -29,10 +30,8 @@
 	// tellEvery is how often a daemon tells whether it serves when nothing else is to be
 	// said: callers are sent to one that can't serve for this much longer.
 	tellEvery = 300 * time.Millisecond
-	// tellIdleEvery is how often peers that stand by are told the news since the last time:
-	// what they know of the pool when callers come to them is so much older, and half of
-	// heardWithin leaves time for one announcement that is late.
-	tellIdleEvery = time.Second
+	// lookEvery is how often a leaf's link looks whether its daemon has become a hub.
+	lookEvery = time.Second
 	// tellWithin bounds one announcement; what it held is sent again, whole.
 	tellWithin = time.Second
 	// gather is how long news waits for more: a part of the way to another data centre.
@@ -84,6 +83,8 @@
 	Whole bool
 	// Serves is false while the daemon can't serve callers.
 	Serves bool
+	// Leaves is how many daemons follow this one.
+	Leaves int
 	Items  []Item
 	Ended  []dogwoodpacking.WorkID
 	Avoid  []Avoid
@@ -95,8 +96,12 @@
 	Self   dogwoodfleet.InstanceID
 	Board  *dogwoodpacking.Board
 	Caller Caller
-	// Peers lists the other daemons that are alive.
+	// Peers lists the other hubs that are alive; for a leaf its hub.
 	Peers func() []Peer
+	// IsLeaf tells whether this daemon is a leaf now, Leaves how many follow it; nil for a fleet
+	// that has no leaves.
+	IsLeaf func() bool
+	Leaves func() int
 	// Expected is how many daemons there should be, this one included.
 	Expected func() int
 	// Senders is how many daemons take callers, and whether this one stands by; nil for all.
@@ -105,8 +110,6 @@
 	Watch func() <-chan struct{}
 	// Serves tells whether this daemon can serve callers.
 	Serves func() bool
-	// Active tells whether a peer is one of those that callers are told to use; nil if all are.
-	Active func(instance dogwoodfleet.InstanceID) bool
 	Logger hclog.Logger
 }
 
@@ -118,11 +121,13 @@
 	own   map[dogwoodpacking.WorkID]dogwoodpacking.Work
 	links map[dogwoodfleet.InstanceID]*link
 	heard map[dogwoodfleet.InstanceID]heard
+	view  leafView
 }
 
 type heard struct {
 	at     time.Time
 	serves bool
+	leaves int
 }
 
 // New returns a duty.
@@ -132,6 +137,7 @@
 		own:     map[dogwoodpacking.WorkID]dogwoodpacking.Work{},
 		links:   map[dogwoodfleet.InstanceID]*link{},
 		heard:   map[dogwoodfleet.InstanceID]heard{},
+		view:    leafView{wanted: make(chan struct{}, 1)},
 	}
 }
 
@@ -140,10 +146,11 @@
 	group, ctx := errgroup.WithContext(ctx)
 	ticker := time.NewTicker(expireEvery)
 	defer ticker.Stop()
+	group.Go(func() error { return duty.keepView(ctx) })
 	for {
 		changed := duty.options.Watch()
 		peers := duty.options.Peers()
-		duty.options.Board.SetSeen(len(peers)+1, duty.options.Expected())
+		duty.setSeen(len(peers) + 1)
 		if duty.options.Senders != nil {
 			duty.options.Board.SetSenders(duty.options.Senders())
 		} else {
@@ -154,8 +161,9 @@
 		case <-ctx.Done():
 			return group.Wait()
 		case <-changed:
-		case <-ticker.C:
-			duty.options.Board.Expire(time.Now())
+		case now := <-ticker.C:
+			duty.options.Board.Expire(now)
+			duty.forget(now)
 		}
 	}
 }
@@ -189,8 +197,41 @@
 	}
 }
 
+// setSeen tells the board of how many daemons it has the work.
+func (duty *Duty) setSeen(daemons int) {
+	if duty.isLeaf() && duty.view.isFresh(time.Now()) {
+		daemons = duty.options.Expected()
+	}
+	duty.options.Board.SetSeen(daemons, duty.options.Expected())
+}
+
+func (duty *Duty) isLeaf() bool {
+	return duty.options.IsLeaf != nil && duty.options.IsLeaf()
+}
+
+// forget drops what was heard long ago: leaves that once announced work here.
+func (duty *Duty) forget(now time.Time) {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	maps.DeleteFunc(duty.heard, func(_ dogwoodfleet.InstanceID, heard heard) bool { return now.Sub(heard.at) > heardWithin })
+}
+
+// OtherLeaves is how many daemons follow the other hubs.
+func (duty *Duty) OtherLeaves() int {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	leaves := 0
+	for instance := range duty.links {
+		leaves += duty.heard[instance].leaves
+	}
+	return leaves
+}
+
 // Place finds a place for a request and announces it.
 func (duty *Duty) Place(now time.Time, ask *dogwoodpacking.Ask) (dogwoodpacking.Placement, dogwoodpacking.Refusal) {
+	if duty.isLeaf() {
+		duty.view.want(now)
+	}
 	ask.Holder = duty.options.Self
 	placement, refusal := duty.options.Board.Place(now, ask)
 	if refusal == dogwoodpacking.Placed {
@@ -283,43 +324,3 @@
 	}
 	return works
 }
-
-// Receiver returns what other daemons call, to be registered as Name.
-func (duty *Duty) Receiver() *Receiver {
-	return &Receiver{duty: duty}
-}
-
-// Receiver takes announcements.
-type Receiver struct {
-	duty *Duty
-}
-
-// Tell takes in an announcement.
-func (receiver *Receiver) Tell(batch Batch, reply *bool) error {
-	duty, now := receiver.duty, time.Now()
-	duty.mutex.Lock()
-	duty.heard[batch.From] = heard{at: now, serves: batch.Serves}
-	duty.mutex.Unlock()
-	board := duty.options.Board
-	kept := map[dogwoodpacking.WorkID]bool{}
-	for _, item := range batch.Items {
-		work := item.Work
-		work.Begun, work.Until = now.Add(-item.Age), now.Add(item.Left)
-		board.Put(now, work)
-		kept[work.ID] = true
-	}
-	if batch.Whole {
-		board.RemoveHolder(batch.From, kept)
-	}
-	for _, id := range batch.Ended {
-		board.Remove(id)
-	}
-	for _, avoid := range batch.Avoid {
-		board.Avoid(now, avoid.Endpoint, avoid.For)
-	}
-	for _, pace := range batch.Paces {
-		board.PeerPaced(pace.Endpoint, pace.Pace)
-	}
-	*reply = true
-	return nil
-}
--- a/core/duty/dogwoodboard/link.go
+++ b/core/duty/dogwoodboard/link.go
@@ -102,10 +102,7 @@
 		if !duty.await(ctx, link, timer) || !dogwoodkernel.Sleep(ctx, gather) {
 			return
 		}
-		pause := tellIdleEvery
-		if duty.isActive(link.peer.Instance) {
-			pause = tellEvery
-		}
+		pause := tellEvery
 		if err := duty.announce(ctx, link); err != nil {
 			duty.options.Logger.Debug("An announcement failed.", "peer", link.peer.Instance, "error", err)
 			link.lost()
@@ -118,27 +115,24 @@
 	}
 }
 
-// await returns when it is time for an announcement, false when the context has ended. News
-// makes a peer's time come at once if that peer is active.
+// await returns when it is time for an announcement, false when the context has ended. A leaf
+// announces only news.
 func (duty *Duty) await(ctx context.Context, link *link, timer *time.Timer) bool {
 	for {
 		select {
 		case <-ctx.Done():
 			return false
 		case <-link.wake:
-			if duty.isActive(link.peer.Instance) {
+			return true
+		case <-timer.C:
+			if !duty.isLeaf() {
 				return true
 			}
-		case <-timer.C:
-			return true
+			timer.Reset(lookEvery)
 		}
 	}
 }
 
-func (duty *Duty) isActive(instance dogwoodfleet.InstanceID) bool {
-	return duty.options.Active == nil || duty.options.Active(instance)
-}
-
 func (duty *Duty) announce(ctx context.Context, link *link) error {
 	ctx, cancel := context.WithTimeout(ctx, tellWithin)
 	defer cancel()
@@ -147,9 +141,12 @@
 		works = duty.whole()
 	}
 	batch.From, batch.Serves = duty.options.Self, duty.options.Serves()
+	if duty.options.Leaves != nil {
+		batch.Leaves = duty.options.Leaves()
+	}
 	now := time.Now()
 	for _, work := range works {
-		batch.Items = append(batch.Items, Item{Work: work, Age: now.Sub(work.Begun), Left: work.Until.Sub(now)})
+		batch.Items = append(batch.Items, itemOf(work, now))
 	}
 	var reply bool
 	return duty.options.Caller.Call(ctx, link.peer.Address, Name+".Tell", batch, &reply)
--- /dev/null
+++ b/core/duty/dogwoodhub/duty.go
@@ -0,0 +1,156 @@
+package dogwoodhub
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"dogwoodmux.example/core/decision/dogwoodhubs"
+	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodkernel"
+)
+
+const (
+	// listAgain and listLongest are mean pauses after failed questions for the list of hubs:
+	// after a loss of power all daemons ask at once.
+	listAgain   = 200 * time.Millisecond
+	listLongest = time.Second
+)
+
+// List is where hubs are listed. It outlives all daemons. What it says is a hint: a hub that
+// is listed may be gone, and a daemon that finds itself listed was a hub before it started.
+type List interface {
+	// Hubs returns the hubs that are listed.
+	Hubs(ctx context.Context) ([]dogwoodhubs.Daemon, error)
+	// Offer lists this daemon, and takes those off that did not answer.
+	Offer(ctx context.Context, silent []dogwoodfleet.VM) error
+	// Withdraw takes this daemon off.
+	Withdraw(ctx context.Context) error
+}
+
+// Options are what a duty is made from.
+type Options struct {
+	Self dogwoodhubs.Daemon
+	List List
+	Leaf *Leaf
+	// BeHub does a hub's work until the context ends or the hub is spare.
+	BeHub  func(ctx context.Context) error
+	Logger hclog.Logger
+}
+
+// Duty keeps this daemon a leaf or a hub.
+//
+// Which one it begins as: a daemon that is listed was a hub and is one again, so that after a
+// loss of power everywhere the same daemons are hubs as before, without a word. Any other one
+// follows a listed hub that answers. If none does, it waits, the larger the shorter, looks once
+// more, and offers itself. So of a fleet that starts for the first time the largest daemons
+// become hubs, and the others find them.
+type Duty struct {
+	options Options
+	isHub   atomic.Bool
+}
+
+// New returns a duty.
+func New(options Options) *Duty {
+	return &Duty{options: options}
+}
+
+// IsHub tells whether this daemon is a hub now.
+func (duty *Duty) IsHub() bool {
+	return duty.isHub.Load()
+}
+
+// Run does a leaf's or a hub's work until the context ends.
+func (duty *Duty) Run(ctx context.Context) error {
+	var silent []dogwoodfleet.VM
+	for wasAlone := false; ctx.Err() == nil; {
+		hubs, err := duty.list(ctx)
+		if err != nil {
+			return nil //nolint:nilerr // the context has ended
+		}
+		if duty.isListed(hubs) || wasAlone && !duty.hasNew(hubs, silent) {
+			if err := duty.beHub(ctx, hubs, silent); err != nil {
+				return err
+			}
+			wasAlone, silent = false, nil
+			continue
+		}
+		switch err := duty.options.Leaf.Run(ctx, hubs); {
+		case errors.Is(err, ErrPromoted):
+			if err := duty.beHub(ctx, hubs, nil); err != nil {
+				return err
+			}
+			wasAlone = false
+		case errors.Is(err, ErrAlone):
+			wasAlone, silent = true, vms(append(hubs, duty.options.Leaf.Fleet().Hubs...))
+			pause := dogwoodkernel.Jittered(dogwoodhubs.JoinPause(duty.options.Self.Cores))
+			duty.options.Logger.Info("No hub answers.", "tried", len(hubs), "pause", pause)
+			dogwoodkernel.Sleep(ctx, pause) // the loop looks at the context itself
+		}
+	}
+	return nil
+}
+
+// list returns the hubs that are listed. It tries until the list is read or the context ends.
+func (duty *Duty) list(ctx context.Context) ([]dogwoodhubs.Daemon, error) {
+	pause := dogwoodkernel.Backoff{First: listAgain, Longest: listLongest}
+	for {
+		hubs, err := duty.options.List.Hubs(ctx)
+		if err == nil {
+			return hubs, nil
+		}
+		duty.options.Logger.Warn("The list of hubs can't be read.", "error", err)
+		if err := pause.Sleep(ctx); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (duty *Duty) isListed(hubs []dogwoodhubs.Daemon) bool {
+	self := duty.options.Self
+	return slices.ContainsFunc(hubs, func(hub dogwoodhubs.Daemon) bool {
+		return hub.VM == self.VM && hub.Peer == self.Peer && hub.Serve == self.Serve
+	})
+}
+
+// hasNew tells whether a hub is listed that was not tried.
+func (duty *Duty) hasNew(hubs []dogwoodhubs.Daemon, tried []dogwoodfleet.VM) bool {
+	return slices.ContainsFunc(hubs, func(hub dogwoodhubs.Daemon) bool { return !slices.Contains(tried, hub.VM) })
+}
+
+func vms(hubs []dogwoodhubs.Daemon) []dogwoodfleet.VM {
+	listed := make([]dogwoodfleet.VM, 0, len(hubs))
+	for _, hub := range hubs {
+		listed = append(listed, hub.VM)
+	}
+	return listed
+}
+
+// beHub lists this daemon and does a hub's work until it is spare or the context ends.
+func (duty *Duty) beHub(ctx context.Context, hubs []dogwoodhubs.Daemon, silent []dogwoodfleet.VM) error {
+	if !duty.isListed(hubs) || len(silent) > 0 {
+		pause := dogwoodkernel.Backoff{First: listAgain, Longest: listLongest}
+		for err := duty.options.List.Offer(ctx, silent); err != nil; err = duty.options.List.Offer(ctx, silent) {
+			duty.options.Logger.Warn("Not listed as a hub yet.", "error", err)
+			if pause.Sleep(ctx) != nil {
+				return nil //nolint:nilerr // the context has ended
+			}
+		}
+	}
+	duty.options.Logger.Info("Now a hub.", "silent", len(silent))
+	duty.isHub.Store(true)
+	err := duty.options.BeHub(ctx)
+	duty.isHub.Store(false)
+	if !errors.Is(err, ErrSpare) {
+		return Error.Wrap(err)
+	}
+	duty.options.Logger.Info("Now a leaf: the other hubs suffice.")
+	if err := duty.options.List.Withdraw(ctx); err != nil {
+		duty.options.Logger.Warn("Still listed as a hub.", "error", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/duty/dogwoodhub/hub.go
@@ -0,0 +1,312 @@
+package dogwoodhub
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"dogwoodmux.example/core/decision/dogwoodhubs"
+	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/state/dogwoodcopy"
+)
+
+// ErrSpare is how a hub ends that is not needed.
+var ErrSpare = errors.New("this hub is not needed any more")
+
+const (
+	// lookEvery is how often a hub looks at its leaves and the other hubs.
+	lookEvery = 250 * time.Millisecond
+	// settleFor is how long a new hub takes the fleet for larger than it looks: all daemons
+	// that started with it have found a hub by then. Until then it may be missing only what
+	// every fleet needs.
+	settleFor = 3 * time.Second
+	// firstLook is how long a new hub promotes nobody: after a loss of power the other hubs of
+	// its data centre may be up a moment later than itself.
+	firstLook = 500 * time.Millisecond
+	// promotedFor is how long a promoted leaf counts as a hub although it has not been heard as
+	// one: a write and a read of the store, and the heartbeats until all know of it.
+	promotedFor = 3 * time.Second
+	// othersFirst is how long hubs are missing before another hub than the first one of the
+	// data centre promotes a leaf: the first one may have no leaf, or not see what is missing.
+	othersFirst = 2 * time.Second
+	// spareAfter is how long a hub must not have been needed to become a leaf: callers come in
+	// bursts, and daemons that were killed are back within some seconds.
+	spareAfter = 30 * time.Second
+	// rateFade is what remains of the highest rate of requests at each look, half after some
+	// nine seconds, so that a pause in a burst costs no hub.
+	rateFade = 0.98
+	// proofStep is how much later a proof must be than the leaf's to be told at once.
+	proofStep = 200 * time.Millisecond
+)
+
+// Tables are what a hub tells its leaves of.
+type Tables interface {
+	// Latest returns what changed of a table after a version, and a channel that is closed at
+	// the next news or proof; false if nothing is known.
+	Latest(table string, after int64) (dogwoodcopy.Answer, <-chan struct{}, bool)
+}
+
+// HubOptions are what a hub is made from.
+type HubOptions struct {
+	Self   dogwoodhubs.Daemon
+	Tables Tables
+	// Names are the tables that leaves may ask for, at most two; proofs of the first are news.
+	Names []string
+	Clock Clock
+	// Hubs lists the hubs alive, this one included.
+	Hubs func() []dogwoodhubs.Daemon
+	// OtherLeaves is how many leaves the other hubs have.
+	OtherLeaves func() int
+	// Requests is how many all daemons sent to endpoints within the last second.
+	Requests    func(now time.Time) int
+	DataCentres int
+	Logger      hclog.Logger
+}
+
+// Hub answers leaves. It is safe for concurrent use.
+type Hub struct {
+	options HubOptions
+
+	mutex  sync.Mutex
+	leaves map[dogwoodfleet.InstanceID]*leaf
+	fleet  Fleet
+	// changed is closed when the fleet changes.
+	changed chan struct{}
+	rate    float64
+	started time.Time
+	// missing is since when each data centre has had too few hubs.
+	missing map[dogwoodfleet.Place]time.Time
+	needed  time.Time // when this hub was last needed
+}
+
+// leaf is a daemon that follows this hub.
+type leaf struct {
+	dogwoodhubs.Daemon
+	asked    time.Time
+	promoted time.Time // zero if it was not
+	wake     chan struct{}
+}
+
+// NewHub returns a hub without leaves.
+func NewHub(options HubOptions) *Hub {
+	now := time.Now()
+	return &Hub{
+		options: options, leaves: map[dogwoodfleet.InstanceID]*leaf{}, changed: make(chan struct{}),
+		started: now, needed: now, missing: map[dogwoodfleet.Place]time.Time{},
+	}
+}
+
+// Run looks after the leaves until the context ends or the hub is spare.
+func (hub *Hub) Run(ctx context.Context) error {
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		if hub.look(time.Now()) {
+			return ErrSpare
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Leaves is how many daemons follow this hub.
+func (hub *Hub) Leaves() int {
+	hub.mutex.Lock()
+	defer hub.mutex.Unlock()
+	return len(hub.leaves)
+}
+
+// Daemons is how many daemons there are, as far as the hubs know.
+func (hub *Hub) Daemons() int {
+	hub.mutex.Lock()
+	defer hub.mutex.Unlock()
+	return max(hub.fleet.Daemons, 1)
+}
+
+// look forgets silent leaves, tells of changes, promotes leaves where hubs are missing, and
+// returns whether this hub itself is spare.
+func (hub *Hub) look(now time.Time) (spare bool) {
+	hubs, others := hub.options.Hubs(), hub.options.OtherLeaves()
+	requests := float64(hub.options.Requests(now))
+	hub.mutex.Lock()
+	defer hub.mutex.Unlock()
+	hub.rate = max(requests, rateFade*hub.rate)
+	maps.DeleteFunc(hub.leaves, func(_ dogwoodfleet.InstanceID, leaf *leaf) bool { return now.Sub(leaf.asked) > silence })
+	needs := dogwoodhubs.Needs{
+		DataCentres: hub.options.DataCentres, RequestsPerSecond: hub.rate, Daemons: len(hubs) + len(hub.leaves) + others,
+		Settled: now.Sub(hub.started) > settleFor,
+	}
+	hub.publish(hubs, needs.Daemons)
+	byPlace := hub.leavesByPlace()
+	for place, leaves := range byPlace {
+		if now.Sub(hub.started) < firstLook {
+			break
+		}
+		hub.promote(now, place, leaves, hubs, needs)
+	}
+	return hub.isSpare(now, hubs, len(byPlace[hub.options.Self.Place]), others, needs)
+}
+
+func (hub *Hub) leavesByPlace() map[dogwoodfleet.Place][]*leaf {
+	byPlace := map[dogwoodfleet.Place][]*leaf{}
+	for _, leaf := range hub.leaves {
+		byPlace[leaf.Place] = append(byPlace[leaf.Place], leaf)
+	}
+	return byPlace
+}
+
+// publish takes in the hubs for the leaves to know, and wakes them if these changed.
+func (hub *Hub) publish(hubs []dogwoodhubs.Daemon, daemons int) {
+	hub.fleet.Daemons = daemons
+	if hub.fleet.Version > 0 && slices.Equal(hubs, hub.fleet.Hubs) {
+		return
+	}
+	hub.fleet.Version++
+	hub.fleet.Hubs = slices.Clone(hubs)
+	close(hub.changed)
+	hub.changed = make(chan struct{})
+}
+
+// promote asks the best leaf of a data centre to become a hub if too few are there.
+func (hub *Hub) promote(now time.Time, place dogwoodfleet.Place, leaves []*leaf, hubs []dogwoodhubs.Daemon, needs dogwoodhubs.Needs) {
+	there := inPlace(hubs, place)
+	first := len(there) == 0 || !slices.ContainsFunc(there, func(other dogwoodhubs.Daemon) bool {
+		return dogwoodhubs.Compare(other, hub.options.Self) < 0
+	})
+	var waiting []*leaf
+	for _, leaf := range leaves {
+		if now.Sub(leaf.promoted) < promotedFor {
+			there = append(there, leaf.Daemon)
+		} else if !leaf.Away {
+			waiting = append(waiting, leaf)
+		}
+	}
+	needs.Leaves = len(waiting)
+	if len(waiting) == 0 || dogwoodhubs.Enough(there, needs) {
+		delete(hub.missing, place)
+		return
+	}
+	if hub.missing[place].IsZero() {
+		hub.missing[place] = now
+	}
+	if !first && now.Sub(hub.missing[place]) < othersFirst {
+		return
+	}
+	best := slices.MinFunc(waiting, func(one, other *leaf) int { return dogwoodhubs.Compare(one.Daemon, other.Daemon) })
+	best.promoted = now
+	close(best.wake)
+	best.wake = make(chan struct{})
+	hub.options.Logger.Info("Promoted a leaf.", "vm", best.VM, "datacentre", place.DataCentre, "hubs", len(there), "rate", hub.rate)
+}
+
+func inPlace(hubs []dogwoodhubs.Daemon, place dogwoodfleet.Place) []dogwoodhubs.Daemon {
+	var there []dogwoodhubs.Daemon
+	for _, hub := range hubs {
+		if hub.Place == place {
+			there = append(there, hub)
+		}
+	}
+	return there
+}
+
+// isSpare reports whether this hub has not been needed for long. Leaves of other hubs count as
+// if they were evenly spread over the data centres.
+func (hub *Hub) isSpare(now time.Time, hubs []dogwoodhubs.Daemon, leaves, others int, needs dogwoodhubs.Needs) bool {
+	needs.Leaves = leaves + others/max(hub.options.DataCentres, 1)
+	if !dogwoodhubs.Spare(hub.options.Self, inPlace(hubs, hub.options.Self.Place), needs) {
+		hub.needed = now
+	}
+	return now.Sub(hub.needed) > spareAfter
+}
+
+// Receiver returns what leaves call, to be registered as Name.
+func (hub *Hub) Receiver() *Receiver {
+	return &Receiver{hub: hub}
+}
+
+// Receiver answers leaves.
+type Receiver struct {
+	hub *Hub
+}
+
+// Follow answers as soon as there is news for the leaf, or after holdFor.
+func (receiver *Receiver) Follow(question Question, news *News) error {
+	hub := receiver.hub
+	arrived, timer := hub.options.Clock(), time.NewTimer(holdFor)
+	defer timer.Stop()
+	hub.attend(question.Leaf)
+	for over := false; ; {
+		told, isNews, watch := hub.news(question, arrived)
+		if over || isNews {
+			*news = told
+			return nil
+		}
+		select {
+		case <-watch.tables[0]:
+		case <-watch.tables[1]:
+		case <-watch.fleet:
+		case <-watch.promoted:
+		case <-timer.C:
+			over = true
+		}
+	}
+}
+
+// watch are the channels of which one is closed when there may be news.
+type watch struct {
+	tables          [2]<-chan struct{}
+	fleet, promoted <-chan struct{}
+}
+
+// news is what the leaf does not know.
+func (hub *Hub) news(question Question, arrived time.Duration) (news News, isNews bool, watch watch) {
+	for i, position := range question.Tables[:min(len(question.Tables), len(watch.tables))] {
+		if !slices.Contains(hub.options.Names, position.Table) {
+			continue // another version's question
+		}
+		answer, took, ok := hub.options.Tables.Latest(position.Table, position.After)
+		watch.tables[i] = took
+		if !ok {
+			continue
+		}
+		if answer.Version < position.After {
+			// The leaf knew more than this hub does, from another one.
+			answer.Whole, answer.Rows, answer.Version = false, nil, position.After
+		}
+		newer := answer.Proven - (arrived - position.Age)
+		isNews = isNews || answer.Whole || len(answer.Rows) > 0 || i == 0 && newer > proofStep
+		news.Tables = append(news.Tables, TableNews{Table: position.Table, Answer: answer, ProvenAfter: answer.Proven - arrived})
+	}
+	hub.mutex.Lock()
+	defer hub.mutex.Unlock()
+	watch.fleet = hub.changed
+	if hub.fleet.Version != question.Fleet {
+		fleet := hub.fleet
+		news.Fleet, isNews = &fleet, true
+	}
+	if leaf := hub.leaves[question.Leaf.Instance]; leaf != nil {
+		watch.promoted = leaf.wake
+		news.Promoted = time.Since(leaf.promoted) < promotedFor
+	}
+	return news, isNews || news.Promoted, watch
+}
+
+// attend notes that a leaf lives.
+func (hub *Hub) attend(daemon dogwoodhubs.Daemon) {
+	hub.mutex.Lock()
+	defer hub.mutex.Unlock()
+	known := hub.leaves[daemon.Instance]
+	if known == nil {
+		known = &leaf{wake: make(chan struct{})}
+		hub.leaves[daemon.Instance] = known
+	}
+	known.Daemon, known.asked = daemon, time.Now()
+}
--- a/core/duty/dogwoodreader/reader.go
+++ b/core/duty/dogwoodreader/reader.go
@@ -1,4 +1,5 @@
-// Package dogwoodreader reads the tables of a store, or has a peer tell what it read.
+// Package dogwoodreader reads the tables of a store, or has a peer tell what it read, or is
+// fed by the hub of a daemon that is a leaf (dogwoodhub).
 //
 // Load pattern: every daemon must know of each change within moments and prove every second
 // that it has missed none. Asked by each daemon, the store has as many questions as daemons
@@ -48,11 +49,15 @@
 	// reader that is frozen is left after this and holdFor, well before the two seconds in
 	// which a change must be in force.
 	answerWithin = 400 * time.Millisecond
+	// awaitSlice is how often a daemon that is fed looks whether it still is.
+	awaitSlice = 200 * time.Millisecond
 	// staleAfter is the age of the store's last proof at which a reader tells others nothing:
 	// a second's wait in the store, and the time that a slow answer takes.
 	staleAfter = 1400 * time.Millisecond
-	// leaveFor is how long a reader that failed is not asked again.
-	leaveFor = 5 * time.Second
+	// leaveFor is how long a reader that failed is not asked again, leaveStaleFor one that has
+	// not heard from the store lately: it may have lost its own reader a moment ago.
+	leaveFor      = 5 * time.Second
+	leaveStaleFor = time.Second
 )
 
 // Source is a store.
@@ -83,7 +88,9 @@
 	// Readers lists the daemons that this one may ask, the best first; none if it is to ask
 	// the store.
 	Readers func() []Peer
-	Logger  hclog.Logger
+	// Fed tells whether answers come by Feed, so that nobody is to be asked; nil for never.
+	Fed    func() bool
+	Logger hclog.Logger
 }
 
 // Reader is a Source that asks the store or a peer. It is safe for concurrent use.
@@ -101,8 +108,15 @@
 	return &Reader{options: options, copies: map[string]*dogwoodcopy.Copy{}, left: map[dogwoodfleet.InstanceID]time.Time{}}
 }
 
-// Whole reads a table from the store.
+// Whole reads a table, as it is fed, or from a peer that reads it or else from the store.
 func (reader *Reader) Whole(ctx context.Context, table string) (dogwoodcopy.Answer, error) {
+	const never = -1
+	if answer, fed, err := reader.await(ctx, table, never, staleAfter); fed {
+		return answer, err
+	}
+	if answer, _, ok := reader.askPeer(ctx, table, never); ok {
+		return answer, nil
+	}
 	answer, err := reader.options.Store.Whole(ctx, table)
 	if err != nil {
 		return answer, err
@@ -111,15 +125,19 @@
 	return answer, nil
 }
 
-// Changes waits for changes of a table, at a peer that reads it or else in the store.
+// Changes waits for changes of a table, as it is fed, at a peer that reads it or else in the
+// store.
 func (reader *Reader) Changes(ctx context.Context, table string, after int64, wait time.Duration) (dogwoodcopy.Answer, error) {
-	if peer, ok := reader.choose(time.Now()); ok {
-		answer, err := reader.ask(ctx, peer, table, after)
-		if err == nil {
-			reader.table(table).Take(answer, false)
-			return answer, nil
-		}
-		reader.leave(peer, err)
+	if answer, fed, err := reader.await(ctx, table, after, wait); fed {
+		return answer, err
+	}
+	answer, asked, ok := reader.askPeer(ctx, table, after)
+	if ok {
+		return answer, nil
+	}
+	if asked {
+		// The last proof is old already, so this question must not wait for a change.
+		wait = 0
 	}
 	answer, err := reader.options.Store.Changes(ctx, table, after, wait)
 	if err != nil {
@@ -129,6 +147,66 @@
 	return answer, nil
 }
 
+// askPeer asks the first peer that has not failed lately. It returns whether there is one,
+// and whether it answered.
+func (reader *Reader) askPeer(ctx context.Context, table string, after int64) (answer dogwoodcopy.Answer, asked, ok bool) {
+	peer, found := reader.choose(time.Now())
+	if !found {
+		return answer, false, false
+	}
+	answer, err := reader.ask(ctx, peer, table, after)
+	if err != nil {
+		reader.leave(peer, err)
+		return answer, true, false
+	}
+	reader.table(table).Take(answer, false)
+	return answer, true, true
+}
+
+// await waits for news that are fed, or for a later proof. It returns false once this daemon
+// is not fed any more.
+func (reader *Reader) await(ctx context.Context, table string, after int64, wait time.Duration) (dogwoodcopy.Answer, bool, error) {
+	known := reader.table(table)
+	begun, slice := time.Now(), time.NewTicker(awaitSlice)
+	defer slice.Stop()
+	first, _, _ := known.Latest(after)
+	for reader.options.Fed != nil && reader.options.Fed() {
+		answer, took, ok := known.Latest(after)
+		if ok && (answer.Whole || len(answer.Rows) > 0 || answer.Proven > first.Proven) {
+			return answer, true, nil
+		}
+		if time.Since(begun) >= wait && (!ok || reader.options.Clock()-answer.Proven > staleAfter) {
+			return answer, true, Error.Wrap(errStale)
+		}
+		select {
+		case <-took:
+		case <-slice.C:
+		case <-ctx.Done():
+			return answer, true, ctx.Err()
+		}
+	}
+	return dogwoodcopy.Answer{}, false, nil
+}
+
+// Feed takes in what the hub told of a table.
+func (reader *Reader) Feed(table string, answer dogwoodcopy.Answer) {
+	reader.table(table).Take(answer, false)
+}
+
+// Position is how much is known of a table: its version, -1 for nothing, and the age of the
+// last proof.
+func (reader *Reader) Position(table string) (version int64, age time.Duration) {
+	known := reader.table(table)
+	answer, _, _ := known.Latest(known.Version())
+	return answer.Version, reader.options.Clock() - answer.Proven
+}
+
+// Latest returns what changed of a table as far as this daemon knows, and a channel that is
+// closed when it is told more. It is for daemons that tell nobody else.
+func (reader *Reader) Latest(table string, after int64) (dogwoodcopy.Answer, <-chan struct{}, bool) {
+	return reader.table(table).Latest(after)
+}
+
 // ask asks a peer for changes.
 func (reader *Reader) ask(ctx context.Context, peer Peer, table string, after int64) (dogwoodcopy.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, holdFor+answerWithin)
@@ -138,6 +216,9 @@
 	if err := reader.options.Caller.Call(ctx, peer.Address, Name+".Changes", Question{Table: table, After: after}, &told); err != nil {
 		return dogwoodcopy.Answer{}, Error.Wrap(err)
 	}
+	if told.Stale {
+		return dogwoodcopy.Answer{}, Error.Wrap(errStale)
+	}
 	answer := told.Answer
 	answer.Proven = asked + told.ProvenAfter
 	if answer.Version < after {
@@ -176,7 +257,11 @@
 			delete(reader.left, instance)
 		}
 	}
-	reader.left[peer.Instance] = now.Add(leaveFor)
+	pause := leaveFor
+	if errors.Is(err, errStale) {
+		pause = leaveStaleFor
+	}
+	reader.left[peer.Instance] = now.Add(pause)
 }
 
 func (reader *Reader) table(name string) *dogwoodcopy.Copy {
--- a/core/duty/dogwoodreader/receiver.go
+++ b/core/duty/dogwoodreader/receiver.go
@@ -18,6 +18,8 @@
 	// ProvenAfter is from the arrival of the question to the moment as of which the store
 	// proved the answer; mostly below zero.
 	ProvenAfter time.Duration
+	// Stale means that the reader has not heard from the store lately and tells nothing.
+	Stale bool
 }
 
 // Receiver returns what other daemons call, to be registered as Name.
@@ -30,24 +32,27 @@
 	reader *Reader
 }
 
-// Changes answers as soon as the table has changed after the version, or after holdFor.
+// Changes answers as soon as the table has changed after the version or the store has proved
+// it anew, or after holdFor.
 func (receiver *Receiver) Changes(question Question, told *Told) error {
 	reader := receiver.reader
 	clock, table := reader.options.Clock, reader.table(question.Table)
 	arrived := clock()
 	timer := time.NewTimer(holdFor)
 	defer timer.Stop()
+	first, _, _ := table.Since(question.After)
 	for over := false; ; {
-		answer, changed, ok := table.Since(question.After)
+		answer, took, ok := table.Since(question.After)
 		if !ok || clock()-answer.Proven > staleAfter {
-			return Error.Wrap(errStale)
+			*told = Told{Stale: true}
+			return nil
 		}
-		if over || answer.Whole || len(answer.Rows) > 0 {
+		if over || answer.Whole || len(answer.Rows) > 0 || answer.Proven > first.Proven {
 			*told = Told{Answer: answer, ProvenAfter: answer.Proven - arrived}
 			return nil
 		}
 		select {
-		case <-changed:
+		case <-took:
 		case <-timer.C:
 			over = true
 		}
--- a/core/state/dogwoodcopy/copy.go
+++ b/core/state/dogwoodcopy/copy.go
@@ -45,15 +45,16 @@
 	// since is the version from which on the changes are complete; -1 before the first answer.
 	since   int64
 	version int64
-	// proven is when the store itself last proved the copy.
-	proven  time.Duration
-	direct  bool
-	changed chan struct{}
+	// proven is when the store itself last proved the copy, heard when anyone did.
+	proven, heard time.Duration
+	direct        bool
+	// took is closed at the next answer.
+	took chan struct{}
 }
 
 // New returns a copy of which nothing is known.
 func New() *Copy {
-	return &Copy{rows: map[string]Row{}, since: -1, version: -1, changed: make(chan struct{})}
+	return &Copy{rows: map[string]Row{}, since: -1, version: -1, took: make(chan struct{})}
 }
 
 // Take takes in an answer. Direct means that it came from the store itself: only such an
@@ -72,16 +73,15 @@
 	if direct {
 		table.proven, table.direct = answer.Proven, true
 	}
+	table.heard = max(table.heard, answer.Proven)
 	if answer.Version > table.version || answer.Whole {
 		table.version = answer.Version
 	}
 	if table.deleted > mostDeleted {
 		table.forget()
 	}
-	if answer.Whole || len(answer.Rows) > 0 {
-		close(table.changed)
-		table.changed = make(chan struct{})
-	}
+	close(table.took)
+	table.took = make(chan struct{})
 }
 
 func (table *Copy) put(row Row) {
@@ -109,17 +109,42 @@
 }
 
 // Since returns what changed after a version, or the whole table where that is not known
-// any more, and a channel that is closed at the next change. It returns false if the store
-// has never proved the copy itself.
+// any more, and a channel that is closed at the next answer. It is proven as of the store's
+// own last word. It returns false if the store has never proved the copy itself.
 func (table *Copy) Since(version int64) (Answer, <-chan struct{}, bool) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	answer := Answer{Whole: version < table.since, Version: table.version, Proven: table.proven}
+	answer := table.after(version)
+	answer.Proven = table.proven
+	return answer, table.took, table.direct && table.since >= 0
+}
+
+// Latest is Since as of the last proof from anyone. It must be told only to daemons that tell
+// nobody else, or two could prove to each other what neither knows. It returns false before
+// the first answer.
+func (table *Copy) Latest(version int64) (Answer, <-chan struct{}, bool) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	answer := table.after(version)
+	answer.Proven = table.heard
+	return answer, table.took, table.since >= 0
+}
+
+// Version returns the version of the copy; -1 before the first answer.
+func (table *Copy) Version() int64 {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	return table.version
+}
+
+// after lists what changed after a version. The caller holds the mutex.
+func (table *Copy) after(version int64) Answer {
+	answer := Answer{Whole: version < table.since, Version: table.version}
 	for _, row := range table.rows {
 		if answer.Whole && !row.Deleted || !answer.Whole && row.Version > version {
 			answer.Rows = append(answer.Rows, row)
 		}
 	}
 	slices.SortFunc(answer.Rows, func(one, other Row) int { return cmp.Compare(one.Version, other.Version) })
-	return answer, table.changed, table.direct && table.since >= 0
+	return answer
 }
