--- a/core/duty/dogwoodboard/board_test.go
+++ b/core/duty/dogwoodboard/board_test.go
@@ -201,7 +201,6 @@
 		}
 		nodes[0].place("w1")
 		time.Sleep(tellEvery)
-		before = mesh.callsTo(0) + mesh.callsTo(1)
 		nodes[2].place("leaf")
 		time.Sleep(10 * time.Millisecond)
 		for i, node := range nodes {
