Have leaves bear a store that turns them away, and a slow proof of endpoints

Change: a leaf that can't be listed stays one and says so; a reader is stale when the store has not answered it for 1.8 s, whatever that answer proved, and a daemon that is fed takes the store for lost after 3 s.

--- a/core/duty/dogwoodhub/duty.go
+++ b/core/duty/dogwoodhub/duty.go
@@ -19,6 +19,8 @@
 	// after a loss of power all daemons ask at once.
 	listAgain   = 200 * time.Millisecond
 	listLongest = time.Second
+	// offerAgain is the mean pause before a second try to be listed.
+	offerAgain = 50 * time.Millisecond
 )
 
 // List is where hubs are listed. It outlives all daemons. What it says is a hint: a hub that
@@ -66,33 +68,55 @@
 
 // Run does a leaf's or a hub's work until the context ends.
 func (duty *Duty) Run(ctx context.Context) error {
-	var silent []dogwoodfleet.VM
-	for wasAlone := false; ctx.Err() == nil; {
-		hubs, err := duty.list(ctx)
-		if err != nil {
-			return nil //nolint:nilerr // the context has ended
+	hubs, err := duty.list(ctx)
+	if err == nil && duty.isListed(hubs) {
+		if _, err := duty.beHub(ctx, hubs, nil); err != nil {
+			return err
 		}
-		if duty.isListed(hubs) || wasAlone && !duty.hasNew(hubs, silent) {
-			if err := duty.beHub(ctx, hubs, silent); err != nil {
+		hubs, err = duty.list(ctx)
+	}
+	for err == nil && ctx.Err() == nil {
+		switch why := duty.options.Leaf.Run(ctx, hubs); {
+		case errors.Is(why, ErrPromoted):
+			known := duty.options.Leaf.Fleet().Hubs
+			became, err := duty.beHub(ctx, hubs, nil)
+			if err != nil {
 				return err
 			}
-			wasAlone, silent = false, nil
-			continue
-		}
-		switch err := duty.options.Leaf.Run(ctx, hubs); {
-		case errors.Is(err, ErrPromoted):
-			if err := duty.beHub(ctx, hubs, nil); err != nil {
+			if !became {
+				hubs = known // the store can't be asked who else there is
+				continue
+			}
+		case errors.Is(why, ErrAlone):
+			found, err := duty.alone(ctx, hubs)
+			if err != nil {
 				return err
 			}
-			wasAlone = false
-		case errors.Is(err, ErrAlone):
-			wasAlone, silent = true, vms(append(hubs, duty.options.Leaf.Fleet().Hubs...))
-			pause := dogwoodkernel.Jittered(dogwoodhubs.JoinPause(duty.options.Self.Cores))
-			duty.options.Logger.Info("No hub answers.", "tried", len(hubs), "pause", pause)
-			dogwoodkernel.Sleep(ctx, pause) // the loop looks at the context itself
+			if len(found) > 0 {
+				hubs = found
+				continue
+			}
 		}
+		hubs, err = duty.list(ctx)
+	}
+	return nil // only the context's end ends the search for a list
+}
+
+// alone waits, and makes this daemon a hub if no other one has become one meanwhile; else it
+// returns those that are listed now.
+func (duty *Duty) alone(ctx context.Context, hubs []dogwoodhubs.Daemon) ([]dogwoodhubs.Daemon, error) {
+	tried := vms(append(hubs, duty.options.Leaf.Fleet().Hubs...))
+	pause := dogwoodkernel.Jittered(dogwoodhubs.JoinPause(duty.options.Self.Cores))
+	duty.options.Logger.Info("No hub answers.", "tried", len(tried), "pause", pause)
+	if !dogwoodkernel.Sleep(ctx, pause) {
+		return nil, nil
+	}
+	listed, err := duty.list(ctx)
+	if err != nil || duty.hasNew(listed, tried) {
+		return listed, nil //nolint:nilerr // the context has ended
 	}
-	return nil
+	_, err = duty.beHub(ctx, listed, tried)
+	return nil, err
 }
 
 // list returns the hubs that are listed. It tries until the list is read or the context ends.
@@ -130,27 +154,36 @@
 	return listed
 }
 
-// beHub lists this daemon and does a hub's work until it is spare or the context ends.
-func (duty *Duty) beHub(ctx context.Context, hubs []dogwoodhubs.Daemon, silent []dogwoodfleet.VM) error {
+// beHub lists this daemon and does a hub's work until it is spare or the context ends. A daemon
+// that the store turns away becomes no hub: it follows one meanwhile, and tells it so.
+func (duty *Duty) beHub(ctx context.Context, hubs []dogwoodhubs.Daemon, silent []dogwoodfleet.VM) (became bool, err error) {
 	if !duty.isListed(hubs) || len(silent) > 0 {
-		pause := dogwoodkernel.Backoff{First: listAgain, Longest: listLongest}
-		for err := duty.options.List.Offer(ctx, silent); err != nil; err = duty.options.List.Offer(ctx, silent) {
-			duty.options.Logger.Warn("Not listed as a hub yet.", "error", err)
-			if pause.Sleep(ctx) != nil {
-				return nil //nolint:nilerr // the context has ended
-			}
+		if err := duty.offer(ctx, silent); err != nil {
+			duty.options.Logger.Warn("Not listed as a hub.", "error", err)
+			duty.options.Leaf.unfit(time.Now())
+			return false, nil
 		}
 	}
 	duty.options.Logger.Info("Now a hub.", "silent", len(silent))
 	duty.isHub.Store(true)
-	err := duty.options.BeHub(ctx)
+	err = duty.options.BeHub(ctx)
 	duty.isHub.Store(false)
 	if !errors.Is(err, ErrSpare) {
-		return Error.Wrap(err)
+		return true, Error.Wrap(err)
 	}
 	duty.options.Logger.Info("Now a leaf: the other hubs suffice.")
 	if err := duty.options.List.Withdraw(ctx); err != nil {
 		duty.options.Logger.Warn("Still listed as a hub.", "error", err)
 	}
-	return nil
+	return true, nil
+}
+
+// offer lists this daemon, with one more try: the first hubs of all meet when they draw the
+// key of their connections.
+func (duty *Duty) offer(ctx context.Context, silent []dogwoodfleet.VM) error {
+	err := duty.options.List.Offer(ctx, silent)
+	if err == nil || !dogwoodkernel.Sleep(ctx, dogwoodkernel.Jittered(offerAgain)) {
+		return err
+	}
+	return duty.options.List.Offer(ctx, silent)
 }
--- a/core/duty/dogwoodhub/leaf.go
+++ b/core/duty/dogwoodhub/leaf.go
@@ -37,6 +37,9 @@
 	// and then in others.
 	askedNear = 3
 	askedFar  = 2
+	// unfitFor is how long a leaf that the store turned away is not to be promoted: most such
+	// troubles last some seconds, and another leaf can be a hub meanwhile.
+	unfitFor = 10 * time.Second
 )
 
 // Feed is where news of tables goes.
@@ -66,6 +69,8 @@
 	mutex sync.Mutex
 	fleet Fleet
 	hub   dogwoodhubs.Daemon // the one that answered last
+	// unfitUntil is until when it can't become a hub.
+	unfitUntil time.Time
 }
 
 // NewLeaf returns a leaf that knows no hub.
@@ -73,6 +78,22 @@
 	return &Leaf{options: options}
 }
 
+// unfit notes that the store turned this daemon away.
+func (leaf *Leaf) unfit(now time.Time) {
+	leaf.mutex.Lock()
+	defer leaf.mutex.Unlock()
+	leaf.unfitUntil = now.Add(unfitFor)
+}
+
+// self is this daemon, away while it can't become a hub.
+func (leaf *Leaf) self() dogwoodhubs.Daemon {
+	self := leaf.options.Self()
+	leaf.mutex.Lock()
+	defer leaf.mutex.Unlock()
+	self.Away = self.Away || time.Now().Before(leaf.unfitUntil)
+	return self
+}
+
 // Fleet is what the last hub told of the others.
 func (leaf *Leaf) Fleet() Fleet {
 	leaf.mutex.Lock()
@@ -229,7 +250,7 @@
 
 // ask asks the hub once and feeds what it tells.
 func (leaf *Leaf) ask(ctx context.Context, hub dogwoodhubs.Daemon, version uint64) (News, error) {
-	question := Question{Leaf: leaf.options.Self(), Fleet: version}
+	question := Question{Leaf: leaf.self(), Fleet: version}
 	asked := leaf.options.Clock()
 	for _, name := range leaf.options.Names {
 		after, age := leaf.options.Feed.Position(name)
--- a/core/duty/dogwoodreader/reader.go
+++ b/core/duty/dogwoodreader/reader.go
@@ -51,9 +51,13 @@
 	answerWithin = 400 * time.Millisecond
 	// awaitSlice is how often a daemon that is fed looks whether it still is.
 	awaitSlice = 200 * time.Millisecond
-	// staleAfter is the age of the store's last proof at which a reader tells others nothing:
-	// a second's wait in the store, and the time that a slow answer takes.
-	staleAfter = 1400 * time.Millisecond
+	// staleAfter is how long ago the store may last have answered a reader for it to tell others:
+	// a second's wait in the store, the 0.4 s for which changes are gathered before that, and the
+	// time that a slow answer takes.
+	staleAfter = 1800 * time.Millisecond
+	// fedStaleAfter is the age of the last proof at which a daemon that is fed takes the store for
+	// lost: that at its hub, and the time for which the hub may hold back its answer.
+	fedStaleAfter = 3 * time.Second
 	// leaveFor is how long a reader that failed is not asked again, leaveStaleFor one that has
 	// not heard from the store lately: it may have lost its own reader a moment ago.
 	leaveFor      = 5 * time.Second
@@ -97,21 +101,24 @@
 type Reader struct {
 	options Options
 
-	mutex  sync.Mutex
-	copies map[string]*dogwoodcopy.Copy
-	left   map[dogwoodfleet.InstanceID]time.Time // readers that failed, and when they may be asked again
-	asked  dogwoodfleet.InstanceID               // the reader asked last, for the log
+	mutex    sync.Mutex
+	copies   map[string]*dogwoodcopy.Copy
+	answered map[string]time.Duration              // when the store itself last answered about a table
+	left     map[dogwoodfleet.InstanceID]time.Time // readers that failed, and when they may be asked again
+	asked    dogwoodfleet.InstanceID               // the reader asked last, for the log
 }
 
 // New returns a reader.
 func New(options Options) *Reader {
-	return &Reader{options: options, copies: map[string]*dogwoodcopy.Copy{}, left: map[dogwoodfleet.InstanceID]time.Time{}}
+	return &Reader{
+		options: options, copies: map[string]*dogwoodcopy.Copy{}, answered: map[string]time.Duration{}, left: map[dogwoodfleet.InstanceID]time.Time{},
+	}
 }
 
 // Whole reads a table, as it is fed, or from a peer that reads it or else from the store.
 func (reader *Reader) Whole(ctx context.Context, table string) (dogwoodcopy.Answer, error) {
 	const never = -1
-	if answer, fed, err := reader.await(ctx, table, never, staleAfter); fed {
+	if answer, fed, err := reader.await(ctx, table, never, fedStaleAfter); fed {
 		return answer, err
 	}
 	if answer, _, ok := reader.askPeer(ctx, table, never); ok {
@@ -121,7 +128,7 @@
 	if err != nil {
 		return answer, err
 	}
-	reader.table(table).Take(answer, true)
+	reader.takeDirect(table, answer)
 	return answer, nil
 }
 
@@ -143,10 +150,26 @@
 	if err != nil {
 		return answer, err
 	}
-	reader.table(table).Take(answer, true)
+	reader.takeDirect(table, answer)
 	return answer, nil
 }
 
+// takeDirect takes in what the store itself answered.
+func (reader *Reader) takeDirect(table string, answer dogwoodcopy.Answer) {
+	reader.mutex.Lock()
+	reader.answered[table] = reader.options.Clock()
+	reader.mutex.Unlock()
+	reader.table(table).Take(answer, true)
+}
+
+// staleIn is how long what this daemon knows of a table may still be told to others; zero or
+// less if it may not.
+func (reader *Reader) staleIn(table string) time.Duration {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	return staleAfter - (reader.options.Clock() - reader.answered[table])
+}
+
 // askPeer asks the first peer that has not failed lately. It returns whether there is one,
 // and whether it answered.
 func (reader *Reader) askPeer(ctx context.Context, table string, after int64) (answer dogwoodcopy.Answer, asked, ok bool) {
@@ -175,7 +198,7 @@
 		if ok && (answer.Whole || len(answer.Rows) > 0 || answer.Proven > first.Proven) {
 			return answer, true, nil
 		}
-		if time.Since(begun) >= wait && (!ok || reader.options.Clock()-answer.Proven > staleAfter) {
+		if time.Since(begun) >= wait && (!ok || reader.options.Clock()-answer.Proven > fedStaleAfter) {
 			return answer, true, Error.Wrap(errStale)
 		}
 		select {
--- a/core/duty/dogwoodreader/receiver.go
+++ b/core/duty/dogwoodreader/receiver.go
@@ -38,12 +38,12 @@
 	reader := receiver.reader
 	clock, table := reader.options.Clock, reader.table(question.Table)
 	arrived := clock()
-	timer := time.NewTimer(holdFor)
+	timer := time.NewTimer(min(holdFor, max(reader.staleIn(question.Table), 0)))
 	defer timer.Stop()
 	first, _, _ := table.Since(question.After)
 	for over := false; ; {
 		answer, took, ok := table.Since(question.After)
-		if !ok || clock()-answer.Proven > staleAfter {
+		if !ok || reader.staleIn(question.Table) <= 0 {
 			*told = Told{Stale: true}
 			return nil
 		}
