Promote leaves for what callers ask of hubs, and for what lasts

Hubs did not see each other yet (they waited half a second, two heartbeats take one), the callers who all came back at once counted as the rate, and so did the platform's own tests of each daemon, some 300 a second at 295 daemons, which leaves serve. Change: a hub promotes nobody in its first second, counts requests that hubs gave out, and only a rate that lasts a second. Test: TestRequestsOfLeavesNeedNoHubs.

--- a/core/decision/dogwoodpacking/cold.go
+++ b/core/decision/dogwoodpacking/cold.go
@@ -65,17 +65,6 @@
 	}
 }
 
-// Sent returns how many requests all daemons sent within the last second.
-func (board *Board) Sent(now time.Time) int {
-	board.mutex.Lock()
-	defer board.mutex.Unlock()
-	sent := 0
-	for _, place := range board.places {
-		sent += place.sends.recent(now)
-	}
-	return sent
-}
-
 // bears reports whether this daemon may send one more request now.
 func (board *Board) bears(place *place, now time.Time) bool {
 	if place.ColdPerSecond <= 0 {
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -14,6 +14,7 @@
 	"context"
 	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,12 +84,13 @@
 	Whole bool
 	// Serves is false while the daemon can't serve callers.
 	Serves bool
-	// Leaves is how many daemons follow this one.
-	Leaves int
-	Items  []Item
-	Ended  []dogwoodpacking.WorkID
-	Avoid  []Avoid
-	Paces  []Pace
+	// Leaves is how many daemons follow this one, Requests how many it gave out itself within
+	// the last second.
+	Leaves, Requests int
+	Items            []Item
+	Ended            []dogwoodpacking.WorkID
+	Avoid            []Avoid
+	Paces            []Pace
 }
 
 // Options are what a duty is made from.
@@ -122,12 +124,14 @@
 	links map[dogwoodfleet.InstanceID]*link
 	heard map[dogwoodfleet.InstanceID]heard
 	view  leafView
+	given []time.Time // when requests were given out within the last second
 }
 
 type heard struct {
 	at     time.Time
 	serves bool
-	leaves int
+	// leaves and requests are as in Batch.
+	leaves, requests int
 }
 
 // New returns a duty.
@@ -213,6 +217,7 @@
 func (duty *Duty) forget(now time.Time) {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
+	duty.givenLately(now)
 	maps.DeleteFunc(duty.heard, func(_ dogwoodfleet.InstanceID, heard heard) bool { return now.Sub(heard.at) > heardWithin })
 }
 
@@ -227,6 +232,25 @@
 	return leaves
 }
 
+// Requests is how many requests all hubs gave out within the last second. Those of leaves are
+// borne by the leaves.
+func (duty *Duty) Requests(now time.Time) int {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	requests := duty.givenLately(now)
+	for instance := range duty.links {
+		requests += duty.heard[instance].requests
+	}
+	return requests
+}
+
+// givenLately counts the requests that this daemon gave out within the last second. The caller
+// holds the mutex.
+func (duty *Duty) givenLately(now time.Time) int {
+	duty.given = slices.DeleteFunc(duty.given, func(at time.Time) bool { return now.Sub(at) > time.Second })
+	return len(duty.given)
+}
+
 // Place finds a place for a request and announces it.
 func (duty *Duty) Place(now time.Time, ask *dogwoodpacking.Ask) (dogwoodpacking.Placement, dogwoodpacking.Refusal) {
 	if duty.isLeaf() {
@@ -235,6 +259,9 @@
 	ask.Holder = duty.options.Self
 	placement, refusal := duty.options.Board.Place(now, ask)
 	if refusal == dogwoodpacking.Placed {
+		duty.mutex.Lock()
+		duty.given = append(duty.given, now)
+		duty.mutex.Unlock()
 		duty.note(placement.Work)
 	}
 	return placement, refusal
--- a/core/duty/dogwoodboard/board_test.go
+++ b/core/duty/dogwoodboard/board_test.go
@@ -225,6 +225,31 @@
 	})
 }
 
+// Hubs are promoted as the callers' requests need. What callers ask of leaves, the platform's
+// own tests above all, needs no hub; counted, it had twenty leaves promoted.
+func TestRequestsOfLeavesNeedNoHubs(t *testing.T) {
+	story(t, 3, func(t *testing.T, nodes []*node, mesh *mesh) {
+		mesh.mutex.Lock()
+		mesh.hubOf[2] = 0
+		mesh.mutex.Unlock()
+		time.Sleep(lookEvery + expireEvery)
+		for i := range 10 {
+			nodes[2].place(fmt.Sprint("leaf", i))
+			nodes[0].place(fmt.Sprint("hub", i))
+		}
+		time.Sleep(2 * tellEvery)
+		for i, node := range nodes[:2] {
+			if got, want := node.duty.Requests(time.Now()), 10; got != want {
+				t.Errorf("hub %d: got %d requests in the last second, want %d", i, got, want)
+			}
+		}
+		time.Sleep(time.Second + 2*tellEvery)
+		if got := nodes[1].duty.Requests(time.Now()); got != 0 {
+			t.Errorf("got %d requests a second later, want none", got)
+		}
+	})
+}
+
 // A leaf becomes a hub, and hubs must know that it serves and what it gives out.
 func TestALeafThatBecomesAHubAnnounces(t *testing.T) {
 	story(t, 3, func(t *testing.T, nodes []*node, mesh *mesh) {
--- a/core/duty/dogwoodboard/receiver.go
+++ b/core/duty/dogwoodboard/receiver.go
@@ -63,7 +63,7 @@
 func (duty *Duty) hear(now time.Time, batch *Batch, works []dogwoodpacking.Work) {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
-	duty.heard[batch.From] = heard{at: now, serves: batch.Serves, leaves: batch.Leaves}
+	duty.heard[batch.From] = heard{at: now, serves: batch.Serves, leaves: batch.Leaves, requests: batch.Requests}
 	if duty.links[batch.From] != nil || duty.isLeaf() {
 		return
 	}
--- a/core/duty/dogwoodhub/hub.go
+++ b/core/duty/dogwoodhub/hub.go
@@ -26,8 +26,11 @@
 	// every fleet needs.
 	settleFor = 3 * time.Second
 	// firstLook is how long a new hub promotes nobody: after a loss of power the other hubs of
-	// its data centre may be up a moment later than itself.
-	firstLook = 500 * time.Millisecond
+	// its data centre may be up a moment later than itself, and two heartbeats until it sees them.
+	firstLook = time.Second
+	// sustained is for how many looks a rate of requests must last to count, a second: after a
+	// loss of power all callers come back at once, and once.
+	sustained = 4
 	// promotedFor is how long a promoted leaf counts as a hub although it has not been heard as
 	// one: a write and a read of the store, and the heartbeats until all know of it.
 	promotedFor = 3 * time.Second
@@ -77,6 +80,9 @@
 	fleet  Fleet
 	// changed is closed when the fleet changes.
 	changed chan struct{}
+	// rates are those of the last looks, rate the highest that lasted, faded.
+	rates   [sustained]float64
+	looks   int
 	rate    float64
 	started time.Time
 	// missing is since when each data centre has had too few hubs.
@@ -138,7 +144,9 @@
 	requests := float64(hub.options.Requests(now))
 	hub.mutex.Lock()
 	defer hub.mutex.Unlock()
-	hub.rate = max(requests, rateFade*hub.rate)
+	hub.rates[hub.looks%sustained] = requests
+	hub.looks++
+	hub.rate = max(slices.Min(hub.rates[:]), rateFade*hub.rate)
 	maps.DeleteFunc(hub.leaves, func(_ dogwoodfleet.InstanceID, leaf *leaf) bool { return now.Sub(leaf.asked) > silence })
 	needs := dogwoodhubs.Needs{
 		DataCentres: hub.options.DataCentres, RequestsPerSecond: hub.rate, Daemons: len(hubs) + len(hub.leaves) + others,
