--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -72,10 +72,12 @@
 // place is an endpoint with its work and what was seen of it.
 type place struct {
 	Endpoint
-	// rank orders endpoints that are equal otherwise.
-	rank  uint64
-	work  works
-	parts works // work at other endpoints that this one helps with
+	// rank orders endpoints that are equal otherwise. hash is the same at each daemon, and
+	// group the endpoint's group among so many.
+	rank, hash    uint64
+	group, groups int
+	work          works
+	parts         works // work at other endpoints that this one helps with
 	// sends are within the last second, by all daemons, ownSends by this one.
 	sends, ownSends moments
 	health          health
@@ -93,10 +95,8 @@
 	changed chan struct{}
 	owner   string
 	// seen is the part of the daemons whose work is on the board.
-	seen float64
-	// senders are the daemons that take callers; this one does not if it stands by.
-	senders  int
-	standsBy bool
+	seen    float64
+	senders Senders
 	// scratch is reused by each decision; the mutex is held meanwhile.
 	scratch scratch
 }
@@ -104,7 +104,9 @@
 // scratch is the memory of one decision. A decision is made for each request and looks at
 // each endpoint; without it a third of its time goes into allocations.
 type scratch struct {
-	open, well      []*place
+	open, well []*place
+	// held is how many requests the service's endpoints hold.
+	held            int
 	engines         []engine
 	firsts, readers []*engine
 }
@@ -115,7 +117,7 @@
 func NewBoard(owner dogwoodfleet.InstanceID) *Board {
 	return &Board{
 		places: map[dogwoodfleet.EndpointID]*place{}, works: map[WorkID]*Work{},
-		changed: make(chan struct{}), owner: string(owner), seen: 1, senders: 1,
+		changed: make(chan struct{}), owner: string(owner), seen: 1, senders: Senders{Count: 1},
 	}
 }
 
@@ -130,6 +132,7 @@
 		if known == nil || known.Instance != endpoint.Instance {
 			known = &place{}
 			known.rank = xxhash.Sum64String(board.owner + "\x00" + string(endpoint.ID))
+			known.hash = xxhash.Sum64String(string(endpoint.ID))
 		}
 		known.Endpoint = endpoint
 		places[endpoint.ID] = known
--- a/core/decision/dogwoodpacking/choose.go
+++ b/core/decision/dogwoodpacking/choose.go
@@ -126,13 +126,14 @@
 
 // candidates are the places that may get the request now, in the daemon's own order.
 func (board *Board) candidates(now time.Time, ask *Ask) ([]*place, Refusal) {
-	known := false
+	known, held := false, 0
 	open, well := board.scratch.open[:0], board.scratch.well[:0]
 	for _, place := range board.ranked {
 		if place.Service != ask.Service || !place.InForce || slices.Contains(ask.Avoid, place.ID) {
 			continue
 		}
 		known = true
+		held += len(place.work)
 		if len(place.work) >= place.most() || !board.bears(place, now) {
 			continue
 		}
@@ -141,7 +142,7 @@
 			well = append(well, place)
 		}
 	}
-	board.scratch.open, board.scratch.well = open, well
+	board.scratch.open, board.scratch.well, board.scratch.held = open, well, held
 	switch {
 	case !known:
 		return nil, NoEndpoint
--- a/core/decision/dogwoodpacking/cold.go
+++ b/core/decision/dogwoodpacking/cold.go
@@ -42,17 +42,26 @@
 	return count
 }
 
-// SetSenders says how many daemons take callers, and whether this one stands by. What an
-// endpoint bears is divided among those that take callers, besides the limit over all that are
-// known of. An endpoint that has just come, or that all avoided until the same moment, looks
-// empty to each daemon, and those who wait at all of them went there within 50 ms: one got 34
-// requests where it would have borne 30 had it been cold. A cold endpoint is sent no more than
-// that in any second, since a daemon may hear late for longer. A daemon that stands by knows
-// the others' requests too late to send a cold endpoint any, or a warm one more than one.
-func (board *Board) SetSenders(senders int, standsBy bool) {
+// Senders are the daemons that take callers.
+type Senders struct {
+	// Count is how many there are, Index this one's place among them, the same at each.
+	Count, Index int
+	// StandsBy is true if this daemon is none of them.
+	StandsBy bool
+}
+
+// SetSenders says which daemons take callers. What an endpoint bears is divided among those,
+// besides the limit over all that are known of. An endpoint that has just come, or that all
+// avoided until the same moment, looks empty to each daemon, and those who wait at all of them
+// went there within 50 ms: one got 34 requests where it would have borne 30 had it been cold. A
+// cold endpoint is sent no more than that in any second, since a daemon may hear late for longer.
+// A daemon that stands by knows the others' requests too late to send a cold endpoint any, or a
+// warm one more than one.
+func (board *Board) SetSenders(senders Senders) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
-	board.senders, board.standsBy = max(senders, 1), standsBy
+	senders.Count = max(senders.Count, 1)
+	board.senders = senders
 }
 
 // sent counts a request, and whether this daemon sent it. The caller holds the board's mutex.
@@ -77,8 +86,8 @@
 	if float64(place.sends.recent(now)+1) > limit {
 		return false
 	}
-	if board.standsBy {
+	if board.senders.StandsBy {
 		return place.ownSends.recent(now) < standsByLimit
 	}
-	return float64(place.ownSends.within(now, ownSpan)+1) <= max(ownShare*limit/float64(board.senders), 1)
+	return float64(place.ownSends.within(now, ownSpan)+1) <= max(ownShare*limit/float64(board.senders.Count), 1)
 }
--- a/core/decision/dogwoodpacking/cold_test.go
+++ b/core/decision/dogwoodpacking/cold_test.go
@@ -17,7 +17,7 @@
 	placed := func(standsBy bool) int {
 		board := NewBoard("me")
 		board.SetEndpoints([]Endpoint{endpoint})
-		board.SetSenders(daemons, standsBy)
+		board.SetSenders(Senders{Count: daemons, StandsBy: standsBy})
 		count := 0
 		for i := range 50 {
 			ask := short(now, 3_000)
@@ -49,7 +49,7 @@
 	for range daemons {
 		board := NewBoard("me")
 		board.SetEndpoints([]Endpoint{endpoint})
-		board.SetSenders(daemons, false)
+		board.SetSenders(Senders{Count: daemons})
 		for i := range 50 {
 			ask := short(now, 3_000)
 			if _, refusal := board.Place(now.Add(time.Duration(i)*time.Millisecond), ask); refusal == Placed {
@@ -63,7 +63,7 @@
 	}
 	board := NewBoard("me")
 	board.SetEndpoints([]Endpoint{endpoint})
-	board.SetSenders(daemons, false)
+	board.SetSenders(Senders{Count: daemons})
 	for i := range 50 {
 		ask := short(now, 3_000)
 		if _, refusal := board.Place(now.Add(time.Duration(i)*20*time.Millisecond), ask); refusal == Placed {
--- a/core/decision/dogwoodpacking/engines.go
+++ b/core/decision/dogwoodpacking/engines.go
@@ -54,18 +54,19 @@
 	bad   bool
 	// waits is true while a prompt that will be written here is not read.
 	waits bool
-	// packed is true if the engine has as many answers as are packed on one.
-	packed bool
+	// packed is true if the engine has as many answers as are packed on one, own if it is of
+	// this daemon's group.
+	packed, own bool
 }
 
 func (board *Board) survey(now time.Time, candidates []*place) []engine {
-	engines := board.scratch.engines[:0]
+	engines, groups := board.scratch.engines[:0], board.groups(board.scratch.held, candidates[0].Slots)
 	for _, place := range candidates {
 		load := place.load(now)
 		engines = append(engines, engine{
 			place: place, load: load, parts: place.partsLoad(now, load), count: len(place.work), used: place.used(),
 			pause: place.tightest(), spare: place.spare(now, load.Queued), slow: place.health.slowness(), bad: place.health.badness(now) >= 1,
-			waits: place.waits(), packed: float64(len(place.work)) >= board.seen*packShare*float64(place.Slots),
+			waits: place.waits(), own: board.isOwn(place, groups), packed: float64(len(place.work)) >= board.seen*packShare*float64(place.Slots),
 		})
 	}
 	board.scratch.engines = engines
@@ -127,8 +128,8 @@
 	// waited is how long the request has waited already.
 	waited  time.Duration
 	engines []engine
-	// firsts may write the answer: the fullest that has room first, and those that are packed
-	// last.
+	// firsts may write the answer: those of the daemon's own group first, of these the fullest
+	// that has room, and those that are packed last.
 	firsts []*engine
 	// readers may help: those first that do not write, of these the ones where no prompt
 	// waits that would be put off, and then those that are free soonest.
@@ -181,7 +182,7 @@
 	}
 	board.scratch.firsts, board.scratch.readers = search.firsts, search.readers
 	slices.SortStableFunc(search.firsts, func(one, other *engine) int {
-		return cmp.Or(compareBool(one.packed, other.packed), cmp.Compare(other.count, one.count))
+		return cmp.Or(compareBool(one.packed, other.packed), compareBool(other.own, one.own), cmp.Compare(other.count, one.count))
 	})
 	slices.SortStableFunc(search.readers, func(one, other *engine) int {
 		return cmp.Or(
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -106,8 +106,8 @@
 	Leaves func() int
 	// Expected is how many daemons there should be, this one included.
 	Expected func() int
-	// Senders is how many daemons take callers, and whether this one stands by; nil for all.
-	Senders func() (senders int, standsBy bool)
+	// Senders are the daemons that take callers; nil for all.
+	Senders func() dogwoodpacking.Senders
 	// Watch returns a channel that is closed when the peers change.
 	Watch func() <-chan struct{}
 	// Serves tells whether this daemon can serve callers.
@@ -158,7 +158,7 @@
 		if duty.options.Senders != nil {
 			duty.options.Board.SetSenders(duty.options.Senders())
 		} else {
-			duty.options.Board.SetSenders(len(peers)+1, false)
+			duty.options.Board.SetSenders(dogwoodpacking.Senders{Count: len(peers) + 1})
 		}
 		duty.connect(ctx, group, peers)
 		select {
