Divide the engines among hubs only where their prompts meet

Change: one group more for each prompt that is sent within 20 ms, so that such pools stay one group and 440 prompts a second on 135 engines make eight.

--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -97,6 +97,8 @@
 	// seen is the part of the daemons whose work is on the board.
 	seen    float64
 	senders Senders
+	// prompts are when prompts were sent within the last second, by all daemons.
+	prompts moments
 	// scratch is reused by each decision; the mutex is held meanwhile.
 	scratch scratch
 }
@@ -186,6 +188,10 @@
 	board.attach(&work)
 	if place := board.places[work.Endpoint]; place != nil && !known {
 		place.sent(now, string(work.Holder) == board.owner)
+		if work.Prompt > 0 {
+			board.prompts = append(board.prompts, now)
+			board.prompts.recent(now)
+		}
 	}
 }
 
--- a/core/decision/dogwoodpacking/engines.go
+++ b/core/decision/dogwoodpacking/engines.go
@@ -60,7 +60,7 @@
 }
 
 func (board *Board) survey(now time.Time, candidates []*place) []engine {
-	engines, groups := board.scratch.engines[:0], board.groups(board.scratch.held, candidates[0].Slots)
+	engines, groups := board.scratch.engines[:0], board.groups(now, board.scratch.held, candidates[0].Slots)
 	for _, place := range candidates {
 		load := place.load(now)
 		engines = append(engines, engine{
--- a/core/decision/dogwoodpacking/groups.go
+++ b/core/decision/dogwoodpacking/groups.go
@@ -1,18 +1,27 @@
 package dogwoodpacking
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Load pattern: several daemons place hundreds of requests a second in one pool, and each hears
 // of the others' some milliseconds late. All that pack answers on the fullest engine go to the
-// same one at the same moment, beyond its slots. So the engines are divided into groups, as
-// many as there are engines' worth of answers, and each daemon packs into its own group first.
-// A pool with few answers is one group for all, as packing wants it.
+// same one at the same moment, beyond its slots. So the engines are divided into groups, and each
+// daemon packs into its own group first: as many groups as there are prompts within groupSpan,
+// and no more than daemons, or engines' worth of answers. At some tens of prompts a second two
+// seldom meet, and one group for all packs better.
+
+// groupSpan is the time that has one more group for each prompt within it: ten times that of an
+// announcement, so that one in ten meets another.
+const groupSpan = 20 * time.Millisecond
 
 // groups is into how many groups the engines are divided that hold so many requests.
-func (board *Board) groups(held, slots int) int {
+func (board *Board) groups(now time.Time, held, slots int) int {
 	packed := max(packShare*float64(slots), 1)
 	engines := int(math.Ceil(float64(held+1) / packed))
-	return min(max(engines, 1), board.senders.Count)
+	prompts := int(float64(board.prompts.recent(now)) * groupSpan.Seconds() / coldSpan.Seconds())
+	return max(min(engines, prompts, board.senders.Count), 1)
 }
 
 // isOwn tells whether an engine is of this daemon's group. When the number of groups changes
