Have leaves ask for the view for prompts alone

Cause: the platform tests each daemon with a plain call every second, so that 285 leaves asked their hubs for all the pool's work twice a second, all the time. Change: plain calls at a leaf go by what it gave out itself.

--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -253,7 +253,7 @@
 
 // Place finds a place for a request and announces it.
 func (duty *Duty) Place(now time.Time, ask *dogwoodpacking.Ask) (dogwoodpacking.Placement, dogwoodpacking.Refusal) {
-	if duty.isLeaf() {
+	if duty.isLeaf() && ask.Prompt > 0 {
 		duty.view.want(now)
 	}
 	ask.Holder = duty.options.Self
--- a/core/duty/dogwoodboard/leafview.go
+++ b/core/duty/dogwoodboard/leafview.go
@@ -20,8 +20,10 @@
 	viewFresh = 1500 * time.Millisecond
 )
 
-// leafView is a leaf's view of the pool, which it has only while callers come to it: two
-// hundred leaves that are each told of every request would cost more than the requests.
+// leafView is a leaf's view of the pool, which it has only while prompts come to it: two
+// hundred leaves that are each told of every request would cost more than the requests. Plain
+// calls are short and go by what the leaf itself gave out: the platform's own tests are such
+// calls, come to each daemon every second, and had all leaves ask for the view all the time.
 type leafView struct {
 	wanted chan struct{}
 
