Give a small hub its share of callers, and promote by the data centre's own requests

Hubs were promoted by a fifth of all requests, although half of another data centre's callers had moved here. Change: a caller is told of a hub as seldom as it is smaller than the largest, and of others instead; each data centre's hubs are promoted for the requests that come to them. Test: TestASmallDaemonGetsItsShare failed first.

--- a/core/decision/dogwoodentry/entry.go
+++ b/core/decision/dogwoodentry/entry.go
@@ -41,6 +41,12 @@
 		distance int
 		key      float64
 	}
+	largest := 0.0
+	for _, member := range members {
+		if !member.Leaving {
+			largest = max(largest, member.cores())
+		}
+	}
 	draws := make([]drawn, 0, len(members))
 	for i := range members {
 		member := &members[i]
@@ -49,12 +55,15 @@
 		}
 		// Weighted sampling without replacement: the highest u^(1/w), here as log(u)/w with
 		// the weight cores/(load+1).
-		cores := member.Cores
-		if cores <= 0 {
-			cores = 1
+		key := math.Log(1-random.Float64()) * float64(member.Load+1) / member.cores()
+		draw := drawn{member: member, distance: distance(place, member.Place), key: key}
+		if random.Float64() > member.cores()/largest {
+			// A caller uses all that it is told alike. Where a data centre has no more daemons than
+			// a caller is told, a small one would get as much as a large one, four times what it
+			// bears; so a caller is told of it as seldom as it is smaller.
+			draw.distance += seldom
 		}
-		key := math.Log(1-random.Float64()) * float64(member.Load+1) / cores
-		draws = append(draws, drawn{member: member, distance: distance(place, member.Place), key: key})
+		draws = append(draws, draw)
 	}
 	slices.SortFunc(draws, func(one, other drawn) int {
 		return cmp.Or(cmp.Compare(one.distance, other.distance), cmp.Compare(other.key, one.key))
@@ -66,6 +75,16 @@
 	return addresses
 }
 
+// seldom is a distance beyond all others.
+const seldom = 10
+
+func (member *Member) cores() float64 {
+	if member.Cores <= 0 {
+		return 1
+	}
+	return member.Cores
+}
+
 func distance(one, other dogwoodfleet.Place) int {
 	switch {
 	case one.Region != other.Region:
--- a/core/decision/dogwoodentry/entry_test.go
+++ b/core/decision/dogwoodentry/entry_test.go
@@ -49,3 +49,28 @@
 		}
 	}
 }
+
+// Callers move to a data centre that has one large and one small daemon for them. Each caller
+// is told of both and uses them alike, so that the small one got half of all, twice what it
+// bears, and its callers waited half a second. It must get as much less as it is smaller.
+func TestASmallDaemonGetsItsShare(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	members := []Member{memberOf(1, "a", 0), memberOf(2, "a", 0), memberOf(3, "b", 0), memberOf(4, "b", 0)}
+	for i, cores := range []float64{0.8, 0.2, 0.8, 0.8} {
+		members[i].Cores = cores
+	}
+	used := map[uint16]float64{}
+	const callers = 4000
+	for range callers {
+		told := Choose(members, members[0].Place, Addresses, random)
+		if len(told) != Addresses || told[0].Port() > 2 {
+			t.Fatalf("got %v, want %d addresses, a near one first", told, Addresses)
+		}
+		for _, address := range told {
+			used[address.Port()] += 1.0 / Addresses
+		}
+	}
+	if got := used[2] / used[1]; got < 0.2 || got > 0.35 {
+		t.Errorf("got %.2f times as many callers for a quarter of the cores, want about a quarter", got)
+	}
+}
--- a/core/decision/dogwoodhubs/hubs.go
+++ b/core/decision/dogwoodhubs/hubs.go
@@ -64,7 +64,7 @@
 type Needs struct {
 	// DataCentres is how many there are.
 	DataCentres int
-	// RequestsPerSecond come to all data centres together.
+	// RequestsPerSecond come to the hubs of this data centre.
 	RequestsPerSecond float64
 	// Leaves are in this data centre, Daemons in the whole fleet, hubs included.
 	Leaves, Daemons int
@@ -87,7 +87,7 @@
 		weight += max(hub.cores()/usualCores, 1)
 		cores += hub.cores()
 	}
-	return weight >= smallFleet*share && cores >= needs.RequestsPerSecond*share*coresPerRequest/aimedUse
+	return weight >= smallFleet*share && cores >= needs.RequestsPerSecond*coresPerRequest/aimedUse
 }
 
 // IsSmall reports whether a fleet is so small that all its daemons are hubs.
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -232,14 +232,14 @@
 	return leaves
 }
 
-// Requests is how many requests all hubs gave out within the last second. Those of leaves are
+// Requests is how many requests each hub gave out within the last second. Those of leaves are
 // borne by the leaves.
-func (duty *Duty) Requests(now time.Time) int {
+func (duty *Duty) Requests(now time.Time) map[dogwoodfleet.InstanceID]int {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
-	requests := duty.givenLately(now)
+	requests := map[dogwoodfleet.InstanceID]int{duty.options.Self: duty.givenLately(now)}
 	for instance := range duty.links {
-		requests += duty.heard[instance].requests
+		requests[instance] = duty.heard[instance].requests
 	}
 	return requests
 }
--- a/core/duty/dogwoodhub/hub.go
+++ b/core/duty/dogwoodhub/hub.go
@@ -63,8 +63,8 @@
 	Hubs func() []dogwoodhubs.Daemon
 	// OtherLeaves is how many leaves the other hubs have.
 	OtherLeaves func() int
-	// Requests is how many all daemons sent to endpoints within the last second.
-	Requests    func(now time.Time) int
+	// Requests is how many requests each hub gave out within the last second.
+	Requests    func(now time.Time) map[dogwoodfleet.InstanceID]int
 	DataCentres int
 	Logger      hclog.Logger
 }
@@ -78,16 +78,28 @@
 	fleet  Fleet
 	// changed is closed when the fleet changes.
 	changed chan struct{}
-	// rates are those of the last looks, rate the highest that lasted, faded.
-	rates   [sustained]float64
-	looks   int
-	rate    float64
+	rates   map[dogwoodfleet.Place]*rate
 	started time.Time
 	// missing is since when each data centre has had too few hubs.
 	missing map[dogwoodfleet.Place]time.Time
 	needed  time.Time // when this hub was last needed
 }
 
+// rate is that of the requests to the hubs of one data centre.
+type rate struct {
+	last  [sustained]float64
+	looks int
+	// highest is the highest rate that lasted, faded.
+	highest float64
+}
+
+// add takes in the rate of one more look.
+func (rate *rate) add(perSecond float64) {
+	rate.last[rate.looks%sustained] = perSecond
+	rate.looks++
+	rate.highest = max(slices.Min(rate.last[:]), rateFade*rate.highest)
+}
+
 // leaf is a daemon that follows this hub.
 type leaf struct {
 	dogwoodhubs.Daemon
@@ -101,7 +113,7 @@
 	now := time.Now()
 	return &Hub{
 		options: options, leaves: map[dogwoodfleet.InstanceID]*leaf{}, changed: make(chan struct{}),
-		started: now, needed: now, missing: map[dogwoodfleet.Place]time.Time{},
+		rates: map[dogwoodfleet.Place]*rate{}, started: now, needed: now, missing: map[dogwoodfleet.Place]time.Time{},
 	}
 }
 
@@ -139,15 +151,13 @@
 // returns whether this hub itself is spare.
 func (hub *Hub) look(now time.Time) (spare bool) {
 	hubs, others := hub.options.Hubs(), hub.options.OtherLeaves()
-	requests := float64(hub.options.Requests(now))
+	requests := hub.options.Requests(now)
 	hub.mutex.Lock()
 	defer hub.mutex.Unlock()
-	hub.rates[hub.looks%sustained] = requests
-	hub.looks++
-	hub.rate = max(slices.Min(hub.rates[:]), rateFade*hub.rate)
+	hub.addRates(hubs, requests)
 	maps.DeleteFunc(hub.leaves, func(_ dogwoodfleet.InstanceID, leaf *leaf) bool { return now.Sub(leaf.asked) > silence })
 	needs := dogwoodhubs.Needs{
-		DataCentres: hub.options.DataCentres, RequestsPerSecond: hub.rate, Daemons: len(hubs) + len(hub.leaves) + others,
+		DataCentres: hub.options.DataCentres, Daemons: len(hubs) + len(hub.leaves) + others,
 		Settled: now.Sub(hub.started) > settleFor,
 	}
 	hub.publish(hubs, needs.Daemons)
@@ -161,6 +171,30 @@
 	return hub.isSpare(now, hubs, len(byPlace[hub.options.Self.Place]), others, needs)
 }
 
+// addRates takes in how many requests came to each data centre.
+func (hub *Hub) addRates(hubs []dogwoodhubs.Daemon, requests map[dogwoodfleet.InstanceID]int) {
+	perSecond := map[dogwoodfleet.Place]float64{}
+	for _, each := range hubs {
+		perSecond[each.Place] += float64(requests[each.Instance])
+	}
+	for place := range perSecond {
+		if hub.rates[place] == nil {
+			hub.rates[place] = &rate{}
+		}
+	}
+	for place, rate := range hub.rates {
+		rate.add(perSecond[place])
+	}
+}
+
+// rate is the lasting rate of requests to a data centre.
+func (hub *Hub) rate(place dogwoodfleet.Place) float64 {
+	if rate := hub.rates[place]; rate != nil {
+		return rate.highest
+	}
+	return 0
+}
+
 func (hub *Hub) leavesByPlace() map[dogwoodfleet.Place][]*leaf {
 	byPlace := map[dogwoodfleet.Place][]*leaf{}
 	for _, leaf := range hub.leaves {
@@ -195,7 +229,7 @@
 			waiting = append(waiting, leaf)
 		}
 	}
-	needs.Leaves = len(waiting)
+	needs.Leaves, needs.RequestsPerSecond = len(waiting), hub.rate(place)
 	if len(waiting) == 0 || dogwoodhubs.Enough(there, needs) {
 		delete(hub.missing, place)
 		return
@@ -210,7 +244,7 @@
 	best.promoted = now
 	close(best.wake)
 	best.wake = make(chan struct{})
-	hub.options.Logger.Info("Promoted a leaf.", "vm", best.VM, "datacentre", place.DataCentre, "hubs", len(there), "rate", hub.rate)
+	hub.options.Logger.Info("Promoted a leaf.", "vm", best.VM, "datacentre", place.DataCentre, "hubs", len(there), "rate", needs.RequestsPerSecond)
 }
 
 func inPlace(hubs []dogwoodhubs.Daemon, place dogwoodfleet.Place) []dogwoodhubs.Daemon {
@@ -227,6 +261,7 @@
 // if they were evenly spread over the data centres.
 func (hub *Hub) isSpare(now time.Time, hubs []dogwoodhubs.Daemon, leaves, others int, needs dogwoodhubs.Needs) bool {
 	needs.Leaves = leaves + others/max(hub.options.DataCentres, 1)
+	needs.RequestsPerSecond = hub.rate(hub.options.Self.Place)
 	if !dogwoodhubs.Spare(hub.options.Self, inPlace(hubs, hub.options.Self.Place), needs) {
 		hub.needed = now
 	}
