Take in the endpoints of an answer at once, and look at a few hundred engines for a decision

Each daemon rebuilt and sorted its list of all endpoints for each one that registered, and logged a line for each. And a decision looked at each engine of the pool. Change: an answer's changes are taken in at once and the list is handed on once; more than 25 entries have one log line, single ones at debug level; a decision looks at 256 engines with room, in each daemon's own order. Tests: TestAnAnswerIsTakenInAtOnce, TestADecisionLooksAtAFewHundredEngines.

--- a/core/decision/dogwoodpacking/choose.go
+++ b/core/decision/dogwoodpacking/choose.go
@@ -16,6 +16,11 @@
 	// engine can't run now waits at the daemon, where it can still go to the first engine that
 	// is free.
 	queueShare = 0.5
+	// mostLooked is how many engines with room a decision looks at. In a pool of thousands they are
+	// a draw of its own for each daemon: enough to find a full engine with room and readers at
+	// rest, and a decision for each of thousands of requests a second takes no longer than in a
+	// pool of hundreds.
+	mostLooked = 256
 	// badWeight is what a recent failure counts in requests when plain endpoints are chosen.
 	badWeight = 6
 )
@@ -129,6 +134,9 @@
 	known, held := false, 0
 	open, well := board.scratch.open[:0], board.scratch.well[:0]
 	for _, place := range board.ranked {
+		if len(open) == mostLooked && open[0].Engine != nil {
+			break
+		}
 		if place.Service != ask.Service || !place.InForce || slices.Contains(ask.Avoid, place.ID) {
 			continue
 		}
--- a/core/decision/dogwoodpacking/herd_test.go
+++ b/core/decision/dogwoodpacking/herd_test.go
@@ -139,3 +139,43 @@
 		})
 	}
 }
+
+// A pool of 5,900 engines takes thousands of requests a second. A decision that looked at each
+// engine took milliseconds, so that daemons did nothing else. It must look at no more than a few
+// hundred, find room while there is any, and daemons must not all look at the same ones.
+func TestADecisionLooksAtAFewHundredEngines(t *testing.T) {
+	const engines = 5_900
+	now := time.Now()
+	var endpoints []Endpoint
+	for i := range engines {
+		endpoints = append(endpoints, engineEndpoint(i))
+	}
+	used := map[dogwoodfleet.EndpointID]bool{}
+	for hub := range 4 {
+		board := NewBoard(dogwoodfleet.InstanceID(fmt.Sprint("hub", hub)))
+		board.SetEndpoints(endpoints)
+		placement, refusal := board.Place(now, short(now, 3_000))
+		if refusal != Placed {
+			t.Fatalf("got refusal %q in an idle pool", refusal)
+		}
+		used[placement.Endpoint.ID] = true
+		if got := len(board.scratch.engines); got > mostLooked {
+			t.Errorf("got %d engines looked at, want at most %d", got, mostLooked)
+		}
+		// All but one engine are full.
+		for _, endpoint := range endpoints[1:] {
+			for i := range endpoint.Slots {
+				board.Put(now, Work{
+					ID: WorkID(fmt.Sprintf("%s/%d", endpoint.ID, i)), Service: "models", Endpoint: endpoint.ID, Tokens: 1_000, Prompt: 900,
+					Writing: true, Begun: now, Until: now.Add(time.Minute),
+				})
+			}
+		}
+		if placement, refusal := board.Place(now, short(now, 3_000)); refusal != Placed || placement.Endpoint.ID != endpoints[0].ID {
+			t.Errorf("got %q and refusal %q, want the one engine with room", placement.Endpoint.ID, refusal)
+		}
+	}
+	if len(used) < 2 {
+		t.Errorf("got all hubs on the same engine %v", used)
+	}
+}
--- a/core/state/dogwoodview/view.go
+++ b/core/state/dogwoodview/view.go
@@ -35,6 +35,8 @@
 	// most: by then a living endpoint is back. An entry that goes missing near its end, and is
 	// heard of late, was kept for longer than an endpoint that leaves serves on.
 	outageEcho = 2500 * time.Millisecond
+	// linesAtOnce is how many entries that come at once have a log line each.
+	linesAtOnce = 25
 )
 
 // Server is an endpoint's own entry.
@@ -75,11 +77,13 @@
 	answered time.Time
 	lost     bool // the last question about endpoints failed
 	returned time.Time
+	// level is that of the log lines of single entries.
+	level hclog.Level
 }
 
 // New returns a view that knows nothing.
 func New(options Options) *View {
-	return &View{options: options, servers: map[dogwoodfleet.EndpointID]*entry{}, out: map[dogwoodfleet.DataCentre]bool{}}
+	return &View{options: options, level: hclog.Info, servers: map[dogwoodfleet.EndpointID]*entry{}, out: map[dogwoodfleet.DataCentre]bool{}}
 }
 
 // Table returns the text in force, nil before the first.
@@ -152,32 +156,53 @@
 	view.answered, view.lost = now, false
 }
 
-// SetServer takes in an endpoint's entry.
-func (view *View) SetServer(now time.Time, server Server) {
+// logMany has many entries that come at once logged in one line, until the returned function
+// is called: a daemon that starts would else write a line for each of thousands of endpoints.
+func (view *View) logMany(entries int) func() {
+	if entries <= linesAtOnce {
+		return func() {}
+	}
+	view.options.Logger.Info("Endpoints' entries read.", "entries", entries, "known", len(view.servers))
+	view.level = hclog.Debug
+	return func() { view.level = hclog.Info }
+}
+
+// Change is one change of an endpoint's entry.
+type Change struct {
+	Server Server
+	// Gone means that the entry of that ID is gone.
+	Gone bool
+}
+
+// Apply takes in changes of entries in their order. The endpoints are handed on once: a fleet of
+// thousands that registers within seconds would otherwise have each daemon rebuild its list of
+// thousands for each of them.
+func (view *View) Apply(now time.Time, changes []Change) {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
-	view.set(now, server)
-	view.rebuild()
+	defer view.logMany(len(changes))()
+	for _, change := range changes {
+		if change.Gone {
+			view.remove(now, change.Server.ID)
+		} else {
+			view.set(now, change.Server)
+		}
+	}
+	if len(changes) > 0 {
+		view.rebuild()
+	}
 }
 
 func (view *View) set(now time.Time, server Server) {
 	known := view.servers[server.ID]
 	if known == nil || known.Instance != server.Instance || known.Draining != server.Draining {
-		view.options.Logger.Info("Endpoint seen.", "endpoint", server.ID, "service", server.Service,
+		view.options.Logger.Log(view.level, "Endpoint seen.", "endpoint", server.ID, "service", server.Service,
 			"draining", server.Draining, "cold", server.Cold)
 	}
 	made := &entry{Server: server, coldUntil: now.Add(server.Cold)}
 	view.servers[server.ID] = made
 }
 
-// RemoveServer notes that an entry is gone.
-func (view *View) RemoveServer(now time.Time, id dogwoodfleet.EndpointID) {
-	view.mutex.Lock()
-	defer view.mutex.Unlock()
-	view.remove(now, id)
-	view.rebuild()
-}
-
 func (view *View) remove(now time.Time, id dogwoodfleet.EndpointID) {
 	known := view.servers[id]
 	if known == nil || !known.goneAt.IsZero() {
@@ -186,11 +211,11 @@
 	afterOutage := !view.returned.IsZero() && now.Sub(view.returned) < outageEcho
 	if afterOutage && !known.Draining {
 		known.goneAt = earlier(now.Add(lapseGrace), view.returned.Add(outageEcho))
-		view.options.Logger.Info("Endpoint's entry lapsed in an outage.", "endpoint", id)
+		view.options.Logger.Log(view.level, "Endpoint's entry lapsed in an outage.", "endpoint", id)
 		return
 	}
 	delete(view.servers, id)
-	view.options.Logger.Info("Endpoint gone.", "endpoint", id)
+	view.options.Logger.Log(view.level, "Endpoint gone.", "endpoint", id)
 }
 
 func earlier(one, other time.Time) time.Time {
@@ -204,6 +229,7 @@
 func (view *View) SetServers(now time.Time, servers []Server) {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
+	defer view.logMany(len(servers))()
 	there := map[dogwoodfleet.EndpointID]bool{}
 	for _, server := range servers {
 		there[server.ID] = true
--- a/core/state/dogwoodview/view_test.go
+++ b/core/state/dogwoodview/view_test.go
@@ -1,6 +1,7 @@
 package dogwoodview
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -36,6 +37,14 @@
 	}
 }
 
+func (fixture *fixture) set(now time.Time, server Server) {
+	fixture.view.Apply(now, []Change{{Server: server}})
+}
+
+func (fixture *fixture) remove(now time.Time, id dogwoodfleet.EndpointID) {
+	fixture.view.Apply(now, []Change{{Server: Server{ID: id}, Gone: true}})
+}
+
 // inForce lists the endpoints that may get work.
 func (fixture *fixture) inForce() string {
 	listed := ""
@@ -73,7 +82,7 @@
 	if got, want := fixture.inForce(), "xy"; got != want {
 		t.Errorf("just after the outage: got %q, want %q", got, want)
 	}
-	fixture.view.SetServer(back.Add(time.Second), server("x"))
+	fixture.set(back.Add(time.Second), server("x"))
 	fixture.view.Tick(back.Add(lapseGrace + time.Millisecond))
 	if got, want := fixture.inForce(), "x"; got != want {
 		t.Errorf("after the grace: got %q, want %q", got, want)
@@ -87,10 +96,10 @@
 	fixture.view.Answered(now)
 	fixture.view.SetServers(now, []Server{server("x"), server("y"), server("z")})
 	fixture.view.Answered(now.Add(500 * time.Millisecond))
-	fixture.view.RemoveServer(now, "x")
+	fixture.remove(now, "x")
 	draining := server("y")
 	draining.Draining = true
-	fixture.view.SetServer(now, draining)
+	fixture.set(now, draining)
 	if got, want := fixture.inForce(), "z"; got != want {
 		t.Errorf("got %q, want %q", got, want)
 	}
@@ -109,7 +118,7 @@
 	fixture.view.Answered(returned)
 	const late, servesOn = 400 * time.Millisecond, 2 * time.Second
 	left := returned.Add(2050 * time.Millisecond)
-	fixture.view.RemoveServer(left.Add(late), "x")
+	fixture.remove(left.Add(late), "x")
 	fixture.view.Tick(left.Add(servesOn))
 	if got, want := fixture.inForce(), "y"; got != want {
 		t.Errorf("got %q two seconds after an endpoint left, want %q", got, want)
@@ -128,7 +137,7 @@
 		now = now.Add(2 * time.Second)
 		fixture.view.Answered(now)
 	}
-	fixture.view.RemoveServer(now, "x")
+	fixture.remove(now, "x")
 	if got, want := fixture.inForce(), "y"; got != want {
 		t.Errorf("got %q, want %q", got, want)
 	}
@@ -136,7 +145,7 @@
 
 func TestTakenOutDataCentres(t *testing.T) {
 	fixture := newFixture()
-	fixture.view.SetServer(time.Now(), server("x"))
+	fixture.set(time.Now(), server("x"))
 	fixture.view.SetOut("a", true)
 	if got, want := fixture.inForce(), ""; got != want {
 		t.Errorf("taken out: got %q, want %q", got, want)
@@ -151,8 +160,30 @@
 	fixture := newFixture()
 	other := server("x")
 	other.Service = "other"
-	fixture.view.SetServer(time.Now(), other)
+	fixture.set(time.Now(), other)
 	if got := len(fixture.last); got != 0 {
 		t.Errorf("got %d endpoints, want none", got)
 	}
 }
+
+// A fleet of thousands of endpoints registers within seconds. Each daemon built its list of all
+// for each of them, which took small VMs longer than the start of the fleet; an answer of the
+// store must cost one list, however many entries it brings.
+func TestAnAnswerIsTakenInAtOnce(t *testing.T) {
+	rebuilt, endpoints := 0, 0
+	view := New(Options{Logger: hclog.NewNullLogger(), Changed: func(changed []dogwoodpacking.Endpoint) {
+		rebuilt++
+		endpoints = len(changed)
+	}})
+	view.SetTable(table(1))
+	rebuilt = 0
+	var changes []Change
+	for i := range 3000 {
+		changes = append(changes, Change{Server: server(fmt.Sprint("e", i))})
+	}
+	changes = append(changes, Change{Server: Server{ID: "e7"}, Gone: true})
+	view.Apply(time.Now(), changes)
+	if rebuilt != 1 || endpoints != 2999 {
+		t.Errorf("got %d lists, the last of %d endpoints, want one of 2999", rebuilt, endpoints)
+	}
+}
