--- a/core/decision/dogwoodpacking/packing_test.go
+++ b/core/decision/dogwoodpacking/packing_test.go
@@ -292,7 +292,7 @@
 }
 
 func BenchmarkPlace(b *testing.B) {
-	for _, engines := range []int{16, 54, 500} {
+	for _, engines := range []int{16, 54, 135, 500, 5_900} {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) {
 			board, now := pool(engines), time.Now()
 			for i := range engines * 8 {
