--- a/dogwoodload/dogwoodfleetrun/fleet.go
+++ b/dogwoodload/dogwoodfleetrun/fleet.go
@@ -1,6 +1,5 @@
 // Package dogwoodfleetrun is the verb "fleet": it starts fleets of several sizes in this
-// process and prints what each daemon costs, idle and under load. Slopes between the sizes
-// are what docs/CAPACITY.md works from.
+// process and prints what each daemon costs, idle and under load; docs/slopes.txt keeps them.
 package dogwoodfleetrun
 
 import (
