--- a/core/decision/dogwoodpacking/engines.go
+++ b/core/decision/dogwoodpacking/engines.go
@@ -13,8 +13,7 @@
 	// for arrivals that other daemons have not announced yet.
 	packShare = 0.85
 	// aimShare is the part of its aim by which a prompt is read as predicted; the rest is for
-	// the way and for what the prediction does not see. Seen first tokens lie within 1.3
-	// times the predicted ones for nine in ten.
+	// the way and for what the prediction does not see.
 	aimShare = 0.5
 	// pauseShare is the part of the longest good pause that may be used up.
 	pauseShare = 0.75
@@ -30,9 +29,7 @@
 	settledShare = 0.5
 	// spareShare is the part of its aim by which a prompt that waits must be read, as predicted,
 	// for a later one to go ahead of it: helpers read their parts before what they had to read.
-	// The rest is for what the prediction does not see: of the long prompts that wait beside
-	// parts one in ten takes over twice as long as predicted. With 0.8 the largest prompts lost
-	// 27 in 100 of their worth, with 0.55 23.
+	// The rest is for what the prediction does not see.
 	spareShare = 0.55
 	// noWait is the spare time where nothing waits.
 	noWait = time.Hour
