--- a/core/decision/dogwoodpacking/cold.go
+++ b/core/decision/dogwoodpacking/cold.go
@@ -27,6 +27,9 @@
 	for old < len(*moments) && !(*moments)[old].After(start) {
 		old++
 	}
+	if old == 0 {
+		return len(*moments)
+	}
 	*moments = append((*moments)[:0], (*moments)[old:]...)
 	return len(*moments)
 }
