--- a/core/duty/dogwoodboard/board_test.go
+++ b/core/duty/dogwoodboard/board_test.go
@@ -52,6 +52,14 @@
 	return others
 }
 
+// makeLeaf has daemon 2 be a leaf of hub 0, and waits until both have noticed.
+func (mesh *mesh) makeLeaf() {
+	mesh.mutex.Lock()
+	mesh.hubOf[2] = 0
+	mesh.mutex.Unlock()
+	time.Sleep(lookEvery + expireEvery)
+}
+
 func (mesh *mesh) isLeaf(index int) bool {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
@@ -199,10 +207,7 @@
 // seen by all hubs.
 func TestALeafHearsNothingUntilCallersCome(t *testing.T) {
 	story(t, 3, func(t *testing.T, nodes []*node, mesh *mesh) {
-		mesh.mutex.Lock()
-		mesh.hubOf[2] = 0
-		mesh.mutex.Unlock()
-		time.Sleep(lookEvery + expireEvery)
+		mesh.makeLeaf()
 		before := mesh.callsTo(2)
 		const requests, seconds = 50, 5
 		for i := range requests * seconds {
@@ -244,10 +249,7 @@
 // own tests above all, needs no hub; counted, it had twenty leaves promoted.
 func TestRequestsOfLeavesNeedNoHubs(t *testing.T) {
 	story(t, 3, func(t *testing.T, nodes []*node, mesh *mesh) {
-		mesh.mutex.Lock()
-		mesh.hubOf[2] = 0
-		mesh.mutex.Unlock()
-		time.Sleep(lookEvery + expireEvery)
+		mesh.makeLeaf()
 		for i := range 10 {
 			nodes[2].place(fmt.Sprint("leaf", i))
 			nodes[0].place(fmt.Sprint("hub", i))
@@ -269,10 +271,7 @@
 // of the pool for these.
 func TestPlainCallsNeedNoView(t *testing.T) {
 	story(t, 3, func(t *testing.T, nodes []*node, mesh *mesh) {
-		mesh.mutex.Lock()
-		mesh.hubOf[2] = 0
-		mesh.mutex.Unlock()
-		time.Sleep(lookEvery + expireEvery)
+		mesh.makeLeaf()
 		before := mesh.views()
 		for i := range 5 {
 			nodes[2].place(fmt.Sprint("test", i))
@@ -287,10 +286,8 @@
 // A leaf becomes a hub, and hubs must know that it serves and what it gives out.
 func TestALeafThatBecomesAHubAnnounces(t *testing.T) {
 	story(t, 3, func(t *testing.T, nodes []*node, mesh *mesh) {
-		mesh.mutex.Lock()
-		mesh.hubOf[2] = 0
-		mesh.mutex.Unlock()
-		time.Sleep(heardWithin + expireEvery)
+		mesh.makeLeaf()
+		time.Sleep(heardWithin)
 		if nodes[1].duty.Serves("2") {
 			t.Error("got that a leaf serves callers, want that hubs do")
 		}
