--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -97,8 +97,9 @@
 	// seen is the part of the daemons whose work is on the board.
 	seen    float64
 	senders Senders
-	// prompts are when prompts were sent within the last second, by all daemons.
-	prompts moments
+	// prompts are when prompts were sent within the last second, by all daemons, own when this
+	// one sent any request.
+	prompts, own moments
 	// scratch is reused by each decision; the mutex is held meanwhile.
 	scratch scratch
 }
@@ -187,7 +188,12 @@
 	board.works[work.ID] = &work
 	board.attach(&work)
 	if place := board.places[work.Endpoint]; place != nil && !known {
-		place.sent(now, string(work.Holder) == board.owner)
+		own := string(work.Holder) == board.owner
+		place.sent(now, own)
+		if own {
+			board.own = append(board.own, now)
+			board.own.recent(now)
+		}
 		if work.Prompt > 0 {
 			board.prompts = append(board.prompts, now)
 			board.prompts.recent(now)
--- a/core/decision/dogwoodpacking/cold.go
+++ b/core/decision/dogwoodpacking/cold.go
@@ -77,6 +77,13 @@
 	}
 }
 
+// OwnSent returns how many requests this daemon sent within the last second.
+func (board *Board) OwnSent(now time.Time) int {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	return board.own.recent(now)
+}
+
 // bears reports whether this daemon may send one more request now.
 func (board *Board) bears(place *place, now time.Time) bool {
 	if place.ColdPerSecond <= 0 {
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -14,7 +14,6 @@
 	"context"
 	"maps"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -124,7 +123,6 @@
 	links map[dogwoodfleet.InstanceID]*link
 	heard map[dogwoodfleet.InstanceID]heard
 	view  leafView
-	given []time.Time // when requests were given out within the last second
 }
 
 type heard struct {
@@ -217,7 +215,6 @@
 func (duty *Duty) forget(now time.Time) {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
-	duty.givenLately(now)
 	maps.DeleteFunc(duty.heard, func(_ dogwoodfleet.InstanceID, heard heard) bool { return now.Sub(heard.at) > heardWithin })
 }
 
@@ -237,20 +234,13 @@
 func (duty *Duty) Requests(now time.Time) map[dogwoodfleet.InstanceID]int {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
-	requests := map[dogwoodfleet.InstanceID]int{duty.options.Self: duty.givenLately(now)}
+	requests := map[dogwoodfleet.InstanceID]int{duty.options.Self: duty.options.Board.OwnSent(now)}
 	for instance := range duty.links {
 		requests[instance] = duty.heard[instance].requests
 	}
 	return requests
 }
 
-// givenLately counts the requests that this daemon gave out within the last second. The caller
-// holds the mutex.
-func (duty *Duty) givenLately(now time.Time) int {
-	duty.given = slices.DeleteFunc(duty.given, func(at time.Time) bool { return now.Sub(at) > time.Second })
-	return len(duty.given)
-}
-
 // Place finds a place for a request and announces it.
 func (duty *Duty) Place(now time.Time, ask *dogwoodpacking.Ask) (dogwoodpacking.Placement, dogwoodpacking.Refusal) {
 	if duty.isLeaf() && ask.Prompt > 0 {
@@ -259,9 +249,6 @@
 	ask.Holder = duty.options.Self
 	placement, refusal := duty.options.Board.Place(now, ask)
 	if refusal == dogwoodpacking.Placed {
-		duty.mutex.Lock()
-		duty.given = append(duty.given, now)
-		duty.mutex.Unlock()
 		duty.note(placement.Work)
 	}
 	return placement, refusal
--- a/core/duty/dogwoodboard/link.go
+++ b/core/duty/dogwoodboard/link.go
@@ -145,9 +145,7 @@
 		batch.Leaves = duty.options.Leaves()
 	}
 	now := time.Now()
-	duty.mutex.Lock()
-	batch.Requests = duty.givenLately(now)
-	duty.mutex.Unlock()
+	batch.Requests = duty.options.Board.OwnSent(now)
 	for _, work := range works {
 		batch.Items = append(batch.Items, itemOf(work, now))
 	}
