--- a/core/decision/dogwoodhubs/hubs.go
+++ b/core/decision/dogwoodhubs/hubs.go
@@ -43,6 +43,8 @@
 	// joinPause is the mean pause of a daemon with one core before it offers itself as a hub:
 	// longer than the store takes to tell it of one that was sooner. Smaller daemons wait longer.
 	joinPause = 100 * time.Millisecond
+	// leastCores is the processor below which a daemon waits no longer for its smallness.
+	leastCores = 0.04
 	// readersAsked is how many hubs a hub may ask for what the store holds, one after the other.
 	readersAsked = 3
 )
@@ -78,7 +80,7 @@
 	if needs.Leaves == 0 {
 		return true // there is nobody else
 	}
-	if needs.Settled && IsSmall(needs.Daemons) || len(hubs) < leastInCentre || len(hubs)*mostLeaves < needs.Leaves {
+	if needs.Settled && isSmall(needs.Daemons) || len(hubs) < leastInCentre || len(hubs)*mostLeaves < needs.Leaves {
 		return false
 	}
 	share := 1 / float64(max(needs.DataCentres, 1))
@@ -90,8 +92,8 @@
 	return weight >= smallFleet*share && cores >= needs.RequestsPerSecond*coresPerRequest/aimedUse
 }
 
-// IsSmall reports whether a fleet is so small that all its daemons are hubs.
-func IsSmall(daemons int) bool {
+// isSmall reports whether a fleet is so small that all its daemons are hubs.
+func isSmall(daemons int) bool {
 	return daemons <= smallFleet
 }
 
@@ -119,7 +121,7 @@
 // JoinPause is the mean time that a daemon which found no hub waits before it offers itself.
 // The largest are first, and those that come later find them.
 func JoinPause(cores float64) time.Duration {
-	return time.Duration(float64(joinPause) / max(Daemon{Cores: cores}.cores(), usualCores/10))
+	return time.Duration(float64(joinPause) / max(Daemon{Cores: cores}.cores(), leastCores))
 }
 
 // Readers returns the hubs that one of them asks for what the store holds, the best first;
@@ -128,7 +130,7 @@
 // stand in other data centres and take its place in turn when it fails. In a small fleet each
 // asks the store.
 func Readers(hubs []Daemon, self Daemon, daemons int) []Daemon {
-	if IsSmall(daemons) {
+	if isSmall(daemons) {
 		return nil
 	}
 	var readers []Daemon
