Keep the rule of how a proof travels in one place

A leaf's position is read without going over a table's rows, and dogwoodhub uses the clock of dogwoodfreshness.

--- a/core/duty/dogwoodhub/fleet_test.go
+++ b/core/duty/dogwoodhub/fleet_test.go
@@ -73,8 +73,8 @@
 }
 
 func (tables *tables) Position(table string) (int64, time.Duration) {
-	answer, _, _ := tables.copies[table].Latest(tables.copies[table].Version())
-	return answer.Version, tables.clock() - answer.Proven
+	version, proven := tables.copies[table].Known()
+	return version, tables.clock() - proven
 }
 
 func (tables *tables) Feed(table string, answer dogwoodcopy.Answer) {
@@ -170,8 +170,9 @@
 		return
 	}
 	for _, name := range tableNames {
+		before, _ := known.copies[name].Known()
 		known.copies[name].Take(dogwoodcopy.Answer{
-			Whole: known.copies[name].Version() < 0, Rows: []dogwoodcopy.Row{{Key: "row", Version: version}}, Version: version, Proven: known.clock(),
+			Whole: before < 0, Rows: []dogwoodcopy.Row{{Key: "row", Version: version}}, Version: version, Proven: known.clock(),
 		}, true)
 	}
 }
--- a/core/duty/dogwoodhub/hub.go
+++ b/core/duty/dogwoodhub/hub.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"dogwoodmux.example/core/decision/dogwoodfreshness"
 	"dogwoodmux.example/core/decision/dogwoodhubs"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/state/dogwoodcopy"
@@ -58,7 +59,7 @@
 	Tables Tables
 	// Names are the tables that leaves may ask for, at most two; proofs of the first are news.
 	Names []string
-	Clock Clock
+	Clock dogwoodfreshness.Clock
 	// Hubs lists the hubs alive, this one included.
 	Hubs func() []dogwoodhubs.Daemon
 	// OtherLeaves is how many leaves the other hubs have.
--- a/core/duty/dogwoodhub/leaf.go
+++ b/core/duty/dogwoodhub/leaf.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
+	"dogwoodmux.example/core/decision/dogwoodfreshness"
 	"dogwoodmux.example/core/decision/dogwoodhubs"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
@@ -58,7 +59,7 @@
 	Feed   Feed
 	// Names are the tables that it follows, that whose proofs matter first.
 	Names  []string
-	Clock  Clock
+	Clock  dogwoodfreshness.Clock
 	Logger hclog.Logger
 }
 
@@ -251,9 +252,10 @@
 // ask asks the hub once and feeds what it tells.
 func (leaf *Leaf) ask(ctx context.Context, hub dogwoodhubs.Daemon, version uint64) (News, error) {
 	question := Question{Leaf: leaf.self(), Fleet: version}
-	asked := leaf.options.Clock()
+	asked, known := leaf.options.Clock(), map[string]int64{}
 	for _, name := range leaf.options.Names {
 		after, age := leaf.options.Feed.Position(name)
+		known[name] = after
 		question.Tables = append(question.Tables, Position{Table: name, After: after, Age: age})
 	}
 	var news News
@@ -261,8 +263,9 @@
 		return news, Error.Wrap(err)
 	}
 	for _, table := range news.Tables {
-		table.Answer.Proven = asked + table.ProvenAfter
-		leaf.options.Feed.Feed(table.Table, table.Answer)
+		if after, wanted := known[table.Table]; wanted {
+			leaf.options.Feed.Feed(table.Table, table.Heard(asked, after))
+		}
 	}
 	return news, nil
 }
--- a/core/duty/dogwoodhub/messages.go
+++ b/core/duty/dogwoodhub/messages.go
@@ -57,11 +57,8 @@
 
 // TableNews is what a hub knows of a table beyond the leaf's position.
 type TableNews struct {
-	Table  string
-	Answer dogwoodcopy.Answer
-	// ProvenAfter is from the arrival of the question to the moment as of which the answer was
-	// proven; mostly below zero. The answer's own moment means nothing to another daemon.
-	ProvenAfter time.Duration
+	Table string
+	dogwoodcopy.Told
 }
 
 // Fleet is what a hub knows of the others.
@@ -85,6 +82,3 @@
 type Caller interface {
 	Call(ctx context.Context, peer netip.AddrPort, method string, args, reply any) error
 }
-
-// Clock goes on while the machine is suspended; proofs are on it.
-type Clock func() time.Duration
--- a/core/duty/dogwoodhub/receiver.go
+++ b/core/duty/dogwoodhub/receiver.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodhubs"
+	"dogwoodmux.example/core/state/dogwoodcopy"
 )
 
 // proofStep is how much later a proof must be than the leaf's to be told at once.
@@ -60,13 +61,9 @@
 		if !ok {
 			continue
 		}
-		if answer.Version < position.After {
-			// The leaf knew more than this hub does, from another one.
-			answer.Whole, answer.Rows, answer.Version = false, nil, position.After
-		}
 		newer := answer.Proven - (arrived - position.Age)
 		isNews = isNews || answer.Whole || len(answer.Rows) > 0 || i == 0 && newer > proofStep
-		news.Tables = append(news.Tables, TableNews{Table: position.Table, Answer: answer, ProvenAfter: answer.Proven - arrived})
+		news.Tables = append(news.Tables, TableNews{Table: position.Table, Told: dogwoodcopy.Tell(answer, arrived)})
 	}
 	hub.mutex.Lock()
 	defer hub.mutex.Unlock()
--- a/core/duty/dogwoodreader/reader.go
+++ b/core/duty/dogwoodreader/reader.go
@@ -192,10 +192,10 @@
 	known := reader.table(table)
 	begun, slice := time.Now(), time.NewTicker(awaitSlice)
 	defer slice.Stop()
-	first, _, _ := known.Latest(after)
+	_, proven := known.Known()
 	for reader.options.Fed != nil && reader.options.Fed() {
 		answer, took, ok := known.Latest(after)
-		if ok && (answer.Whole || len(answer.Rows) > 0 || answer.Proven > first.Proven) {
+		if ok && (answer.Whole || len(answer.Rows) > 0 || answer.Proven > proven) {
 			return answer, true, nil
 		}
 		if time.Since(begun) >= wait && (!ok || reader.options.Clock()-answer.Proven > fedStaleAfter) {
@@ -219,9 +219,8 @@
 // Position is how much is known of a table: its version, -1 for nothing, and the age of the
 // last proof.
 func (reader *Reader) Position(table string) (version int64, age time.Duration) {
-	known := reader.table(table)
-	answer, _, _ := known.Latest(known.Version())
-	return answer.Version, reader.options.Clock() - answer.Proven
+	version, proven := reader.table(table).Known()
+	return version, reader.options.Clock() - proven
 }
 
 // Latest returns what changed of a table as far as this daemon knows, and a channel that is
@@ -242,13 +241,7 @@
 	if told.Stale {
 		return dogwoodcopy.Answer{}, Error.Wrap(errStale)
 	}
-	answer := told.Answer
-	answer.Proven = asked + told.ProvenAfter
-	if answer.Version < after {
-		// This daemon knew more than the reader does, from the store or another reader.
-		answer.Whole, answer.Rows, answer.Version = false, nil, after
-	}
-	return answer, nil
+	return told.Heard(asked, after), nil
 }
 
 // choose returns the first reader that has not failed lately.
--- a/core/duty/dogwoodreader/receiver.go
+++ b/core/duty/dogwoodreader/receiver.go
@@ -12,12 +12,9 @@
 	After int64
 }
 
-// Told is a reader's answer. Its Proven means nothing to another daemon, whose clock differs.
+// Told is a reader's answer.
 type Told struct {
-	Answer dogwoodcopy.Answer
-	// ProvenAfter is from the arrival of the question to the moment as of which the store
-	// proved the answer; mostly below zero.
-	ProvenAfter time.Duration
+	dogwoodcopy.Told
 	// Stale means that the reader has not heard from the store lately and tells nothing.
 	Stale bool
 }
@@ -48,7 +45,7 @@
 			return nil
 		}
 		if over || answer.Whole || len(answer.Rows) > 0 || answer.Proven > first.Proven {
-			*told = Told{Answer: answer, ProvenAfter: answer.Proven - arrived}
+			*told = Told{Told: dogwoodcopy.Tell(answer, arrived)}
 			return nil
 		}
 		select {
--- a/core/state/dogwoodcopy/copy.go
+++ b/core/state/dogwoodcopy/copy.go
@@ -130,11 +130,12 @@
 	return answer, table.took, table.since >= 0
 }
 
-// Version returns the version of the copy; -1 before the first answer.
-func (table *Copy) Version() int64 {
+// Known returns the version of the copy, -1 before the first answer, and when anyone last
+// proved it.
+func (table *Copy) Known() (version int64, proven time.Duration) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	return table.version
+	return table.version, table.heard
 }
 
 // after lists what changed after a version. The caller holds the mutex.
