Run tests that pause time on one thread under the race detector

The runtime keeps one race context for all timers of a synctest bubble. A timer that is due when it is armed, or a timer channel that is read once it is due, runs on the thread that does so, and enters that context without a lock; two threads at once spoil the detector's own memory.

Change: script/test.sh runs the packages whose tests import testing/synctest with -cpu 1.

--- /dev/null
+++ b/script/test.sh
@@ -0,0 +1,25 @@
+#!/bin/sh
+# Runs all tests of the packages given with the race detector, in two groups.
+#
+# Tests that pause time run on one thread. The runtime keeps one race context for all timers of a
+# synctest bubble and enters it without a lock wherever a timer that is due is armed or read, so that
+# two threads at once spoil the detector's own memory: the process then dies with SIGSEGV, "CHECK
+# failed" or "traceback did not unwind completely", and no test has failed. On one thread that can't
+# happen, and races are still found, since the detector goes by the order of synchronisation.
+set -eu
+cd "$(dirname "$0")/.."
+
+paused='{{range .TestImports}}{{if eq . "testing/synctest"}}{{$.ImportPath}}{{end}}{{end}}'
+paused="$paused"'{{range .XTestImports}}{{if eq . "testing/synctest"}}{{" "}}{{$.ImportPath}}{{end}}{{end}}'
+
+all=$(go list "$@")
+one=$(go list -f "$paused" "$@" | tr ' ' '\n' | sort -u | sed '/^$/d')
+many=$(printf '%s\n' "$all" | grep -vxF "$one")
+
+# Word splitting is wanted: one package a word.
+status=0
+# shellcheck disable=SC2086
+go test -race -timeout 20m $many || status=$?
+# shellcheck disable=SC2086
+go test -race -cpu 1 -timeout 20m $one || status=$?
+exit $status
