Soak the daemon in processes of its own

dogwoodload soak runs platform's daemon, a store and endpoints as processes on loopback, breaks them as a seed says (signals, restarts, proxies, faults of the store, changes by operators), and checks what callers received and endpoints saw: sixteen checks, each shown able to fail by planted histories, eleven of them end to end by a careless daemon of the test's own build.

Of the soak's own faults while it was written: soaks beside each other shared addresses, a used directory counted the earlier soak's runs, and callers stopped before the last delayed fault was over (seed 102 with 60 processes: nobody had asked in the time to recover).

--- a/dogwoodload/dogwoodroot/root.go
+++ b/dogwoodload/dogwoodroot/root.go
@@ -14,6 +14,8 @@
 	"dogwoodmux.example/dogwoodload/dogwoodlocalrun"
 	"dogwoodmux.example/dogwoodload/dogwoodplot"
 	"dogwoodmux.example/dogwoodload/dogwoodrecord"
+	"dogwoodmux.example/dogwoodload/dogwoodsoak"
+	"dogwoodmux.example/dogwoodload/dogwoodstandinrun"
 	"dogwoodmux.example/dogwoodload/dogwoodsummary"
 )
 
@@ -33,6 +35,8 @@
 	commander.Register(dogwoodplot.New(factory, nil), "")
 	commander.Register(dogwoodrecord.New(factory, nil), "")
 	commander.Register(dogwoodsummary.New(factory, nil), "")
+	commander.Register(dogwoodsoak.New(factory, nil), "")
+	commander.Register(dogwoodstandinrun.New(factory), "")
 	if err := flags.Parse(arguments); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return int(subcommands.ExitSuccess)
--- /dev/null
+++ b/dogwoodload/dogwoodsoak/soak.go
@@ -0,0 +1,238 @@
+// Package dogwoodsoak is the verb "soak": it runs the real daemon in processes of its own against
+// stand-ins of the users' platform, breaks things from outside as a seed says, and judges by what
+// callers and endpoints saw whether the daemons' promises held.
+package dogwoodsoak
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+	"golang.org/x/sync/errgroup"
+
+	"dogwoodmux.example/core/dogwoodsubcommand"
+	"dogwoodmux.example/dogwoodload/dogwoodfactory"
+	"dogwoodmux.example/dogwoodload/dogwoodsoakcheck"
+	"dogwoodmux.example/dogwoodload/dogwoodsoakplan"
+	"dogwoodmux.example/dogwoodload/dogwoodverb"
+)
+
+// Options are the flags.
+type Options struct {
+	Factory *dogwoodfactory.Factory
+
+	Seed uint64
+	For  time.Duration
+	// Processes is how many processes run at once: the store, endpoints and daemons.
+	Processes int
+	// Keep is the directory for logs; they are removed after a soak without findings if it is empty.
+	Keep string
+	// Daemon and Standin are the programs; empty are a daemon that is built, and this program.
+	Daemon, Standin string
+	JSON            bool
+
+	// steps replace those that the seed draws, for tests of single faults.
+	steps []dogwoodsoakplan.Step
+}
+
+const (
+	// warmUp is how long the daemons have to find each other before anything breaks.
+	warmUp = 4 * time.Second
+	// tail is how long callers go on after the last fault: the time to recover and some seconds in
+	// which requests must be served.
+	tail = recovery + 4*time.Second
+	// shortest is the least duration in which something breaks.
+	shortest = warmUp + tail + 4*time.Second
+	// mostProcesses bounds what one machine is given to run.
+	mostProcesses = 300
+	// leastProcesses are a store, two engines, two plain endpoints and two daemons.
+	leastProcesses = 7
+)
+
+// ErrFindings is returned when a promise was broken.
+var ErrFindings = errors.New("promises were broken")
+
+// New returns the verb. Tests give their own run; nil means the real one.
+func New(factory *dogwoodfactory.Factory, run func(ctx context.Context, options *Options) error) *dogwoodsubcommand.Command {
+	options := &Options{Factory: factory}
+	if run == nil {
+		run = Run
+	}
+	return dogwoodverb.New(dogwoodsubcommand.Spec{
+		Name:      "soak",
+		Synopsis:  "break real processes as a seed says, and check what was promised",
+		Arguments: "-seed N [-for 2m] [-processes N] [-keep DIR]",
+		Help: "Runs daemons, endpoints and a store as processes on loopback, kills, freezes, restarts and cuts them\n" +
+			"off, changes the operators' text meanwhile, and checks what callers received and endpoints ran. The seed\n" +
+			"orders faults and requests; which request meets which fault is decided by the machine's timing, too.",
+		Examples: []string{"dogwoodload soak -seed 1 -for 1m", "dogwoodload soak -seed 7 -for 2m -processes 200 -keep /tmp/soak"},
+		SetFlags: func(flags *flag.FlagSet) {
+			flags.Uint64Var(&options.Seed, "seed", 1, "`number` that faults and requests are drawn from")
+			flags.DurationVar(&options.For, "for", time.Minute, "how long callers send")
+			flags.IntVar(&options.Processes, "processes", 15, "`number` of processes")
+			flags.StringVar(&options.Keep, "keep", "", "empty `directory` for logs and records, kept in any case")
+			flags.StringVar(&options.Daemon, "daemon", "", "the daemon's `program`; built from this workspace if not given")
+			flags.BoolVar(&options.JSON, "json", false, "print one JSON object")
+		},
+		Run: func(ctx context.Context, _ []string) error {
+			if err := options.check(); err != nil {
+				return err
+			}
+			return run(ctx, options)
+		},
+		Err: factory.Streams.Err,
+	})
+}
+
+func (options *Options) check() error {
+	if options.For < shortest {
+		return dogwoodsubcommand.NewUsageError("-for %s is too short: %s go by before the first fault and after the last", options.For, warmUp+tail)
+	}
+	if options.Processes < leastProcesses || options.Processes > mostProcesses {
+		return dogwoodsubcommand.NewUsageError("-processes %d is not between %d and %d", options.Processes, leastProcesses, mostProcesses)
+	}
+	return nil
+}
+
+// Run runs a soak and prints what it found. It returns ErrFindings if a promise was broken.
+func Run(ctx context.Context, options *Options) error {
+	directory, err := options.directory()
+	if err != nil {
+		return err
+	}
+	report, err := soak(ctx, options, directory)
+	if err != nil {
+		return errors.Join(err, fmt.Errorf("logs are in %s", directory))
+	}
+	report.Logs = directory
+	if options.Keep == "" && len(report.Findings) == 0 {
+		report.Logs = ""
+		if err := os.RemoveAll(directory); err != nil {
+			return dogwoodverb.Error.Wrap(err)
+		}
+	}
+	if err := report.write(options.Factory.Streams.Out, options.JSON); err != nil {
+		return err
+	}
+	if len(report.Findings) > 0 {
+		return ErrFindings
+	}
+	return nil
+}
+
+func (options *Options) directory() (string, error) {
+	if options.Keep == "" {
+		directory, err := os.MkdirTemp("", "dogwoodsoak-")
+		return directory, dogwoodverb.Error.Wrap(err)
+	}
+	if err := os.MkdirAll(options.Keep, 0o700); err != nil {
+		return "", dogwoodverb.Error.Wrap(err)
+	}
+	entries, err := os.ReadDir(options.Keep)
+	if err != nil {
+		return "", dogwoodverb.Error.Wrap(err)
+	}
+	if len(entries) > 0 {
+		return "", dogwoodsubcommand.NewUsageError("-keep %s is not empty; what an earlier soak saw would be taken for this one's", options.Keep)
+	}
+	return options.Keep, nil
+}
+
+// programs finds the programs that run as processes.
+func (options *Options) programs(ctx context.Context, directory string) (daemon, standin string, err error) {
+	daemon, standin = options.Daemon, options.Standin
+	if standin == "" {
+		if standin, err = os.Executable(); err != nil {
+			return "", "", dogwoodverb.Error.Wrap(err)
+		}
+	}
+	if daemon != "" {
+		return daemon, standin, nil
+	}
+	daemon = filepath.Join(directory, "platform")
+	built := exec.CommandContext(ctx, "go", "build", "-o", daemon, "dogwoodmux.example/platform") //nolint:gosec // G204: a path of ours
+	if output, err := built.CombinedOutput(); err != nil {
+		return "", "", dogwoodverb.Error.New("building the daemon: %w\n%s", err, output)
+	}
+	return daemon, standin, nil
+}
+
+// soak starts the processes, has callers send while things break, and judges.
+func soak(ctx context.Context, options *Options, directory string) (_ *Report, err error) {
+	daemon, standin, err := options.programs(ctx, directory)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	site := newSite(options, directory, daemon, standin)
+	defer func() { err = errors.Join(err, site.end(cancel)) }()
+	if err := site.start(ctx); err != nil {
+		return nil, err
+	}
+	steps := options.steps
+	if steps == nil {
+		steps = dogwoodsoakplan.Draw(options.Seed, site.shape(), warmUp, options.For-tail)
+	}
+	bar := options.bar(len(steps))
+	begun := time.Now()
+	if err := writeSteps(filepath.Join(directory, "steps"), begun, steps); err != nil {
+		return nil, err
+	}
+	sending, stopSending := context.WithCancel(ctx)
+	defer stopSending()
+	var callers errgroup.Group
+	for number := range callersCount {
+		callers.Go(func() error {
+			site.callers.Run(sending, number, options.Seed)
+			return nil
+		})
+	}
+	stepsErr := site.play(ctx, begun, steps, func() { _ = bar.Add(1) }) // a bar that can't be drawn stops nothing
+	calm := time.Now()
+	// Steps that had to wait for others end later than drawn; there must be time to recover all the same.
+	sleep(ctx, max(time.Until(begun.Add(options.For)), options.tail()))
+	stopSending()
+	_ = callers.Wait() // callers return no error
+	if err := errors.Join(stepsErr, ctx.Err()); err != nil {
+		return nil, err
+	}
+	history, err := site.history(ctx, calm)
+	if err != nil {
+		return nil, err
+	}
+	report := &Report{
+		Seed: options.Seed, For: options.For, Daemons: len(site.daemons), Endpoints: len(site.endpoints), Steps: len(steps),
+		Summary: dogwoodsoakcheck.Summarise(history), Findings: dogwoodsoakcheck.Check(history, checkBounds),
+	}
+	return report, nil
+}
+
+// tail is how long callers go on after the last fault; tests of single faults need no recovery.
+func (options *Options) tail() time.Duration {
+	if options.steps != nil {
+		return 0
+	}
+	return tail
+}
+
+// writeSteps keeps what is to happen when, for whoever reads the logs.
+func writeSteps(path string, begun time.Time, steps []dogwoodsoakplan.Step) error {
+	var written strings.Builder
+	for _, step := range steps {
+		fmt.Fprintf(&written, "%s  %-18s %3d  for %s\n", begun.Add(step.At).Format("15:04:05.000"), step.Kind, step.Target, step.For.Round(time.Millisecond))
+	}
+	return dogwoodverb.Error.Wrap(os.WriteFile(path, []byte(written.String()), 0o600))
+}
+
+func (options *Options) bar(steps int) *progressbar.ProgressBar {
+	return progressbar.NewOptions(steps,
+		progressbar.OptionSetWriter(options.Factory.Streams.Err), progressbar.OptionSetDescription("faults"),
+		progressbar.OptionSetVisibility(options.Factory.Streams.Progress), progressbar.OptionClearOnFinish())
+}
--- /dev/null
+++ b/dogwoodload/dogwoodsoakcheck/check_test.go
@@ -0,0 +1,231 @@
+package dogwoodsoakcheck
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// begun is when the histories of these tests begin.
+var begun = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// after is a moment of a history.
+func after(seconds float64) time.Time {
+	return begun.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+var bounds = Bounds{
+	Stability: 3 * time.Second, Revoke: 5 * time.Second, Drain: 2 * time.Second, TakeOut: 5 * time.Second,
+	RetryRatio: 0.2, RetryAllowance: 3, RetryWindow: 10 * time.Second,
+	ColdPerSecond: 2, ColdOvershoot: 1.5, ColdSlack: 1, AnswerSlack: time.Second,
+	TakesFor: 2 * time.Second, Recovery: 12 * time.Second, ServedShare: 0.25,
+}
+
+// kept is a history in which all promises were kept: a request a second of each kind, served at once.
+func kept() *History {
+	history := &History{Calm: after(10)}
+	for second := range 40 {
+		for _, kind := range []CallKind{Once, Lookup, Prompt} {
+			call := Call{
+				ID: fmt.Sprintf("%s-%d", kind, second), Kind: kind, Service: "s", Key: "k", Daemon: "d",
+				Sent: after(float64(second)), Ended: after(float64(second) + 0.1), Wait: 4 * time.Second,
+				Status: 200, Whole: true, Sealed: true,
+			}
+			history.Calls = append(history.Calls, call)
+			history.Arrivals = append(history.Arrivals, arrival(call.ID, float64(second)+0.01))
+		}
+	}
+	return history
+}
+
+func arrival(id string, at float64) Arrival {
+	return Arrival{Endpoint: "e", DataCentre: "a", Service: "s", RequestID: id, At: after(at), Ran: true}
+}
+
+func (history *History) call(id string) *Call {
+	return &history.Calls[slices.IndexFunc(history.Calls, func(call Call) bool { return call.ID == id })]
+}
+
+func (history *History) arrival(id string) *Arrival {
+	return &history.Arrivals[slices.IndexFunc(history.Arrivals, func(arrival Arrival) bool { return arrival.RequestID == id })]
+}
+
+func (history *History) fault(fault Fault, from, to float64) {
+	fault.From, fault.To = after(from), after(to)
+	history.Faults = append(history.Faults, fault)
+}
+
+// cut has a request end without an answer.
+func (history *History) cut(id string) {
+	call := history.call(id)
+	call.Status, call.Whole, call.Sealed, call.Error = 0, false, false, "EOF"
+}
+
+// Each check finds the promise that was broken, and says nothing of one that was kept or that the users'
+// rules allow to be broken.
+func TestChecks(t *testing.T) {
+	tests := []struct {
+		name  string
+		plant func(history *History)
+		want  string // the check that finds it; nothing for what is allowed
+	}{
+		{"all kept", func(*History) {}, ""},
+		{"a hold runs twice", func(history *History) {
+			history.Arrivals = append(history.Arrivals, arrival("Once-5", 5.05))
+		}, "TwiceRun"},
+		{"a hold is turned away and runs elsewhere", func(history *History) {
+			history.arrival("Once-5").Ran = false
+			history.Arrivals = append(history.Arrivals, arrival("Once-5", 5.05))
+		}, ""},
+		{"a lookup runs twice", func(history *History) {
+			history.Arrivals = append(history.Arrivals, arrival("Lookup-5", 5.05))
+		}, ""},
+		{"a hold ran and is said not to have run", func(history *History) {
+			call := history.call("Once-5")
+			call.Status, call.NotRun, call.Sealed = 503, true, false
+		}, "FalseNotRun"},
+		{"a hold runs after it was said not to have run", func(history *History) {
+			call := history.call("Once-5")
+			call.Status, call.NotRun, call.Sealed = 503, true, false
+			history.arrival("Once-5").At = after(9)
+		}, "FalseNotRun"},
+		{"a hold that no endpoint ran is refused", func(history *History) {
+			call := history.call("Once-5")
+			call.Status, call.NotRun, call.Sealed = 503, true, false
+			history.arrival("Once-5").Ran = false
+		}, ""},
+		{"an answer with another's bytes", func(history *History) {
+			history.call("Prompt-5").Wrong = "byte 7 is not its own"
+		}, "WrongAnswer"},
+		{"a success that no endpoint gave", func(history *History) {
+			history.call("Prompt-5").Sealed = false
+		}, "WrongAnswer"},
+		{"a wrong answer that looks cut", func(history *History) {
+			call := history.call("Prompt-5")
+			call.Whole, call.Wrong = false, "too short"
+		}, ""},
+		{"a request that nobody sent", func(history *History) {
+			history.Arrivals = append(history.Arrivals, arrival("nobody's", 5))
+		}, "UnaskedRun"},
+		{"a key passed on", func(history *History) { history.arrival("Lookup-5").KeySeen = true }, "KeyPassedOn"},
+		{"a withdrawn key runs after the bound", func(history *History) {
+			history.Withdrawals = []Withdrawal{{Key: "k", From: after(0.9), To: after(7)}}
+			history.fault(Fault{Daemon: Everybody}, 0, 8)
+		}, "WithdrawnKeyRan"},
+		{"a withdrawn key runs within the bound", func(history *History) {
+			history.Withdrawals = []Withdrawal{{Key: "k", From: after(1.5), To: after(5.9)}}
+		}, ""},
+		{"a request reaches an endpoint that left", func(history *History) {
+			history.Leavings = []Leaving{{Endpoint: "e", At: after(36.5)}}
+		}, "SentAfterLeaving"},
+		{"a daemon could not hear that it left", func(history *History) {
+			history.Leavings = []Leaving{{Endpoint: "e", At: after(36.5)}}
+			history.fault(Fault{Daemon: "d"}, 30, 39)
+		}, ""},
+		{"another daemon could not hear of it", func(history *History) {
+			history.Leavings = []Leaving{{Endpoint: "e", At: after(36.5)}}
+			history.fault(Fault{Daemon: "other"}, 30, 39)
+		}, "SentAfterLeaving"},
+		{"the request was held up on its way", func(history *History) {
+			history.Leavings = []Leaving{{Endpoint: "e", At: after(36.5)}}
+			history.fault(Fault{Endpoint: "e"}, 36, 39)
+		}, ""},
+		{"a request reaches a data centre that was taken out", func(history *History) {
+			history.TakeOuts = []TakeOut{{DataCentre: "a", From: after(20), To: after(26)}}
+		}, "SentAfterTakeOut"},
+		{"a request reaches another data centre", func(history *History) {
+			history.TakeOuts = []TakeOut{{DataCentre: "b", From: after(20), To: after(26)}}
+		}, ""},
+		{"too many repeats", func(history *History) {
+			for number := range 10 {
+				history.Arrivals = append(history.Arrivals, arrival(fmt.Sprintf("Lookup-%d", number), 20))
+			}
+		}, "RetryBudget"},
+		{"as many repeats as are allowed", func(history *History) {
+			for number := range 9 {
+				history.Arrivals = append(history.Arrivals, arrival(fmt.Sprintf("Lookup-%d", number), 20))
+			}
+		}, ""},
+		{"a herd at a cold endpoint", func(history *History) {
+			for number := range 5 {
+				arrival := history.arrival(fmt.Sprintf("Lookup-%d", number))
+				arrival.Cold, arrival.At = true, after(20+float64(number)/10)
+			}
+		}, "ColdLimit"},
+		{"a cold endpoint gets what it bears", func(history *History) {
+			for number := range 4 {
+				arrival := history.arrival(fmt.Sprintf("Lookup-%d", number))
+				arrival.Cold, arrival.At = true, after(20+float64(number)/10)
+			}
+		}, ""},
+		{"memory is never given back", func(history *History) { history.Held = []Held{{Endpoint: "e", Tokens: 7}} }, "MemoryHeld"},
+		{"a request has no end", func(history *History) { history.call("Once-20").Ended = after(25.1) }, "AnsweredLate"},
+		{"a request has no end at a frozen daemon", func(history *History) {
+			history.call("Once-20").Ended = after(25.1)
+			history.fault(Fault{Daemon: "d"}, 21, 24)
+		}, ""},
+		{"a shutdown cuts a request", func(history *History) {
+			history.Stops = []Stop{{Daemon: "d", From: after(20.05), To: after(24)}}
+			history.fault(Fault{Daemon: "d", Planned: true}, 20.05, 25)
+			history.cut("Once-20")
+		}, "CutByStop"},
+		{"a shutdown crosses an endpoint's crash", func(history *History) {
+			history.Stops = []Stop{{Daemon: "d", From: after(20.05), To: after(24)}}
+			history.fault(Fault{Daemon: "d", Planned: true}, 20.05, 25)
+			history.fault(Fault{Endpoint: "e"}, 20.06, 21)
+			history.cut("Once-20")
+		}, ""},
+		{"a request was sent long after the signal", func(history *History) {
+			history.Stops = []Stop{{Daemon: "d", From: after(17.5), To: after(24)}}
+			history.fault(Fault{Daemon: "d", Planned: true}, 17.5, 25)
+			history.cut("Once-20")
+		}, ""},
+		{"a shutdown has no end", func(history *History) {
+			history.Stops = []Stop{{Daemon: "d", From: after(20), Killed: true}}
+		}, "StopTooLong"},
+		{"nothing is served after the last fault", func(history *History) {
+			for i := range history.Calls {
+				if call := &history.Calls[i]; call.Sent.After(after(15)) {
+					call.Status, call.Sealed = 504, false
+				}
+			}
+		}, "NotRecovered"},
+		{"nobody asks after the last fault", func(history *History) { history.Calm = after(50) }, "NotRecovered"},
+		{"a daemon died", func(history *History) { history.Deaths = []Death{{Process: "d", Error: "exit status 2"}} }, "ProcessDied"},
+	}
+	found := map[string]bool{}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			history := kept()
+			test.plant(history)
+			findings := Check(history, bounds)
+			if test.want == "" && len(findings) > 0 {
+				t.Errorf("got %+v, want nothing", findings[0])
+			}
+			if test.want != "" && (len(findings) == 0 || slices.ContainsFunc(findings, func(finding Finding) bool { return finding.Check != test.want })) {
+				t.Errorf("got %+v, want %s alone", findings, test.want)
+			}
+			found[test.want] = true
+		})
+	}
+	for _, name := range Names() {
+		if !found[name] {
+			t.Errorf("no history shows that %s finds anything", name)
+		}
+	}
+}
+
+func TestSummarise(t *testing.T) {
+	history := kept()
+	history.cut("Once-1")
+	refused := history.call("Once-2")
+	refused.Status, refused.NotRun, refused.Sealed = 503, true, false
+	failed := history.call("Once-3")
+	failed.Status, failed.Sealed = 504, false
+	got := Summarise(history)
+	want := Summary{Sent: 120, Served: 117, RefusedNotRun: 1, Failed: 1, Broken: 1, Runs: 120, LongestEnd: -3900 * time.Millisecond}
+	if got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- /dev/null
+++ b/dogwoodload/dogwoodsoakprocess/process_test.go
@@ -0,0 +1,56 @@
+package dogwoodsoakprocess
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// The soak ends with processes that run, that are frozen and that have ended by themselves. None of
+// them is left, and what they wrote is in their logs.
+func TestEndLeavesNoProcess(t *testing.T) {
+	directory := t.TempDir()
+	var group Group
+	start := func(name, command string) *Process {
+		process, err := group.Start(t.Context(), Spec{
+			Name: name, Path: "/bin/sh", Arguments: []string{"-c", command}, Environment: []string{"WORD=" + name},
+			Log: filepath.Join(directory, name),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return process
+	}
+	ended := start("ended", "echo $WORD; exit 3")
+	running, frozen := start("running", "exec sleep 60"), start("frozen", "exec sleep 60")
+	if !ended.Wait(t.Context()) || ended.Running() || ended.Err() == nil {
+		t.Errorf("got %v, want the failure of a process that has ended", ended.Err())
+	}
+	if err := frozen.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	if !running.Running() || running.Err() != nil {
+		t.Errorf("got %v, want a process that runs", running.Err())
+	}
+	group.End()
+	for _, process := range []*Process{running, frozen} {
+		if process.Running() || process.Signal(syscall.SIGCONT) == nil {
+			t.Error("got a process that still runs, want none")
+		}
+	}
+	log, err := os.ReadFile(filepath.Join(directory, "ended"))
+	if got, want := strings.TrimSpace(string(log)), "ended"; err != nil || got != want {
+		t.Errorf("got %q and %v, want %q", got, err, want)
+	}
+}
+
+func TestAProgramThatIsNotThere(t *testing.T) {
+	var group Group
+	_, err := group.Start(t.Context(), Spec{Name: "none", Path: "/no/such/program", Log: filepath.Join(t.TempDir(), "log")})
+	if err == nil || !strings.Contains(err.Error(), "none") {
+		t.Errorf("got %v, want an error that names it", err)
+	}
+	group.End()
+}
--- /dev/null
+++ b/dogwoodload/dogwoodstandinrun/run.go
@@ -0,0 +1,191 @@
+// Package dogwoodstandinrun is the verb "standin": it runs one stand-in of the users' platform in a
+// process of its own. The soak starts it; it is of no use by itself.
+package dogwoodstandinrun
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"dogwoodmux.example/core/dogwoodsubcommand"
+	"dogwoodmux.example/dogwoodload/dogwoodfactory"
+	"dogwoodmux.example/dogwoodload/dogwoodverb"
+	"dogwoodmux.example/platform/dogwoodstandin"
+)
+
+// Verb is the verb's name.
+const Verb = "standin"
+
+// The flags' names, for the soak that gives them.
+const (
+	FlagListen     = "listen"
+	FlagStore      = "store"
+	FlagRecord     = "record"
+	FlagID         = "id"
+	FlagService    = "service"
+	FlagDataCentre = "datacentre"
+	FlagAnnounced  = "announced"
+	FlagSlots      = "slots"
+	FlagEvents     = "events"
+	FlagWork       = "work"
+	FlagCold       = "cold"
+	FlagDrain      = "drain"
+)
+
+// headerWithin bounds how long a daemon takes to send its headers.
+const headerWithin = 8 * time.Second
+
+// Options are the flags. Without a store it is the store.
+type Options struct {
+	Factory *dogwoodfactory.Factory
+
+	Listen, Store, Announced netip.AddrPort
+	Record                   string
+	// Drain is how long an endpoint serves on after it has said that it leaves.
+	Drain    time.Duration
+	Endpoint dogwoodstandin.EndpointOptions
+}
+
+// New returns the verb.
+func New(factory *dogwoodfactory.Factory) *dogwoodsubcommand.Command {
+	options := &Options{Factory: factory}
+	return dogwoodverb.New(dogwoodsubcommand.Spec{
+		Name:      Verb,
+		Synopsis:  "run a stand-in of the users' platform for the soak",
+		Arguments: "-listen ADDRESS [-store ADDRESS -record FILE ...]",
+		Help: "Runs a store, or with -store an endpoint that announces itself there and writes what it sees to a\n" +
+			"file. SIGTERM has an endpoint leave in order, SIGHUP announce itself again.",
+		SetFlags: func(flags *flag.FlagSet) { setFlags(flags, options) },
+		Run: func(ctx context.Context, _ []string) error {
+			if !options.Listen.IsValid() || options.Store.IsValid() && options.Record == "" {
+				return dogwoodsubcommand.NewUsageError("give -%s, and with -%s also -%s", FlagListen, FlagStore, FlagRecord)
+			}
+			return Run(ctx, options)
+		},
+		Err: factory.Streams.Err,
+	})
+}
+
+func setFlags(flags *flag.FlagSet, options *Options) {
+	flags.TextVar(&options.Listen, FlagListen, netip.AddrPort{}, "`address` to listen at")
+	flags.TextVar(&options.Store, FlagStore, netip.AddrPort{}, "`address` of the store, for an endpoint")
+	flags.TextVar(&options.Announced, FlagAnnounced, netip.AddrPort{}, "`address` that an endpoint announces")
+	flags.StringVar(&options.Record, FlagRecord, "", "`file` for what an endpoint sees")
+	flags.StringVar(&options.Endpoint.ID, FlagID, "", "the endpoint's `id`")
+	flags.StringVar(&options.Endpoint.Service, FlagService, "", "its `service`")
+	flags.StringVar(&options.Endpoint.DataCentre, FlagDataCentre, "", "its data `centre`")
+	flags.IntVar(&options.Endpoint.Slots, FlagSlots, 1, "`requests` at once")
+	flags.IntVar(&options.Endpoint.Events, FlagEvents, 0, "`events` of a stream; 0 answers plainly")
+	flags.DurationVar(&options.Endpoint.Work, FlagWork, 0, "`time` of a plain answer, and between two events")
+	flags.DurationVar(&options.Endpoint.ColdFor, FlagCold, 0, "`time` for which it is cold")
+	flags.DurationVar(&options.Drain, FlagDrain, 0, "`time` that it serves on when it leaves")
+}
+
+// Run runs the stand-in until it is told to end.
+func Run(ctx context.Context, options *Options) error {
+	if !options.Store.IsValid() {
+		store := dogwoodstandin.NewStore()
+		defer store.Close()
+		return serve(ctx, options.Listen, store.ControlledHandler(), func(ctx context.Context) error {
+			<-ctx.Done()
+			return nil
+		})
+	}
+	recorder, err := dogwoodstandin.NewRecorder(options.Record)
+	if err != nil {
+		return dogwoodverb.Error.Wrap(err)
+	}
+	running := &running{options: options, recorder: recorder, control: dogwoodstandin.NewStoreControl(options.Store), broken: make(chan error, 1)}
+	options.Endpoint.Announced = options.Announced
+	options.Endpoint.EventEvery, options.Endpoint.MemoryTokens = options.Endpoint.Work, dogwoodstandin.EngineMemoryTokens
+	options.Endpoint.Record = func(arrival dogwoodstandin.Arrival) { running.record(dogwoodstandin.Record{Arrival: &arrival}) }
+	running.endpoint = dogwoodstandin.NewEndpoint(options.Endpoint)
+	err = serve(ctx, options.Listen, running.endpoint.ControlledHandler(), running.untilLeft)
+	return errors.Join(err, recorder.Close())
+}
+
+// serve listens while the work runs.
+func serve(ctx context.Context, listen netip.AddrPort, handler http.Handler, work func(ctx context.Context) error) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", listen.String())
+	if err != nil {
+		return dogwoodverb.Error.Wrap(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerWithin}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return dogwoodverb.Error.Wrap(err)
+		}
+		return nil
+	})
+	group.Go(func() error {
+		err := work(ctx)
+		return errors.Join(err, server.Close())
+	})
+	return group.Wait()
+}
+
+// running is an endpoint at work.
+type running struct {
+	options  *Options
+	endpoint *dogwoodstandin.Endpoint
+	recorder *dogwoodstandin.Recorder
+	control  *dogwoodstandin.StoreControl
+	broken   chan error
+}
+
+// record ends the endpoint if what it saw can't be kept: a soak that misses arrivals proves nothing.
+func (running *running) record(record dogwoodstandin.Record) {
+	if err := running.recorder.Write(record); err != nil {
+		select {
+		case running.broken <- err:
+		default: // it ends already
+		}
+	}
+}
+
+// untilLeft announces the endpoint and follows signals until it has left.
+func (running *running) untilLeft(ctx context.Context) error {
+	signals := make(chan os.Signal, 4) //nolint:mnd // room for a signal of each kind while one is handled
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ctx = context.WithoutCancel(ctx) // SIGTERM ends the context, but not at once the endpoint
+	if err := running.endpoint.Announce(ctx, running.control, false); err != nil {
+		return dogwoodverb.Error.Wrap(err)
+	}
+	warm := time.After(running.endpoint.Cold())
+	for {
+		select {
+		case received := <-signals:
+			if received == syscall.SIGTERM {
+				return running.leave(ctx)
+			}
+		case <-warm:
+		case err := <-running.broken:
+			return err
+		}
+		if err := running.endpoint.Announce(ctx, running.control, false); err != nil {
+			return dogwoodverb.Error.Wrap(err)
+		}
+	}
+}
+
+func (running *running) leave(ctx context.Context) error {
+	if err := running.endpoint.Announce(ctx, running.control, true); err != nil {
+		return dogwoodverb.Error.Wrap(err)
+	}
+	left := time.Now()
+	running.record(dogwoodstandin.Record{Left: &left})
+	time.Sleep(running.options.Drain)
+	return dogwoodverb.Error.Wrap(dogwoodstandin.Withdraw(ctx, running.control, running.options.Endpoint.ID))
+}
