--- a/core/state/dogwoodmember/beat.go
+++ b/core/state/dogwoodmember/beat.go
@@ -67,7 +67,7 @@
 			if now.Sub(peer.heard) > askAfter {
 				targets = append(targets, Target{VM: vm, Peer: peer.address})
 			}
-		case now.Sub(peer.tried) >= probeEvery:
+		case peer.isDue(now):
 			peer.tried = now
 			targets = append(targets, Target{VM: vm, Peer: peer.address})
 		}
@@ -87,6 +87,15 @@
 	return targets
 }
 
+// isDue tells whether a daemon that is not heard is to be tried now.
+func (peer *peer) isDue(now time.Time) bool {
+	if peer.sought.IsZero() {
+		peer.sought = now
+	}
+	meets := peer.heard.IsZero() && now.Sub(peer.sought) < meetWithin
+	return meets || now.Sub(peer.tried) >= probeEvery
+}
+
 // isCaller tells whether this daemon makes the calls between itself and a neighbour: the
 // one with the lower name does, since a call and its answer are a beat each way, and the
 // other one too when no call has come for a while.
--- a/core/state/dogwoodmember/member.go
+++ b/core/state/dogwoodmember/member.go
@@ -47,6 +47,9 @@
 	// probeEvery is how often a daemon that is listed but not heard is tried: rarely, so
 	// that regions that lost each other don't meet in a herd.
 	probeEvery = 2 * time.Second
+	// meetWithin is for how long one that was never heard is tried with every beat: after a loss of
+	// power the others listen some moments later than this daemon looks for them.
+	meetWithin = 3 * time.Second
 	// calledWithin is how recent the last beat of a neighbour must be for this daemon to leave
 	// the beats between them to it: two beats and a bit.
 	calledWithin = 2*BeatEvery + 200*time.Millisecond
@@ -144,7 +147,8 @@
 	counter uint32
 	// heard is when the latest count was news at the daemon that heard it directly.
 	heard time.Time
-	tried time.Time
+	// sought is when it was first tried, tried when it was last.
+	sought, tried time.Time
 	// called is when its latest beat came here.
 	called time.Time
 	// learnt is when it was introduced: until it is heard or listed, it is remembered from then.
