Have a daemon that becomes a hub ask the store at that moment

Cause: a daemon starts as one that a hub tells what the store holds. It finds some 12 ms later that it is listed as a hub, but its followers of the store looked only five times a second whether they were still to be told.

Change: the part of a daemon, hub or leaf, is watched by a channel, as other states are.

--- a/core/duty/dogwoodhub/duty.go
+++ b/core/duty/dogwoodhub/duty.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"slices"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -55,17 +55,37 @@
 // become hubs, and the others find them.
 type Duty struct {
 	options Options
-	isHub   atomic.Bool
+
+	mutex   sync.Mutex
+	isHub   bool
+	changed chan struct{} // closed at the next change of the part
 }
 
 // New returns a duty.
 func New(options Options) *Duty {
-	return &Duty{options: options}
+	return &Duty{options: options, changed: make(chan struct{})}
 }
 
 // IsHub tells whether this daemon is a hub now.
 func (duty *Duty) IsHub() bool {
-	return duty.isHub.Load()
+	isHub, _ := duty.Watch()
+	return isHub
+}
+
+// Watch tells whether this daemon is a hub now, and returns a channel that is closed when that
+// changes.
+func (duty *Duty) Watch() (isHub bool, changed <-chan struct{}) {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	return duty.isHub, duty.changed
+}
+
+func (duty *Duty) setHub(isHub bool) {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	duty.isHub = isHub
+	close(duty.changed)
+	duty.changed = make(chan struct{})
 }
 
 // Run does a leaf's or a hub's work until the context ends.
@@ -176,9 +196,9 @@
 		}
 	}
 	duty.options.Logger.Info("Now a hub.", "silent", len(silent))
-	duty.isHub.Store(true)
+	duty.setHub(true)
 	err = duty.options.BeHub(ctx)
-	duty.isHub.Store(false)
+	duty.setHub(false)
 	if !errors.Is(err, ErrSpare) {
 		return true, Error.Wrap(err)
 	}
--- a/core/duty/dogwoodreader/reader.go
+++ b/core/duty/dogwoodreader/reader.go
@@ -49,7 +49,7 @@
 	// reader that is frozen is left after this and holdFor, well before the two seconds in
 	// which a change must be in force.
 	answerWithin = 400 * time.Millisecond
-	// awaitSlice is how often a daemon that is fed looks whether it still is.
+	// awaitSlice is how often a daemon that is fed looks how old its last proof is.
 	awaitSlice = 200 * time.Millisecond
 	// staleAfter is how long ago the store may last have answered a reader for it to tell others:
 	// a second's wait in the store, the 0.4 s for which changes are gathered before that, and the
@@ -92,8 +92,9 @@
 	// Readers lists the daemons that this one may ask, the best first; none if it is to ask
 	// the store.
 	Readers func() []Peer
-	// Fed tells whether answers come by Feed, so that nobody is to be asked; nil for never.
-	Fed    func() bool
+	// Fed tells whether answers come by Feed, so that nobody is to be asked, with a channel that is
+	// closed when that may have changed; nil for never.
+	Fed    func() (fed bool, changed <-chan struct{})
 	Logger hclog.Logger
 }
 
@@ -193,7 +194,11 @@
 	begun, slice := time.Now(), time.NewTicker(awaitSlice)
 	defer slice.Stop()
 	_, proven := known.Known()
-	for reader.options.Fed != nil && reader.options.Fed() {
+	for {
+		fed, changed := reader.fed()
+		if !fed {
+			return dogwoodcopy.Answer{}, false, nil
+		}
 		answer, took, ok := known.Latest(after)
 		if ok && (answer.Whole || len(answer.Rows) > 0 || answer.Proven > proven) {
 			return answer, true, nil
@@ -201,14 +206,23 @@
 		if time.Since(begun) >= wait && (!ok || reader.options.Clock()-answer.Proven > fedStaleAfter) {
 			return answer, true, Error.Wrap(errStale)
 		}
+		// A daemon that becomes a hub must ask the store at that moment: until it has, it refuses
+		// all callers, and after a loss of power everywhere each hub does.
 		select {
 		case <-took:
+		case <-changed:
 		case <-slice.C:
 		case <-ctx.Done():
 			return answer, true, ctx.Err()
 		}
 	}
-	return dogwoodcopy.Answer{}, false, nil
+}
+
+func (reader *Reader) fed() (bool, <-chan struct{}) {
+	if reader.options.Fed == nil {
+		return false, nil
+	}
+	return reader.options.Fed()
 }
 
 // Feed takes in what the hub told of a table.
