Signal an endpoint of the soak only once it listens, and keep the linter's verdict from its cache

Stand-ins wait for signals before they listen, and are sent none before that. The linter called four exceptions unused after packages had been linted alone; they are marked as their twins are.

--- a/core/duty/dogwooddispatch/owners.go
+++ b/core/duty/dogwooddispatch/owners.go
@@ -280,7 +280,7 @@
 			continue
 		}
 		if member.Instance == owners.options.Self {
-			owners.options.Local.Release(told) //nolint:contextcheck // it bounds itself, also when the caller left
+			owners.options.Local.Release(told) //nolint:contextcheck,nolintlint // it bounds itself, also when the caller left; seen only with some states of the cache
 			continue
 		}
 		telling.Add(1)
@@ -313,7 +313,7 @@
 // releaseAt tells one owner of a request's end.
 func (owners *Owners) releaseAt(ctx context.Context, member Member, release dogwoodowner.Release) {
 	if member.Instance == owners.options.Self {
-		owners.options.Local.Release(release) //nolint:contextcheck // it bounds itself, also when the caller left
+		owners.options.Local.Release(release) //nolint:contextcheck,nolintlint // it bounds itself, also when the caller left; seen only with some states of the cache
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseTime)
--- a/core/edge/dogwoodengine/stream.go
+++ b/core/edge/dogwoodengine/stream.go
@@ -242,7 +242,7 @@
 		client.inBackground(func() {
 			ctx, cancel := context.WithTimeout(ctx, cancelFor)
 			defer cancel()
-			stop := context.AfterFunc(client.lifetime, cancel) //nolint:contextcheck // both contexts end the work
+			stop := context.AfterFunc(client.lifetime, cancel) //nolint:contextcheck,nolintlint // both contexts end the work
 			defer stop()
 			work(ctx)
 		})
--- a/core/edge/dogwoodpeer/client.go
+++ b/core/edge/dogwoodpeer/client.go
@@ -151,7 +151,7 @@
 	if found == nil || found.isClosed() {
 		found = newLink()
 		client.links[peer] = found
-		client.group.Go(func() { client.connect(peer, found) }) //nolint:contextcheck // callers share the dialling, so none of theirs ends it
+		client.group.Go(func() { client.connect(peer, found) }) //nolint:contextcheck,nolintlint // callers share the dialling, so none of theirs ends it
 	}
 	client.mutex.Unlock()
 	select {
--- a/dogwoodload/dogwoodsoak/play.go
+++ b/dogwoodload/dogwoodsoak/play.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -146,12 +147,12 @@
 	return site.startDaemon(ctx, daemon)
 }
 
-// awake waits until a daemon listens. What a signal does to a program between its start and its first
-// line is for no program to say, so none is sent before.
-func (site *site) awake(ctx context.Context, daemon *daemon) {
+// awake waits until a process listens. What a signal does to a program between its start and its first
+// line is for no program to say, so none that it should handle is sent before.
+func awake(ctx context.Context, address netip.AddrPort) {
 	var dialer net.Dialer
 	_ = eventually(ctx, startWithin, func() error { // one that never listens gets its signal as well
-		connection, err := dialer.DialContext(ctx, "tcp", daemon.settings.Directory().String())
+		connection, err := dialer.DialContext(ctx, "tcp", address.String())
 		if err != nil {
 			return err
 		}
@@ -166,7 +167,7 @@
 	fault := ofDaemon(daemon)
 	fault.Planned = true
 	err := site.during(&daemon.life, fault, func() error {
-		site.awake(ctx, daemon)
+		awake(ctx, daemon.settings.Directory())
 		stop.From = time.Now()
 		if err := daemon.process.Signal(syscall.SIGTERM); err != nil {
 			return err
@@ -199,7 +200,7 @@
 	if err := daemon.writeSettings(); err != nil {
 		return err
 	}
-	site.awake(ctx, daemon)
+	awake(ctx, daemon.settings.Directory())
 	return daemon.process.Signal(syscall.SIGHUP)
 }
 
@@ -258,6 +259,7 @@
 func (site *site) replaceEndpoint(ctx context.Context, endpoint *endpoint) error {
 	endpoint.life.Lock()
 	defer endpoint.life.Unlock()
+	awake(ctx, endpoint.address)
 	if err := endpoint.process.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
@@ -276,6 +278,7 @@
 		return err
 	}
 	sleep(ctx, lasts)
+	awake(ctx, endpoint.address)
 	return endpoint.process.Signal(syscall.SIGHUP)
 }
 
