--- a/dogwoodload/dogwoodsoak/history.go
+++ b/dogwoodload/dogwoodsoak/history.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"dogwoodmux.example/core/dogwoodkernel"
 	"dogwoodmux.example/dogwoodload/dogwoodsoakcheck"
 	"dogwoodmux.example/dogwoodload/dogwoodsoakplan"
 	"dogwoodmux.example/dogwoodload/dogwoodverb"
@@ -19,7 +20,7 @@
 
 // history gathers what callers and endpoints saw.
 func (site *site) history(ctx context.Context, calm time.Time) (*dogwoodsoakcheck.History, error) {
-	sleep(ctx, memoryWithin)
+	dogwoodkernel.Sleep(ctx, memoryWithin)
 	site.mutex.Lock()
 	history := site.seen
 	site.mutex.Unlock()
--- a/dogwoodload/dogwoodsoak/play.go
+++ b/dogwoodload/dogwoodsoak/play.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"dogwoodmux.example/core/dogwoodkernel"
 	"dogwoodmux.example/dogwoodload/dogwoodsoakcheck"
 	"dogwoodmux.example/dogwoodload/dogwoodsoakplan"
 	"dogwoodmux.example/dogwoodload/dogwoodsoakproxy"
@@ -23,7 +24,7 @@
 	for _, step := range steps {
 		group.Go(func() error {
 			defer done()
-			sleep(ctx, time.Until(begun.Add(step.At)))
+			dogwoodkernel.Sleep(ctx, time.Until(begun.Add(step.At)))
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
@@ -33,15 +34,6 @@
 	return group.Wait()
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (site *site) step(ctx context.Context, step dogwoodsoakplan.Step) error {
 	switch dogwoodsoakplan.SubjectOf(step.Kind) {
 	case dogwoodsoakplan.Daemon:
@@ -122,7 +114,7 @@
 	if fault.Refused {
 		proxy.Reset()
 	}
-	sleep(ctx, lasts)
+	dogwoodkernel.Sleep(ctx, lasts)
 	proxy.Set(dogwoodsoakproxy.Fault{})
 	return nil
 }
@@ -131,7 +123,7 @@
 	if err := signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
-	sleep(ctx, lasts)
+	dogwoodkernel.Sleep(ctx, lasts)
 	return signal(syscall.SIGCONT)
 }
 
@@ -140,7 +132,7 @@
 		return err
 	}
 	daemon.process.Wait(ctx)
-	sleep(ctx, down)
+	dogwoodkernel.Sleep(ctx, down)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
@@ -179,7 +171,7 @@
 			return site.killDaemon(ctx, daemon, down)
 		}
 		stop.To = time.Now()
-		sleep(ctx, down)
+		dogwoodkernel.Sleep(ctx, down)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -241,12 +233,12 @@
 			return err
 		}
 		endpoint.process.Wait(ctx)
-		sleep(ctx, min(down, noticedGone))
+		dogwoodkernel.Sleep(ctx, min(down, noticedGone))
 		if down > noticedGone {
 			if err := dogwoodstandin.Withdraw(ctx, site.control, endpoint.id); err != nil {
 				return err
 			}
-			sleep(ctx, down-noticedGone)
+			dogwoodkernel.Sleep(ctx, down-noticedGone)
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -277,7 +269,7 @@
 	if err := dogwoodstandin.Withdraw(ctx, site.control, endpoint.id); err != nil {
 		return err
 	}
-	sleep(ctx, lasts)
+	dogwoodkernel.Sleep(ctx, lasts)
 	awake(ctx, endpoint.address)
 	return endpoint.process.Signal(syscall.SIGHUP)
 }
@@ -304,7 +296,7 @@
 		if err := site.control.SetFaults(ctx, faults); err != nil {
 			return err
 		}
-		sleep(ctx, step.For)
+		dogwoodkernel.Sleep(ctx, step.For)
 		return site.control.SetFaults(ctx, dogwoodstandin.StoreFaults{})
 	})
 }
@@ -320,7 +312,7 @@
 		return err
 	}
 	withdrawal := dogwoodsoakcheck.Withdrawal{Key: key, From: time.Now()}
-	sleep(ctx, lasts)
+	dogwoodkernel.Sleep(ctx, lasts)
 	withdrawal.To = time.Now()
 	site.mutex.Lock()
 	site.seen.Withdrawals = append(site.seen.Withdrawals, withdrawal)
@@ -336,7 +328,7 @@
 		return err
 	}
 	takeOut := dogwoodsoakcheck.TakeOut{DataCentre: dataCentres[number], From: time.Now()}
-	sleep(ctx, lasts)
+	dogwoodkernel.Sleep(ctx, lasts)
 	takeOut.To = time.Now()
 	site.mutex.Lock()
 	site.seen.TakeOuts = append(site.seen.TakeOuts, takeOut)
--- a/dogwoodload/dogwoodsoak/soak.go
+++ b/dogwoodload/dogwoodsoak/soak.go
@@ -17,6 +17,7 @@
 	"github.com/schollz/progressbar/v3"
 	"golang.org/x/sync/errgroup"
 
+	"dogwoodmux.example/core/dogwoodkernel"
 	"dogwoodmux.example/core/dogwoodsubcommand"
 	"dogwoodmux.example/dogwoodload/dogwoodfactory"
 	"dogwoodmux.example/dogwoodload/dogwoodsoakcheck"
@@ -197,7 +198,7 @@
 	stepsErr := site.play(ctx, begun, steps, func() { _ = bar.Add(1) }) // a bar that can't be drawn stops nothing
 	calm := time.Now()
 	// Steps that had to wait for others end later than drawn; there must be time to recover all the same.
-	sleep(ctx, max(time.Until(begun.Add(options.For)), options.tail()))
+	dogwoodkernel.Sleep(ctx, max(time.Until(begun.Add(options.For)), options.tail()))
 	stopSending()
 	_ = callers.Wait() // callers return no error
 	if err := errors.Join(stepsErr, ctx.Err()); err != nil {
--- a/dogwoodload/dogwoodsoakproxy/proxy.go
+++ b/dogwoodload/dogwoodsoakproxy/proxy.go
@@ -13,6 +13,8 @@
 
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
+
+	"dogwoodmux.example/core/dogwoodkernel"
 )
 
 // Error is the class of this package's errors.
@@ -192,7 +194,7 @@
 	for {
 		fault, changed := proxy.now()
 		if !fault.Mute && (!fault.MuteBack || !back) {
-			return fault.Delay == 0 || sleep(ctx, fault.Delay)
+			return fault.Delay == 0 || dogwoodkernel.Sleep(ctx, fault.Delay)
 		}
 		select {
 		case <-changed:
@@ -201,14 +203,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
