Split the soak by what is broken, and count a fault for all endpoints of a place

A fault of the way to an endpoint was kept under the id of the endpoint that was there when it was asked for; one that came in its place meanwhile was judged as if nothing had held its requests up.

--- a/dogwoodload/dogwoodsoak/history.go
+++ b/dogwoodload/dogwoodsoak/history.go
@@ -26,6 +26,7 @@
 	site.mutex.Unlock()
 	history.Calls, history.Calm = site.callers.Calls(), calm
 	for _, endpoint := range site.endpoints {
+		history.Faults = append(history.Faults, spread(history.Faults, endpoint.names)...)
 		for _, id := range endpoint.names {
 			if err := site.addRecords(&history, id); err != nil {
 				return nil, err
@@ -48,6 +49,22 @@
 	return &history, nil
 }
 
+// spread has faults of the first endpoint at a place count for those that came after it. Which one was
+// there is not asked: a fault may begin at one and end at the next.
+func spread(faults []dogwoodsoakcheck.Fault, names []string) []dogwoodsoakcheck.Fault {
+	var others []dogwoodsoakcheck.Fault
+	for _, fault := range faults {
+		if fault.Endpoint != names[0] {
+			continue
+		}
+		for _, name := range names[1:] {
+			fault.Endpoint = name
+			others = append(others, fault)
+		}
+	}
+	return others
+}
+
 func describe(err error) string {
 	if err == nil {
 		return "without an error"
--- a/dogwoodload/dogwoodsoak/site.go
+++ b/dogwoodload/dogwoodsoak/site.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"sync"
 	"time"
@@ -16,7 +14,6 @@
 	"dogwoodmux.example/dogwoodload/dogwoodsoakprocess"
 	"dogwoodmux.example/dogwoodload/dogwoodsoakproxy"
 	"dogwoodmux.example/dogwoodload/dogwoodstandinrun"
-	"dogwoodmux.example/dogwoodload/dogwoodverb"
 	"dogwoodmux.example/platform/dogwoodstandin"
 )
 
@@ -28,24 +25,27 @@
 
 // site is the processes of a soak and what was done to them.
 type site struct {
-	options         *Options
-	directory       string
-	program         string // the daemon's
-	standin         string
-	group           dogwoodsoakprocess.Group
-	store           *standinProcess
-	control         *dogwoodstandin.StoreControl
-	daemons         []*daemon
-	endpoints       []*endpoint
-	callers         *dogwoodsoakcaller.Callers
-	proxies         []*dogwoodsoakproxy.Proxy
-	publishing      sync.Mutex // held while a text is published; guards text and withdrawn
-	version         int64
-	withdrawn       map[string]bool
-	storeFault      sync.Mutex // held while the store is broken for all
-	outOfDataCentre [3]sync.Mutex
-
-	mutex sync.Mutex // guards seen
+	options   *Options
+	directory string
+	// program is the daemon's, standin the stand-ins'.
+	program, standin string
+
+	group     dogwoodsoakprocess.Group
+	store     *standinProcess
+	control   *dogwoodstandin.StoreControl
+	daemons   []*daemon
+	endpoints []*endpoint
+	callers   *dogwoodsoakcaller.Callers
+	proxies   []*dogwoodsoakproxy.Proxy
+
+	storeFault sync.Mutex   // held while the store is broken for all
+	takenOut   []sync.Mutex // by data centre, held while it is out
+
+	publishing sync.Mutex // held while a text is published; guards version and withdrawn
+	version    int64
+	withdrawn  map[string]bool
+
+	mutex sync.Mutex // guards seen, and the endpoints' names
 	seen  dogwoodsoakcheck.History
 }
 
@@ -55,42 +55,10 @@
 	address netip.AddrPort
 }
 
-// daemon is a daemon's place: its processes come and go.
-type daemon struct {
-	name     string
-	settings dogwoodstandin.DaemonSettings
-	file     string
-	store    *dogwoodsoakproxy.Proxy
-	front    *dogwoodsoakproxy.Proxy
-
-	life       sync.Mutex // held while its process is not left alone; guards process
-	process    *dogwoodsoakprocess.Process
-	storeLink  sync.Mutex // held while its way to the store is broken
-	callerLink sync.Mutex // held while its callers' way is broken
-}
-
-// endpoint is an endpoint's place: endpoints with other ids follow each other there.
-type endpoint struct {
-	place   int
-	service string
-	// dataCentre is where all of them are.
-	dataCentre string
-	address    netip.AddrPort
-	proxy      *dogwoodsoakproxy.Proxy
-
-	life    sync.Mutex // held while its process is not left alone; guards what follows
-	process *dogwoodsoakprocess.Process
-	id      string
-	number  int
-	link    sync.Mutex // held while the way to it is broken
-
-	// names are all ids that were used here, guarded by the site's mutex.
-	names []string
-}
-
 func newSite(options *Options, directory, program, standin string) *site {
 	return &site{
-		options: options, directory: directory, program: program, standin: standin, withdrawn: map[string]bool{},
+		options: options, directory: directory, program: program, standin: standin,
+		takenOut: make([]sync.Mutex, len(dataCentres)), withdrawn: map[string]bool{},
 	}
 }
 
@@ -109,7 +77,7 @@
 	}
 }
 
-// start starts the store, then endpoints and daemons, and waits until daemons answer.
+// start starts the store, then endpoints and daemons, and makes the callers.
 func (site *site) start(ctx context.Context) error {
 	own, err := ownAddress(ctx)
 	if err != nil {
@@ -187,103 +155,6 @@
 	})
 }
 
-func (site *site) addEndpoint(ctx context.Context, place int, service string) error {
-	own, err := ownAddress(ctx)
-	if err != nil {
-		return err
-	}
-	endpoint := &endpoint{
-		place: place, service: service, dataCentre: dataCentres[place%len(dataCentres)], address: netip.AddrPortFrom(own, standinPort),
-	}
-	proxy, err := site.proxy(ctx, endpoint.address)
-	if err != nil {
-		return err
-	}
-	endpoint.proxy = proxy
-	site.endpoints = append(site.endpoints, endpoint)
-	return site.startEndpoint(ctx, endpoint, true, 0)
-}
-
-// startEndpoint starts the process of an endpoint, under a new id if it is another one.
-func (site *site) startEndpoint(ctx context.Context, endpoint *endpoint, other bool, cold time.Duration) error {
-	if other {
-		endpoint.number++
-		endpoint.id = fmt.Sprintf("i-%d-%d", endpoint.place, endpoint.number)
-		site.mutex.Lock()
-		endpoint.names = append(endpoint.names, endpoint.id)
-		site.mutex.Unlock()
-	}
-	slots, events, work := deskSlots, 0, deskWork
-	if endpoint.service == engineName {
-		slots, events, work = engineSlots, streamEvents, eventEvery
-	}
-	process, err := site.startStandin(ctx, endpoint.id, endpoint.address,
-		standinFlag{dogwoodstandinrun.FlagStore, site.store.address.String()},
-		standinFlag{dogwoodstandinrun.FlagRecord, site.path(endpoint.id + ".records")},
-		standinFlag{dogwoodstandinrun.FlagID, endpoint.id},
-		standinFlag{dogwoodstandinrun.FlagService, endpoint.service},
-		standinFlag{dogwoodstandinrun.FlagDataCentre, endpoint.dataCentre},
-		standinFlag{dogwoodstandinrun.FlagAnnounced, endpoint.proxy.Address().String()},
-		standinFlag{dogwoodstandinrun.FlagSlots, fmt.Sprint(slots)},
-		standinFlag{dogwoodstandinrun.FlagEvents, fmt.Sprint(events)},
-		standinFlag{dogwoodstandinrun.FlagWork, work.String()},
-		standinFlag{dogwoodstandinrun.FlagCold, cold.String()},
-		standinFlag{dogwoodstandinrun.FlagDrain, (checkBounds.Drain + servesOn).String()},
-	)
-	endpoint.process = process
-	return err
-}
-
-func (site *site) addDaemon(ctx context.Context, number int) error {
-	name := fmt.Sprintf("daemon-%d", number)
-	own, err := ownAddress(ctx)
-	if err != nil {
-		return err
-	}
-	store, err := site.proxy(ctx, site.store.address)
-	if err != nil {
-		return err
-	}
-	daemon := &daemon{name: name, file: site.path(name + ".toml"), store: store}
-	daemon.settings = dogwoodstandin.DaemonSettings{
-		VM: name, DataCentre: dataCentres[number%len(dataCentres)], DataCentres: dataCentres, Address: own,
-		Store: store.Address(), FirstStart: true, Bounds: daemonBounds,
-	}
-	if daemon.front, err = site.proxy(ctx, daemon.settings.Callers()); err != nil {
-		return err
-	}
-	site.daemons = append(site.daemons, daemon)
-	if err := daemon.writeSettings(); err != nil {
-		return err
-	}
-	if err := site.startDaemon(ctx, daemon); err != nil {
-		return err
-	}
-	daemon.settings.FirstStart = false
-	return nil
-}
-
-func (daemon *daemon) writeSettings() error {
-	encoded, err := daemon.settings.Encode()
-	if err != nil {
-		return err
-	}
-	// A reader finds either file whole.
-	if err := os.WriteFile(daemon.file+".new", encoded, 0o600); err != nil {
-		return dogwoodverb.Error.Wrap(err)
-	}
-	return dogwoodverb.Error.Wrap(os.Rename(daemon.file+".new", daemon.file))
-}
-
-func (site *site) startDaemon(ctx context.Context, daemon *daemon) error {
-	process, err := site.group.Start(ctx, dogwoodsoakprocess.Spec{
-		Name: daemon.name, Path: site.program, Arguments: []string{"serve"},
-		Environment: []string{dogwoodstandin.SettingsVariable + "=" + daemon.file}, Log: site.path(daemon.name + ".log"),
-	})
-	daemon.process = process
-	return err
-}
-
 // publish changes the operators' text and writes it into the store.
 func (site *site) publish(ctx context.Context, change func()) error {
 	site.publishing.Lock()
--- a/dogwoodload/dogwoodsoak/soak_test.go
+++ b/dogwoodload/dogwoodsoak/soak_test.go
@@ -169,6 +169,16 @@
 	}
 }
 
+// A connection is cut while one endpoint leaves and the next comes. What is held up at the second one is
+// held up by the same fault.
+func TestFaultsCountForAllEndpointsOfAPlace(t *testing.T) {
+	faults := []dogwoodsoakcheck.Fault{{Endpoint: "i-1-1"}, {Endpoint: "i-2-1"}, {Daemon: "d"}}
+	got, want := spread(faults, []string{"i-1-1", "i-1-2", "i-1-3"}), []dogwoodsoakcheck.Fault{{Endpoint: "i-1-2"}, {Endpoint: "i-1-3"}}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
 // Records of an earlier soak in the same directory would count as runs of this one's requests.
 func TestAUsedDirectoryIsRefused(t *testing.T) {
 	directory := t.TempDir()
--- a/dogwoodload/dogwoodsoakplan/plan.go
+++ b/dogwoodload/dogwoodsoakplan/plan.go
@@ -77,11 +77,12 @@
 
 // traits say how often a kind is drawn, on what, and how long it lasts.
 type traits struct {
-	kind          Kind
-	subject       Subject
-	weight        int
-	least, most   time.Duration
-	inSeriesBreak time.Duration
+	kind        Kind
+	subject     Subject
+	weight      int
+	least, most time.Duration
+	// apart is the time between two steps of a series; 0 if the kind comes alone.
+	apart time.Duration
 }
 
 const second = time.Second
@@ -161,14 +162,14 @@
 	for at := from; at < until; at += time.Duration(random.ExpFloat64() * float64(stepEvery)) {
 		traits := pick(random)
 		series := 1
-		if traits.inSeriesBreak > 0 && random.Float64() < seriesShare {
+		if traits.apart > 0 && random.Float64() < seriesShare {
 			series = 2 + random.IntN(seriesMost-1)
 		}
 		first := random.IntN(shape.count(traits.subject))
 		lasts := traits.least + time.Duration(random.Float64()*float64(traits.most-traits.least))
 		for number := range series {
 			step := Step{
-				At: at + time.Duration(number)*traits.inSeriesBreak, For: lasts,
+				At: at + time.Duration(number)*traits.apart, For: lasts,
 				Kind: traits.kind, Target: (first + number) % shape.count(traits.subject),
 			}
 			if step.At+step.For <= until {
