--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -153,6 +153,8 @@
 	// Fresh reports whether no key can have been withdrawn unseen for too long.
 	Fresh func() bool
 	Place dogwoodfleet.Place
+	// UnusedMemory is how long memory may stay set aside without being used; 0 for any time.
+	UnusedMemory time.Duration
 	// Metrics takes latencies; nil for none.
 	Metrics Metrics
 	// Logger takes one line for each decision.
--- a/core/duty/dogwoodrelay/stream.go
+++ b/core/duty/dogwoodrelay/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -168,17 +169,24 @@
 
 var errSilent = errors.New("the endpoint fell silent")
 
-// watch returns the silence that is borne, none if no other try can follow. An event may
-// come in the moment in which it is over, so that giveUp may be called more than once.
+// watch returns the silence that is borne. Without another try that can follow, only a prompt whose
+// helpers have memory set aside is watched, and that until its first event. An event may come in the
+// moment in which it is over, so that giveUp may be called more than once.
 func (attempt *attempt) watch(giveUp func(), placement dogwoodpacking.Placement) *silence {
 	request := attempt.request
-	watched := &silence{}
+	watched := &silence{limit: never}
+	first := never
 	last := attempt.sent+1 >= request.Route.Attempts
-	if !request.repeatable() || last || time.Until(request.Deadline) < resumeNeeds {
+	if request.repeatable() && !last && time.Until(request.Deadline) >= resumeNeeds {
+		first = max(firstSilence*placement.Predicted, firstLeast)
+		watched.limit = max(pauseSilence*request.Route.Pause, pauseLeast)
+	}
+	if most := attempt.relay.options.UnusedMemory; most > 0 && setsAside(placement) {
+		first = min(first, most-releaseWithin)
+	}
+	if first == never {
 		return watched
 	}
-	first := max(firstSilence*placement.Predicted, firstLeast)
-	watched.limit = max(pauseSilence*request.Route.Pause, pauseLeast)
 	endpoint := placement.Endpoint.ID
 	watched.timer = time.AfterFunc(never, func() {
 		if attempt.relay.alive.lately(time.Now(), endpoint) {
@@ -191,6 +199,12 @@
 	return watched
 }
 
+// setsAside tells whether helpers keep memory for a prompt. An engine that goes dark before it reads
+// leaves that memory unused for as long as the daemon waits for it.
+func setsAside(placement dogwoodpacking.Placement) bool {
+	return slices.ContainsFunc(placement.Helpers, func(helper dogwoodpacking.Helper) bool { return helper.Tokens > 0 })
+}
+
 func (silence *silence) heard() {
 	if silence.timer != nil {
 		silence.timer.Reset(silence.limit)
