Take no long read for unused memory

Change: twice the predicted time is always borne: an engine that reads uses the memory. Left open: an engine that goes dark under a prompt predicted at more than four seconds may keep memory unused for over nine seconds.

TestALongReadIsNotTakenForUnusedMemory failed before; TestUnusedMemoryIsGivenBackInTime is unchanged.

--- a/core/duty/dogwoodrelay/stream.go
+++ b/core/duty/dogwoodrelay/stream.go
@@ -24,6 +24,9 @@
 	// pauseLeast at least.
 	pauseSilence = 4
 	pauseLeast   = time.Second
+	// readsFor is how many times the predicted time a prompt may take to be read whatever memory its
+	// helpers have set aside: an engine that reads uses that memory, and writes nothing meanwhile.
+	readsFor = 2
 	// aliveAgain is when a silent stream is looked at again whose endpoint writes others.
 	aliveAgain = 250 * time.Millisecond
 	// never is a time that no request lasts.
@@ -182,7 +185,7 @@
 		watched.limit = max(pauseSilence*request.Route.Pause, pauseLeast)
 	}
 	if most := attempt.relay.options.UnusedMemory; most > 0 && setsAside(placement) {
-		first = min(first, most-releaseWithin)
+		first = min(first, max(most-releaseWithin, readsFor*placement.Predicted))
 	}
 	if first == never {
 		return watched
--- a/core/duty/dogwoodrelay/unused_test.go
+++ b/core/duty/dogwoodrelay/unused_test.go
@@ -1,6 +1,7 @@
 package dogwoodrelay
 
 import (
+	"context"
 	"strings"
 	"sync"
 	"testing"
@@ -54,3 +55,31 @@
 		fixture.endpoints.mutex.Unlock()
 	})
 }
+
+// A prompt of nearly a million tokens is read for longer than memory may stay unused. Its engines use the
+// memory all the while, and its reader must get the answer.
+func TestALongReadIsNotTakenForUnusedMemory(t *testing.T) {
+	slow := *testEngine
+	slow.TokensPerSecond = 5_000
+	const most, reads = 9 * time.Second, 12 * time.Second
+	late := func(ctx context.Context) (*Response, error) {
+		select {
+		case <-time.After(reads):
+		case <-ctx.Done():
+			return nil, &Broken{Cause: ctx.Err()}
+		}
+		return responds(200, firstEvents)(ctx)
+	}
+	story(t, &slow, []step{late}, func(t *testing.T, fixture *fixture) {
+		fixture.relay.options.UnusedMemory = most
+		request := streamRequest()
+		request.Prompt, request.Route.Aim = 150_000, 30*time.Second
+		request.Deadline = time.Now().Add(time.Minute)
+		if err := fixture.relay.Serve(t.Context(), request, fixture.answer); err != nil {
+			t.Errorf("got %v, want the answer", err)
+		}
+		if got := len(fixture.endpoints.sends); got != 1 {
+			t.Errorf("got %d sends, want one", got)
+		}
+	})
+}
