--- a/core/dogwoodlog/messages.go
+++ b/core/dogwoodlog/messages.go
@@ -9,6 +9,8 @@
 	Placed = "Placed."
 	// FirstEvent means that a stream's first event came.
 	FirstEvent = "First event."
+	// Silent means that an endpoint brought nothing for longer than a stream bears.
+	Silent = "An endpoint is silent."
 	// TryingAgain means that another try follows.
 	TryingAgain = "Trying again."
 	// NoFurtherTry means that none may follow.
--- a/core/duty/dogwoodrelay/counters.go
+++ b/core/duty/dogwoodrelay/counters.go
@@ -7,7 +7,7 @@
 )
 
 // counters are published under "Relay": Answered, Cut, CallerGone, a reason for each kind
-// of failure, Retries, RetriesForbidden, NotBegun.
+// of failure, Retries, RetriesForbidden, NotBegun, Silent.
 var counters = expvar.NewMap("Relay")
 
 // The names of latencies.
--- a/core/duty/dogwoodrelay/stream.go
+++ b/core/duty/dogwoodrelay/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodpacking"
@@ -168,6 +169,20 @@
 type silence struct {
 	timer *time.Timer
 	limit time.Duration
+	// due is when the timer is to fire.
+	due atomic.Pointer[time.Time]
+}
+
+// reset has the timer fire after a time.
+func (silence *silence) reset(after time.Duration) {
+	due := time.Now().Add(after)
+	silence.due.Store(&due)
+	silence.timer.Reset(after)
+}
+
+// late is how long after its time the timer fired: events may lie unread in a daemon that stands still.
+func (silence *silence) late() time.Duration {
+	return time.Since(*silence.due.Load())
 }
 
 var errSilent = errors.New("the endpoint fell silent")
@@ -193,12 +208,14 @@
 	endpoint := placement.Endpoint.ID
 	watched.timer = time.AfterFunc(never, func() {
 		if attempt.relay.alive.lately(time.Now(), endpoint) {
-			watched.timer.Reset(aliveAgain)
+			watched.reset(aliveAgain)
 			return
 		}
+		counters.Add("Silent", 1)
+		attempt.relay.options.Logger.Info(dogwoodlog.Silent, "request", request.ID, "endpoint", endpoint, "timerlate", watched.late())
 		giveUp()
 	})
-	watched.timer.Reset(first) // only now, since the function uses the timer itself
+	watched.reset(first) // only now, since the function uses the timer itself
 	return watched
 }
 
@@ -210,7 +227,7 @@
 
 func (silence *silence) heard() {
 	if silence.timer != nil {
-		silence.timer.Reset(silence.limit)
+		silence.reset(silence.limit)
 	}
 }
 
