Keep a silent stream until another endpoint writes

Cause: a stream whose engine brought nothing for four of its pauses was cancelled first. Only then the relay asked whether another try was allowed and had a place. With the retry budget used up, all endpoints full, the keys no longer confirmed, or a second endpoint that refused, broke off or was silent as well, nothing was left to go on with, and the caller's connection was closed.

Change: the silent run is kept, and a second one is begun at another endpoint if the route, the budget, the keys and the pool allow it. Whichever writes first goes on with the stream, the other is ended. A run that breaks off leaves the stream to a second one that is under way.

TestSilenceThatIsOverTwice called a function that is gone; it now plays the same moment, an event as the silence ends and a caller that takes it slowly, through Serve.

--- a/core/decision/dogwoodretry/share.go
+++ b/core/decision/dogwoodretry/share.go
@@ -49,6 +49,13 @@
 	return true
 }
 
+// Allows tells whether Take would take a repeat now.
+func (shared *Shared) Allows(now time.Time, service dogwoodfleet.Service, daemons int) bool {
+	shared.mutex.Lock()
+	defer shared.mutex.Unlock()
+	return shared.left(shared.counts(now, service), daemons) >= 1
+}
+
 // Left is how many repeats the service with the fewest left may still get now.
 func (shared *Shared) Left(now time.Time, daemons int) float64 {
 	shared.mutex.Lock()
--- a/core/decision/dogwoodretry/share_test.go
+++ b/core/decision/dogwoodretry/share_test.go
@@ -97,3 +97,21 @@
 		t.Error("want one again after the window")
 	}
 }
+
+// Guards against a stream that is given up for a retry that the budget then forbids.
+func TestAllowsTellsWhatTakeWouldDo(t *testing.T) {
+	const daemons = 2
+	shared, now := &Shared{Ratio: 0.5, Allowance: 4, Window: 10 * time.Second}, time.Now()
+	for repeat := range 4 {
+		want := shared.Allows(now, "s", daemons)
+		if got := shared.Take(now, "s", daemons); got != want {
+			t.Errorf("repeat %d: got %t, want %t as was told", repeat, got, want)
+		}
+	}
+	if shared.Allows(now, "s", daemons) {
+		t.Error("got a repeat beyond the share, want none")
+	}
+	if !shared.Allows(now, "other", daemons) {
+		t.Error("got no repeat for another service, want one")
+	}
+}
--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -105,7 +107,7 @@
 	relay     *Relay
 	board     *dogwoodpacking.Board
 	endpoints *fakeEndpoints
-	fresh     bool
+	stale     atomic.Bool
 	answer    *recorder
 }
 
@@ -115,7 +117,7 @@
 
 func newFixture(ctx context.Context, group *sync.WaitGroup, engine *dogwoodenginetime.Engine, script ...func(ctx context.Context) (*Response, error)) *fixture {
 	fixture := &fixture{
-		board: dogwoodpacking.NewBoard("me"), fresh: true, answer: &recorder{},
+		board: dogwoodpacking.NewBoard("me"), answer: &recorder{},
 		endpoints: &fakeEndpoints{script: script, held: map[string]int{}, refuse: map[dogwoodfleet.EndpointID]bool{}},
 	}
 	fixture.setEndpoints(3, engine)
@@ -123,7 +125,7 @@
 		Places: places{fixture.board}, Endpoints: fixture.endpoints,
 		Retries: &dogwoodretry.Shared{Ratio: 0.2, Allowance: 10, Window: 10 * time.Second},
 		Daemons: func() int { return 1 },
-		Fresh:   func() bool { return fixture.fresh },
+		Fresh:   func() bool { return !fixture.stale.Load() },
 		Logger:  hclog.NewNullLogger(),
 	})
 	group.Go(func() { _ = fixture.relay.Run(ctx) })
@@ -143,6 +145,17 @@
 	fixture.board.SetEndpoints(endpoints)
 }
 
+// take takes a number of places.
+func (fixture *fixture) take(t *testing.T, count int) {
+	t.Helper()
+	for slot := range count {
+		ask := &dogwoodpacking.Ask{ID: dogwoodpacking.WorkID(fmt.Sprint(slot)), Service: "s", Prompt: 10, Until: time.Now().Add(time.Second)}
+		if _, refusal := fixture.board.Place(time.Now(), ask); refusal != dogwoodpacking.Placed {
+			t.Fatalf("slot %d: got %q, want it free", slot, refusal)
+		}
+	}
+}
+
 // story runs a test on paused time with a relay whose work ends with it.
 func story(t *testing.T, engine *dogwoodenginetime.Engine, script []func(ctx context.Context) (*Response, error), body func(t *testing.T, fixture *fixture)) {
 	t.Helper()
--- a/core/duty/dogwoodrelay/relay_test.go
+++ b/core/duty/dogwoodrelay/relay_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -11,7 +10,6 @@
 	"testing/synctest"
 	"time"
 
-	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/decision/dogwoodroute"
 	"dogwoodmux.example/core/dogwoodfleet"
 )
@@ -131,7 +129,7 @@
 // withdrawn. Nothing that needs a key may be sent, not even once.
 func TestStaleStateSendsNothing(t *testing.T) {
 	story(t, nil, []step{responds(200, "x")}, func(t *testing.T, fixture *fixture) {
-		fixture.fresh = false
+		fixture.stale.Store(true)
 		failure := failureOf(t, fixture.relay.Serve(t.Context(), plainRequest(dogwoodroute.Idempotent), fixture.answer))
 		if failure.Reason != dogwoodfleet.ReasonStore || failure.Run != dogwoodfleet.NotRun {
 			t.Errorf("got %v, want a refusal for the store's silence", failure)
@@ -230,22 +228,35 @@
 // it slowly. The silence is then too long a second time before the stream moves, which must
 // not end the daemon.
 func TestSilenceThatIsOverTwice(t *testing.T) {
-	story(t, testEngine, []step{responds(200, firstEvents)}, func(t *testing.T, fixture *fixture) {
-		request := streamRequest()
-		attempt := &attempt{relay: fixture.relay, request: request}
-		ctx, cancel := context.WithCancelCause(t.Context())
-		silence := attempt.watch(func() { cancel(errSilent) }, dogwoodpacking.Placement{})
-		defer silence.stop()
-		time.Sleep(firstLeast + time.Millisecond)
-		silence.heard()
-		time.Sleep(2 * time.Second)
-		var broken *Broken
-		if err := explain(ctx, errors.New("cancelled")); !errors.As(err, &broken) || !errors.Is(broken.Cause, errSilent) {
-			t.Errorf("got %v, want the silence as the cause", err)
+	script := []step{pauses("", firstLeast, firstEvents+lastEvents)}
+	story(t, testEngine, script, func(t *testing.T, fixture *fixture) {
+		slow := &slowCaller{recorder: fixture.answer, takes: 2 * time.Second}
+		var group sync.WaitGroup
+		var err error
+		group.Go(func() { err = fixture.relay.Serve(t.Context(), streamRequest(), slow) })
+		synctest.Wait()
+		fixture.take(t, 3*testEngine.Slots-1)
+		group.Wait()
+		if got, want := fixture.answer.body.String(), firstEvents+lastEvents; err != nil || got != want {
+			t.Errorf("got %q and %v, want %q", got, err, want)
+		}
+		if got := len(fixture.endpoints.sends); got != 1 {
+			t.Errorf("got %d sends, want 1", got)
 		}
 	})
 }
 
+// slowCaller takes each event slowly.
+type slowCaller struct {
+	*recorder
+	takes time.Duration
+}
+
+func (slow *slowCaller) Write(data []byte) error {
+	time.Sleep(slow.takes)
+	return slow.recorder.Write(data)
+}
+
 // An engine is busy with others and keeps one stream waiting. Moving it would have its
 // prompt read again at an engine that is as busy.
 func TestAStreamStaysAtABusyEngine(t *testing.T) {
@@ -307,12 +318,7 @@
 		if !errors.Is(err, ErrCallerGone) {
 			t.Errorf("got %v, want ErrCallerGone", err)
 		}
-		for slot := range 3 * testEngine.Slots {
-			ask := &dogwoodpacking.Ask{ID: dogwoodpacking.WorkID(fmt.Sprint(slot)), Service: "s", Prompt: 10, Until: time.Now().Add(time.Second)}
-			if _, refusal := fixture.board.Place(time.Now(), ask); refusal != dogwoodpacking.Placed {
-				t.Fatalf("slot %d: got %q, want it free", slot, refusal)
-			}
-		}
+		fixture.take(t, 3*testEngine.Slots)
 	})
 }
 
--- /dev/null
+++ b/core/duty/dogwoodrelay/run.go
@@ -0,0 +1,156 @@
+package dogwoodrelay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"dogwoodmux.example/core/decision/dogwoodpacking"
+)
+
+// readsFor is how many times the predicted time a prompt may take to be read whatever memory its
+// helpers have set aside: an engine that reads uses that memory, and writes nothing meanwhile.
+const readsFor = 2
+
+var (
+	errSilent = errors.New("the endpoint fell silent")
+	// errNoStream means that the endpoint answered with something else than a stream.
+	errNoStream = errors.New("the answer is no stream")
+)
+
+// run is a stream at one endpoint.
+type run struct {
+	*prepared
+	// send sends the request; it is called once.
+	send func() (*Response, error)
+	// cause is why the run was cancelled.
+	cause  func() error
+	cancel context.CancelCauseFunc
+	// sent is when the request was sent.
+	sent     time.Time
+	response *Response
+	events   *events
+	pace     pace
+	// writes is true from the first event on.
+	writes bool
+	// read is what was read ahead of the first call of next.
+	read *readAhead
+	// unused ends a run whose helpers' memory nobody uses; nil if none have any.
+	unused *time.Timer
+	// used is true once the memory is used, or is about to be given back.
+	used atomic.Bool
+}
+
+// readAhead is an event that was read before it was asked for.
+type readAhead struct {
+	event event
+	err   error
+}
+
+func newRun(ctx context.Context, prepared *prepared) *run {
+	ctx, cancel := context.WithCancelCause(ctx)
+	made := &run{prepared: prepared, cancel: cancel, sent: time.Now()}
+	made.cause = func() error { return context.Cause(ctx) }
+	made.send = func() (*Response, error) { return prepared.attempt.relay.options.Endpoints.Send(ctx, prepared.order) }
+	made.boundMemory()
+	return made
+}
+
+// close ends the run and gives back what it has.
+func (run *run) close() {
+	run.memoryUsed()
+	if run.response != nil {
+		closeBody(run.response)
+	}
+	run.cancel(nil)
+	run.prepared.close()
+}
+
+// next returns the next event. It sends the request first if that was not done.
+func (run *run) next() (event, error) {
+	if read := run.read; read != nil {
+		run.read = nil
+		return read.event, read.err
+	}
+	event, err := run.nextRead()
+	if err == nil {
+		run.memoryUsed()
+	}
+	return event, err
+}
+
+// peek waits for the next event and keeps it for next.
+func (run *run) peek() error {
+	event, err := run.next()
+	run.read = &readAhead{event: event, err: err}
+	return err
+}
+
+func (run *run) nextRead() (event, error) {
+	if run.response == nil {
+		if err := run.open(); err != nil {
+			return event{}, err
+		}
+	}
+	found, err := run.events.next()
+	if err != nil && !errors.Is(err, io.EOF) {
+		return event{}, run.explain(&Broken{Cause: err})
+	}
+	return found, err
+}
+
+// open sends the request. The error is errNoStream if the answer is not the endpoint's stream.
+func (run *run) open() error {
+	response, err := run.send()
+	if err != nil {
+		return run.explain(err)
+	}
+	run.response, run.events = response, newEvents(response.Body)
+	if response.Status != http.StatusOK || response.NotRun || response.OtherInstance || !response.Genuine {
+		return errNoStream
+	}
+	return nil
+}
+
+// explain gives an error that the silence caused its cause.
+func (run *run) explain(err error) error {
+	if errors.Is(run.cause(), errSilent) {
+		return &Broken{Cause: errSilent}
+	}
+	return err
+}
+
+// boundMemory ends the run if memory that its helpers have set aside would stay unused for too long.
+func (run *run) boundMemory() {
+	most := run.attempt.relay.options.UnusedMemory
+	if most <= 0 || !setsAside(run.placement) {
+		return
+	}
+	run.unused = time.AfterFunc(never, func() {
+		switch {
+		case run.used.Load():
+		case run.attempt.relay.alive.lately(time.Now(), run.placement.Endpoint.ID):
+			run.unused.Reset(aliveAgain)
+		default:
+			run.cancel(errSilent)
+		}
+	})
+	run.unused.Reset(max(most-releaseWithin, readsFor*run.placement.Predicted)) // only now, since the function uses the timer itself
+}
+
+// memoryUsed notes that the memory is used, or is about to be given back.
+func (run *run) memoryUsed() {
+	if run.unused != nil && !run.used.Swap(true) {
+		run.unused.Stop()
+	}
+}
+
+// setsAside tells whether helpers keep memory for a prompt. An engine that goes dark before it reads
+// leaves that memory unused for as long as the daemon waits for it.
+func setsAside(placement dogwoodpacking.Placement) bool {
+	return slices.ContainsFunc(placement.Helpers, func(helper dogwoodpacking.Helper) bool { return helper.Tokens > 0 })
+}
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -41,8 +41,10 @@
 	// sent counts the tries that may have run, reached those that reached an endpoint, and
 	// unsent those that did not.
 	sent, reached, unsentTries int
-	tried                      []dogwoodfleet.EndpointID
-	known                      dogwoodfleet.RunState
+	// begun counts the tries that asked for a place.
+	begun int
+	tried []dogwoodfleet.EndpointID
+	known dogwoodfleet.RunState
 	// stream is what the caller has of a stream.
 	stream progress
 }
@@ -77,8 +79,8 @@
 	defer cancel()
 	attempt := &attempt{relay: relay, request: request, answer: answer, known: dogwoodfleet.NotRun}
 	attempt.stream.last = request.LastEvent
-	for tries := 1; ; tries++ {
-		verdict := attempt.try(ctx, tries)
+	for {
+		verdict := attempt.try(ctx)
 		if verdict.done || verdict.err != nil {
 			return attempt.finish(verdict.err)
 		}
@@ -91,7 +93,7 @@
 			return attempt.finish(verdict.otherwise())
 		}
 		counters.Add("Retries", 1)
-		relay.options.Logger.Info(dogwoodlog.TryingAgain, "request", request.ID, "try", tries+1, "after", verdict.why)
+		relay.options.Logger.Info(dogwoodlog.TryingAgain, "request", request.ID, "try", attempt.begun+1, "after", verdict.why)
 	}
 }
 
@@ -129,11 +131,40 @@
 	return ""
 }
 
+// prepared is a try that has its place, and its helpers' memory.
+type prepared struct {
+	attempt   *attempt
+	order     *Order
+	placement dogwoodpacking.Placement
+	id        dogwoodpacking.WorkID
+	release   func()
+}
+
+// close gives the place and the memory back.
+func (prepared *prepared) close() {
+	prepared.release()
+	prepared.attempt.relay.options.Places.End(prepared.id)
+}
+
 // try finds a place and sends the request there.
-func (attempt *attempt) try(ctx context.Context, tries int) verdict {
+func (attempt *attempt) try(ctx context.Context) verdict {
+	prepared, failed := attempt.prepare(ctx)
+	if prepared == nil {
+		return failed
+	}
+	if attempt.request.Prompt > 0 {
+		return attempt.tryStream(ctx, prepared)
+	}
+	defer prepared.close()
+	return attempt.tryPlain(ctx, prepared.order, prepared.placement)
+}
+
+// prepare finds a place and the memory that a try needs. Without them it returns nil and why.
+func (attempt *attempt) prepare(ctx context.Context) (*prepared, verdict) {
 	relay, request := attempt.relay, attempt.request
+	attempt.begun++
 	if request.Keyed && !relay.options.Fresh() {
-		return verdict{err: &Failure{
+		return nil, verdict{err: &Failure{
 			Reason: dogwoodfleet.ReasonStore, Run: attempt.known, RetryAfter: staleRetry,
 			Detail: "the store has not confirmed the keys for too long",
 		}}
@@ -143,26 +174,22 @@
 	placement, err := attempt.place(ctx, ask)
 	relay.options.Metrics.Observe(metricWait, "", time.Since(waiting))
 	if err != nil {
-		return verdict{err: err}
+		return nil, verdict{err: err}
 	}
-	defer relay.options.Places.End(ask.ID)
-	relay.options.Logger.Info(dogwoodlog.Placed, "request", request.ID, "try", tries, "endpoint", placement.Endpoint.ID,
+	relay.options.Logger.Info(dogwoodlog.Placed, "request", request.ID, "try", attempt.begun, "endpoint", placement.Endpoint.ID,
 		"waited", time.Since(waiting), "helpers", helperNames(placement), "prompt", request.Prompt, "predicted", placement.Predicted,
 		"writers", placement.Load.Writers, "queued", placement.Load.Queued, "queuedtokens", placement.Load.QueuedTokens)
 	helpers, release, err := relay.reserve(ctx, ask.ID, placement)
 	if err != nil {
-		return attempt.unsent(err)
+		relay.options.Places.End(ask.ID)
+		return nil, attempt.unsent(err)
 	}
-	defer release()
 	attempt.tried = append(attempt.tried, placement.Endpoint.ID)
 	order := &Order{
 		Request: request, Endpoint: placement.Endpoint.Endpoint, Helpers: helpers,
 		Left: time.Until(request.Deadline), LastEvent: attempt.stream.last,
 	}
-	if request.Prompt > 0 {
-		return attempt.tryStream(ctx, order, placement, ask.ID)
-	}
-	return attempt.tryPlain(ctx, order, placement)
+	return &prepared{attempt: attempt, order: order, placement: placement, id: ask.ID, release: release}, verdict{}
 }
 
 func (attempt *attempt) refuse(reason dogwoodfleet.Reason, after time.Duration, detail string) error {
