Keep a hanging call until another endpoint answers

What callers saw: a look-up was refused with 502 although the endpoint that had it would have answered in time; found by reading, as the same cause as the streams that were cut.

Cause: an idempotent call that had hung for three times its aim was cancelled before the relay asked whether it may be sent again. With the retry budget used up, or another endpoint that did not begin, broke off, failed or hung as well, the caller got the failure of the second try or none.

Change: plain calls take the way of streams: a second run is begun at another endpoint, and the first whole answer is passed on.

TestAHangingCallIsNotGivenUpForNothing failed before in all its five cases ("got EndpointDied (Unknown): broke off: context canceled, want the answer").

--- a/core/duty/dogwoodrelay/hedge.go
+++ b/core/duty/dogwoodrelay/hedge.go
@@ -9,7 +9,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodlog"
 )
 
@@ -23,6 +22,11 @@
 	// pauseLeast at least.
 	pauseSilence = 4
 	pauseLeast   = time.Second
+	// hangAims is how many times its aim an idempotent call may hang at an endpoint before
+	// another one is tried; an endpoint that ran it answers well within.
+	hangAims = 3
+	// leastHang bounds that from below, for aims that are shorter than a slow network.
+	leastHang = 500 * time.Millisecond
 	// aliveAgain is when a silent stream is looked at again whose endpoint writes others, or for
 	// which no other endpoint could be tried.
 	aliveAgain = 250 * time.Millisecond
@@ -32,15 +36,15 @@
 	resumeNeeds = 300 * time.Millisecond
 )
 
-// hedge has a second run go on with a stream whose endpoint is silent: a connection that lost its
+// hedge has a second run go on with a request whose endpoint is silent: a connection that lost its
 // other end shows nothing else. The first run is given up only when the second one brings an event.
-// An endpoint that only paused goes on by itself, and the stream may have no other place to go.
+// An endpoint that only paused goes on by itself, and the request may have no other place to go.
 type hedge struct {
 	attempt *attempt
 	run     *run
 	// limit is the silence that is borne next.
 	limit time.Duration
-	// timer fires when it is over; nil if the stream can't be moved.
+	// timer fires when it is over; nil if the request can't be moved.
 	timer *time.Timer
 	due   time.Time
 	group errgroup.Group
@@ -65,10 +69,8 @@
 }
 
 func (attempt *attempt) newHedge(ctx context.Context, run *run) *hedge {
-	hedge := &hedge{attempt: attempt, run: run, limit: max(firstSilence*run.placement.Predicted, firstLeast)}
-	if run.read != nil {
-		hedge.limit = hedge.pause()
-	}
+	hedge := &hedge{attempt: attempt, run: run}
+	hedge.limit = hedge.first()
 	if attempt.maySendMore() {
 		hedge.timer = time.AfterFunc(never, func() { hedge.silent(ctx) })
 		hedge.timer.Stop() // until the run is waited for
@@ -76,8 +78,19 @@
 	return hedge
 }
 
-// pause is the silence that is borne after an event.
+// first is the silence that is borne before the first event.
+func (hedge *hedge) first() time.Duration {
+	if request := hedge.attempt.request; request.plain() {
+		return max(hangAims*request.Route.Aim, leastHang)
+	}
+	return max(firstSilence*hedge.run.placement.Predicted, firstLeast)
+}
+
+// pause is the silence that is borne after an event, and after a second run that failed.
 func (hedge *hedge) pause() time.Duration {
+	if hedge.attempt.request.plain() {
+		return hedge.first()
+	}
 	return max(pauseSilence*hedge.attempt.request.Route.Pause, pauseLeast)
 }
 
@@ -251,7 +264,7 @@
 		attempt.sent++
 	case errors.As(err, &unsent):
 		attempt.unreachable(run.placement, err)
-	case !errors.Is(err, errNoStream):
+	case !errors.Is(err, errNoAnswer):
 		attempt.lost(run.placement, err)
 	default:
 		if _, declined := attempt.declined(run.order, run.placement, run.response); !declined {
@@ -259,10 +272,3 @@
 		}
 	}
 }
-
-// moved notes that a silent run was given up for another one.
-func (attempt *attempt) moved(run *run) {
-	attempt.known = dogwoodfleet.RunUnknown
-	attempt.sent++
-	attempt.relay.options.Places.Failed(time.Now(), run.placement.Endpoint.ID)
-}
--- a/core/duty/dogwoodrelay/plain.go
+++ b/core/duty/dogwoodrelay/plain.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodpacking"
-	"dogwoodmux.example/core/decision/dogwoodroute"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
 )
@@ -17,48 +16,10 @@
 	// wholeBytes is the largest answer that is held until it is whole, so that one that
 	// breaks off can be asked for again. Larger ones are passed on as they come.
 	wholeBytes = 1 << 20
-	// hangAims is how many times its aim an idempotent call may hang at an endpoint before
-	// another one is tried; an endpoint that ran it answers well within.
-	hangAims = 3
-	// leastHang bounds that from below, for aims that are shorter than a slow network.
-	leastHang = 500 * time.Millisecond
 	// silentLeast is the least time without an answer that is held against an endpoint.
 	silentLeast = time.Second
 )
 
-// tryPlain sends a call and passes on its whole answer.
-func (attempt *attempt) tryPlain(ctx context.Context, order *Order, placement dogwoodpacking.Placement) verdict {
-	tryContext, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if hang := attempt.hang(); hang > 0 {
-		timer := time.AfterFunc(hang, cancel)
-		defer timer.Stop()
-	}
-	response, err := attempt.relay.options.Endpoints.Send(tryContext, order)
-	if err != nil {
-		return attempt.sendFailed(ctx, placement, err)
-	}
-	defer closeBody(response)
-	if verdict, refused := attempt.declined(order, placement, response); refused {
-		return verdict
-	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, wholeBytes+1))
-	if err != nil {
-		return attempt.sendFailed(ctx, placement, &Broken{Cause: err})
-	}
-	if len(data) > wholeBytes {
-		return attempt.passOn(response, data)
-	}
-	whole := func() error { return attempt.deliver(response, data) }
-	if response.Status >= http.StatusInternalServerError && attempt.request.repeatable() {
-		return attempt.ranBadly(placement, response, whole)
-	}
-	if err := whole(); err != nil {
-		return verdict{err: err}
-	}
-	return verdict{done: true}
-}
-
 // ranBadly is the verdict on a failure that an endpoint answered with.
 func (attempt *attempt) ranBadly(placement dogwoodpacking.Placement, response *Response, otherwise func() error) verdict {
 	attempt.sent++
@@ -67,16 +28,6 @@
 	return verdict{again: true, arrived: true, why: http.StatusText(response.Status), otherwise: otherwise}
 }
 
-// hang is how long this try may take, or 0 for as long as there is time: a call that must
-// not run twice gains nothing from giving up, and a last try neither.
-func (attempt *attempt) hang() time.Duration {
-	request := attempt.request
-	if request.Route.Repeat != dogwoodroute.Idempotent || attempt.sent+1 >= request.Route.Attempts {
-		return 0
-	}
-	return max(hangAims*request.Route.Aim, leastHang)
-}
-
 // sendFailed is the verdict on an error of Send or of reading the answer.
 func (attempt *attempt) sendFailed(ctx context.Context, placement dogwoodpacking.Placement, err error) verdict {
 	var unsent *NotSent
@@ -141,6 +92,17 @@
 
 var errNotGenuine = errors.New("the success is not the endpoint's own")
 
+// passAnswer passes on a whole answer, or the begun one that is too large to be held.
+func (attempt *attempt) passAnswer(run *run, data []byte) verdict {
+	if len(data) > wholeBytes {
+		return attempt.passOn(run.response, data)
+	}
+	if err := attempt.deliver(run.response, data); err != nil {
+		return verdict{err: err}
+	}
+	return verdict{done: true}
+}
+
 // deliver passes on a whole answer.
 func (attempt *attempt) deliver(response *Response, data []byte) error {
 	if err := attempt.answer.Begin(response.Status, response.Header); err != nil {
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -67,6 +67,9 @@
 	}
 }
 
+// plain tells a call that is answered as a whole from a prompt.
+func (request *Request) plain() bool { return request.Prompt == 0 }
+
 // Answer takes what goes to the caller.
 type Answer interface {
 	// Begin sends the status and headers.
--- a/core/duty/dogwoodrelay/relay_test.go
+++ b/core/duty/dogwoodrelay/relay_test.go
@@ -180,6 +180,19 @@
 	})
 }
 
+// Guards against a failure that is too large to be held and passed on in part.
+func TestALargeFailureIsPassedOnWhole(t *testing.T) {
+	large := strings.Repeat("x", 2*wholeBytes)
+	story(t, nil, []step{responds(500, large)}, func(t *testing.T, fixture *fixture) {
+		if err := fixture.relay.Serve(t.Context(), plainRequest(dogwoodroute.Idempotent), fixture.answer); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := fixture.answer.body.Len(), len(large); fixture.answer.status != 500 || got != want {
+			t.Errorf("got status %d and %d bytes, want 500 and %d", fixture.answer.status, got, want)
+		}
+	})
+}
+
 const (
 	firstEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 	lastEvents  = "id: 3\ndata: c\n\n"
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -18,11 +18,11 @@
 
 var (
 	errSilent = errors.New("the endpoint fell silent")
-	// errNoStream means that the endpoint answered with something else than a stream.
-	errNoStream = errors.New("the answer is no stream")
+	// errNoAnswer means that what the endpoint answered is not what the caller asked for.
+	errNoAnswer = errors.New("the endpoint gave no answer")
 )
 
-// run is a stream at one endpoint.
+// run is a request at one endpoint. A plain call brings its whole answer as one event.
 type run struct {
 	*prepared
 	// send sends the request; it is called once.
@@ -96,26 +96,50 @@
 			return event{}, err
 		}
 	}
-	found, err := run.events.next()
+	read := run.events.next
+	if run.attempt.request.plain() {
+		read = run.readWhole
+	}
+	found, err := read()
 	if err != nil && !errors.Is(err, io.EOF) {
 		return event{}, run.explain(&Broken{Cause: err})
 	}
 	return found, err
 }
 
-// open sends the request. The error is errNoStream if the answer is not the endpoint's stream.
+// readWhole reads a plain answer, one that is too large to be held only as far as it may be.
+func (run *run) readWhole() (event, error) {
+	data, err := io.ReadAll(io.LimitReader(run.response.Body, wholeBytes+1))
+	return event{raw: data}, err
+}
+
+// open sends the request. The error is errNoAnswer if what came back is not its answer.
 func (run *run) open() error {
 	response, err := run.send()
 	if err != nil {
 		return run.explain(err)
 	}
 	run.response, run.events = response, newEvents(response.Body)
-	if response.Status != http.StatusOK || response.NotRun || response.OtherInstance || !response.Genuine {
-		return errNoStream
+	if !run.answers() {
+		return errNoAnswer
 	}
 	return nil
 }
 
+// answers tells whether the response is an answer that may be passed on while there may be others.
+func (run *run) answers() bool {
+	response, request := run.response, run.attempt.request
+	success := response.Status >= 200 && response.Status < 300
+	switch {
+	case response.NotRun, response.OtherInstance, success && !response.Genuine:
+		return false
+	case request.plain():
+		return response.Status < http.StatusInternalServerError || !request.repeatable()
+	default:
+		return response.Status == http.StatusOK
+	}
+}
+
 // explain gives an error that the silence caused its cause.
 func (run *run) explain(err error) error {
 	if errors.Is(run.cause(), errSilent) {
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -152,11 +152,15 @@
 	if prepared == nil {
 		return failed
 	}
-	if attempt.request.Prompt > 0 {
-		return attempt.tryStream(ctx, prepared)
+	run := newRun(ctx, prepared)
+	for {
+		verdict, other := attempt.follow(ctx, run)
+		run.close()
+		if other == nil {
+			return verdict
+		}
+		run = other
 	}
-	defer prepared.close()
-	return attempt.tryPlain(ctx, prepared.order, prepared.placement)
 }
 
 // prepare finds a place and the memory that a try needs. Without them it returns nil and why.
--- a/core/duty/dogwoodrelay/silent_test.go
+++ b/core/duty/dogwoodrelay/silent_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodretry"
+	"dogwoodmux.example/core/decision/dogwoodroute"
 )
 
 // pauses is an endpoint that is silent between two parts of its answer.
@@ -162,3 +163,59 @@
 		}
 	})
 }
+
+// Guards against a refusal of a look-up that its sound endpoint would have answered in time.
+func TestAHangingCallIsNotGivenUpForNothing(t *testing.T) {
+	const hangs = 2 * time.Second
+	late := func(ctx context.Context) (*Response, error) {
+		select {
+		case <-time.After(hangs):
+			return responds(200, "whole")(ctx)
+		case <-ctx.Done():
+			return nil, &Broken{Cause: ctx.Err()}
+		}
+	}
+	tests := []struct {
+		name    string
+		retries *dogwoodretry.Shared
+		other   step
+	}{
+		{"the retry budget is used up", &dogwoodretry.Shared{Window: 10 * time.Second}, responds(200, "other")},
+		{"the other endpoint does not begin", nil, notRun(http.StatusServiceUnavailable)},
+		{"the other endpoint breaks off", nil, fails(&Broken{Cause: errors.New("reset")})},
+		{"the other endpoint fails", nil, responds(500, "failed")},
+		{"the other endpoint hangs, too", nil, fallsSilent("")},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			story(t, nil, []step{late, test.other}, func(t *testing.T, fixture *fixture) {
+				if test.retries != nil {
+					fixture.relay.options.Retries = test.retries
+				}
+				if err := fixture.relay.Serve(t.Context(), plainRequest(dogwoodroute.Idempotent), fixture.answer); err != nil {
+					t.Errorf("got %v, want the answer", err)
+				}
+				if got, want := fixture.answer.body.String(), "whole"; got != want {
+					t.Errorf("got %q, want %q", got, want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an endpoint that never answers a look-up although another one would.
+func TestAHangingCallIsAnsweredElsewhere(t *testing.T) {
+	hangs := func(ctx context.Context) (*Response, error) {
+		<-ctx.Done()
+		return nil, &Broken{Cause: ctx.Err()}
+	}
+	story(t, nil, []step{hangs, responds(200, "whole")}, func(t *testing.T, fixture *fixture) {
+		request := plainRequest(dogwoodroute.Idempotent)
+		if err := fixture.relay.Serve(t.Context(), request, fixture.answer); err != nil {
+			t.Fatal(err)
+		}
+		if got, most := time.Since(request.Arrived), hangAims*request.Route.Aim; got > most {
+			t.Errorf("got the answer after %s, want it within %s", got, most)
+		}
+	})
+}
--- a/core/duty/dogwoodrelay/stream.go
+++ b/core/duty/dogwoodrelay/stream.go
@@ -1,14 +1,10 @@
 package dogwoodrelay
 
 import (
-	"context"
 	"errors"
-	"io"
-	"net/http"
 	"strconv"
 	"time"
 
-	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodlog"
 )
@@ -20,40 +16,6 @@
 	last string
 }
 
-// tryStream sends a request and passes on its events, whole ones only.
-func (attempt *attempt) tryStream(ctx context.Context, prepared *prepared) verdict {
-	run := newRun(ctx, prepared)
-	for {
-		verdict, other := attempt.follow(ctx, run)
-		run.close()
-		if other == nil {
-			return verdict
-		}
-		run = other
-	}
-}
-
-// follow passes on the events of a run until it ends, or until another run goes on with the stream.
-func (attempt *attempt) follow(ctx context.Context, run *run) (verdict, *run) {
-	hedge := attempt.newHedge(ctx, run)
-	defer hedge.stop()
-	for {
-		hedge.await()
-		event, err := run.next()
-		if other := hedge.settle(err); other != nil {
-			attempt.moved(run)
-			return verdict{}, other
-		}
-		if err != nil {
-			return attempt.runEnded(ctx, run, err), nil
-		}
-		attempt.noteEvent(run)
-		if err := attempt.passEvent(run.response, event); err != nil {
-			return verdict{err: err}, nil
-		}
-	}
-}
-
 // noteEvent learns from the moment of an event.
 func (attempt *attempt) noteEvent(run *run) {
 	places, endpoint := attempt.relay.options.Places, run.placement.Endpoint.ID
@@ -73,20 +35,6 @@
 		"predicted", run.placement.Predicted, "seen", seen, "endpoint", endpoint)
 }
 
-// runEnded is the verdict on a run that brings no further event.
-func (attempt *attempt) runEnded(ctx context.Context, run *run, err error) verdict {
-	switch {
-	case errors.Is(err, io.EOF):
-		return attempt.streamEnded(run.response)
-	case !errors.Is(err, errNoStream):
-		return attempt.sendFailed(ctx, run.placement, err)
-	}
-	if verdict, declined := attempt.declined(run.order, run.placement, run.response); declined {
-		return verdict
-	}
-	return attempt.streamRefused(ctx, run.placement, run.response)
-}
-
 // streamEnded passes on a stream's end; one without any event still has its headers.
 func (attempt *attempt) streamEnded(response *Response) verdict {
 	if err := attempt.beginStream(response); err != nil {
@@ -95,27 +43,6 @@
 	return verdict{done: true}
 }
 
-// streamRefused is the verdict on a failure that an engine answered with.
-func (attempt *attempt) streamRefused(ctx context.Context, placement dogwoodpacking.Placement, response *Response) verdict {
-	data, err := io.ReadAll(io.LimitReader(response.Body, wholeBytes))
-	if err != nil {
-		return attempt.sendFailed(ctx, placement, &Broken{Cause: err})
-	}
-	otherwise := func() error {
-		if attempt.stream.begun {
-			return ErrCut
-		}
-		return attempt.deliver(response, data)
-	}
-	if response.Status < http.StatusInternalServerError && !attempt.stream.begun {
-		if err := otherwise(); err != nil {
-			return verdict{err: err}
-		}
-		return verdict{done: true}
-	}
-	return attempt.ranBadly(placement, response, otherwise)
-}
-
 func (attempt *attempt) beginStream(response *Response) error {
 	if attempt.stream.begun {
 		return nil
