Pass over endpoints that do not begin a second run

Read once more, the second run of a silent request had three faults: after an endpoint that could not be reached or did not begin it waited for another silence, a second at least, before the next one; a second run that ended with its request left the outcome "not run"; and a timer that fired just as an event came could begin a second run at once. A panic also left the run's place and memory taken.

Each has its test but the last two: TestASilentStreamPassesOverEndpointsThatDoNotBegin, TestASecondRunCountsAsRun.

--- a/core/duty/dogwoodrelay/hedge.go
+++ b/core/duty/dogwoodrelay/hedge.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodlog"
 )
 
@@ -172,7 +173,8 @@
 func (hedge *hedge) silent(ctx context.Context) {
 	hedge.mutex.Lock()
 	defer hedge.mutex.Unlock()
-	if !hedge.waits || hedge.second != nil {
+	// A timer that fired as an event came finds the wait for the next one.
+	if !hedge.waits || hedge.second != nil || time.Now().Before(hedge.due) {
 		return
 	}
 	endpoint := hedge.run.placement.Endpoint.ID
@@ -211,7 +213,7 @@
 		return
 	}
 	if run != nil {
-		hedge.attempt.sent++
+		hedge.attempt.dropped()
 		run.close()
 	}
 	second.cancel()
@@ -222,29 +224,48 @@
 }
 
 // openSecond sends the request to another endpoint and waits for its first event, or for the end of a
-// stream that has none left. It returns nil if that fails.
+// stream that has none left. It tries the next one if that did not begin, and returns nil if none does.
 func (attempt *attempt) openSecond(ctx context.Context) *run {
-	prepared, failed := attempt.prepare(ctx)
-	if prepared == nil {
-		attempt.noSecond(failed)
-		return nil
+	paid := false
+	for attempt.unsentTries < mostUnsent && attempt.maySendMore() {
+		prepared, failed := attempt.prepare(ctx)
+		if prepared == nil && (!failed.again || ctx.Err() != nil) {
+			attempt.noSecond(failed)
+			return nil
+		}
+		if prepared == nil {
+			attempt.unsentTries++
+			continue
+		}
+		if !paid && !attempt.pay() {
+			prepared.close()
+			return nil
+		}
+		run := newRun(ctx, prepared)
+		err := run.peek()
+		if err == nil || errors.Is(err, io.EOF) {
+			return run
+		}
+		again, arrived := attempt.secondFailed(ctx, run, err)
+		run.close()
+		if !again {
+			return nil
+		}
+		paid = !arrived
 	}
+	return nil
+}
+
+// pay takes a repeat from the budget for a second run.
+func (attempt *attempt) pay() bool {
 	options := &attempt.relay.options
 	if !options.Retries.Take(time.Now(), attempt.request.Service, options.Daemons()) {
-		prepared.close()
-		return nil
+		return false
 	}
+	attempt.reached++
 	counters.Add("Retries", 1)
 	options.Logger.Info(dogwoodlog.TryingAgain, "request", attempt.request.ID, "try", attempt.begun, "after", errSilent)
-	attempt.reached++
-	run := newRun(ctx, prepared)
-	err := run.peek()
-	if err == nil || errors.Is(err, io.EOF) {
-		return run
-	}
-	attempt.secondFailed(ctx, run, err)
-	run.close()
-	return nil
+	return true
 }
 
 // noSecond tells why no other endpoint is tried.
@@ -256,19 +277,33 @@
 	attempt.relay.options.Logger.Info(dogwoodlog.NoFurtherTry, "request", attempt.request.ID, "why", why, "after", errSilent)
 }
 
-// secondFailed notes what came of a second run that brought nothing. The first one still runs.
-func (attempt *attempt) secondFailed(ctx context.Context, run *run, err error) {
+// secondFailed notes what came of a second run that brought nothing, while the first one still runs. It
+// tells whether a further endpoint may be tried, and whether the request arrived at this one.
+func (attempt *attempt) secondFailed(ctx context.Context, run *run, err error) (again, arrived bool) {
 	var unsent *NotSent
 	switch {
-	case ctx.Err() != nil:
-		attempt.sent++
+	case errors.As(err, &unsent) && ctx.Err() != nil:
+		return false, false
 	case errors.As(err, &unsent):
 		attempt.unreachable(run.placement, err)
-	case !errors.Is(err, errNoAnswer):
-		attempt.lost(run.placement, err)
-	default:
-		if _, declined := attempt.declined(run.order, run.placement, run.response); !declined {
-			attempt.lost(run.placement, err)
+		attempt.unsentTries++
+		return true, false
+	case ctx.Err() != nil:
+		attempt.dropped()
+		return false, true
+	case errors.Is(err, errNoAnswer):
+		if _, declined := attempt.declined(run.order, run.placement, run.response); declined {
+			return true, true
 		}
 	}
+	attempt.lost(run.placement, err)
+	return true, true
+}
+
+// dropped notes a second run that was ended because the first one went on, or with the request.
+func (attempt *attempt) dropped() {
+	attempt.sent++
+	if attempt.known == dogwoodfleet.NotRun {
+		attempt.known = dogwoodfleet.RunUnknown
+	}
 }
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -153,12 +153,13 @@
 		return failed
 	}
 	run := newRun(ctx, prepared)
+	defer func() { run.close() }()
 	for {
 		verdict, other := attempt.follow(ctx, run)
-		run.close()
 		if other == nil {
 			return verdict
 		}
+		run.close()
 		run = other
 	}
 }
--- a/core/duty/dogwoodrelay/silent_test.go
+++ b/core/duty/dogwoodrelay/silent_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 
 	"dogwoodmux.example/core/decision/dogwoodretry"
 	"dogwoodmux.example/core/decision/dogwoodroute"
+	"dogwoodmux.example/core/dogwoodfleet"
 )
 
 // pauses is an endpoint that is silent between two parts of its answer.
@@ -86,6 +88,50 @@
 	}
 }
 
+// Guards against a caller that waits for seconds because the endpoints tried first are gone, too.
+func TestASilentStreamPassesOverEndpointsThatDoNotBegin(t *testing.T) {
+	const dead = 6
+	unreachable, full := fails(&NotSent{Cause: errors.New("refused")}), notRun(http.StatusServiceUnavailable)
+	for _, other := range []struct {
+		name string
+		step step
+		most int
+	}{{"they can't be reached", unreachable, dead}, {"they do not begin", full, mostTries - 2}} {
+		t.Run(other.name, func(t *testing.T) {
+			script := append([]step{fallsSilent(firstEvents)}, slices.Repeat([]step{other.step}, other.most)...)
+			script = append(script, responds(200, lastEvents))
+			story(t, testEngine, script, func(t *testing.T, fixture *fixture) {
+				fixture.setEndpoints(dead+2, testEngine)
+				begun := time.Now()
+				if err := fixture.relay.Serve(t.Context(), streamRequest(), fixture.answer); err != nil {
+					t.Fatal(err)
+				}
+				if got, most := time.Since(begun), pauseLeast+100*time.Millisecond; got > most {
+					t.Errorf("got the answer after %s, want it within %s", got, most)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a refusal that says not run of a request whose second run was ended with it.
+func TestASecondRunCountsAsRun(t *testing.T) {
+	late := func(ctx context.Context) (*Response, error) {
+		select {
+		case <-time.After(2 * time.Second):
+			return notRun(http.StatusServiceUnavailable)(ctx)
+		case <-ctx.Done():
+			return nil, &Broken{Cause: ctx.Err()}
+		}
+	}
+	story(t, testEngine, []step{late, fallsSilent("")}, func(t *testing.T, fixture *fixture) {
+		failure := failureOf(t, fixture.relay.Serve(t.Context(), streamRequest(), fixture.answer))
+		if got, want := failure.Run, dogwoodfleet.RunUnknown; got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+	})
+}
+
 // Guards against an answer with a seam when both endpoints bring the same events.
 func TestTheFirstOfTwoEndpointsGoesOn(t *testing.T) {
 	tests := []struct {
