--- a/core/decision/dogwoodretry/share.go
+++ b/core/decision/dogwoodretry/share.go
@@ -49,6 +49,16 @@
 	return true
 }
 
+// Return gives back a repeat that was taken and not made.
+func (shared *Shared) Return(now time.Time, service dogwoodfleet.Service) {
+	shared.mutex.Lock()
+	defer shared.mutex.Unlock()
+	counts := shared.counts(now, service)
+	if last := len(counts.repeats) - 1; last >= 0 {
+		counts.repeats = counts.repeats[:last]
+	}
+}
+
 // Allows tells whether Take would take a repeat now.
 func (shared *Shared) Allows(now time.Time, service dogwoodfleet.Service, daemons int) bool {
 	shared.mutex.Lock()
--- a/core/decision/dogwoodretry/share_test.go
+++ b/core/decision/dogwoodretry/share_test.go
@@ -115,3 +115,18 @@
 		t.Error("got no repeat for another service, want one")
 	}
 }
+
+// Guards against a budget that shrinks by repeats that were never made.
+func TestAReturnedRepeatMayBeTakenAgain(t *testing.T) {
+	shared, now := &Shared{Allowance: 1, Window: 10 * time.Second}, time.Now()
+	shared.Return(now, "s") // none was taken
+	for range 3 {
+		if !shared.Take(now, "s", 1) {
+			t.Fatal("got no repeat, want the one that was returned")
+		}
+		if shared.Take(now, "s", 1) {
+			t.Fatal("got a second repeat, want one")
+		}
+		shared.Return(now, "s")
+	}
+}
--- a/core/duty/dogwoodrelay/follow.go
+++ b/core/duty/dogwoodrelay/follow.go
@@ -4,10 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
-	"time"
-
-	"dogwoodmux.example/core/dogwoodfleet"
 )
 
 // follow passes on what a run brings until it ends, or until another run goes on with the request.
@@ -17,8 +13,8 @@
 	for {
 		hedge.await()
 		event, err := run.next()
-		if other := hedge.settle(err); other != nil {
-			attempt.moved(run)
+		if other := hedge.settle(run.goesOn(err)); other != nil {
+			attempt.moved(ctx, run, err)
 			return verdict{}, other
 		}
 		if err != nil {
@@ -39,43 +35,22 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		return attempt.streamEnded(run.response)
-	case !errors.Is(err, errNoAnswer):
-		return attempt.sendFailed(ctx, run.placement, err)
-	}
-	if verdict, declined := attempt.declined(run.order, run.placement, run.response); declined {
-		return verdict
+	case run.rejected(err) && !attempt.stream.begun:
+		event, err := run.readWhole()
+		if err != nil {
+			return attempt.sendFailed(ctx, run.placement, run.explain(&Broken{Cause: err}))
+		}
+		return attempt.passAnswer(run, event.raw)
 	}
-	return attempt.failed(ctx, run)
+	return attempt.judge(ctx, run, err)
 }
 
-// failed is the verdict on a failure that an endpoint answered with.
-func (attempt *attempt) failed(ctx context.Context, run *run) verdict {
-	response := run.response
-	event, err := run.readWhole()
-	if err != nil {
-		return attempt.sendFailed(ctx, run.placement, run.explain(&Broken{Cause: err}))
-	}
-	if len(event.raw) > wholeBytes && !attempt.stream.begun {
-		return attempt.passOn(response, event.raw)
+// moved notes what came of a run when another one goes on with the request.
+func (attempt *attempt) moved(ctx context.Context, run *run, err error) {
+	if err == nil {
+		err = &Broken{Cause: errSilent}
 	}
-	otherwise := func() error {
-		if attempt.stream.begun {
-			return ErrCut
-		}
-		return attempt.deliver(response, event.raw)
-	}
-	if response.Status < http.StatusInternalServerError && !attempt.stream.begun {
-		if err := otherwise(); err != nil {
-			return verdict{err: err}
-		}
-		return verdict{done: true}
+	if verdict := attempt.judge(ctx, run, err); !verdict.arrived {
+		attempt.unsentTries++
 	}
-	return attempt.ranBadly(run.placement, response, otherwise)
-}
-
-// moved notes that a silent run was given up for another one.
-func (attempt *attempt) moved(run *run) {
-	attempt.known = dogwoodfleet.RunUnknown
-	attempt.sent++
-	attempt.relay.options.Places.Failed(time.Now(), run.placement.Endpoint.ID)
 }
--- a/core/duty/dogwoodrelay/hedge.go
+++ b/core/duty/dogwoodrelay/hedge.go
@@ -5,10 +5,12 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"dogwoodmux.example/core/decision/dogwoodroute"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodlog"
 )
@@ -70,27 +72,20 @@
 }
 
 func (attempt *attempt) newHedge(ctx context.Context, run *run) *hedge {
-	hedge := &hedge{attempt: attempt, run: run}
-	hedge.limit = hedge.first()
-	if attempt.maySendMore() {
-		hedge.timer = time.AfterFunc(never, func() { hedge.silent(ctx) })
+	hedge := &hedge{attempt: attempt, run: run, limit: run.firstSilence()}
+	// A whole answer that is no call's takes as long as it takes.
+	whole := attempt.request.plain() && attempt.request.Route.Repeat != dogwoodroute.Idempotent
+	if attempt.maySendMore() && !whole {
+		hedge.timer = time.AfterFunc(never, func() { hedge.onSilence(ctx) })
 		hedge.timer.Stop() // until the run is waited for
 	}
 	return hedge
 }
 
-// first is the silence that is borne before the first event.
-func (hedge *hedge) first() time.Duration {
-	if request := hedge.attempt.request; request.plain() {
-		return max(hangAims*request.Route.Aim, leastHang)
-	}
-	return max(firstSilence*hedge.run.placement.Predicted, firstLeast)
-}
-
 // pause is the silence that is borne after an event, and after a second run that failed.
 func (hedge *hedge) pause() time.Duration {
 	if hedge.attempt.request.plain() {
-		return hedge.first()
+		return hedge.run.firstSilence()
 	}
 	return max(pauseSilence*hedge.attempt.request.Route.Pause, pauseLeast)
 }
@@ -102,13 +97,6 @@
 		time.Until(request.Deadline) >= resumeNeeds
 }
 
-// mayHedge tells whether a second run can be of use now.
-func (attempt *attempt) mayHedge() bool {
-	options := &attempt.relay.options
-	return attempt.maySendMore() && (!attempt.request.Keyed || options.Fresh()) &&
-		options.Retries.Allows(time.Now(), attempt.request.Service, options.Daemons())
-}
-
 // await begins the wait for the run's next event.
 func (hedge *hedge) await() {
 	if hedge.timer == nil {
@@ -120,13 +108,13 @@
 	hedge.reset(hedge.limit)
 }
 
-// settle ends that wait with the error that the run brought, nil for an event. It returns the second run
-// if the stream goes on there.
-func (hedge *hedge) settle(err error) *run {
+// settle ends that wait, and waits for the end of a second run. It returns that run if the request goes
+// on there. A run that goes on by itself drops a second one that has brought nothing.
+func (hedge *hedge) settle(goesOn bool) *run {
 	if hedge.timer == nil {
 		return nil
 	}
-	second := hedge.endWait(err)
+	second := hedge.endWait(goesOn)
 	if second == nil {
 		return nil
 	}
@@ -134,9 +122,7 @@
 	return second.won
 }
 
-// endWait ends the wait, and returns the second run if there is one. A run that broke off leaves the
-// stream to it; otherwise it is dropped unless it was first.
-func (hedge *hedge) endWait(err error) *second {
+func (hedge *hedge) endWait(goesOn bool) *second {
 	hedge.mutex.Lock()
 	defer hedge.mutex.Unlock()
 	hedge.timer.Stop()
@@ -147,7 +133,6 @@
 	if second == nil {
 		return nil
 	}
-	goesOn := err == nil || errors.Is(err, io.EOF)
 	if goesOn && second.won == nil {
 		second.dropped = true
 		second.cancel()
@@ -157,7 +142,7 @@
 
 // stop ends what is still under way.
 func (hedge *hedge) stop() {
-	if other := hedge.settle(nil); other != nil {
+	if other := hedge.settle(true); other != nil {
 		other.close()
 	}
 	_ = hedge.group.Wait() // a second run returns no error
@@ -169,8 +154,8 @@
 	hedge.timer.Reset(after)
 }
 
-// silent begins a second run if the endpoint is silent to all and another one may be tried.
-func (hedge *hedge) silent(ctx context.Context) {
+// onSilence begins a second run if the endpoint is silent to all and another one may be tried.
+func (hedge *hedge) onSilence(ctx context.Context) {
 	hedge.mutex.Lock()
 	defer hedge.mutex.Unlock()
 	// A timer that fired as an event came finds the wait for the next one.
@@ -184,11 +169,9 @@
 	}
 	if !hedge.told {
 		hedge.told = true
-		counters.Add("Silent", 1)
-		hedge.attempt.relay.options.Logger.Info(dogwoodlog.Silent, "request", hedge.attempt.request.ID,
-			"endpoint", endpoint, "timerlate", time.Since(hedge.due))
+		hedge.attempt.noteSilence(endpoint, time.Since(hedge.due))
 	}
-	if !hedge.attempt.mayHedge() {
+	if !hedge.attempt.maySendMore() || !hedge.attempt.fresh() || !hedge.attempt.pay() {
 		hedge.reset(aliveAgain)
 		return
 	}
@@ -196,13 +179,13 @@
 	second := &second{cancel: cancel, done: make(chan struct{})}
 	hedge.second = second
 	hedge.group.Go(func() error {
-		hedge.try(ctx, second)
+		hedge.race(ctx, second)
 		return nil
 	})
 }
 
-// try makes the second run, and takes the stream over with its first event.
-func (hedge *hedge) try(ctx context.Context, second *second) {
+// race makes the second run, and takes the request over with its first event.
+func (hedge *hedge) race(ctx context.Context, second *second) {
 	defer close(second.done)
 	run := hedge.attempt.openSecond(ctx)
 	hedge.mutex.Lock()
@@ -224,52 +207,115 @@
 }
 
 // openSecond sends the request to another endpoint and waits for its first event, or for the end of a
-// stream that has none left. It tries the next one if that did not begin, and returns nil if none does.
+// stream that has none left. It tries the next one if that fails, and returns nil if none does better.
+// The first of these was paid for.
 func (attempt *attempt) openSecond(ctx context.Context) *run {
-	paid := false
-	for attempt.unsentTries < mostUnsent && attempt.maySendMore() {
-		prepared, failed := attempt.prepare(ctx)
-		if prepared == nil && (!failed.again || ctx.Err() != nil) {
-			attempt.noSecond(failed)
-			return nil
-		}
-		if prepared == nil {
-			attempt.unsentTries++
-			continue
+	paid := true
+	defer func() {
+		if paid {
+			attempt.relay.options.Retries.Return(time.Now(), attempt.request.Service)
 		}
+	}()
+	for attempt.unsentTries < mostUnsent && attempt.maySendMore() {
 		if !paid && !attempt.pay() {
-			prepared.close()
 			return nil
 		}
-		run := newRun(ctx, prepared)
-		err := run.peek()
-		if err == nil || errors.Is(err, io.EOF) {
+		run, verdict := attempt.trySecond(ctx)
+		paid = run == nil && !verdict.arrived
+		switch {
+		case run != nil:
 			return run
-		}
-		again, arrived := attempt.secondFailed(ctx, run, err)
-		run.close()
-		if !again {
+		case !verdict.again || ctx.Err() != nil:
+			attempt.noSecond(ctx, verdict)
 			return nil
+		case paid:
+			attempt.unsentTries++
 		}
-		paid = !arrived
 	}
 	return nil
 }
 
+// trySecond makes one try of a second run. Without an event it returns nil and what came of it.
+func (attempt *attempt) trySecond(ctx context.Context) (*run, verdict) {
+	prepared, failed := attempt.prepare(ctx)
+	if prepared == nil {
+		return nil, failed
+	}
+	run := newRun(ctx, prepared)
+	stop := attempt.boundSecond(run)
+	err := run.peek()
+	stop()
+	if err == nil || errors.Is(err, io.EOF) {
+		attempt.reached++
+		return run, verdict{}
+	}
+	defer run.close()
+	var unsent *NotSent
+	found := attempt.judge(ctx, run, err)
+	if found.err != nil && !errors.As(err, &unsent) {
+		attempt.dropped()
+		found.arrived = true
+	}
+	if found.arrived {
+		attempt.reached++
+	}
+	return nil, found
+}
+
+// boundSecond ends a second run that is silent itself once a third one may follow. It is bound until the
+// returned function is called.
+func (attempt *attempt) boundSecond(run *run) func() {
+	if attempt.sent+2 >= attempt.request.Route.Attempts {
+		return func() {}
+	}
+	options, endpoint := &attempt.relay.options, run.placement.Endpoint.ID
+	var timer *time.Timer
+	var stopped atomic.Bool
+	timer = time.AfterFunc(never, func() {
+		now := time.Now()
+		switch {
+		case stopped.Load():
+		case attempt.relay.alive.lately(now, endpoint), !options.Retries.Allows(now, attempt.request.Service, options.Daemons()):
+			timer.Reset(aliveAgain)
+		default:
+			run.cancel(errSilent)
+		}
+	})
+	timer.Reset(run.firstSilence()) // only now, since the function uses the timer itself
+	return func() {
+		stopped.Store(true)
+		timer.Stop()
+	}
+}
+
+// fresh tells whether no key of the request can have been withdrawn unseen for too long.
+func (attempt *attempt) fresh() bool {
+	return !attempt.request.Keyed || attempt.relay.options.Fresh()
+}
+
 // pay takes a repeat from the budget for a second run.
 func (attempt *attempt) pay() bool {
 	options := &attempt.relay.options
 	if !options.Retries.Take(time.Now(), attempt.request.Service, options.Daemons()) {
 		return false
 	}
-	attempt.reached++
 	counters.Add("Retries", 1)
-	options.Logger.Info(dogwoodlog.TryingAgain, "request", attempt.request.ID, "try", attempt.begun, "after", errSilent)
+	options.Logger.Info(dogwoodlog.TryingAgain, "request", attempt.request.ID, "try", attempt.begun+1, "after", errSilent)
 	return true
 }
 
-// noSecond tells why no other endpoint is tried.
-func (attempt *attempt) noSecond(failed verdict) {
+// noteSilence tells of an endpoint that brings nothing.
+func (attempt *attempt) noteSilence(endpoint dogwoodfleet.EndpointID, timerLate time.Duration) {
+	counters.Add("Silent", 1)
+	attempt.relay.options.Logger.Info(dogwoodlog.Silent, "request", attempt.request.ID,
+		"endpoint", endpoint, "timerlate", timerLate)
+}
+
+// noSecond tells why no other endpoint is tried. One that is not needed any more needs no reason.
+func (attempt *attempt) noSecond(ctx context.Context, failed verdict) {
+	if ctx.Err() != nil {
+		return
+	}
 	why := failed.why
 	if failed.err != nil {
 		why = failed.err.Error()
@@ -277,29 +323,6 @@
 	attempt.relay.options.Logger.Info(dogwoodlog.NoFurtherTry, "request", attempt.request.ID, "why", why, "after", errSilent)
 }
 
-// secondFailed notes what came of a second run that brought nothing, while the first one still runs. It
-// tells whether a further endpoint may be tried, and whether the request arrived at this one.
-func (attempt *attempt) secondFailed(ctx context.Context, run *run, err error) (again, arrived bool) {
-	var unsent *NotSent
-	switch {
-	case errors.As(err, &unsent) && ctx.Err() != nil:
-		return false, false
-	case errors.As(err, &unsent):
-		attempt.unreachable(run.placement, err)
-		attempt.unsentTries++
-		return true, false
-	case ctx.Err() != nil:
-		attempt.dropped()
-		return false, true
-	case errors.Is(err, errNoAnswer):
-		if _, declined := attempt.declined(run.order, run.placement, run.response); declined {
-			return true, true
-		}
-	}
-	attempt.lost(run.placement, err)
-	return true, true
-}
-
 // dropped notes a second run that was ended because the first one went on, or with the request.
 func (attempt *attempt) dropped() {
 	attempt.sent++
--- a/core/duty/dogwoodrelay/random_test.go
+++ b/core/duty/dogwoodrelay/random_test.go
@@ -250,7 +250,7 @@
 // Guards against a run, a place, memory or a part of an answer that is lost, comes twice or stays when
 // endpoints pause, break off, refuse and go dark in any order.
 func TestRandomPlays(t *testing.T) {
-	const seeds = 1000
+	const seeds = 2000
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { randomStory(t, seed) })
 	}
--- a/core/duty/dogwoodrelay/reserve.go
+++ b/core/duty/dogwoodrelay/reserve.go
@@ -35,7 +35,7 @@
 		helpers[i].Ticket = held.ticket
 		held.helpers = append(held.helpers, helper)
 		if err := held.renew(ctx, helper); err != nil {
-			held.release(ctx)
+			held.releaseLater(ctx, &errgroup.Group{})
 			relay.options.Places.Avoid(time.Now(), helper.Endpoint.ID, unreachableFor)
 			return nil, nil, fmt.Errorf("reserving memory: %w", err)
 		}
@@ -79,17 +79,21 @@
 			}
 		}
 	})
-	// The caller has its answer's end before the memory is given back.
 	return func() {
 		cancel()
-		held.relay.background.Go(func() error {
-			_ = group.Wait() // the renewals return no error
-			held.release(ctx)
-			return nil
-		})
+		held.releaseLater(ctx, &group)
 	}
 }
 
+// releaseLater gives all memory back once its renewals have ended. The caller has its answer's end before.
+func (held *reservation) releaseLater(ctx context.Context, renewals *errgroup.Group) {
+	held.relay.background.Go(func() error {
+		_ = renewals.Wait() // they return no error
+		held.release(ctx)
+		return nil
+	})
+}
+
 // release gives all memory back, also when the caller is gone.
 func (held *reservation) release(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseWithin)
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -18,16 +18,16 @@
 
 var (
 	errSilent = errors.New("the endpoint fell silent")
-	// errNoAnswer means that what the endpoint answered is not what the caller asked for.
-	errNoAnswer = errors.New("the endpoint gave no answer")
+	// errUnusable means that the endpoint answered, but did not begin or failed.
+	errUnusable = errors.New("the endpoint did not begin or failed")
 )
 
 // run is a request at one endpoint. A plain call brings its whole answer as one event.
 type run struct {
 	*prepared
-	// send sends the request; it is called once.
-	send func() (*Response, error)
-	// cause is why the run was cancelled.
+	// send sends the request; it is called once. Like cause, which is why the run was cancelled, it is
+	// bound to the run's context, since contexts are not kept in structs.
+	send   func() (*Response, error)
 	cause  func() error
 	cancel context.CancelCauseFunc
 	// sent is when the request was sent.
@@ -37,8 +37,8 @@
 	pace     pace
 	// writes is true from the first event on.
 	writes bool
-	// read is what was read ahead of the first call of next.
-	read *readAhead
+	// ahead is what peek read.
+	ahead *readAhead
 	// unused ends a run whose helpers' memory nobody uses; nil if none have any.
 	unused *time.Timer
 	// used is true once the memory is used, or is about to be given back.
@@ -72,9 +72,9 @@
 
 // next returns the next event. It sends the request first if that was not done.
 func (run *run) next() (event, error) {
-	if read := run.read; read != nil {
-		run.read = nil
-		return read.event, read.err
+	if ahead := run.ahead; ahead != nil {
+		run.ahead = nil
+		return ahead.event, ahead.err
 	}
 	event, err := run.nextRead()
 	if err == nil {
@@ -86,7 +86,7 @@
 // peek waits for the next event and keeps it for next.
 func (run *run) peek() error {
 	event, err := run.next()
-	run.read = &readAhead{event: event, err: err}
+	run.ahead = &readAhead{event: event, err: err}
 	return err
 }
 
@@ -113,7 +113,7 @@
 	return event{raw: data}, err
 }
 
-// open sends the request. The error is errNoAnswer if what came back is not its answer.
+// open sends the request. The error is errUnusable if what came back is not its answer.
 func (run *run) open() error {
 	response, err := run.send()
 	if err != nil {
@@ -121,7 +121,7 @@
 	}
 	run.response, run.events = response, newEvents(response.Body)
 	if !run.answers() {
-		return errNoAnswer
+		return errUnusable
 	}
 	return nil
 }
@@ -140,6 +140,26 @@
 	}
 }
 
+// goesOn tells whether what next returned belongs to an answer that goes on or has ended, and not to a
+// run of which no more will come.
+func (run *run) goesOn(err error) bool {
+	return err == nil || errors.Is(err, io.EOF) || run.rejected(err)
+}
+
+// rejected tells whether the endpoint's answer is that the request itself is wrong. Others would say so too.
+func (run *run) rejected(err error) bool {
+	return errors.Is(err, errUnusable) && !run.response.NotRun && !run.response.OtherInstance &&
+		run.response.Status >= http.StatusMultipleChoices && run.response.Status < http.StatusInternalServerError
+}
+
+// firstSilence is the silence that is borne before the run's first event.
+func (run *run) firstSilence() time.Duration {
+	if request := run.attempt.request; request.plain() {
+		return max(hangAims*request.Route.Aim, leastHang)
+	}
+	return max(firstSilence*run.placement.Predicted, firstLeast)
+}
+
 // explain gives an error that the silence caused its cause.
 func (run *run) explain(err error) error {
 	if errors.Is(run.cause(), errSilent) {
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -168,7 +168,7 @@
 func (attempt *attempt) prepare(ctx context.Context) (*prepared, verdict) {
 	relay, request := attempt.relay, attempt.request
 	attempt.begun++
-	if request.Keyed && !relay.options.Fresh() {
+	if !attempt.fresh() {
 		return nil, verdict{err: &Failure{
 			Reason: dogwoodfleet.ReasonStore, Run: attempt.known, RetryAfter: staleRetry,
 			Detail: "the store has not confirmed the keys for too long",
