Accept other daemons again after a lack of descriptors

What callers would see: a daemon ends by itself, with all its connections. Found by an audit and by a review of all ways in which connections close unanswered; no play has shown it.

Cause: the server for other daemons ended with the first connection that could not be accepted, and a duty that fails ends the daemon.

Change: it logs the error and goes on after a pause that grows to a second; only a closed listener ends it.

TestAServerOutlivesALackOfDescriptors failed before ("too many open files, want a server that goes on").

--- a/core/edge/dogwoodpeer/server.go
+++ b/core/edge/dogwoodpeer/server.go
@@ -9,8 +9,13 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"dogwoodmux.example/core/dogwoodkernel"
 )
 
+// acceptAgain is the first pause after a connection that can't be accepted, for want of descriptors say.
+const acceptAgain = 10 * time.Millisecond
+
 // pingService is the receiver that answers pings.
 const pingService = "Ping"
 
@@ -55,15 +60,22 @@
 		server.closeConnections()
 	})
 	defer stop()
+	pause := dogwoodkernel.Backoff{First: acceptAgain, Longest: time.Second}
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		switch {
+		case err != nil && ctx.Err() != nil:
+			server.closeConnections()
+			return nil
+		case errors.Is(err, net.ErrClosed):
 			server.closeConnections()
-			if ctx.Err() != nil {
-				return nil
-			}
 			return Error.Wrap(err)
+		case err != nil:
+			server.logger.Warn("A connection of another daemon can't be accepted.", "error", err)
+			_ = pause.Sleep(ctx) // the loop looks at the context itself
+			continue
 		}
+		pause.Reset()
 		group.Go(func() { server.serve(ctx, conn) })
 	}
 }
