Find requests that a daemon cuts beside a change

The history now holds changes: operators' rows (texts, withdrawn keys, data centres taken out and brought back) from their sending until the store accepted them, and settings changed with SIGHUP. CutByChange reports each request under way within 2 s + 1 s of a change of rows, or within 2 s of a daemon's SIGHUP, that ended without a whole answer before its time limit, with no fault and no shutdown at its daemon or of all from 3 s before, and none at an endpoint that it reached. CutWithoutCause reports the same away from changes. One cut is a finding; no frequency is asked.

The history "a wrong answer that looks cut" had nothing broken on its way, which is a finding now. It gets a fault of its endpoint and still shows that WrongAnswer says nothing of it.

Three careless daemons show the checks at work: one cuts just after a text, one just after SIGHUP, one at any time. TestChecks and TestBrokenPromisesAreFound pass.

--- a/dogwoodload/dogwoodsoak/careless_test.go
+++ b/dogwoodload/dogwoodsoak/careless_test.go
@@ -9,8 +9,10 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/signal"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -23,9 +25,15 @@
 	"dogwoodmux.example/platform/dogwoodwire"
 )
 
-// fault is a promise that a careless daemon breaks. It is named as the check that has to find it.
+// fault is a promise that a careless daemon breaks. It is named as the check that has to find it, and after
+// a hyphen by what tells it from others of that check.
 type fault string
 
+func (fault fault) check() string {
+	check, _, _ := strings.Cut(string(fault), "-")
+	return check
+}
+
 // The faults.
 const (
 	twiceRun         fault = "TwiceRun"
@@ -39,8 +47,14 @@
 	memoryHeld       fault = "MemoryHeld"
 	answeredLate     fault = "AnsweredLate"
 	processDied      fault = "ProcessDied"
+	cutByChange      fault = "CutByChange"
+	cutByReload      fault = "CutByChange-reload"
+	cutWithoutCause  fault = "CutWithoutCause"
 )
 
+// changeFelt is for how long after a change a careless daemon cuts requests.
+const changeFelt = 2 * time.Second
+
 // pollEvery is how often the careless daemon reads the store.
 const pollEvery = 100 * time.Millisecond
 
@@ -57,6 +71,8 @@
 	out     map[string]bool
 	keys    map[string]dogwoodfleet.Customer // all that were ever seen
 	sent    int
+	version int64     // of the operators' text
+	changed time.Time // when that changed beside which it cuts
 }
 
 // runCareless runs a careless daemon as the program "serve" would.
@@ -78,6 +94,9 @@
 	})
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return careless.poll(ctx, dogwoodstore.New(settings.Store)) })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	group.Go(func() error { return careless.reload(ctx, signals) })
 	for address, handler := range map[netip.AddrPort]http.Handler{settings.Callers: careless, settings.Directory: directory} {
 		server := &http.Server{Addr: address.String(), Handler: handler}
 		group.Go(server.ListenAndServe)
@@ -104,6 +123,26 @@
 	}
 }
 
+func (careless *careless) reload(ctx context.Context, signals <-chan os.Signal) error {
+	for {
+		select {
+		case <-signals:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		careless.mutex.Lock()
+		careless.change(cutByReload)
+		careless.mutex.Unlock()
+	}
+}
+
+// change has requests be cut if the fault is the daemon's. The mutex is held.
+func (careless *careless) change(fault fault) {
+	if careless.fault == fault {
+		careless.changed = time.Now()
+	}
+}
+
 func (careless *careless) operators(rows []dogwoodwire.Row) {
 	careless.mutex.Lock()
 	defer careless.mutex.Unlock()
@@ -115,6 +154,10 @@
 		}
 		if table, err := dogwoodwire.Text(row.Value); err == nil {
 			careless.table = table
+			if row.Version != careless.version {
+				careless.version = row.Version
+				careless.change(cutByChange)
+			}
 		}
 	}
 }
@@ -180,6 +223,13 @@
 	return careless.fault == fault && careless.sent%10 == 0
 }
 
+// justChanged is true for a short while after a change.
+func (careless *careless) justChanged() bool {
+	careless.mutex.Lock()
+	defer careless.mutex.Unlock()
+	return time.Since(careless.changed) < changeFelt
+}
+
 // ServeHTTP sends a request on and copies what comes back.
 func (careless *careless) ServeHTTP(writer http.ResponseWriter, received *http.Request) {
 	body, err := io.ReadAll(received.Body)
@@ -202,6 +252,8 @@
 		time.Sleep(time.Minute)
 	case careless.now(processDied):
 		os.Exit(1)
+	case careless.now(cutWithoutCause), careless.justChanged() && careless.now(careless.fault):
+		panic(http.ErrAbortHandler)
 	case careless.now(memoryHeld):
 		careless.reserve(received.Context())
 	}
--- a/dogwoodload/dogwoodsoak/daemon.go
+++ b/dogwoodload/dogwoodsoak/daemon.go
@@ -186,5 +186,5 @@
 		return err
 	}
 	awake(ctx, daemon.settings.Directory())
-	return daemon.process.Signal(syscall.SIGHUP)
+	return site.changing(daemon.name, func() error { return daemon.process.Signal(syscall.SIGHUP) })
 }
--- a/dogwoodload/dogwoodsoak/operators.go
+++ b/dogwoodload/dogwoodsoak/operators.go
@@ -63,7 +63,7 @@
 func (site *site) takeOut(ctx context.Context, number int, lasts time.Duration) error {
 	site.takenOut[number].Lock()
 	defer site.takenOut[number].Unlock()
-	if err := dogwoodstandin.TakeOut(ctx, site.control, dataCentres[number], true); err != nil {
+	if err := site.setOut(ctx, dataCentres[number], true); err != nil {
 		return err
 	}
 	takeOut := dogwoodsoakcheck.TakeOut{DataCentre: dataCentres[number], From: time.Now()}
@@ -72,5 +72,11 @@
 	site.mutex.Lock()
 	site.seen.TakeOuts = append(site.seen.TakeOuts, takeOut)
 	site.mutex.Unlock()
-	return dogwoodstandin.TakeOut(ctx, site.control, dataCentres[number], false)
+	return site.setOut(ctx, dataCentres[number], false)
+}
+
+func (site *site) setOut(ctx context.Context, dataCentre string, out bool) error {
+	return site.changing(dogwoodsoakcheck.Everybody, func() error {
+		return dogwoodstandin.TakeOut(ctx, site.control, dataCentre, out)
+	})
 }
--- a/dogwoodload/dogwoodsoak/play.go
+++ b/dogwoodload/dogwoodsoak/play.go
@@ -59,6 +59,17 @@
 	return err
 }
 
+// changing keeps the span of a change for the checks.
+func (site *site) changing(daemon string, work func() error) error {
+	change := dogwoodsoakcheck.Change{Daemon: daemon, From: time.Now()}
+	err := work()
+	change.To = time.Now()
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	site.seen.Changes = append(site.seen.Changes, change)
+	return err
+}
+
 func carry(ctx context.Context, proxy *dogwoodsoakproxy.Proxy, fault dogwoodsoakproxy.Fault, lasts time.Duration) error {
 	proxy.Set(fault)
 	if fault.Refused {
--- a/dogwoodload/dogwoodsoak/shape.go
+++ b/dogwoodload/dogwoodsoak/shape.go
@@ -57,6 +57,7 @@
 		Stability: 3 * time.Second, Revoke: daemonBounds.Revoke, Drain: 2 * time.Second, TakeOut: 5 * time.Second,
 		RetryRatio: daemonBounds.RetryRatio, RetryAllowance: daemonBounds.RetryAllowance, RetryWindow: daemonBounds.RetryWindow,
 		ColdPerSecond: coldPerSecond, ColdOvershoot: 1.5, ColdSlack: 5, AnswerSlack: time.Second,
+		Configuration: 2 * time.Second, TextSlack: time.Second,
 		StopSlack: 200 * time.Millisecond, TakesFor: 2 * time.Second,
 		Recovery: recovery, ServedShare: 0.25,
 	}
--- a/dogwoodload/dogwoodsoak/site.go
+++ b/dogwoodload/dogwoodsoak/site.go
@@ -164,7 +164,7 @@
 	}
 	site.version++
 	text := dogwoodstandin.Text{Version: site.version, Routes: routes, Services: services, Customers: customers(site.withdrawn)}
-	return text.Publish(ctx, site.control)
+	return site.changing(dogwoodsoakcheck.Everybody, func() error { return text.Publish(ctx, site.control) })
 }
 
 // eventually tries until it works or the time is over.
--- a/dogwoodload/dogwoodsoak/soak_test.go
+++ b/dogwoodload/dogwoodsoak/soak_test.go
@@ -86,6 +86,9 @@
 		{memoryHeld, nil},
 		{answeredLate, nil},
 		{processDied, nil},
+		{cutByChange, nil},
+		{cutByReload, []dogwoodsoakplan.Step{step(dogwoodsoakplan.DaemonReloaded, 5*time.Second, 0)}},
+		{cutWithoutCause, nil},
 		{withdrawnKeyRan, []dogwoodsoakplan.Step{step(dogwoodsoakplan.KeyWithdrawn, 0, 8*time.Second)}},
 		{sentAfterLeaving, []dogwoodsoakplan.Step{step(dogwoodsoakplan.EndpointReplaced, 0, 0)}},
 		{sentAfterTakeOut, []dogwoodsoakplan.Step{step(dogwoodsoakplan.TakenOut, 0, 8*time.Second)}},
@@ -104,8 +107,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if !slices.ContainsFunc(report.Findings, func(finding dogwoodsoakcheck.Finding) bool { return finding.Check == string(test.fault) }) {
-				t.Errorf("got %+v in %+v, want %s among them", report.Findings, report.Summary, test.fault)
+			if !slices.ContainsFunc(report.Findings, func(finding dogwoodsoakcheck.Finding) bool { return finding.Check == test.fault.check() }) {
+				t.Errorf("got %+v in %+v, want %s among them", report.Findings, report.Summary, test.fault.check())
 			}
 		})
 	}
--- a/dogwoodload/dogwoodsoakcheck/check.go
+++ b/dogwoodload/dogwoodsoakcheck/check.go
@@ -35,6 +35,8 @@
 	{"MemoryHeld", memoryHeld},
 	{"AnsweredLate", answeredLate},
 	{"CutByStop", cutByStop},
+	{"CutByChange", cutByChange},
+	{"CutWithoutCause", cutWithoutCause},
 	{"StopTooLong", stopTooLong},
 	{"NotRecovered", notRecovered},
 	{"ProcessDied", processDied},
--- a/dogwoodload/dogwoodsoakcheck/check_test.go
+++ b/dogwoodload/dogwoodsoakcheck/check_test.go
@@ -19,6 +19,7 @@
 	Stability: 3 * time.Second, Revoke: 5 * time.Second, Drain: 2 * time.Second, TakeOut: 5 * time.Second,
 	RetryRatio: 0.2, RetryAllowance: 3, RetryWindow: 10 * time.Second,
 	ColdPerSecond: 2, ColdOvershoot: 1.5, ColdSlack: 1, AnswerSlack: time.Second,
+	Configuration: 2 * time.Second, TextSlack: time.Second,
 	TakesFor: 2 * time.Second, Recovery: 12 * time.Second, ServedShare: 0.25,
 }
 
@@ -56,6 +57,11 @@
 	history.Faults = append(history.Faults, fault)
 }
 
+// change is a change that the store accepted, or the daemon had, a tenth of a second after it was sent.
+func (history *History) change(daemon string, from float64) {
+	history.Changes = append(history.Changes, Change{Daemon: daemon, From: after(from), To: after(from + 0.1)})
+}
+
 // cut has a request end without an answer.
 func (history *History) cut(id string) {
 	call := history.call(id)
@@ -104,6 +110,7 @@
 		{"a wrong answer that looks cut", func(history *History) {
 			call := history.call("Prompt-5")
 			call.Whole, call.Wrong = false, "too short"
+			history.fault(Fault{Endpoint: "e"}, 5.05, 6)
 		}, ""},
 		{"a request that nobody sent", func(history *History) {
 			history.Arrivals = append(history.Arrivals, arrival("nobody's", 5))
@@ -181,6 +188,81 @@
 			history.fault(Fault{Daemon: "d", Planned: true}, 17.5, 25)
 			history.cut("Once-20")
 		}, ""},
+		{"a change cuts a request", func(history *History) {
+			history.change(Everybody, 20.05)
+			history.cut("Prompt-20")
+		}, "CutByChange"},
+		{"a change cuts a request that was sent within the bound", func(history *History) {
+			history.change(Everybody, 17)
+			history.cut("Once-20")
+		}, "CutByChange"},
+		{"a change cuts a stream that had begun", func(history *History) {
+			history.change(Everybody, 20.05)
+			call := history.call("Prompt-20")
+			call.Whole, call.Error = false, "unexpected EOF"
+		}, "CutByChange"},
+		{"a change crosses a refusal", func(history *History) {
+			history.change(Everybody, 20.05)
+			call := history.call("Prompt-20")
+			call.Status, call.NotRun, call.Sealed = 503, true, false
+		}, ""},
+		{"a change crosses a time limit", func(history *History) {
+			history.change(Everybody, 21)
+			history.cut("Once-20")
+			history.call("Once-20").Ended = after(24)
+		}, ""},
+		{"a change crosses an endpoint's crash", func(history *History) {
+			history.change(Everybody, 20.05)
+			history.fault(Fault{Endpoint: "e"}, 20.06, 21)
+			history.cut("Once-20")
+		}, ""},
+		{"a change crosses the crash of an endpoint that the request did not reach", func(history *History) {
+			history.change(Everybody, 20.05)
+			history.fault(Fault{Endpoint: "other"}, 20.06, 21)
+			history.cut("Once-20")
+		}, "CutByChange"},
+		{"a change crosses a daemon's fault", func(history *History) {
+			history.change(Everybody, 20.05)
+			history.fault(Fault{Daemon: "d"}, 16, 18)
+			history.cut("Once-20")
+		}, ""},
+		{"a change crosses another daemon's fault", func(history *History) {
+			history.change(Everybody, 20.05)
+			history.fault(Fault{Daemon: "other"}, 16, 18)
+			history.cut("Once-20")
+		}, "CutByChange"},
+		{"a change crosses a fault of the store", func(history *History) {
+			history.change(Everybody, 20.05)
+			history.fault(Fault{Daemon: Everybody}, 19, 21)
+			history.cut("Once-20")
+		}, ""},
+		{"a change crosses a daemon's shutdown", func(history *History) {
+			history.change(Everybody, 17.5)
+			history.Stops = []Stop{{Daemon: "d", From: after(17.5), To: after(24)}}
+			history.fault(Fault{Daemon: "d", Planned: true}, 17.5, 25)
+			history.cut("Once-20")
+		}, ""},
+		{"changed settings cut a request", func(history *History) {
+			history.change("d", 20.05)
+			history.cut("Once-20")
+		}, "CutByChange"},
+		{"a request is cut after the bound of changed settings", func(history *History) {
+			history.change("d", 17.5)
+			history.cut("Once-20")
+		}, "CutWithoutCause"},
+		{"a request is cut beside changed settings of another daemon", func(history *History) {
+			history.change("other", 20.05)
+			history.cut("Once-20")
+		}, "CutWithoutCause"},
+		{"a request is cut before a change", func(history *History) {
+			history.change(Everybody, 20.2)
+			history.cut("Once-20")
+		}, "CutWithoutCause"},
+		{"a request is cut without a cause", func(history *History) { history.cut("Once-20") }, "CutWithoutCause"},
+		{"a request is cut after a daemon's fault", func(history *History) {
+			history.fault(Fault{Daemon: "d"}, 16, 18)
+			history.cut("Once-20")
+		}, ""},
 		{"a shutdown has no end", func(history *History) {
 			history.Stops = []Stop{{Daemon: "d", From: after(20), Killed: true}}
 		}, "StopTooLong"},
--- a/dogwoodload/dogwoodsoakcheck/history.go
+++ b/dogwoodload/dogwoodsoakcheck/history.go
@@ -19,6 +19,9 @@
 	ColdPerSecond, ColdOvershoot, ColdSlack float64
 	// AnswerSlack is how much later than its time limit a request may end.
 	AnswerSlack time.Duration
+	// Configuration is how long after a change a daemon still takes it in; TextSlack comes on top for the
+	// operators' rows.
+	Configuration, TextSlack time.Duration
 	// TakesFor is how long after the signal to stop a daemon still takes requests, StopSlack by how much
 	// a request may cross its end.
 	TakesFor, StopSlack time.Duration
@@ -104,6 +107,14 @@
 	From, To   time.Time
 }
 
+// Change is a change of the operators' rows or of a daemon's settings.
+type Change struct {
+	// Daemon is whom it reaches, everybody for the operators' rows.
+	Daemon string
+	// From is when it was about to be sent, To when the store had accepted it or the daemon was signalled.
+	From, To time.Time
+}
+
 // Leaving is an endpoint that said it would leave, or whose entry is gone for good.
 type Leaving struct {
 	Endpoint string
@@ -138,6 +149,7 @@
 	Faults      []Fault
 	Withdrawals []Withdrawal
 	TakeOuts    []TakeOut
+	Changes     []Change
 	Leavings    []Leaving
 	Stops       []Stop
 	Held        []Held
--- a/dogwoodload/dogwoodsoakcheck/requests.go
+++ b/dogwoodload/dogwoodsoakcheck/requests.go
@@ -86,6 +86,52 @@
 	})
 }
 
+// cutByChange looks for requests that ended without an answer beside a change.
+func cutByChange(judged *judged) []Finding {
+	return judged.byCall(func(call *Call) string {
+		change := judged.changeBeside(call)
+		if change == nil || !judged.cutUnbroken(call) {
+			return ""
+		}
+		return fmt.Sprintf("was cut by %s after %s, beside a change for %s that was sent %s before: %s", call.Daemon,
+			call.Ended.Sub(call.Sent).Round(time.Millisecond), change.Daemon, call.Ended.Sub(change.From).Round(time.Millisecond), call.Error)
+	})
+}
+
+// cutWithoutCause looks for those that nothing explains, not even a change.
+func cutWithoutCause(judged *judged) []Finding {
+	return judged.byCall(func(call *Call) string {
+		if judged.changeBeside(call) != nil || !judged.cutUnbroken(call) {
+			return ""
+		}
+		return fmt.Sprintf("was cut by %s after %s: %s", call.Daemon, call.Ended.Sub(call.Sent).Round(time.Millisecond), call.Error)
+	})
+}
+
+// changeBeside is the latest change while which a request was under way, nil if there is none.
+func (judged *judged) changeBeside(call *Call) *Change {
+	var latest *Change
+	for i := range judged.Changes {
+		change := &judged.Changes[i]
+		bound := judged.bounds.Configuration
+		if change.Daemon == Everybody {
+			bound += judged.bounds.TextSlack
+		}
+		concerned := change.Daemon == call.Daemon || change.Daemon == Everybody
+		beside := call.Sent.Before(change.To.Add(bound)) && call.Ended.After(change.From)
+		if concerned && beside && (latest == nil || change.From.After(latest.From)) {
+			latest = change
+		}
+	}
+	return latest
+}
+
+// cutUnbroken is true for a request that ended without an answer although its daemon had all it needs
+// and nothing was broken on its way.
+func (judged *judged) cutUnbroken(call *Call) bool {
+	return !call.Whole && !judged.brokenOtherwise(call) && judged.calm(call.Daemon, call.Sent, call.Ended, judged.bounds.Stability)
+}
+
 // brokenOtherwise is true if something else than a shutdown may have ended a request.
 func (judged *judged) brokenOtherwise(call *Call) bool {
 	if call.Ended.Sub(call.Sent) >= call.Wait {
