Have endpoints of the soak be busy for a while

No stream of the soak was ever silent for longer than a daemon bears, over a second, and then went on with nothing broken: the stand-in writes an event each 40 ms, and a frozen or muted endpoint counts as a fault, which excuses cuts. An engine that reads a long prompt does just that.

A step EndpointBusy has an endpoint write nothing, to any caller, for 1 to 3 s and then go on, with its connections open. The whole endpoint is silent, not single streams, since daemons go on waiting for a stream whose endpoint writes others. One that is busy already stays so no longer, so that no silence is longer than 3 s. It is no fault to any check.

It is drawn beside them now, each 4 s on average and half of these times at several endpoints; what else a seed draws stays as it was.

The stand-in's and the plan's tests pass; those of the plan ask that each kind is drawn.

--- a/dogwoodload/dogwoodsoak/endpoint.go
+++ b/dogwoodload/dogwoodsoak/endpoint.go
@@ -112,6 +112,8 @@
 	case dogwoodsoakplan.EndpointSlow:
 		const slow = 150 * time.Millisecond
 		return link(dogwoodsoakproxy.Fault{Delay: slow}, step.For)
+	case dogwoodsoakplan.EndpointBusy:
+		return site.busy(ctx, endpoint, step.For)
 	case dogwoodsoakplan.EntryLapsed:
 		return site.lapse(ctx, endpoint, step.For)
 	default:
@@ -156,6 +158,14 @@
 	return site.startEndpoint(ctx, endpoint, true, coldFor)
 }
 
+// busy has an endpoint that runs write nothing for a while.
+func (site *site) busy(ctx context.Context, endpoint *endpoint, lasts time.Duration) error {
+	endpoint.life.Lock()
+	defer endpoint.life.Unlock()
+	awake(ctx, endpoint.address)
+	return dogwoodstandin.SetBusyAt(ctx, endpoint.address, lasts)
+}
+
 // lapse has the entry of a living endpoint be gone for a while.
 func (site *site) lapse(ctx context.Context, endpoint *endpoint, lasts time.Duration) error {
 	endpoint.life.Lock()
--- a/dogwoodload/dogwoodsoakplan/plan.go
+++ b/dogwoodload/dogwoodsoakplan/plan.go
@@ -46,6 +46,8 @@
 	EndpointOneWay Kind = "EndpointOneWay"
 	// EndpointSlow delays all that an endpoint's connections carry.
 	EndpointSlow Kind = "EndpointSlow"
+	// EndpointBusy has an endpoint write nothing for a while and then go on; that is no fault.
+	EndpointBusy Kind = "EndpointBusy"
 	// EntryLapsed removes an endpoint's entry and has it back after the duration.
 	EntryLapsed Kind = "EntryLapsed"
 	// StoreDown, StoreSilent, StoreSlow and StoreLosing are faults of the store for all.
@@ -117,6 +119,11 @@
 	{TakenOut, DataCentre, 2, 6 * second, 10 * second, 0},
 }
 
+// busy is drawn beside the others.
+var busy = []traits{
+	{EndpointBusy, Endpoint, 1, second, 3 * second, second / 10},
+}
+
 // Shape is how much there is to break.
 type Shape struct {
 	Daemons, Endpoints, Keys, DataCentres int
@@ -153,16 +160,35 @@
 	seriesShare = 0.25
 	// seriesMost bounds such a series.
 	seriesMost = 4
+	// busyEvery and busySeriesShare are the same for endpoints that are busy.
+	busyEvery       = 4 * time.Second
+	busySeriesShare = 0.5
 )
 
 // Draw returns the steps of a seed in their order, all of them over by the end.
 func Draw(seed uint64, shape Shape, from, until time.Duration) []Step {
-	random := rand.New(rand.NewPCG(seed, seed))
+	faults := sequence{rand.New(rand.NewPCG(seed, seed)), kinds, stepEvery, seriesShare}
+	pauses := sequence{rand.New(rand.NewPCG(seed, ^seed)), busy, busyEvery, busySeriesShare}
+	steps := append(faults.draw(shape, from, until), pauses.draw(shape, from, until)...)
+	slices.SortStableFunc(steps, func(one, other Step) int { return cmp.Compare(one.At, other.At) })
+	return steps
+}
+
+// sequence draws steps independently of others.
+type sequence struct {
+	random      *rand.Rand
+	kinds       []traits
+	every       time.Duration
+	seriesShare float64
+}
+
+func (sequence *sequence) draw(shape Shape, from, until time.Duration) []Step {
+	random := sequence.random
 	var steps []Step
-	for at := from; at < until; at += time.Duration(random.ExpFloat64() * float64(stepEvery)) {
-		traits := pick(random)
+	for at := from; at < until; at += time.Duration(random.ExpFloat64() * float64(sequence.every)) {
+		traits := pick(random, sequence.kinds)
 		series := 1
-		if traits.apart > 0 && random.Float64() < seriesShare {
+		if traits.apart > 0 && random.Float64() < sequence.seriesShare {
 			series = 2 + random.IntN(seriesMost-1)
 		}
 		first := random.IntN(shape.count(traits.subject))
@@ -177,11 +203,10 @@
 			}
 		}
 	}
-	slices.SortStableFunc(steps, func(one, other Step) int { return cmp.Compare(one.At, other.At) })
 	return steps
 }
 
-func pick(random *rand.Rand) traits {
+func pick(random *rand.Rand, kinds []traits) traits {
 	sum := 0
 	for _, each := range kinds {
 		sum += each.weight
@@ -197,7 +222,7 @@
 
 // SubjectOf returns what a kind is done to.
 func SubjectOf(kind Kind) Subject {
-	for _, each := range kinds {
+	for _, each := range slices.Concat(kinds, busy) {
 		if each.kind == kind {
 			return each.subject
 		}
--- a/dogwoodload/dogwoodsoakplan/plan_test.go
+++ b/dogwoodload/dogwoodsoakplan/plan_test.go
@@ -44,7 +44,7 @@
 			}
 		}
 	}
-	for _, each := range kinds {
+	for _, each := range slices.Concat(kinds, busy) {
 		if !drawn[each.kind] {
 			t.Errorf("no seed of 200 draws %s", each.kind)
 		}
