Keep what a soak judged beside its logs

Callers' requests, faults and changes with their times were in memory alone, so that nobody could tell from a kept directory why a cut request is no finding. They go into the file history as one JSON object.

--- a/dogwoodload/dogwoodsoak/soak.go
+++ b/dogwoodload/dogwoodsoak/soak.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -208,6 +209,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := writeHistory(filepath.Join(directory, "history"), history); err != nil {
+		return nil, err
+	}
 	report := &Report{
 		Seed: options.Seed, For: options.For, Daemons: len(site.daemons), Endpoints: len(site.endpoints), Steps: len(steps),
 		Summary: dogwoodsoakcheck.Summarise(history), Findings: dogwoodsoakcheck.Check(history, checkBounds),
@@ -232,6 +236,15 @@
 	return dogwoodverb.Error.Wrap(os.WriteFile(path, []byte(written.String()), 0o600))
 }
 
+// writeHistory keeps what was judged, for whoever asks why something is a finding or is none.
+func writeHistory(path string, history *dogwoodsoakcheck.History) error {
+	encoded, err := json.Marshal(history)
+	if err != nil {
+		return dogwoodverb.Error.Wrap(err)
+	}
+	return dogwoodverb.Error.Wrap(os.WriteFile(path, encoded, 0o600))
+}
+
 func (options *Options) bar(steps int) *progressbar.ProgressBar {
 	return progressbar.NewOptions(steps,
 		progressbar.OptionSetWriter(options.Factory.Streams.Err), progressbar.OptionSetDescription("faults"),
