Let a request run that reached its daemon after its key was given back

The check passes over a request that ran after its key was given back only if an unplanned fault of its own daemon lasted until then. Three histories show that it still finds one that nothing held up, one beside a fault of the store alone, and one that was held up and ran before the key was given back.

--- a/dogwoodload/dogwoodsoakcheck/check_test.go
+++ b/dogwoodload/dogwoodsoakcheck/check_test.go
@@ -120,6 +120,21 @@
 			history.Withdrawals = []Withdrawal{{Key: "k", From: after(0.9), To: after(7)}}
 			history.fault(Fault{Daemon: Everybody}, 0, 8)
 		}, "WithdrawnKeyRan"},
+		{"a withdrawn key runs after it was given back", func(history *History) {
+			history.Withdrawals = []Withdrawal{{Key: "k", From: after(1.005), To: after(7.005)}}
+		}, "WithdrawnKeyRan"},
+		{"a withdrawn key was held up until it was given back", func(history *History) {
+			history.Withdrawals = []Withdrawal{{Key: "k", From: after(1.005), To: after(7.005)}}
+			history.fault(Fault{Daemon: "d"}, 6, 7.008)
+		}, ""},
+		{"a withdrawn key runs after it was given back, beside a fault of the store", func(history *History) {
+			history.Withdrawals = []Withdrawal{{Key: "k", From: after(1.005), To: after(7.005)}}
+			history.fault(Fault{Daemon: Everybody}, 6, 7.008)
+		}, "WithdrawnKeyRan"},
+		{"a withdrawn key was held up and runs before it is given back", func(history *History) {
+			history.Withdrawals = []Withdrawal{{Key: "k", From: after(1.005), To: after(7.05)}}
+			history.fault(Fault{Daemon: "d"}, 6, 7.008)
+		}, "WithdrawnKeyRan"},
 		{"a withdrawn key runs within the bound", func(history *History) {
 			history.Withdrawals = []Withdrawal{{Key: "k", From: after(1.5), To: after(5.9)}}
 		}, ""},
