Take a connection that closes unanswered for no end of a stream

What callers saw: an answer that looked whole although its rest was missing.

Cause: since first and second runs are followed alike, an error of sending that wraps io.EOF, an endpoint that was killed before it answered, was taken for the end of the stream, which is io.EOF as well. A stream that had not begun ended in a panic.

Change: the end of a stream has an error of its own.

TestAConnectionThatClosesIsNoEndOfAStream failed before (nil pointer in beginStream), and so did TestRandomPlays with the new kind of endpoint that closes the connection.

--- a/core/duty/dogwoodrelay/follow.go
+++ b/core/duty/dogwoodrelay/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 )
 
 // follow passes on what a run brings until it ends, or until another run goes on with the request.
@@ -33,7 +32,7 @@
 // runEnded is the verdict on a run that brings nothing further.
 func (attempt *attempt) runEnded(ctx context.Context, run *run, err error) verdict {
 	switch {
-	case errors.Is(err, io.EOF):
+	case errors.Is(err, errEnded):
 		return attempt.streamEnded(run.response)
 	case run.rejected(err) && !attempt.stream.begun:
 		event, err := run.readWhole()
--- a/core/duty/dogwoodrelay/hedge.go
+++ b/core/duty/dogwoodrelay/hedge.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -245,7 +244,7 @@
 	stop := attempt.boundSecond(run)
 	err := run.peek()
 	stop()
-	if err == nil || errors.Is(err, io.EOF) {
+	if err == nil || errors.Is(err, errEnded) {
 		attempt.reached++
 		return run, verdict{}
 	}
--- a/core/duty/dogwoodrelay/random_test.go
+++ b/core/duty/dogwoodrelay/random_test.go
@@ -29,6 +29,7 @@
 	unsent
 	failsAt
 	rejects
+	closes
 )
 
 const (
@@ -54,7 +55,7 @@
 }
 
 func randomPlay(random *rand.Rand) *play {
-	kinds := []int{sound, sound, sound, breaksAt, breaksAt, breaksAt, dark, dark, declines, unsent, failsAt, rejects}
+	kinds := []int{sound, sound, sound, breaksAt, breaksAt, breaksAt, dark, dark, declines, unsent, failsAt, rejects, closes}
 	made := &play{kind: kinds[random.IntN(len(kinds))], opens: randomPause(random), at: random.IntN(playedEvents)}
 	for i := range made.pauses {
 		made.pauses[i] = randomPause(random)
@@ -130,6 +131,10 @@
 		played.end(play)
 		return nil, &Broken{Cause: ctx.Err()}
 	}
+	if play.kind == closes {
+		played.end(play)
+		return nil, &Broken{Cause: io.EOF}
+	}
 	response := &Response{Status: http.StatusOK, Header: http.Header{}, Genuine: true}
 	switch play.kind {
 	case declines:
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -18,6 +18,8 @@
 
 var (
 	errSilent = errors.New("the endpoint fell silent")
+	// errEnded means that a stream has ended as a whole one does.
+	errEnded = errors.New("the stream has ended")
 	// errUnusable means that the endpoint answered, but did not begin or failed.
 	errUnusable = errors.New("the endpoint did not begin or failed")
 )
@@ -70,7 +72,7 @@
 	run.prepared.close()
 }
 
-// next returns the next event. It sends the request first if that was not done.
+// next returns the next event, errEnded after the last. It sends the request first if that was not done.
 func (run *run) next() (event, error) {
 	if ahead := run.ahead; ahead != nil {
 		run.ahead = nil
@@ -101,10 +103,13 @@
 		read = run.readWhole
 	}
 	found, err := read()
-	if err != nil && !errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
+		return event{}, errEnded
+	case err != nil:
 		return event{}, run.explain(&Broken{Cause: err})
 	}
-	return found, err
+	return found, nil
 }
 
 // readWhole reads a plain answer, one that is too large to be held only as far as it may be.
@@ -143,7 +148,7 @@
 // goesOn tells whether what next returned belongs to an answer that goes on or has ended, and not to a
 // run of which no more will come.
 func (run *run) goesOn(err error) bool {
-	return err == nil || errors.Is(err, io.EOF) || run.rejected(err)
+	return err == nil || errors.Is(err, errEnded) || run.rejected(err)
 }
 
 // rejected tells whether the endpoint's answer is that the request itself is wrong. Others would say so too.
--- a/core/duty/dogwoodrelay/silent_test.go
+++ b/core/duty/dogwoodrelay/silent_test.go
@@ -132,6 +132,34 @@
 	})
 }
 
+// Guards against a cut answer that looks whole because its next endpoint closed the connection unanswered.
+func TestAConnectionThatClosesIsNoEndOfAStream(t *testing.T) {
+	closes := fails(&Broken{Cause: io.EOF})
+	tests := []struct {
+		name   string
+		script []step
+		want   error
+	}{
+		{"the second of two broken tries", []step{breaksOff(firstEvents), closes}, ErrCut},
+		{"the second run, then the first", []step{pauses(firstEvents, 3*time.Second, "id: 3\nda"), closes}, ErrCut},
+		{"the second run of a stream that goes on", []step{pauses(firstEvents, 3*time.Second, lastEvents), closes}, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			story(t, testEngine, test.script, func(t *testing.T, fixture *fixture) {
+				if err := fixture.relay.Serve(t.Context(), streamRequest(), fixture.answer); !errors.Is(err, test.want) {
+					t.Errorf("got %v after %q, want %v", err, fixture.answer.body.String(), test.want)
+				}
+			})
+		})
+	}
+	story(t, testEngine, []step{closes}, func(t *testing.T, fixture *fixture) {
+		if err := fixture.relay.Serve(t.Context(), streamRequest(), fixture.answer); failureOf(t, err).Run != dogwoodfleet.RunUnknown {
+			t.Errorf("got %v, want an unknown outcome", err)
+		}
+	})
+}
+
 // Guards against an answer with a seam when both endpoints bring the same events.
 func TestTheFirstOfTwoEndpointsGoesOn(t *testing.T) {
 	tests := []struct {
