--- a/core/duty/dogwoodrelay/silent_test.go
+++ b/core/duty/dogwoodrelay/silent_test.go
@@ -44,6 +44,7 @@
 	}
 	full := func(t *testing.T, fixture *fixture) { t.Helper(); fixture.take(t, 3*testEngine.Slots-1) }
 	stale := func(_ *testing.T, fixture *fixture) { fixture.stale.Store(true) }
+	dropped := func(_ *testing.T, fixture *fixture) { fixture.setEndpoints(0, testEngine) }
 	tests := []struct {
 		name   string
 		before func(fixture *fixture)
@@ -52,6 +53,7 @@
 	}{
 		{"the retry budget is used up", noBudget, nil, responds(200, whole)},
 		{"all other endpoints are full", nil, full, responds(200, whole)},
+		{"a new text no longer names its service", nil, dropped, responds(200, whole)},
 		{"keys are no longer confirmed", nil, stale, responds(200, whole)},
 		{"the other endpoint can't be reached", nil, nil, fails(&NotSent{Cause: errors.New("refused")})},
 		{"the other endpoint does not begin", nil, nil, notRun(http.StatusServiceUnavailable)},
