--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -194,6 +194,18 @@
 	}
 }
 
+// delayed takes a step after a pause, unless its request ends before.
+func delayed(pause time.Duration, next step) step {
+	return func(ctx context.Context) (*Response, error) {
+		select {
+		case <-time.After(pause):
+			return next(ctx)
+		case <-ctx.Done():
+			return nil, &Broken{Cause: ctx.Err()}
+		}
+	}
+}
+
 func fails(err error) step {
 	return func(context.Context) (*Response, error) { return nil, err }
 }
--- a/core/duty/dogwoodrelay/hedge_test.go
+++ b/core/duty/dogwoodrelay/hedge_test.go
@@ -70,14 +70,7 @@
 
 // Guards against an answer of the endpoint's own that is kept back for a second run.
 func TestARejectionIsPassedOn(t *testing.T) {
-	rejects := func(ctx context.Context) (*Response, error) {
-		select {
-		case <-time.After(2 * time.Second):
-		case <-ctx.Done():
-			return nil, &Broken{Cause: ctx.Err()}
-		}
-		return responds(400, "rejected")(ctx)
-	}
+	rejects := delayed(2*time.Second, responds(400, "rejected"))
 	story(t, testEngine, []step{rejects, fallsSilent("")}, func(t *testing.T, fixture *fixture) {
 		begun := time.Now()
 		err := fixture.relay.Serve(t.Context(), streamRequest(), fixture.answer)
@@ -89,22 +82,8 @@
 
 // Guards against a send that is counted although its endpoint said that it did not run.
 func TestADeclinedRunIsNotCounted(t *testing.T) {
-	late := func(ctx context.Context) (*Response, error) {
-		select {
-		case <-time.After(2 * time.Second):
-		case <-ctx.Done():
-			return nil, &Broken{Cause: ctx.Err()}
-		}
-		return notRun(http.StatusServiceUnavailable)(ctx)
-	}
-	second := func(ctx context.Context) (*Response, error) {
-		select {
-		case <-time.After(time.Second):
-		case <-ctx.Done():
-			return nil, &Broken{Cause: ctx.Err()}
-		}
-		return breaksOff(firstEvents)(ctx)
-	}
+	late := delayed(2*time.Second, notRun(http.StatusServiceUnavailable))
+	second := delayed(time.Second, breaksOff(firstEvents))
 	servesWithin(t, []step{late, second, responds(200, lastEvents)}, streamRequest, 5*time.Second)
 }
 
--- a/core/duty/dogwoodrelay/relay_test.go
+++ b/core/duty/dogwoodrelay/relay_test.go
@@ -273,14 +273,7 @@
 // An engine is busy with others and keeps one stream waiting. Moving it would have its
 // prompt read again at an engine that is as busy.
 func TestAStreamStaysAtABusyEngine(t *testing.T) {
-	slow := func(ctx context.Context) (*Response, error) {
-		select {
-		case <-time.After(3 * time.Second):
-		case <-ctx.Done():
-			return nil, &Broken{Cause: ctx.Err()}
-		}
-		return responds(200, firstEvents)(ctx)
-	}
+	slow := delayed(3*time.Second, responds(200, firstEvents))
 	story(t, testEngine, []step{slow}, func(t *testing.T, fixture *fixture) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var others sync.WaitGroup
--- a/core/duty/dogwoodrelay/silent_test.go
+++ b/core/duty/dogwoodrelay/silent_test.go
@@ -118,14 +118,7 @@
 
 // Guards against a refusal that says not run of a request whose second run was ended with it.
 func TestASecondRunCountsAsRun(t *testing.T) {
-	late := func(ctx context.Context) (*Response, error) {
-		select {
-		case <-time.After(2 * time.Second):
-			return notRun(http.StatusServiceUnavailable)(ctx)
-		case <-ctx.Done():
-			return nil, &Broken{Cause: ctx.Err()}
-		}
-	}
+	late := delayed(2*time.Second, notRun(http.StatusServiceUnavailable))
 	story(t, testEngine, []step{late, fallsSilent("")}, func(t *testing.T, fixture *fixture) {
 		failure := failureOf(t, fixture.relay.Serve(t.Context(), streamRequest(), fixture.answer))
 		if got, want := failure.Run, dogwoodfleet.RunUnknown; got != want {
@@ -243,14 +236,7 @@
 // Guards against a refusal of a look-up that its sound endpoint would have answered in time.
 func TestAHangingCallIsNotGivenUpForNothing(t *testing.T) {
 	const hangs = 2 * time.Second
-	late := func(ctx context.Context) (*Response, error) {
-		select {
-		case <-time.After(hangs):
-			return responds(200, "whole")(ctx)
-		case <-ctx.Done():
-			return nil, &Broken{Cause: ctx.Err()}
-		}
-	}
+	late := delayed(hangs, responds(200, "whole"))
 	tests := []struct {
 		name    string
 		retries *dogwoodretry.Shared
--- a/core/duty/dogwoodrelay/unused_test.go
+++ b/core/duty/dogwoodrelay/unused_test.go
@@ -1,7 +1,6 @@
 package dogwoodrelay
 
 import (
-	"context"
 	"strings"
 	"sync"
 	"testing"
@@ -62,14 +61,7 @@
 	slow := *testEngine
 	slow.TokensPerSecond = 5_000
 	const most, reads = 9 * time.Second, 12 * time.Second
-	late := func(ctx context.Context) (*Response, error) {
-		select {
-		case <-time.After(reads):
-		case <-ctx.Done():
-			return nil, &Broken{Cause: ctx.Err()}
-		}
-		return responds(200, firstEvents)(ctx)
-	}
+	late := delayed(reads, responds(200, firstEvents))
 	story(t, &slow, []step{late}, func(t *testing.T, fixture *fixture) {
 		fixture.relay.options.UnusedMemory = most
 		request := streamRequest()
