--- a/core/duty/dogwoodrelay/random_test.go
+++ b/core/duty/dogwoodrelay/random_test.go
@@ -18,6 +18,7 @@
 	"dogwoodmux.example/core/decision/dogwoodretry"
 	"dogwoodmux.example/core/decision/dogwoodroute"
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodkernel"
 )
 
 // The ways in which an endpoint of a random play ends a request.
@@ -127,7 +128,7 @@
 		played.end(play)
 		return nil, &NotSent{Cause: errors.New("refused")}
 	}
-	if !sleeps(ctx, play.opens) {
+	if !dogwoodkernel.Sleep(ctx, play.opens) {
 		played.end(play)
 		return nil, &Broken{Cause: ctx.Err()}
 	}
@@ -163,7 +164,7 @@
 	}
 	last, _ := strconv.Atoi(order.LastEvent) // none is 0
 	for i := last; i < playedEvents; i++ {
-		if !sleeps(ctx, play.pauses[i]) {
+		if !dogwoodkernel.Sleep(ctx, play.pauses[i]) {
 			return ctx.Err()
 		}
 		whole := playedEvent(i + 1)
@@ -200,16 +201,6 @@
 	return whole.String()
 }
 
-// sleeps waits, and returns false if the context ends meanwhile.
-func sleeps(ctx context.Context, pause time.Duration) bool {
-	select {
-	case <-time.After(pause):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // randomCase is one request of a random play.
 type randomCase struct {
 	request *Request
