--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -36,10 +36,14 @@
 type fakeEndpoints struct {
 	script       []func(ctx context.Context) (*Response, error)
 	noFreeMemory map[dogwoodfleet.EndpointID]bool // endpoints that refuse reservations
+	// darkFrom returns when an endpoint stops responding; nil if none does.
+	darkFrom func(endpoint dogwoodfleet.EndpointID) time.Time
 
 	mutex        sync.Mutex
 	sends        []sentRequest
 	reservations map[string]int
+	// leases holds the end of each reservation that was not released.
+	leases map[string]time.Time
 }
 
 func (fake *fakeEndpoints) Send(ctx context.Context, endpointRequest *EndpointRequest) (*Response, error) {
@@ -52,13 +56,27 @@
 	return step(ctx)
 }
 
-func (fake *fakeEndpoints) Reserve(_ context.Context, endpoint dogwoodfleet.Endpoint, ticket string, tokens int, _ time.Duration) error {
+func (fake *fakeEndpoints) Reserve(_ context.Context, endpoint dogwoodfleet.Endpoint, ticket string, tokens int, lease time.Duration) error {
 	fake.mutex.Lock()
 	defer fake.mutex.Unlock()
 	if fake.noFreeMemory[endpoint.ID] {
 		return errors.New("not free")
 	}
 	fake.reservations[string(endpoint.ID)+"/"+ticket] = tokens
+	fake.leases[string(endpoint.ID)+"/"+ticket] = time.Now().Add(lease)
+	return nil
+}
+
+// isDark reports whether the endpoint has stopped responding.
+func (fake *fakeEndpoints) isDark(endpoint dogwoodfleet.EndpointID) bool {
+	return fake.darkFrom != nil && !time.Now().Before(fake.darkFrom(endpoint))
+}
+
+func (fake *fakeEndpoints) Check(ctx context.Context, endpoint dogwoodfleet.Endpoint) error {
+	if fake.isDark(endpoint.ID) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	return nil
 }
 
@@ -66,6 +84,7 @@
 	fake.mutex.Lock()
 	defer fake.mutex.Unlock()
 	delete(fake.reservations, string(endpoint.ID)+"/"+ticket)
+	delete(fake.leases, string(endpoint.ID)+"/"+ticket)
 	return nil
 }
 
@@ -118,7 +137,7 @@
 func newFixture(ctx context.Context, group *sync.WaitGroup, engine *dogwoodenginetime.Engine, script ...func(ctx context.Context) (*Response, error)) *fixture {
 	fixture := &fixture{
 		board: dogwoodpacking.NewBoard("me"), answer: &recorder{},
-		endpoints: &fakeEndpoints{script: script, reservations: map[string]int{}, noFreeMemory: map[dogwoodfleet.EndpointID]bool{}},
+		endpoints: &fakeEndpoints{script: script, reservations: map[string]int{}, leases: map[string]time.Time{}, noFreeMemory: map[dogwoodfleet.EndpointID]bool{}},
 	}
 	fixture.setEndpoints(3, engine)
 	fixture.relay = New(Options{
--- a/core/duty/dogwoodrelay/hedge.go
+++ b/core/duty/dogwoodrelay/hedge.go
@@ -28,6 +28,12 @@
 	// silenceRecheck is the delay before a silent run is checked again if its endpoint still
 	// sends events of other streams, or if no other endpoint may be tried.
 	silenceRecheck = 250 * time.Millisecond
+	// checkAfter is the silence after which an engine is asked on a new connection whether it is alive, and
+	// checkInterval the interval between further questions.
+	checkAfter    = minFirstEventLimit
+	checkInterval = time.Second
+	// maxFailedChecks is the number of unanswered questions in a row that show that an engine is dead.
+	maxFailedChecks = 2
 	// unarmed is the initial delay of a timer that is stopped or reset before use. It is longer
 	// than any request.
 	unarmed = time.Hour
@@ -45,17 +51,19 @@
 	limit time.Duration
 	// timer fires when limit has passed; nil if the request can't have a second run.
 	timer *time.Timer
-	// due is the time for which timer is set.
-	due   time.Time
-	group errgroup.Group
+	// due is the time for which timer is set, silentAt the end of the silence that is allowed.
+	due, silentAt time.Time
+	group         errgroup.Group
 
 	mutex sync.Mutex
 	// waiting is true while the attempt waits for the first run's next event. Only then may the second
 	// run change the attempt.
 	waiting bool
 	// logged is true if the current silence was logged.
-	logged    bool
-	secondRun *secondRun
+	logged bool
+	// failedChecks is the number of questions in a row that the endpoint has not answered.
+	failedChecks int
+	secondRun    *secondRun
 }
 
 // secondRun is a second run from the wait for its placement to its first event.
@@ -101,8 +109,9 @@
 	}
 	hedge.mutex.Lock()
 	defer hedge.mutex.Unlock()
-	hedge.waiting = true
-	hedge.reset(hedge.limit)
+	hedge.waiting, hedge.failedChecks = true, 0
+	hedge.silentAt = time.Now().Add(hedge.limit)
+	hedge.reset(min(hedge.limit, checkAfter))
 }
 
 // settle ends the wait and waits for a second run to win or end. It returns the second run if that takes
@@ -153,6 +162,7 @@
 
 // onSilence starts a second run if the endpoint is silent on all streams and another one may be tried.
 func (hedge *hedge) onSilence(ctx context.Context) {
+	responds := hedge.checkEngine(ctx)
 	hedge.mutex.Lock()
 	defer hedge.mutex.Unlock()
 	// The timer may have fired as an event arrived; the attempt may then wait for the next event.
@@ -164,6 +174,9 @@
 		hedge.reset(silenceRecheck)
 		return
 	}
+	if !hedge.isSilent(responds) {
+		return
+	}
 	if !hedge.logged {
 		hedge.logged = true
 		hedge.attempt.recordSilence(endpoint, time.Since(hedge.due))
@@ -181,6 +194,39 @@
 	})
 }
 
+// checkEngine asks a silent engine on a new connection whether it is alive. It returns true without a question
+// for plain services, and when the silence that is allowed has passed.
+func (hedge *hedge) checkEngine(ctx context.Context) bool {
+	hedge.mutex.Lock()
+	needed := hedge.waiting && hedge.secondRun == nil && time.Now().Before(hedge.silentAt) && !hedge.attempt.request.isPlain()
+	hedge.mutex.Unlock()
+	endpoint := hedge.first.placement.Endpoint
+	if !needed || hedge.attempt.relay.liveness.seenRecently(time.Now(), endpoint.ID) {
+		return true
+	}
+	return hedge.attempt.relay.check(ctx, endpoint.Endpoint) == nil
+}
+
+// isSilent reports whether the endpoint has been silent for too long or does not respond to questions. If
+// neither, it sets the timer again. The caller holds the mutex.
+func (hedge *hedge) isSilent(responds bool) bool {
+	left := time.Until(hedge.silentAt)
+	if left <= 0 || hedge.failedChecks >= maxFailedChecks {
+		return true
+	}
+	if responds {
+		hedge.failedChecks = 0
+		hedge.reset(min(left, checkInterval))
+		return false
+	}
+	hedge.failedChecks++
+	if hedge.failedChecks < maxFailedChecks {
+		hedge.reset(min(left, silenceRecheck))
+		return false
+	}
+	return true
+}
+
 // race starts the second run. Its first event cancels the first run.
 func (hedge *hedge) race(ctx context.Context, secondRun *secondRun) {
 	defer close(secondRun.done)
--- a/core/duty/dogwoodrelay/liveness.go
+++ b/core/duty/dogwoodrelay/liveness.go
@@ -1,6 +1,7 @@
 package dogwoodrelay
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 // It covers several passes of a busy engine.
 const livenessWindow = 700 * time.Millisecond
 
+// checkTimeout bounds a question to an engine on a new connection. It covers a lost packet's retransmission.
+const checkTimeout = 400 * time.Millisecond
+
 // livenessTTL is the age at which the time of an endpoint's last event is dropped.
 const livenessTTL = time.Minute
 
@@ -45,3 +49,10 @@
 	at, known := liveness.lastSeen[endpoint]
 	return known && now.Sub(at) < livenessWindow
 }
+
+// check returns an error if the engine does not respond on a new connection.
+func (relay *Relay) check(ctx context.Context, endpoint dogwoodfleet.Endpoint) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	return relay.options.Endpoints.Check(ctx, endpoint)
+}
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -119,6 +119,8 @@
 	Reserve(ctx context.Context, endpoint dogwoodfleet.Endpoint, ticket string, tokens int, lease time.Duration) error
 	// Release releases the memory reserved under a ticket.
 	Release(ctx context.Context, endpoint dogwoodfleet.Endpoint, ticket string) error
+	// Check returns an error if the engine does not respond on a new connection.
+	Check(ctx context.Context, endpoint dogwoodfleet.Endpoint) error
 }
 
 // Places assigns requests to endpoints and records their results.
--- a/core/duty/dogwoodrelay/reserve.go
+++ b/core/duty/dogwoodrelay/reserve.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dogwoodmux.example/core/decision/dogwoodpacking"
+	"dogwoodmux.example/core/dogwoodfleet"
 )
 
 const (
@@ -23,11 +24,11 @@
 	releaseTimeout = time.Second
 )
 
-// reserve reserves memory at the helpers, all or nothing, in the order that all daemons use.
-// It renews the reservations until the returned function is called.
-func (relay *Relay) reserve(ctx context.Context, id dogwoodpacking.WorkID, placement dogwoodpacking.Placement) ([]Helper, func(), error) {
+// reserve reserves memory at the helpers, all or nothing, in the order that all daemons use. The
+// reservation expires unless it is renewed.
+func (relay *Relay) reserve(ctx context.Context, id dogwoodpacking.WorkID, placement dogwoodpacking.Placement) ([]Helper, *reservation, error) {
 	helpers := make([]Helper, len(placement.Helpers))
-	reservation := &reservation{relay: relay, ticket: "t-" + string(id)}
+	reservation := &reservation{relay: relay, ticket: "t-" + string(id), primary: placement.Endpoint.Endpoint, reserved: time.Now()}
 	for i, helper := range placement.Helpers {
 		helpers[i].Address = helper.Endpoint.Address
 		if helper.Tokens == 0 {
@@ -36,22 +37,26 @@
 		helpers[i].Ticket = reservation.ticket
 		reservation.helpers = append(reservation.helpers, helper)
 		if err := reservation.renew(ctx, helper); err != nil {
-			reservation.releaseInBackground(ctx, &errgroup.Group{})
+			reservation.releaseInBackground(ctx)
 			relay.options.Places.Avoid(time.Now(), helper.Endpoint.ID, avoidUnreachableFor)
 			return nil, nil, fmt.Errorf("reserving memory: %w", err)
 		}
 	}
-	if len(reservation.helpers) == 0 {
-		return helpers, func() {}, nil
-	}
-	return helpers, reservation.startRenewing(ctx), nil
+	return helpers, reservation, nil
 }
 
-// reservation is the memory that one try holds at its helpers.
+// reservation is the memory that one try holds at its helpers, which may be none.
 type reservation struct {
 	relay   *Relay
 	ticket  string
 	helpers []dogwoodpacking.Helper
+	// primary is the engine that uses the memory.
+	primary dogwoodfleet.Endpoint
+	// reserved is when the memory was reserved.
+	reserved time.Time
+	// renewals is the task that renews the memory; stopRenewing ends it and is nil before it has begun.
+	renewals     errgroup.Group
+	stopRenewing context.CancelFunc
 }
 
 func (reservation *reservation) renew(ctx context.Context, helper dogwoodpacking.Helper) error {
@@ -60,36 +65,64 @@
 	return reservation.relay.options.Endpoints.Reserve(ctx, helper.Endpoint.Endpoint, reservation.ticket, helper.Tokens, reservationLease)
 }
 
-// startRenewing renews the reservation until the returned function is called, which releases it.
-func (reservation *reservation) startRenewing(ctx context.Context) func() {
-	renewing, cancel := context.WithCancel(ctx)
-	var group errgroup.Group
-	group.Go(func() error {
+// startRenewing renews the memory until close, for as long as its primary engine responds. The memory of a
+// primary engine that has died is of use to nobody; it expires, and onExpired is called.
+func (reservation *reservation) startRenewing(ctx context.Context, onExpired func()) {
+	if len(reservation.helpers) == 0 {
+		return
+	}
+	ctx, reservation.stopRenewing = context.WithCancel(ctx)
+	reservation.renewals.Go(func() error {
 		ticker := time.NewTicker(renewInterval)
 		defer ticker.Stop()
-		for {
+		for renewed := reservation.reserved; time.Since(renewed) < reservationLease; {
 			select {
-			case <-renewing.Done():
+			case <-ctx.Done():
 				return nil
 			case <-ticker.C:
 			}
-			for _, helper := range reservation.helpers {
-				if err := reservation.renew(renewing, helper); err != nil && renewing.Err() == nil {
-					reservation.relay.options.Logger.Warn("Memory was not renewed.", "ticket", reservation.ticket, "endpoint", helper.Endpoint.ID, "error", err)
-				}
+			if reservation.primaryResponds(ctx) {
+				renewed = time.Now()
+				reservation.renewAll(ctx)
 			}
 		}
+		onExpired()
+		return nil
 	})
-	return func() {
-		cancel()
-		reservation.releaseInBackground(ctx, &group)
+}
+
+// primaryResponds asks the primary engine itself. Events of its other streams don't count, since they may
+// have been on their way for a while.
+func (reservation *reservation) primaryResponds(ctx context.Context) bool {
+	err := reservation.relay.check(ctx, reservation.primary)
+	if err != nil && ctx.Err() == nil {
+		reservation.relay.options.Logger.Warn("Memory is not renewed: its engine does not respond.", "ticket", reservation.ticket, "endpoint", reservation.primary.ID, "error", err)
+	}
+	return err == nil
+}
+
+func (reservation *reservation) renewAll(ctx context.Context) {
+	for _, helper := range reservation.helpers {
+		if err := reservation.renew(ctx, helper); err != nil && ctx.Err() == nil {
+			reservation.relay.options.Logger.Warn("Memory was not renewed.", "ticket", reservation.ticket, "endpoint", helper.Endpoint.ID, "error", err)
+		}
+	}
+}
+
+// close ends the renewals and releases the memory.
+func (reservation *reservation) close(ctx context.Context) {
+	if reservation.stopRenewing != nil {
+		reservation.stopRenewing()
+	}
+	if len(reservation.helpers) > 0 {
+		reservation.releaseInBackground(ctx)
 	}
 }
 
 // releaseInBackground releases all memory once its renewals have ended, without delaying the end of the answer.
-func (reservation *reservation) releaseInBackground(ctx context.Context, renewals *errgroup.Group) {
+func (reservation *reservation) releaseInBackground(ctx context.Context) {
 	reservation.relay.background.Go(func() error {
-		_ = renewals.Wait() // they return no error
+		_ = reservation.renewals.Wait() // they return no error
 		reservation.release(ctx)
 		return nil
 	})
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -27,11 +27,13 @@
 // run is a request at one endpoint. The whole answer of a plain call is returned as one event.
 type run struct {
 	*preparedTry
-	// send sends the request; it is called once. cause returns why the run was cancelled. Both are
+	// send sends the request; it is called once. cause returns why the run was cancelled. These are
 	// closures over the run's context, since contexts are not stored in structs.
 	send   func() (*Response, error)
 	cause  func() error
 	cancel context.CancelCauseFunc
+	// free releases the slot and the memory.
+	free func()
 	// sentAt is when the request was sent.
 	sentAt   time.Time
 	response *Response
@@ -57,10 +59,12 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	run := &run{preparedTry: preparedTry, cancel: cancel, sentAt: time.Now()}
 	run.cause = func() error { return context.Cause(ctx) }
+	run.free = func() { preparedTry.close(ctx) }
 	run.send = func() (*Response, error) {
 		return preparedTry.attempt.relay.options.Endpoints.Send(ctx, preparedTry.endpointRequest)
 	}
 	run.limitUnusedMemory()
+	preparedTry.reservation.startRenewing(ctx, func() { run.cancel(errSilent) })
 	return run
 }
 
@@ -71,7 +75,7 @@
 		closeBody(run.response)
 	}
 	run.cancel(nil)
-	run.preparedTry.close()
+	run.free()
 }
 
 // next returns the next event, or errStreamEnded after the last one. The first call sends the request.
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -140,12 +140,12 @@
 	endpointRequest *EndpointRequest
 	placement       dogwoodpacking.Placement
 	id              dogwoodpacking.WorkID
-	release         func()
+	reservation     *reservation
 }
 
 // close releases the slot and the memory.
-func (preparedTry *preparedTry) close() {
-	preparedTry.release()
+func (preparedTry *preparedTry) close(ctx context.Context) {
+	preparedTry.reservation.close(ctx)
 	preparedTry.attempt.relay.options.Places.End(preparedTry.id)
 }
 
@@ -188,7 +188,7 @@
 	relay.options.Logger.Info(dogwoodlog.Placed, "request", request.ID, "try", attempt.tries, "endpoint", placement.Endpoint.ID,
 		"waited", time.Since(waitStart), "helpers", helperNames(placement), "prompt", request.Prompt, "predicted", placement.Predicted,
 		"writers", placement.Load.DecodingRequests, "queued", placement.Load.Queued, "queuedtokens", placement.Load.QueuedTokens)
-	helpers, release, err := relay.reserve(ctx, placementRequest.ID, placement)
+	helpers, reservation, err := relay.reserve(ctx, placementRequest.ID, placement)
 	if err != nil {
 		relay.options.Places.End(placementRequest.ID)
 		return nil, attempt.tryNotSent(err)
@@ -198,7 +198,7 @@
 		Request: request, Endpoint: placement.Endpoint.Endpoint, Helpers: helpers,
 		Left: time.Until(request.Deadline), LastEventID: attempt.stream.lastEvent,
 	}
-	return &preparedTry{attempt: attempt, endpointRequest: endpointRequest, placement: placement, id: placementRequest.ID, release: release}, tryResult{}
+	return &preparedTry{attempt: attempt, endpointRequest: endpointRequest, placement: placement, id: placementRequest.ID, reservation: reservation}, tryResult{}
 }
 
 func (attempt *attempt) newFailure(reason dogwoodfleet.Reason, retryAfter time.Duration, detail string) error {
