Keep a panic of one request's placement with that request

Cause: a request whose placement panicked stayed in the queue, so the panic came again in every other request's goroutine and in the daemon's own loop, which ended the daemon.

Change: the queue recovers a panic for the waiter that it places, removes the waiter and repeats the panic in that request's own goroutine, where it is logged and answered.

--- a/core/duty/dogwoodrelay/place.go
+++ b/core/duty/dogwoodrelay/place.go
@@ -42,6 +42,7 @@
 	var err error
 	select {
 	case placementResult := <-waiter.result:
+		waiter.repeatPanic()
 		return placementResult.placement, attempt.placementError(placementResult.refusal)
 	case <-maxWait.C:
 		return attempt.placeWithoutWaiting(queue, waiter)
@@ -51,16 +52,14 @@
 	if queue.remove(waiter) {
 		return dogwoodpacking.Placement{}, err
 	}
-	placementResult := <-waiter.result
-	return placementResult.placement, attempt.placementError(placementResult.refusal)
+	return attempt.takeResult(waiter)
 }
 
 // placeWithoutWaiting accepts any placement for a try that can wait no longer, provided that the
 // first event is predicted within the time that its caller tolerates.
 func (attempt *attempt) placeWithoutWaiting(queue *queue, waiter *waiter) (dogwoodpacking.Placement, error) {
 	if !queue.remove(waiter) {
-		placementResult := <-waiter.result
-		return placementResult.placement, attempt.placementError(placementResult.refusal)
+		return attempt.takeResult(waiter)
 	}
 	waiter.placementRequest.CanWait = false
 	placement, refusal := attempt.relay.options.Places.Place(time.Now(), waiter.placementRequest)
@@ -75,6 +74,13 @@
 	return placement, nil
 }
 
+// takeResult returns the result of a waiter that is no longer in the queue.
+func (attempt *attempt) takeResult(waiter *waiter) (dogwoodpacking.Placement, error) {
+	placementResult := <-waiter.result
+	waiter.repeatPanic()
+	return placementResult.placement, attempt.placementError(placementResult.refusal)
+}
+
 // placementError returns the failure for a refused placement, nil if it succeeded.
 func (attempt *attempt) placementError(refusal dogwoodpacking.Refusal) error {
 	switch refusal {
--- a/core/duty/dogwoodrelay/queue.go
+++ b/core/duty/dogwoodrelay/queue.go
@@ -30,8 +30,8 @@
 	request          dogwoodwaiting.Request
 	placementRequest *dogwoodpacking.PlacementRequest
 	result           chan placementResult
-	// lastRefusal is the outcome of its latest placement.
-	lastRefusal dogwoodpacking.Refusal
+	// panicked is the value of a panic of its placement; nil for none.
+	panicked any
 }
 
 type placementResult struct {
@@ -39,12 +39,21 @@
 	refusal   dogwoodpacking.Refusal
 }
 
-// add adds a waiter and places as many waiters as possible.
+// add adds a waiter and places as many waiters as possible. It panics if the placement of this waiter does.
 func (queue *queue) add(waiter *waiter) {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
 	queue.waiters = append(queue.waiters, waiter)
 	queue.placeWaiters(time.Now())
+	waiter.repeatPanic()
+}
+
+// repeatPanic repeats a panic of the waiter's placement in the goroutine of its request, so that the panic ends
+// no other one.
+func (waiter *waiter) repeatPanic() {
+	if waiter.panicked != nil {
+		panic(waiter.panicked)
+	}
 }
 
 // remove removes a waiter. It returns false if the waiter already has its result.
@@ -69,22 +78,29 @@
 		if full[waiter.placementRequest.Service] {
 			return false
 		}
-		placement, refusal := queue.places.Place(now, waiter.placementRequest)
-		waiter.lastRefusal = refusal
-		switch refusal {
-		case dogwoodpacking.Full:
+		result := queue.place(now, waiter)
+		switch {
+		case waiter.panicked != nil:
+		case result.refusal == dogwoodpacking.Full:
 			// A prompt that needs the memory of several engines may not fit although others do.
 			full[waiter.placementRequest.Service] = waiter.placementRequest.Prompt == 0
 			return false
-		case dogwoodpacking.NoEndpoint:
+		case result.refusal == dogwoodpacking.NoEndpoint:
 			return false
-		case dogwoodpacking.Placed, dogwoodpacking.TooLarge:
 		}
-		waiter.result <- placementResult{placement: placement, refusal: refusal}
+		waiter.result <- result
 		return true
 	})
 }
 
+// place places a waiter. It keeps a panic with the waiter, which would otherwise stay in the queue and panic
+// again beside every other one.
+func (queue *queue) place(now time.Time, waiter *waiter) (result placementResult) {
+	defer func() { waiter.panicked = recover() }()
+	result.placement, result.refusal = queue.places.Place(now, waiter.placementRequest)
+	return result
+}
+
 // run places waiters whenever a slot may have become free, until the context ends.
 func (queue *queue) run(ctx context.Context) error {
 	timer := time.NewTimer(dogwoodkernel.Jittered(placementInterval))
--- a/core/duty/dogwoodrelay/queue_test.go
+++ b/core/duty/dogwoodrelay/queue_test.go
@@ -27,7 +27,7 @@
 	queue := &queue{places: panickingPlaces{places: places{board}, id: "odd"}}
 	join := func(id string) (panicked bool) {
 		defer func() { panicked = recover() != nil }()
-		queue.add(&waiter{placementRequest: &dogwoodpacking.PlacementRequest{ID: dogwoodpacking.WorkID(id), Service: "s"}, result: make(chan placementResult, 1)})
+		queue.add(newTestWaiter(id))
 		return false
 	}
 	if !join("odd") {
@@ -37,3 +37,31 @@
 		t.Error("got a panic for another request, want none")
 	}
 }
+
+// Guards against a request that fails because another one, which was waiting, can't be placed any more.
+func TestAWaitingRequestThatPanicsEndsItself(t *testing.T) {
+	panicking := &panickingPlaces{places: places{dogwoodpacking.NewBoard("me")}, id: "none yet"}
+	queue := &queue{places: panicking}
+	odd, other := newTestWaiter("odd"), newTestWaiter("other")
+	queue.add(odd)
+	panicking.id = "odd"
+	queue.add(other)
+	if got := len(queue.waiters); got != 1 || queue.waiters[0] != other {
+		t.Errorf("got %d waiters, want the other request alone", got)
+	}
+	select {
+	case <-odd.result:
+	default:
+		t.Error("got no result for the request that panicked, want one")
+	}
+	defer func() {
+		if recover() == nil {
+			t.Error("got no panic in the request that can't be placed, want one")
+		}
+	}()
+	odd.repeatPanic()
+}
+
+func newTestWaiter(id string) *waiter {
+	return &waiter{placementRequest: &dogwoodpacking.PlacementRequest{ID: dogwoodpacking.WorkID(id), Service: "s"}, result: make(chan placementResult, 1)}
+}
