Send updates between daemons again after a failed call, and keep a hub that answers

Cause: the updates of a failed announcement were dropped but for the daemon's own work, and a leaf sent nothing until its next update. A hub kept ended requests of a leaf, other hubs never saw a leaf's work, and an endpoint to avoid was used by the others. A leaf that followed a hub of another data centre left it for a listed local one without asking whether that one lives.

Change: updates of a failed call are queued again, endpoints to avoid with the time that is left; a hub forwards what a leaf's whole list drops. A leaf switches to a local hub only once that hub has answered, and asks every 3 s.

--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -217,16 +217,19 @@
 	board.notifyChange()
 }
 
-// RemoveHolder drops all work of a daemon that is gone, except the listed work.
-func (board *Board) RemoveHolder(holder dogwoodfleet.InstanceID, except map[WorkID]bool) {
+// RemoveHolder drops all work of a daemon, except the listed work, and returns what it dropped.
+func (board *Board) RemoveHolder(holder dogwoodfleet.InstanceID, except map[WorkID]bool) []WorkID {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
+	var dropped []WorkID
 	for id, work := range board.workByID {
 		if work.Holder == holder && !except[id] {
 			board.detach(id)
+			dropped = append(dropped, id)
 		}
 	}
 	board.notifyChange()
+	return dropped
 }
 
 // WorkExcept returns the work of all daemons but one.
--- a/core/duty/dogwoodboard/link.go
+++ b/core/duty/dogwoodboard/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +12,10 @@
 	"dogwoodmux.example/core/dogwoodkernel"
 )
 
+// maxQueuedEnds bounds the ends of requests that wait for a peer that does not answer. Older ones expire there
+// with their deadlines.
+const maxQueuedEnds = 10_000
+
 // link queues the updates that have not been announced to one peer yet. Updates that arrive
 // during an announcement are sent together in the next one, so a slow peer receives fewer and
 // larger announcements.
@@ -18,19 +24,23 @@
 	cancel context.CancelFunc
 	wake   chan struct{}
 
-	mutex   sync.Mutex
-	whole   bool
-	works   map[dogwoodpacking.WorkID]dogwoodpacking.Work
-	ended   []dogwoodpacking.WorkID
-	avoided []Avoid
+	mutex sync.Mutex
+	whole bool
+	// failed is true from a failed announcement to the next one.
+	failed bool
+	works  map[dogwoodpacking.WorkID]dogwoodpacking.Work
+	ended  []dogwoodpacking.WorkID
+	// avoided holds the endpoints to avoid, and until when.
+	avoided map[dogwoodfleet.EndpointID]time.Time
 	paces   map[dogwoodfleet.EndpointID]float64
 }
 
 func newLink(peer Peer, cancel context.CancelFunc) *link {
 	return &link{
 		peer: peer, cancel: cancel, whole: true, wake: make(chan struct{}, 1),
-		works: map[dogwoodpacking.WorkID]dogwoodpacking.Work{},
-		paces: map[dogwoodfleet.EndpointID]float64{},
+		works:   map[dogwoodpacking.WorkID]dogwoodpacking.Work{},
+		avoided: map[dogwoodfleet.EndpointID]time.Time{},
+		paces:   map[dogwoodfleet.EndpointID]float64{},
 	}
 }
 
@@ -51,11 +61,18 @@
 
 func (link *link) avoid(avoid Avoid) {
 	link.mutex.Lock()
-	link.avoided = append(link.avoided, avoid)
+	link.avoidUntil(avoid.Endpoint, time.Now().Add(avoid.For))
 	link.mutex.Unlock()
 	link.signal()
 }
 
+// avoidUntil queues an endpoint to avoid. The caller holds the mutex.
+func (link *link) avoidUntil(endpoint dogwoodfleet.EndpointID, until time.Time) {
+	if until.After(link.avoided[endpoint]) {
+		link.avoided[endpoint] = until
+	}
+}
+
 // setPace queues a pace without a signal: it is sent with the next announcement.
 func (link *link) setPace(endpoint dogwoodfleet.EndpointID, pace float64) {
 	link.mutex.Lock()
@@ -70,29 +87,59 @@
 	}
 }
 
-// drain moves the queued updates into an announcement.
-func (link *link) drain() (batch Batch, works []dogwoodpacking.Work) {
+// updates are what one announcement reports.
+type updates struct {
+	whole   bool
+	works   []dogwoodpacking.Work
+	ended   []dogwoodpacking.WorkID
+	avoided map[dogwoodfleet.EndpointID]time.Time
+	paces   []Pace
+}
+
+// drain removes the queued updates and returns them.
+func (link *link) drain() updates {
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
-	batch = Batch{Whole: link.whole, Ended: link.ended, Avoid: link.avoided}
+	drained := updates{whole: link.whole, ended: link.ended, avoided: maps.Clone(link.avoided)}
 	for _, work := range link.works {
-		works = append(works, work)
+		drained.works = append(drained.works, work)
 	}
 	for endpoint, pace := range link.paces {
-		batch.Paces = append(batch.Paces, Pace{Endpoint: endpoint, Pace: pace})
+		drained.paces = append(drained.paces, Pace{Endpoint: endpoint, Pace: pace})
 	}
 	clear(link.works)
+	clear(link.avoided)
 	clear(link.paces)
-	link.whole, link.ended, link.avoided = false, nil, nil
-	return batch, works
+	link.whole, link.failed, link.ended = false, false, nil
+	return drained
+}
+
+// requeue queues the updates of a failed announcement again, which may not have arrived, and makes the next one
+// list all work of this daemon. Updates that were queued since go before. Paces are left out, since new ones
+// are measured all the time.
+func (link *link) requeue(now time.Time, failed updates) {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	link.whole, link.failed = true, true
+	for _, work := range failed.works {
+		if _, newer := link.works[work.ID]; !newer && !slices.Contains(link.ended, work.ID) && now.Before(work.Until) {
+			link.works[work.ID] = work
+		}
+	}
+	link.ended = append(failed.ended, link.ended...)
+	if excess := len(link.ended) - maxQueuedEnds; excess > 0 {
+		link.ended = link.ended[excess:]
+	}
+	for endpoint, until := range failed.avoided {
+		link.avoidUntil(endpoint, until)
+	}
 }
 
-// resync makes the next announcement list all work, since the updates of the failed one may
-// not have arrived.
-func (link *link) resync() {
+// needsRetry reports whether the last announcement failed.
+func (link *link) needsRetry() bool {
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
-	link.whole = true
+	return link.failed
 }
 
 // runLink announces to one peer until the context ends.
@@ -107,7 +154,6 @@
 		pause := announceInterval
 		if err := duty.announce(ctx, link); err != nil {
 			duty.options.Logger.Debug("An announcement failed.", "peer", link.peer.Instance, "error", err)
-			link.resync()
 			pause = failureBackoff
 			if !dogwoodkernel.Sleep(ctx, pause) {
 				return
@@ -118,7 +164,7 @@
 }
 
 // awaitDue waits until an announcement is due and returns true, or false when the context has
-// ended. A leaf announces only when it has an update.
+// ended. A leaf announces only when it has an update, or when the last announcement failed.
 func (duty *Duty) awaitDue(ctx context.Context, link *link, timer *time.Timer) bool {
 	for {
 		select {
@@ -127,7 +173,7 @@
 		case <-link.wake:
 			return true
 		case <-timer.C:
-			if !duty.isLeaf() {
+			if !duty.isLeaf() || link.needsRetry() {
 				return true
 			}
 			timer.Reset(roleCheckInterval)
@@ -135,23 +181,42 @@
 	}
 }
 
-// announce sends the queued updates to one peer, or all work if the link has to resync.
+// announce sends the queued updates to one peer, or all work after a failed announcement.
 func (duty *Duty) announce(ctx context.Context, link *link) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	batch, works := link.drain()
-	if batch.Whole {
-		works = duty.ownWork()
+	drained := link.drain()
+	var reply bool
+	err := duty.options.Caller.Call(ctx, link.peer.Address, Name+".Tell", duty.newBatch(drained), &reply)
+	if err != nil {
+		link.requeue(time.Now(), drained)
+	}
+	return err
+}
+
+// newBatch returns the announcement of some updates and of this daemon's state.
+func (duty *Duty) newBatch(drained updates) Batch {
+	now := time.Now()
+	batch := Batch{
+		From: duty.options.Self, Whole: drained.whole, Serves: duty.options.Serves(), Ended: drained.ended, Paces: drained.paces,
+		Requests: duty.options.Board.RecentOwnSends(now),
 	}
-	batch.From, batch.Serves = duty.options.Self, duty.options.Serves()
 	if duty.options.Leaves != nil {
 		batch.Leaves = duty.options.Leaves()
 	}
-	now := time.Now()
-	batch.Requests = duty.options.Board.RecentOwnSends(now)
+	works := drained.works
+	if drained.whole {
+		// Work of leaves that this daemon forwards is not its own.
+		works = slices.DeleteFunc(slices.Clone(works), func(work dogwoodpacking.Work) bool { return work.Holder == duty.options.Self })
+		works = append(works, duty.ownWork()...)
+	}
 	for _, work := range works {
 		batch.Items = append(batch.Items, newItem(work, now))
 	}
-	var reply bool
-	return duty.options.Caller.Call(ctx, link.peer.Address, Name+".Tell", batch, &reply)
+	for endpoint, until := range drained.avoided {
+		if left := until.Sub(now); left > 0 {
+			batch.Avoid = append(batch.Avoid, Avoid{Endpoint: endpoint, For: left})
+		}
+	}
+	return batch
 }
--- a/core/duty/dogwoodboard/receiver.go
+++ b/core/duty/dogwoodboard/receiver.go
@@ -26,14 +26,14 @@
 		works = append(works, item.work(now))
 		listed[item.Work.ID] = true
 	}
-	duty.recordReport(now, &batch, works)
 	board := duty.options.Board
 	for _, work := range works {
 		board.Put(now, work)
 	}
 	if batch.Whole {
-		board.RemoveHolder(batch.From, listed)
+		batch.Ended = append(batch.Ended, board.RemoveHolder(batch.From, listed)...)
 	}
+	duty.recordReport(now, &batch, works)
 	for _, id := range batch.Ended {
 		board.Remove(id)
 	}
--- a/core/duty/dogwoodhub/leaf.go
+++ b/core/duty/dogwoodhub/leaf.go
@@ -40,6 +40,9 @@
 	// in the leaf's own data centre and then in the others.
 	maxLocalCandidates  = 3
 	maxRemoteCandidates = 2
+	// localHubInterval is how often a leaf that follows a hub of another data centre asks the listed ones of its
+	// own. A dead one delays the next update by up to answerTimeout.
+	localHubInterval = 3 * time.Second
 	// ineligibleFor is how long a leaf that could not be listed must not be promoted: most such
 	// faults last some seconds, and another leaf can be a hub meanwhile.
 	ineligibleFor = 10 * time.Second
@@ -74,6 +77,8 @@
 	hub   dogwoodhubs.Daemon // the hub that answered last
 	// ineligibleUntil is the time until which the leaf must not be promoted.
 	ineligibleUntil time.Time
+	// localHubsAsked is when the leaf, while following a remote hub, last asked the local ones.
+	localHubsAsked time.Time
 }
 
 // NewLeaf returns a leaf that follows no hub yet.
@@ -213,8 +218,10 @@
 		if news.Promoted {
 			return ErrPromoted
 		}
-		if leaf.shouldSwitch(hub) {
-			return Error.New("a hub is available in the leaf's own data centre")
+		if local, localNews, found := leaf.findLocalHub(ctx, hub); found {
+			hub, news, version = local, localNews, 0
+			leaf.options.Logger.Info("Following a hub.", "hub", hub.VM)
+			continue
 		}
 		var err error
 		if news, err = leaf.pollWithTimeout(ctx, hub, version); err != nil {
@@ -245,10 +252,27 @@
 	leaf.hub = hub
 }
 
-// shouldSwitch reports whether the leaf follows a hub of another data centre although its own has
-// one.
-func (leaf *Leaf) shouldSwitch(hub dogwoodhubs.Daemon) bool {
-	return hub.Place != leaf.options.Self().Place && len(inPlace(leaf.Fleet().Hubs, leaf.options.Self().Place)) > 0
+// findLocalHub returns a hub of the leaf's own data centre that answers, if the leaf follows one of another data
+// centre. A listed hub may be dead, so the leaf keeps the one that answers until another one does, and asks the
+// listed ones again only after localHubInterval.
+func (leaf *Leaf) findLocalHub(ctx context.Context, hub dogwoodhubs.Daemon) (dogwoodhubs.Daemon, News, bool) {
+	place := leaf.options.Self().Place
+	local := inPlace(leaf.Fleet().Hubs, place)
+	if hub.Place == place || len(local) == 0 || !leaf.mayAskLocalHubs(time.Now()) {
+		return dogwoodhubs.Daemon{}, News{}, false
+	}
+	return leaf.pollAny(ctx, local[:min(len(local), maxLocalCandidates)])
+}
+
+// mayAskLocalHubs returns true once in localHubInterval.
+func (leaf *Leaf) mayAskLocalHubs(now time.Time) bool {
+	leaf.mutex.Lock()
+	defer leaf.mutex.Unlock()
+	if now.Sub(leaf.localHubsAsked) < localHubInterval {
+		return false
+	}
+	leaf.localHubsAsked = now
+	return true
 }
 
 // poll sends one poll to the hub and feeds the table updates of its answer.
