Remove unused fields, and mend a message and the test script

A change based on a text that a daemon has not received was answered with '%!w(<nil>)' when the log could be read. script/test.sh ended with 1 when all packages fell into one of its groups. LongPromptTokens, Queue.cost, Candidate.Unproven and ownerState.receivedAt were read by nothing; the reason of the first stands at Class.Long now. No change of behaviour but these two.

--- a/core/decision/dogwoodadmission/class.go
+++ b/core/decision/dogwoodadmission/class.go
@@ -20,7 +20,9 @@
 	return Classes - 1
 }
 
-// Long reports whether the class belongs to the band of long prompts.
+// Long reports whether the class belongs to the band of long prompts: those of more than 64,000
+// tokens. In the planned load one prompt in fifty is over 100,000 tokens; this bound puts those,
+// and not the ordinary prompts, into the long band.
 func (class Class) Long() bool {
 	return class > 3
 }
--- a/core/decision/dogwoodadmission/doc.go
+++ b/core/decision/dogwoodadmission/doc.go
@@ -23,10 +23,6 @@
 import "time"
 
 const (
-	// LongPromptTokens separates the two bands. In the planned load one prompt in fifty is
-	// over 100,000 tokens; the next lower class bound puts those, and not the ordinary
-	// prompts, into the long band.
-	LongPromptTokens = 64_000
 	// MinLongShare is the minimum share of the served cost that waiting long work gets while
 	// short work waits too. A fiftieth of the requests, at a hundred times the median cost,
 	// makes up two thirds of the demand by cost. A fifth lets each long prompt start within
--- a/core/decision/dogwoodadmission/queue.go
+++ b/core/decision/dogwoodadmission/queue.go
@@ -37,7 +37,6 @@
 	bands    [2]band
 	waiting  int
 	limit    int
-	cost     float64
 	// correction is the moving mean of the ratio of actual to predicted waits.
 	correction float64
 }
@@ -208,7 +207,6 @@
 		account.activeIndex = len(queue.active)
 		queue.active = append(queue.active, account)
 	}
-	queue.cost += work.cost
 	queue.waiting++
 }
 
@@ -227,7 +225,6 @@
 	band.service -= work.expected
 	account.cost -= work.cost
 	account.waiting--
-	queue.cost -= work.cost
 	queue.waiting--
 	if flow.waiting == 0 {
 		band.removeAt(flow.heapIndex)
--- a/core/decision/dogwoodrouting/routing.go
+++ b/core/decision/dogwoodrouting/routing.go
@@ -57,9 +57,6 @@
 	MeasuredAt time.Time
 	// Distance is 0 within the entry daemon's data centre, 1 within its region and 2 elsewhere.
 	Distance int
-	// Unproven is true while the endpoint runs an identical request and no such request has
-	// ever completed.
-	Unproven bool
 }
 
 // Pick returns the index of the candidate with the lowest score, or -1 if there is none.
--- a/core/duty/dogwooddispatch/owners.go
+++ b/core/duty/dogwooddispatch/owners.go
@@ -87,8 +87,7 @@
 
 // ownerState is the last known load of an owner.
 type ownerState struct {
-	summary    dogwoodowner.Summary
-	receivedAt time.Time
+	summary dogwoodowner.Summary
 	// acquires counts this daemon's acquire requests since the summary, which doesn't include
 	// them. Without this count, all entry daemons would choose the owner whose last summary
 	// showed the lowest load.
@@ -427,7 +426,7 @@
 	}
 	owners.mutex.Lock()
 	defer owners.mutex.Unlock()
-	owners.ownerStates[summary.Owner] = &ownerState{summary: summary, receivedAt: time.Now(), acquires: map[dogwoodfleet.Service]int{}}
+	owners.ownerStates[summary.Owner] = &ownerState{summary: summary, acquires: map[dogwoodfleet.Service]int{}}
 }
 
 func (owners *Owners) dropSummary(instance dogwoodfleet.InstanceID) {
--- a/core/state/dogwoodchange/submit.go
+++ b/core/state/dogwoodchange/submit.go
@@ -116,7 +116,7 @@
 			// conflict would be wrong and would hide that the change may already be in the log.
 			err := log.CatchUp(ctx)
 			if log.Current().TextVersion < change.BasedOn && (dogwoodtable.IsUnavailable(err) || wait.Sleep(ctx) != nil) {
-				return log.resolveUnstored(change, uncertainAt, Error.New("text version %d not seen yet: %w", change.BasedOn, err))
+				return log.resolveUnstored(change, uncertainAt, notSeenError(change.BasedOn, err))
 			}
 			continue
 		}
@@ -215,3 +215,12 @@
 	}
 	return nil
 }
+
+// notSeenError returns the error of a change that is based on a text which this daemon has not received. cause is
+// why the log could not be read, nil if it was read and does not have the text.
+func notSeenError(version uint64, cause error) error {
+	if cause == nil {
+		return Error.New("text version %d not seen yet", version)
+	}
+	return Error.New("text version %d not seen yet: %w", version, cause)
+}
--- a/script/test.sh
+++ b/script/test.sh
@@ -15,17 +15,17 @@
 
 all=$(go list "$@")
 one=$(go list -f "$paused" "$@" | tr ' ' '\n' | sort -u | sed '/^$/d')
-many=$(printf '%s\n' "$all" | grep -vxF "$one")
+many=$(printf '%s\n' "$all" | grep -vxF "$one" || true)
 
 red='^none$'
 if [ -f KNOWN-RED.txt ]; then
 	red=$(sed -n 's/^\(Test[A-Za-z0-9/-]*\):.*/\1/p' KNOWN-RED.txt | sed 's#/#$/^#; s#.*#^&$#' | paste -sd '|' -)
 fi
 
-# Word splitting is wanted: one package a word.
+# Word splitting is wanted: one package a word. A group may be empty.
 status=0
 # shellcheck disable=SC2086
-go test -race -timeout 20m -skip "$red" $many || status=$?
+[ -z "$many" ] || go test -race -timeout 20m -skip "$red" $many || status=$?
 # shellcheck disable=SC2086
-go test -race -cpu 1 -timeout 20m -skip "$red" $one || status=$?
+[ -z "$one" ] || go test -race -cpu 1 -timeout 20m -skip "$red" $one || status=$?
 exit $status
