Name daemons that are not ready to callers if none is ready

Cause: with the store away for longer than 2.3 s all daemons stop being ready, and the directory answered 503.

They serve what needs no key, refuse the rest at once with a true 'not run' and Retry-After, and serve again the moment the store is back.

--- a/core/decision/dogwoodentry/entry.go
+++ b/core/decision/dogwoodentry/entry.go
@@ -28,6 +28,8 @@
 	Place dogwoodfleet.Place
 	// Leaving is true for a daemon that is shutting down or whose place was taken out of service.
 	Leaving bool
+	// Unready is true for a daemon that is alive but can't serve now, for example without the store.
+	Unready bool
 	// Load is the number of requests in progress; 0 if unknown.
 	Load int
 	// Cores is the number of cores; 0 if unknown.
@@ -35,8 +37,18 @@
 }
 
 // Choose returns at most count addresses, the preferred ones first. place is the place of the
-// caller or, if unknown, of the daemon that was asked.
+// caller or, if unknown, of the daemon that was asked. If no daemon is ready, it chooses among those that are
+// not: they tell callers when to come back, and serve them again the moment they are ready. Callers without an
+// address fail and ask again late.
 func Choose(members []Member, place dogwoodfleet.Place, count int, random *rand.Rand) []netip.AddrPort {
+	ready := slices.DeleteFunc(slices.Clone(members), func(member Member) bool { return member.Unready })
+	if chosen := choose(ready, place, count, random); len(chosen) > 0 {
+		return chosen
+	}
+	return choose(members, place, count, random)
+}
+
+func choose(members []Member, place dogwoodfleet.Place, count int, random *rand.Rand) []netip.AddrPort {
 	type sample struct {
 		member   *Member
 		distance int
--- a/core/decision/dogwoodentry/entry_test.go
+++ b/core/decision/dogwoodentry/entry_test.go
@@ -74,3 +74,25 @@
 		t.Errorf("got %.2f times as many callers for a quarter of the cores, want about a quarter", got)
 	}
 }
+
+// The store is away and no daemon may serve keyed requests. Callers that were given no address could not connect,
+// and asked again only seconds after the store was back. They must get the daemons that are alive, none that is
+// leaving, and none of these while another one is ready.
+func TestCallersGetUnreadyDaemonsIfNoneIsReady(t *testing.T) {
+	unready, leaving := newMember(1, "a", 0), newMember(2, "a", 0)
+	unready.Unready, leaving.Leaving = true, true
+	tests := []struct {
+		name    string
+		members []Member
+		want    uint16
+	}{
+		{"none is ready", []Member{unready, leaving}, 1},
+		{"a remote one is ready", []Member{unready, leaving, newMember(3, "b", 0)}, 3},
+	}
+	for _, test := range tests {
+		got := Choose(test.members, unready.Place, Addresses, rand.New(rand.NewPCG(1, 1)))
+		if len(got) != 1 || got[0].Port() != test.want {
+			t.Errorf("%s: got %v, want port %d alone", test.name, got, test.want)
+		}
+	}
+}
