--- a/core/state/dogwoodview/view.go
+++ b/core/state/dogwoodview/view.go
@@ -72,6 +72,8 @@
 type View struct {
 	options Options
 	table   atomic.Pointer[dogwoodroute.Table]
+	// firstText is closed when the first text is in force.
+	firstText chan struct{}
 
 	mutex       sync.Mutex
 	servers     map[dogwoodfleet.EndpointID]*entry
@@ -85,7 +87,10 @@
 
 // New returns a View without text and endpoints.
 func New(options Options) *View {
-	return &View{options: options, entryLogLevel: hclog.Info, servers: map[dogwoodfleet.EndpointID]*entry{}, takenOut: map[dogwoodfleet.DataCentre]bool{}}
+	return &View{
+		options: options, firstText: make(chan struct{}), entryLogLevel: hclog.Info,
+		servers: map[dogwoodfleet.EndpointID]*entry{}, takenOut: map[dogwoodfleet.DataCentre]bool{},
+	}
 }
 
 // Table returns the table of the operators' text in force, nil before the first text.
@@ -93,6 +98,11 @@
 	return view.table.Load()
 }
 
+// FirstText returns a channel that is closed when the first text is in force.
+func (view *View) FirstText() <-chan struct{} {
+	return view.firstText
+}
+
 // SetTable puts the table of an operators' text in force unless the one in force has the same
 // or a newer version.
 func (view *View) SetTable(table *dogwoodroute.Table) {
@@ -101,7 +111,9 @@
 	if known := view.table.Load(); known != nil && table.Version <= known.Version {
 		return
 	}
-	view.table.Store(table)
+	if view.table.Swap(table) == nil {
+		close(view.firstText)
+	}
 	view.options.Logger.Info("Text in force.", "version", table.Version)
 	view.publishEndpoints()
 }
