Place long prompts again that other daemons' made late at the same moment

Cause: when a data centre's engines come back, or an engine dies that several joint prompts share, all hubs learn of it within a millisecond, and each places the long prompts that wait at it before it learns of the others'.

If prompts that were placed at the same moment by others, and go first by their ids, leave too little time, it withdraws its own placement and places it anew, at most four times.

--- a/core/decision/dogwoodpacking/worklist.go
+++ b/core/decision/dogwoodpacking/worklist.go
@@ -1,6 +1,10 @@
 package dogwoodpacking
 
-import "slices"
+import (
+	"slices"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+)
 
 // workList holds the requests at one endpoint, each once. Its length is about the number of the
 // endpoint's slots. Each decision iterates over it several times, which takes more than twice as
@@ -25,3 +29,12 @@
 func (workList *workList) index(id WorkID) int {
 	return slices.IndexFunc(*workList, func(work *Work) bool { return work.ID == id })
 }
+
+// engines returns the engines that prefill the work.
+func (work *Work) engines() []dogwoodfleet.EndpointID {
+	engines := []dogwoodfleet.EndpointID{work.Endpoint}
+	for _, part := range work.Helpers {
+		engines = append(engines, part.Endpoint)
+	}
+	return engines
+}
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -260,6 +260,16 @@
 	return placement, refusal
 }
 
+// ConflictWindow returns how long after its placement a prompt must be checked with Conflicts; 0 for no check.
+func (duty *Duty) ConflictWindow(prompt int) time.Duration {
+	return duty.options.Board.ConflictWindow(prompt)
+}
+
+// Conflicts reports whether a placed prompt must be placed again, since another daemon's goes first.
+func (duty *Duty) Conflicts(id dogwoodpacking.WorkID) bool {
+	return duty.options.Board.Conflicts(id)
+}
+
 // Writes records the first token of a request and announces it.
 func (duty *Duty) Writes(id dogwoodpacking.WorkID, predicted, seen time.Duration) {
 	if work, ok := duty.options.Board.Writes(time.Now(), id, predicted, seen); ok {
--- a/core/duty/dogwoodrelay/place.go
+++ b/core/duty/dogwoodrelay/place.go
@@ -28,6 +28,28 @@
 	return placementRequest
 }
 
+// maxConflicts is the number of times that a prompt is placed again because another daemon's goes first.
+const maxConflicts = 4
+
+// awaitSettledPlacement waits for a placement that other daemons know of. It returns the request under which the
+// prompt was placed last.
+func (attempt *attempt) awaitSettledPlacement(ctx context.Context) (*dogwoodpacking.PlacementRequest, dogwoodpacking.Placement, error) {
+	places := attempt.relay.options.Places
+	for conflicts := 0; ; conflicts++ {
+		placementRequest := attempt.placementRequest()
+		placement, err := attempt.awaitPlacement(ctx, placementRequest)
+		window := places.ConflictWindow(placementRequest.Prompt)
+		if err != nil || window == 0 || conflicts == maxConflicts {
+			return placementRequest, placement, err
+		}
+		if !dogwoodkernel.Sleep(ctx, window) || !places.Conflicts(placementRequest.ID) {
+			return placementRequest, placement, nil
+		}
+		counters.Add("Conflicts", 1)
+		places.End(placementRequest.ID)
+	}
+}
+
 // awaitPlacement waits for a placement as long as the caller can still be served in time.
 func (attempt *attempt) awaitPlacement(ctx context.Context, placementRequest *dogwoodpacking.PlacementRequest) (dogwoodpacking.Placement, error) {
 	request := attempt.request
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -178,9 +178,8 @@
 			Detail: "the store has not confirmed the keys for too long",
 		}}
 	}
-	placementRequest := attempt.placementRequest()
 	waitStart := time.Now()
-	placement, err := attempt.awaitPlacement(ctx, placementRequest)
+	placementRequest, placement, err := attempt.awaitSettledPlacement(ctx)
 	relay.options.Metrics.Observe(metricPlaceWait, "", time.Since(waitStart))
 	if err != nil {
 		return nil, tryResult{err: err}
