--- a/core/duty/dogwoodrelay/hedge.go
+++ b/core/duty/dogwoodrelay/hedge.go
@@ -195,10 +195,11 @@
 }
 
 // checkEngine asks a silent engine on a new connection whether it is alive. It returns true without a question
-// for plain services, and when the silence that is allowed has passed.
+// for plain services, when the silence that is allowed has passed, and when it has failed to answer often enough.
 func (hedge *hedge) checkEngine(ctx context.Context) bool {
 	hedge.mutex.Lock()
-	needed := hedge.waiting && hedge.secondRun == nil && time.Now().Before(hedge.silentAt) && !hedge.attempt.request.isPlain()
+	needed := hedge.waiting && hedge.secondRun == nil && hedge.failedChecks < maxFailedChecks &&
+		time.Now().Before(hedge.silentAt) && !hedge.attempt.request.isPlain()
 	hedge.mutex.Unlock()
 	endpoint := hedge.first.placement.Endpoint
 	if !needed || hedge.attempt.relay.liveness.seenRecently(time.Now(), endpoint.ID) {
