Ask the other readers while the store does not answer

Cause: the first reader asked the store and no other hub. When it alone lost the store, the other hubs left it and read on, but it kept the old text for the eight seconds of the fault, and so did the 25 leaves that it feeds.

Change: a daemon whose store does not answer asks the hubs that read in its place. These tell only what the store itself told them within 1.8 s, so no circle keeps a confirmation alive; the test checks that with the store lost to all. After a failure the store is asked once a second while another hub answers.

Way not taken: leaves that leave a hub whose confirmations are old. All its leaves would move at once, and the hub's own callers would stay refused.

--- a/core/decision/dogwoodhubs/hubs.go
+++ b/core/decision/dogwoodhubs/hubs.go
@@ -149,6 +149,13 @@
 	return readers
 }
 
+// StoreFallbacks returns the hubs that the hub self queries while the store does not answer it, in order of
+// preference: those that would read the store in its place.
+func StoreFallbacks(hubs []Daemon, self Daemon) []Daemon {
+	others := slices.DeleteFunc(readerOrder(hubs), func(hub Daemon) bool { return hub.Instance == self.Instance })
+	return others[:min(len(others), maxReaders)]
+}
+
 // readerOrder sorts hubs so that the first hub of each data centre comes before the second ones.
 func readerOrder(hubs []Daemon) []Daemon {
 	ordered := slices.SortedFunc(slices.Values(hubs), Compare)
--- a/core/duty/dogwoodreader/reader.go
+++ b/core/duty/dogwoodreader/reader.go
@@ -16,7 +16,8 @@
 //
 // A reader that dies, freezes or loses the store is detected within maxHold plus
 // answerAllowance; from then on the daemon queries the store itself and tries another reader
-// later. So no daemon depends on another one to serve.
+// later. So no daemon depends on another one to serve. A daemon that must query the store itself
+// and gets no answer queries the others for as long as that lasts.
 package dogwoodreader
 
 import (
@@ -68,6 +69,9 @@
 	// a moment ago.
 	failedBackoff = 5 * time.Second
 	staleBackoff  = time.Second
+	// storeBackoff is how long the store is not queried after it has failed, as long as another daemon answers
+	// instead.
+	storeBackoff = time.Second
 )
 
 // Source answers queries for the tables of a store.
@@ -98,6 +102,9 @@
 	// Readers lists the daemons that this one may query, in order of preference; none if it
 	// must query the store.
 	Readers func() []Peer
+	// Fallbacks lists further daemons to query while the store does not answer this one, in order of
+	// preference; nil for none.
+	Fallbacks func() []Peer
 	// Fed reports whether this daemon is fed: answers arrive through Apply, and it queries neither
 	// the store nor a peer. It also returns a channel that is closed when that may have changed.
 	// Fed is nil for a daemon that is never fed.
@@ -115,6 +122,7 @@
 	answeredAt   map[string]time.Duration              // when the store itself last answered a query for a table
 	backoffUntil map[dogwoodfleet.InstanceID]time.Time // when readers that failed may be queried again
 	lastQueried  dogwoodfleet.InstanceID               // the reader queried last, for the log
+	storeFailed  time.Time                             // when a query to the store last failed; zero since it last answered
 }
 
 // New returns a Reader without any table yet.
@@ -134,12 +142,7 @@
 	if answer, _, ok := reader.queryPeer(ctx, table, noVersion); ok {
 		return answer, nil
 	}
-	answer, err := reader.options.Store.Whole(ctx, table)
-	if err != nil {
-		return answer, err
-	}
-	reader.applyStoreAnswer(table, answer)
-	return answer, nil
+	return reader.queryStore(ctx, table, noVersion, func() (dogwoodcopy.Answer, error) { return reader.options.Store.Whole(ctx, table) })
 }
 
 // Changes waits for changes of a table after a version: as fed if this daemon is fed, otherwise
@@ -156,18 +159,65 @@
 		// The last confirmation is already old, so this query must not wait for a change.
 		wait = 0
 	}
-	answer, err := reader.options.Store.Changes(ctx, table, after, wait)
-	if err != nil {
+	return reader.queryStore(ctx, table, after, func() (dogwoodcopy.Answer, error) {
+		return reader.options.Store.Changes(ctx, table, after, wait)
+	})
+}
+
+// queryStore queries the store with a function. While the store fails, it queries the fallbacks: a daemon that
+// alone has lost the store would otherwise serve an old text, together with all daemons that it feeds.
+func (reader *Reader) queryStore(ctx context.Context, table string, after int64, query func() (dogwoodcopy.Answer, error)) (dogwoodcopy.Answer, error) {
+	if reader.storeFailedRecently(time.Now()) {
+		if answer, ok := reader.queryFallbacks(ctx, table, after); ok {
+			return answer, nil
+		}
+	}
+	answer, err := query()
+	if err == nil {
+		reader.applyStoreAnswer(table, answer)
+		return answer, nil
+	}
+	if ctx.Err() != nil {
 		return answer, err
 	}
-	reader.applyStoreAnswer(table, answer)
-	return answer, nil
+	reader.recordStoreFailure(time.Now())
+	if told, ok := reader.queryFallbacks(ctx, table, after); ok {
+		return told, nil
+	}
+	return answer, err
+}
+
+func (reader *Reader) storeFailedRecently(now time.Time) bool {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	return !reader.storeFailed.IsZero() && now.Sub(reader.storeFailed) < storeBackoff
+}
+
+func (reader *Reader) recordStoreFailure(now time.Time) {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	reader.storeFailed = now
+}
+
+// queryFallbacks queries the fallbacks that have not failed recently until one answers.
+func (reader *Reader) queryFallbacks(ctx context.Context, table string, after int64) (dogwoodcopy.Answer, bool) {
+	if reader.options.Fallbacks == nil {
+		return dogwoodcopy.Answer{}, false
+	}
+	fallbacks := reader.options.Fallbacks()
+	for range fallbacks {
+		answer, queried, ok := reader.queryFirst(ctx, fallbacks, table, after)
+		if ok || !queried {
+			return answer, ok
+		}
+	}
+	return dogwoodcopy.Answer{}, false
 }
 
 // applyStoreAnswer applies an answer of the store itself.
 func (reader *Reader) applyStoreAnswer(table string, answer dogwoodcopy.Answer) {
 	reader.mutex.Lock()
-	reader.answeredAt[table] = reader.options.Clock()
+	reader.answeredAt[table], reader.storeFailed = reader.options.Clock(), time.Time{}
 	reader.mutex.Unlock()
 	reader.copyOf(table).Apply(answer, true)
 }
@@ -180,10 +230,15 @@
 	return staleAfter - (reader.options.Clock() - reader.answeredAt[table])
 }
 
-// queryPeer queries the first peer that has not failed recently. It reports whether there is
+// queryPeer queries the first of the readers that has not failed recently. It reports whether there is
 // one, and whether it answered.
 func (reader *Reader) queryPeer(ctx context.Context, table string, after int64) (answer dogwoodcopy.Answer, queried, ok bool) {
-	peer, found := reader.choosePeer(time.Now())
+	return reader.queryFirst(ctx, reader.options.Readers(), table, after)
+}
+
+// queryFirst queries the first of some peers that has not failed recently.
+func (reader *Reader) queryFirst(ctx context.Context, peers []Peer, table string, after int64) (answer dogwoodcopy.Answer, queried, ok bool) {
+	peer, found := reader.choosePeer(time.Now(), peers)
 	if !found {
 		return answer, false, false
 	}
@@ -267,12 +322,11 @@
 	return told.ToLocalClock(sentAt, after), nil
 }
 
-// choosePeer returns the first reader that has not failed recently.
-func (reader *Reader) choosePeer(now time.Time) (Peer, bool) {
-	readers := reader.options.Readers()
+// choosePeer returns the first peer that has not failed recently.
+func (reader *Reader) choosePeer(now time.Time, peers []Peer) (Peer, bool) {
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
-	for _, peer := range readers {
+	for _, peer := range peers {
 		if now.After(reader.backoffUntil[peer.Instance]) {
 			if peer.Instance != reader.lastQueried {
 				reader.lastQueried = peer.Instance
--- a/core/duty/dogwoodreader/reader_test.go
+++ b/core/duty/dogwoodreader/reader_test.go
@@ -54,6 +54,8 @@
 	cutOff  bool // the store does not answer this daemon
 	frozen  bool // this daemon does not answer
 	readers []Peer
+	// fallbacks are the daemons to ask while the store does not answer.
+	fallbacks []Peer
 }
 
 func (daemon *daemon) clock() time.Duration { return time.Since(daemon.started) }
@@ -135,6 +137,11 @@
 				defer each.mutex.Unlock()
 				return each.readers
 			},
+			Fallbacks: func() []Peer {
+				each.mutex.Lock()
+				defer each.mutex.Unlock()
+				return each.fallbacks
+			},
 		})
 		connected[addressOf(i)], created[i] = each, each
 	}
@@ -277,3 +284,46 @@
 		}
 	})
 }
+
+// The first reader alone loses the store, and the others leave it and read on. It served an old text for eight
+// seconds, and so did the 25 daemons that it feeds. It must learn of changes from another reader within two seconds,
+// and its confirmations must not grow old, without it or the others confirming each other in a circle once the store is
+// lost to all.
+func TestReaderThatLostTheStoreAsksAnother(t *testing.T) {
+	runDaemons(t, 3, func(t *testing.T, store *storeStandin, all []*daemon, followers []*follower) {
+		for i, each := range all {
+			each.set(func(daemon *daemon) {
+				daemon.cutOff = i == 0
+				for other := range all {
+					if other != i {
+						daemon.fallbacks = append(daemon.fallbacks, Peer{Instance: dogwoodfleet.InstanceID(addressOf(other).String()), Address: addressOf(other)})
+					}
+				}
+			})
+		}
+		time.Sleep(4 * time.Second)
+		store.put("withdrawn")
+		changed := time.Now()
+		time.Sleep(2 * time.Second)
+		for i, follower := range followers {
+			if at, ok := follower.receivedAt("withdrawn"); !ok {
+				t.Errorf("daemon %d: got no change within 2 s", i)
+			} else if got := at.Sub(changed); got > 2*time.Second {
+				t.Errorf("daemon %d: got the change after %s", i, got)
+			}
+			if got, limit := follower.age(all[i]), 3*time.Second; got > limit {
+				t.Errorf("daemon %d: got a confirmation %s old, want at most %s", i, got, limit)
+			}
+		}
+		for _, each := range all {
+			each.set(func(daemon *daemon) { daemon.cutOff = true })
+		}
+		lost := time.Now()
+		time.Sleep(6 * time.Second)
+		for i, follower := range followers {
+			if got, want := follower.age(all[i]), time.Since(lost); got < want {
+				t.Errorf("daemon %d: got a confirmation %s old with the store lost for %s", i, got, want)
+			}
+		}
+	})
+}
