Requeue failed updates in linear time

While a peer did not answer, each failed announcement compared every placed request with every ended one, up to 10,000, under the link's mutex. Found by reading. No test of its time; TestLostNewsAreToldAgain keeps what it does.

--- a/core/duty/dogwoodboard/link.go
+++ b/core/duty/dogwoodboard/link.go
@@ -121,8 +121,12 @@
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
 	link.whole, link.failed = true, true
+	ended := make(map[dogwoodpacking.WorkID]bool, len(link.ended))
+	for _, id := range link.ended {
+		ended[id] = true
+	}
 	for _, work := range failed.works {
-		if _, newer := link.works[work.ID]; !newer && !slices.Contains(link.ended, work.ID) && now.Before(work.Until) {
+		if _, newer := link.works[work.ID]; !newer && !ended[work.ID] && now.Before(work.Until) {
 			link.works[work.ID] = work
 		}
 	}
