Let a prompt that is placed again wait no longer than one that is not

Cause: each placement after a conflict began a new wait, as a share of the time left to the deadline, so that a prompt could be refused after 5.0 s where one without a conflict is refused after 3.0 s.

Change: all placements of a try share one wait.

--- a/core/duty/dogwoodboard/link.go
+++ b/core/duty/dogwoodboard/link.go
@@ -116,7 +116,7 @@
 
 // requeue queues the updates of a failed announcement again, which may not have arrived, and makes the next one
 // list all work of this daemon. Updates that were queued since go before. Paces are left out, since new ones
-// are measured all the time.
+// follow with each answer.
 func (link *link) requeue(now time.Time, failed updates) {
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
--- a/core/duty/dogwoodrelay/place.go
+++ b/core/duty/dogwoodrelay/place.go
@@ -32,12 +32,14 @@
 const maxConflicts = 4
 
 // awaitSettledPlacement waits for a placement that other daemons know of. It returns the request under which the
-// prompt was placed last.
+// prompt was placed last. All placements share one wait.
 func (attempt *attempt) awaitSettledPlacement(ctx context.Context) (*dogwoodpacking.PlacementRequest, dogwoodpacking.Placement, error) {
 	places := attempt.relay.options.Places
+	waiting := attempt.waitingRequest()
+	waitUntil := time.Now().Add(dogwoodwaiting.MaxWait(time.Now(), &waiting))
 	for conflicts := 0; ; conflicts++ {
 		placementRequest := attempt.placementRequest()
-		placement, err := attempt.awaitPlacement(ctx, placementRequest)
+		placement, err := attempt.awaitPlacement(ctx, placementRequest, waitUntil)
 		window := places.ConflictWindow(placementRequest.Prompt)
 		if err != nil || window == 0 || conflicts == maxConflicts {
 			return placementRequest, placement, err
@@ -50,16 +52,21 @@
 	}
 }
 
-// awaitPlacement waits for a placement as long as the caller can still be served in time.
-func (attempt *attempt) awaitPlacement(ctx context.Context, placementRequest *dogwoodpacking.PlacementRequest) (dogwoodpacking.Placement, error) {
+// waitingRequest returns the attempt's request as the queue orders it.
+func (attempt *attempt) waitingRequest() dogwoodwaiting.Request {
 	request := attempt.request
-	waiter := &waiter{placementRequest: placementRequest, result: make(chan placementResult, 1), request: dogwoodwaiting.Request{
+	return dogwoodwaiting.Request{
 		Arrived: request.Arrived, Deadline: request.Deadline, Aim: request.Route.Aim, Pause: request.Route.Pause,
 		Prompt: request.Prompt, Begun: attempt.stream.begun,
-	}}
+	}
+}
+
+// awaitPlacement waits for a placement, at most until waitUntil.
+func (attempt *attempt) awaitPlacement(ctx context.Context, placementRequest *dogwoodpacking.PlacementRequest, waitUntil time.Time) (dogwoodpacking.Placement, error) {
+	waiter := &waiter{placementRequest: placementRequest, result: make(chan placementResult, 1), request: attempt.waitingRequest()}
 	queue := &attempt.relay.queue
 	queue.add(waiter)
-	maxWait := time.NewTimer(dogwoodwaiting.MaxWait(time.Now(), &waiter.request))
+	maxWait := time.NewTimer(time.Until(waitUntil))
 	defer maxWait.Stop()
 	var err error
 	select {
