Recover panics of work beside a request's own goroutine

Callers saw: all connections of a daemon closed, each time the odd request was sent again, at the next daemon.

Cause: net/http recovers a panic only in the goroutine of its request. The second run, the timers of silence and of unused memory, the questions to a silent engine, and the renewals and releases of memory run in timers and error groups, which recover nothing.

Change: these tasks are recovered, logged with their stack and counted. The first run continues without a second one that panicked; that one counts as sent, so neither its retry nor its run is given back. A try that panics before it is sent frees its slot, and the memory that it has reserved.

--- a/core/duty/dogwoodrelay/counters.go
+++ b/core/duty/dogwoodrelay/counters.go
@@ -7,7 +7,7 @@
 )
 
 // counters are published under "Relay": Answered, Cut, CallerGone, Failed, one for each
-// Failure reason, Retries, RetriesForbidden, NotBegun, Conflicts, Silent.
+// Failure reason, Retries, RetriesForbidden, NotBegun, Conflicts, Silent, Panics.
 var counters = expvar.NewMap("Relay")
 
 // Names of the latency metrics.
--- a/core/duty/dogwoodrelay/hedge.go
+++ b/core/duty/dogwoodrelay/hedge.go
@@ -81,7 +81,7 @@
 	// A plain call that is not idempotent is read whole and may take any time.
 	unbounded := attempt.request.isPlain() && attempt.request.Route.Repeat != dogwoodroute.Idempotent
 	if attempt.mayHedge() && !unbounded {
-		hedge.timer = time.AfterFunc(unarmed, func() { hedge.onSilence(ctx) })
+		hedge.timer = time.AfterFunc(unarmed, func() { hedge.onTimer(ctx) })
 		hedge.timer.Stop() // beginWait resets it
 	}
 	return hedge
@@ -160,6 +160,18 @@
 	hedge.timer.Reset(after)
 }
 
+// onTimer calls onSilence. After a panic it sets the timer again as after a second run that has failed.
+func (hedge *hedge) onTimer(ctx context.Context) {
+	if !hedge.attempt.relay.runTask("silence", hedge.attempt.request.ID, func() { hedge.onSilence(ctx) }) {
+		return
+	}
+	hedge.mutex.Lock()
+	defer hedge.mutex.Unlock()
+	if hedge.waiting && hedge.secondRun == nil {
+		hedge.reset(hedge.pauseLimit())
+	}
+}
+
 // onSilence starts a second run if the endpoint is silent on all streams and another one may be tried.
 func (hedge *hedge) onSilence(ctx context.Context) {
 	responds := hedge.checkEngine(ctx)
@@ -228,10 +240,12 @@
 	return true
 }
 
-// race starts the second run. Its first event cancels the first run.
+// race starts the second run. Its first event cancels the first run. The first run also continues if the second
+// one panics.
 func (hedge *hedge) race(ctx context.Context, secondRun *secondRun) {
 	defer close(secondRun.done)
-	run := hedge.attempt.openSecond(ctx)
+	var run *run
+	hedge.attempt.relay.runTask("second run", hedge.attempt.request.ID, func() { run = hedge.attempt.openSecond(ctx) })
 	hedge.mutex.Lock()
 	defer hedge.mutex.Unlock()
 	if run != nil && !secondRun.dropped {
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -24,6 +24,7 @@
 	"dogwoodmux.example/core/decision/dogwoodretry"
 	"dogwoodmux.example/core/decision/dogwoodroute"
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodkernel"
 )
 
 // Error is the class of this package's errors.
@@ -213,6 +214,16 @@
 	return len(relay.queue.waiters)
 }
 
+// runTask calls a function that does part of a request's work in a goroutine of its own, and logs its panic. It
+// reports whether the function panicked.
+func (relay *Relay) runTask(task, request string, function func()) (panicked bool) {
+	panicked = dogwoodkernel.LogPanic(relay.options.Logger, task, function, "request", request)
+	if panicked {
+		counters.Add("Panics", 1)
+	}
+	return panicked
+}
+
 // Wait waits until the memory of all ended requests is released.
 func (relay *Relay) Wait() {
 	_ = relay.background.Wait() // releases log their failures
--- a/core/duty/dogwoodrelay/reserve.go
+++ b/core/duty/dogwoodrelay/reserve.go
@@ -29,6 +29,12 @@
 func (relay *Relay) reserve(ctx context.Context, id dogwoodpacking.WorkID, placement dogwoodpacking.Placement) ([]Helper, *reservation, error) {
 	helpers := make([]Helper, len(placement.Helpers))
 	reservation := &reservation{relay: relay, ticket: "t-" + string(id), primary: placement.Endpoint.Endpoint, reserved: time.Now()}
+	complete := false
+	defer func() {
+		if !complete {
+			reservation.releaseInBackground(ctx)
+		}
+	}()
 	for i, helper := range placement.Helpers {
 		helpers[i].Address = helper.Endpoint.Address
 		if helper.Tokens == 0 {
@@ -37,11 +43,11 @@
 		helpers[i].Ticket = reservation.ticket
 		reservation.helpers = append(reservation.helpers, helper)
 		if err := reservation.renew(ctx, helper); err != nil {
-			reservation.releaseInBackground(ctx)
 			relay.options.Places.Avoid(time.Now(), helper.Endpoint.ID, avoidUnreachableFor)
 			return nil, nil, fmt.Errorf("reserving memory: %w", err)
 		}
 	}
+	complete = true
 	return helpers, reservation, nil
 }
 
@@ -81,16 +87,23 @@
 				return nil
 			case <-ticker.C:
 			}
-			if reservation.primaryResponds(ctx) {
-				renewed = time.Now()
-				reservation.renewAll(ctx)
-			}
+			reservation.runTask("renewal of memory", func() {
+				if reservation.primaryResponds(ctx) {
+					renewed = time.Now()
+					reservation.renewAll(ctx)
+				}
+			})
 		}
 		onExpired()
 		return nil
 	})
 }
 
+// runTask is Relay.runTask for the request of the reservation.
+func (reservation *reservation) runTask(task string, function func()) {
+	reservation.relay.runTask(task, reservation.ticket, function)
+}
+
 // primaryResponds asks the primary engine itself. Events of its other streams don't count, since they may
 // have been on their way for a while.
 func (reservation *reservation) primaryResponds(ctx context.Context) bool {
@@ -135,11 +148,15 @@
 	var group errgroup.Group
 	for _, helper := range reservation.helpers {
 		group.Go(func() error {
-			if err := reservation.relay.options.Endpoints.Release(ctx, helper.Endpoint.Endpoint, reservation.ticket); err != nil {
-				reservation.relay.options.Logger.Warn("Memory was not released; its lease ends.", "ticket", reservation.ticket, "endpoint", helper.Endpoint.ID, "error", err)
-			}
+			reservation.runTask("release of memory", func() { reservation.releaseAt(ctx, helper) })
 			return nil
 		})
 	}
 	_ = group.Wait() // failures are logged and the lease ends
 }
+
+func (reservation *reservation) releaseAt(ctx context.Context, helper dogwoodpacking.Helper) {
+	if err := reservation.relay.options.Endpoints.Release(ctx, helper.Endpoint.Endpoint, reservation.ticket); err != nil {
+		reservation.relay.options.Logger.Warn("Memory was not released; its lease ends.", "ticket", reservation.ticket, "endpoint", helper.Endpoint.ID, "error", err)
+	}
+}
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -187,17 +187,22 @@
 		return
 	}
 	run.unusedTimer = time.AfterFunc(unarmed, func() {
-		switch {
-		case run.memoryUsed.Load():
-		case run.attempt.relay.liveness.seenRecently(time.Now(), run.placement.Endpoint.ID):
-			run.unusedTimer.Reset(silenceRecheck)
-		default:
-			run.cancel(errSilent)
-		}
+		run.attempt.relay.runTask("unused memory", run.attempt.request.ID, run.checkMemoryUse)
 	})
 	run.unusedTimer.Reset(max(limit-releaseTimeout, prefillFactor*run.placement.Predicted)) // armed only now because the function uses the timer
 }
 
+// checkMemoryUse ends the run if its memory is unused and its endpoint sends no events of other streams.
+func (run *run) checkMemoryUse() {
+	switch {
+	case run.memoryUsed.Load():
+	case run.attempt.relay.liveness.seenRecently(time.Now(), run.placement.Endpoint.ID):
+		run.unusedTimer.Reset(silenceRecheck)
+	default:
+		run.cancel(errSilent)
+	}
+}
+
 // markMemoryUsed records that the memory is used or about to be released.
 func (run *run) markMemoryUsed() {
 	if run.unusedTimer != nil && !run.memoryUsed.Swap(true) {
--- a/core/duty/dogwoodrelay/secondrun.go
+++ b/core/duty/dogwoodrelay/secondrun.go
@@ -24,6 +24,7 @@
 		if !retryTaken && !attempt.takeRetry() {
 			return nil
 		}
+		retryTaken = false // a try that panics may have reached its endpoint
 		run, tryResult := attempt.trySecond(ctx)
 		retryTaken = run == nil && !tryResult.reached
 		switch {
@@ -46,14 +47,25 @@
 		return nil, failed
 	}
 	run := newRun(ctx, preparedTry)
+	ended, panicked := true, true
+	defer func() {
+		if panicked {
+			attempt.reachedTries++
+			attempt.recordDropped()
+		}
+		if ended {
+			run.close()
+		}
+	}()
 	stop := attempt.limitSecondSilence(run)
 	err := run.peek()
 	stop()
+	panicked = false
 	if err == nil || errors.Is(err, errStreamEnded) {
 		attempt.reachedTries++
+		ended = false
 		return run, tryResult{}
 	}
-	defer run.close()
 	var unsent *NotSent
 	result := attempt.classify(ctx, run, err)
 	if result.err != nil && !errors.As(err, &unsent) {
@@ -75,7 +87,7 @@
 	options, endpoint := &attempt.relay.options, run.placement.Endpoint.ID
 	var timer *time.Timer
 	var stopped atomic.Bool
-	timer = time.AfterFunc(unarmed, func() {
+	check := func() {
 		now := time.Now()
 		switch {
 		case stopped.Load():
@@ -84,7 +96,8 @@
 		default:
 			run.cancel(errSilent)
 		}
-	})
+	}
+	timer = time.AfterFunc(unarmed, func() { attempt.relay.runTask("silence of a second run", attempt.request.ID, check) })
 	timer.Reset(run.firstEventLimit()) // armed only now because the function uses the timer
 	return func() {
 		stopped.Store(true)
