Keep a panic of a peer's call with that call

Callers saw: nothing yet. One message of a peer on which a method panics would have ended the daemon with all its requests, and a peer that sends it to all would have ended all.

Cause: net/rpc runs each method in a goroutine of its own and recovers no panic there.

Change: the server reads the calls of a connection itself, runs each with rpc.Server.ServeRequest, which calls the method in the same goroutine, and answers a call that panicked with an error. Other calls on the connection go on. A response that could not be written whole closes the connection, as before.

--- /dev/null
+++ b/core/edge/dogwoodpeer/codec.go
@@ -0,0 +1,109 @@
+package dogwoodpeer
+
+import (
+	"bufio"
+	"encoding/gob"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"dogwoodmux.example/core/dogwoodkernel"
+)
+
+// codec is a connection in the encoding of net/rpc's clients.
+type codec struct {
+	conn    net.Conn
+	decoder *gob.Decoder
+
+	mutex   sync.Mutex
+	buffer  *bufio.Writer
+	encoder *gob.Encoder
+}
+
+func newCodec(conn net.Conn) *codec {
+	buffer := bufio.NewWriter(conn)
+	return &codec{conn: conn, decoder: gob.NewDecoder(conn), buffer: buffer, encoder: gob.NewEncoder(buffer)}
+}
+
+// write sends a response. If it fails or panics, the connection is closed, since the client could not decode
+// what follows.
+func (codec *codec) write(response *rpc.Response, body any) error {
+	codec.mutex.Lock()
+	defer codec.mutex.Unlock()
+	written := false
+	defer func() {
+		if !written {
+			_ = codec.conn.Close()
+		}
+	}()
+	if err := codec.encoder.Encode(response); err != nil {
+		return Error.Wrap(err)
+	}
+	if err := codec.encoder.Encode(body); err != nil {
+		return Error.Wrap(err)
+	}
+	if err := codec.buffer.Flush(); err != nil {
+		return Error.Wrap(err)
+	}
+	written = true
+	return nil
+}
+
+// incomingCall is the rpc.ServerCodec of a single call whose header was read.
+type incomingCall struct {
+	codec  *codec
+	header rpc.Request
+	// read ends the reading of the arguments, so that the next call can be read.
+	read func()
+}
+
+// ReadRequestHeader returns the header.
+func (call *incomingCall) ReadRequestHeader(header *rpc.Request) error {
+	header.ServiceMethod, header.Seq = call.header.ServiceMethod, call.header.Seq
+	return nil
+}
+
+// ReadRequestBody reads the arguments.
+func (call *incomingCall) ReadRequestBody(arguments any) error {
+	defer call.read()
+	return call.codec.decoder.Decode(arguments)
+}
+
+// WriteResponse sends the response.
+func (call *incomingCall) WriteResponse(response *rpc.Response, body any) error {
+	return call.codec.write(response, body)
+}
+
+// Close does nothing, since the connection has other calls.
+func (call *incomingCall) Close() error { return nil }
+
+// serveCalls answers the calls of a connection until it ends, each in a goroutine of its own, and waits for
+// those that are still running. Unlike rpc.Server.ServeConn it survives methods that panic.
+func (server *Server) serveCalls(conn net.Conn) {
+	codec := newCodec(conn)
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		done := make(chan struct{})
+		call := &incomingCall{codec: codec, read: sync.OnceFunc(func() { close(done) })}
+		if err := codec.decoder.Decode(&call.header); err != nil {
+			server.logger.Debug("A peer's connection has ended.", "from", conn.RemoteAddr(), "error", err)
+			return
+		}
+		group.Go(func() { server.serveCall(call) })
+		<-done
+	}
+}
+
+// serveCall runs a method and answers its call, also if it panics.
+func (server *Server) serveCall(call *incomingCall) {
+	defer call.read()
+	method := call.header.ServiceMethod
+	panicked := dogwoodkernel.LogPanic(server.logger, "call", func() {
+		_ = server.rpc.ServeRequest(call) // the client has the error in its response
+	}, "method", method)
+	if panicked {
+		response := &rpc.Response{ServiceMethod: method, Seq: call.header.Seq, Error: "the method panicked"}
+		_ = call.WriteResponse(response, struct{}{}) // a failure closes the connection
+	}
+}
--- a/core/edge/dogwoodpeer/peer_test.go
+++ b/core/edge/dogwoodpeer/peer_test.go
@@ -89,6 +89,10 @@
 	return nil
 }
 
+func (receiver *testReceiver) Panic(int, *int) error {
+	panic("odd call")
+}
+
 func (receiver *testReceiver) Fail(int, *int) error {
 	return errors.New("broken")
 }
@@ -144,6 +148,50 @@
 	})
 }
 
+// Guards against a daemon that crashes because a method panics on what one peer sent. The other calls on the
+// connection are answered.
+func TestPanicOfMethodEndsOnlyItsCall(t *testing.T) {
+	runWithClient(t, "secret", func(ctx context.Context, client *Client, receiver *testReceiver, network *pipeNetwork) {
+		var group sync.WaitGroup
+		group.Go(func() {
+			var got int
+			if err := client.Call(ctx, peerAddress, "Test.Wait", 1, &got); err != nil || got != 7 {
+				t.Errorf("the running call: got %v and %d, want 7", err, got)
+			}
+		})
+		synctest.Wait()
+		for range 2 {
+			var reply int
+			err := client.Call(ctx, peerAddress, "Test.Panic", 1, &reply)
+			if remote := (*RemoteError)(nil); !errors.As(err, &remote) {
+				t.Errorf("got %v, want a RemoteError", err)
+			}
+		}
+		receiver.release <- struct{}{}
+		group.Wait()
+		if got, want := network.dials.Load(), int64(1); got != want {
+			t.Errorf("got %d dials, want %d", got, want)
+		}
+	})
+}
+
+// Guards against a connection that stops answering after a call of an unknown method.
+func TestUnknownMethodEndsOnlyItsCall(t *testing.T) {
+	runWithClient(t, "secret", func(ctx context.Context, client *Client, _ *testReceiver, network *pipeNetwork) {
+		var reply int
+		err := client.Call(ctx, peerAddress, "Test.None", 1, &reply)
+		if remote := (*RemoteError)(nil); !errors.As(err, &remote) {
+			t.Errorf("got %v, want a RemoteError", err)
+		}
+		if err := client.Call(ctx, peerAddress, "Test.Double", 2, &reply); err != nil || reply != 4 {
+			t.Errorf("got %v and %d, want 4", err, reply)
+		}
+		if got, want := network.dials.Load(), int64(1); got != want {
+			t.Errorf("got %d dials, want %d", got, want)
+		}
+	})
+}
+
 // A client with another key must not get a method run, and its call must be reported as not sent.
 func TestClientWithWrongKeyIsRejected(t *testing.T) {
 	runWithClient(t, "guess", func(ctx context.Context, client *Client, receiver *testReceiver, _ *pipeNetwork) {
--- a/core/edge/dogwoodpeer/server.go
+++ b/core/edge/dogwoodpeer/server.go
@@ -102,7 +102,7 @@
 		server.logger.Log(level, "rejected a connection", "from", conn.RemoteAddr(), "error", err)
 		return
 	}
-	server.rpc.ServeConn(&idleConn{Conn: conn})
+	server.serveCalls(&idleConn{Conn: conn})
 }
 
 func (server *Server) closeConnections() {
