Keep panics in owners' queues and engine streams with their requests

Callers saw: with dogwoodmuxd, a request whose placement panics would have stayed in its owner's queue, so that the panic came again in the calls of all other requests and in the owner's timer, which ends the daemon. A panic while a stream was read, or a request cancelled in the background, ended it as well.

Change: a request whose placement panics is taken out of the queue and refused as not run, which is true since it was granted nothing; a stream whose reader panics has broken; background work that panics is logged.

--- a/core/duty/dogwoodowner/acquire.go
+++ b/core/duty/dogwoodowner/acquire.go
@@ -21,6 +21,8 @@
 	lane           *lane
 	reserved       *endpoint // the endpoint that is being cleared for this waiter
 	outcomes       chan outcome
+	// placementPanic is the panic of its placement; nil for none.
+	placementPanic error
 }
 
 // outcome is the result of an acquire request: a grant, or a refusal if that isn't nil.
@@ -70,6 +72,10 @@
 	}
 }
 
+func refusalPanic(cause error) *Refusal {
+	return &Refusal{Reason: dogwoodfleet.ReasonInternal, NotRun: true, Detail: "its placement failed: " + cause.Error()}
+}
+
 func refusalCancelled() *Refusal {
 	return &Refusal{Reason: dogwoodfleet.ReasonCancelled, NotRun: true, Detail: "withdrawn while it waited"}
 }
--- a/core/duty/dogwoodowner/lane.go
+++ b/core/duty/dogwoodowner/lane.go
@@ -9,6 +9,7 @@
 	"dogwoodmux.example/core/decision/dogwoodprefix"
 	"dogwoodmux.example/core/decision/dogwoodrouting"
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodkernel"
 )
 
 // laneKey identifies a lane. The model is empty for endpoints whose models aren't known.
@@ -36,17 +37,18 @@
 	candidates         []dogwoodrouting.Candidate
 	candidateEndpoints []*endpoint // the endpoint of each candidate
 	// now is the time of the current pass over the queue; picked and pickedHitTokens are the
-	// result of placeWork, which placeFunc holds as a function value.
+	// result of placeWork. place and placeFunc hold placeWork and tryPlace as function values.
 	now             time.Time
 	picked          *endpoint
 	pickedHitTokens int
+	place           func(*dogwoodadmission.Work) bool
 	placeFunc       func(*dogwoodadmission.Work) bool
 }
 
 func newLane(owner *Owner, key laneKey) *lane {
 	lane := &lane{owner: owner, key: key}
 	lane.queue = dogwoodadmission.NewQueue(&lane.rates, dogwoodadmission.MaxWaiting, owner.weightLocked)
-	lane.placeFunc = lane.placeWork
+	lane.place, lane.placeFunc = lane.placeWork, lane.tryPlace
 	return lane
 }
 
@@ -126,6 +128,11 @@
 			break
 		}
 		waiter := work.Value.(*waiter)
+		if waiter.placementPanic != nil {
+			lane.queue.Remove(work)
+			waiter.reject(refusalPanic(waiter.placementPanic))
+			continue
+		}
 		if now.After(work.LatestStart()) {
 			lane.queue.Expire(now, work)
 			waiter.reject(refusalDeadline())
@@ -137,6 +144,21 @@
 	lane.reserveForLong(now)
 }
 
+// tryPlace calls place. It returns true for work on which that panics, which grantWaiting then rejects: if the work
+// stayed in the queue, the panic would come again in the goroutines of all other requests.
+func (lane *lane) tryPlace(work *dogwoodadmission.Work) bool {
+	placed := false
+	err := dogwoodkernel.Recovered(func() error {
+		placed = lane.place(work)
+		return nil
+	})
+	if err != nil {
+		work.Value.(*waiter).placementPanic = err
+		return true
+	}
+	return placed
+}
+
 // placeWork picks an endpoint for the work and reports whether there is one. It also returns
 // true for work that is too late, which grantWaiting then rejects.
 func (lane *lane) placeWork(work *dogwoodadmission.Work) bool {
--- a/core/edge/dogwoodengine/connection.go
+++ b/core/edge/dogwoodengine/connection.go
@@ -9,6 +9,7 @@
 
 	"github.com/tmaxmax/go-sse"
 
+	"dogwoodmux.example/core/dogwoodkernel"
 	"dogwoodmux.example/core/dogwoodring"
 )
 
@@ -56,7 +57,7 @@
 	connection.reading.Go(func() {
 		defer connection.frames.Close()
 		defer body.Close() //nolint:errcheck // the stream was read to its end or abandoned
-		connection.failure = connection.read(ctx, body)
+		connection.failure = dogwoodkernel.Recovered(func() error { return connection.read(ctx, body) })
 	})
 	return connection
 }
--- a/core/edge/dogwoodengine/engine.go
+++ b/core/edge/dogwoodengine/engine.go
@@ -22,6 +22,7 @@
 	"github.com/zeebo/errs"
 
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodkernel"
 )
 
 // Error is the class of this package's errors.
@@ -95,7 +96,7 @@
 		client.logger.Debug("client is closing, background work dropped")
 		return
 	}
-	client.background.Go(work)
+	client.background.Go(func() { dogwoodkernel.LogPanic(client.logger, "background work", work) })
 }
 
 // Close waits until the cancels that run in the background are confirmed or abandoned. They
