Be ready only once the endpoints are known

Callers saw: 503 "no endpoint of the service is in force" after 0.6 s of waiting, from a daemon that had just started, said that it was ready and was named by the directory, while other daemons could serve them.

Cause: a daemon was ready as soon as it had the text and its confirmation. The endpoints are another table, read at the same time; if the store is slow or falls silent between the two answers, the daemon takes every service for one without endpoints.

Change: the view is loaded once a text is in force and the endpoints were read whole, also if there are none.

--- a/core/state/dogwoodview/view.go
+++ b/core/state/dogwoodview/view.go
@@ -72,10 +72,11 @@
 type View struct {
 	options Options
 	table   atomic.Pointer[dogwoodroute.Table]
-	// firstText is closed when the first text is in force.
-	firstText chan struct{}
+	// loaded is closed once the view is loaded.
+	loaded chan struct{}
 
 	mutex       sync.Mutex
+	serversRead bool // all entries were read at least once
 	servers     map[dogwoodfleet.EndpointID]*entry
 	takenOut    map[dogwoodfleet.DataCentre]bool
 	lastAnswer  time.Time
@@ -88,7 +89,7 @@
 // New returns a View without text and endpoints.
 func New(options Options) *View {
 	return &View{
-		options: options, firstText: make(chan struct{}), entryLogLevel: hclog.Info,
+		options: options, loaded: make(chan struct{}), entryLogLevel: hclog.Info,
 		servers: map[dogwoodfleet.EndpointID]*entry{}, takenOut: map[dogwoodfleet.DataCentre]bool{},
 	}
 }
@@ -98,9 +99,28 @@
 	return view.table.Load()
 }
 
-// FirstText returns a channel that is closed when the first text is in force.
-func (view *View) FirstText() <-chan struct{} {
-	return view.firstText
+// Loaded returns a channel that is closed once a text is in force and all entries of endpoints were read, though
+// there may be none. Before, a service seems to have no endpoint.
+func (view *View) Loaded() <-chan struct{} {
+	return view.loaded
+}
+
+// IsLoaded reports whether the channel that Loaded returns is closed.
+func (view *View) IsLoaded() bool {
+	select {
+	case <-view.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
+// updateLoaded closes loaded if the view has become loaded. It is called after the endpoints were published, for
+// whoever waits uses them at once. The caller holds the mutex.
+func (view *View) updateLoaded() {
+	if view.serversRead && view.table.Load() != nil && !view.IsLoaded() {
+		close(view.loaded)
+	}
 }
 
 // SetTable puts the table of an operators' text in force unless the one in force has the same
@@ -111,11 +131,10 @@
 	if known := view.table.Load(); known != nil && table.Version <= known.Version {
 		return
 	}
-	if view.table.Swap(table) == nil {
-		close(view.firstText)
-	}
+	view.table.Store(table)
 	view.options.Logger.Info("Text in force.", "version", table.Version)
 	view.publishEndpoints()
+	view.updateLoaded()
 }
 
 // SetOut records whether a data centre is taken out.
@@ -260,7 +279,9 @@
 			view.removeServer(now, id)
 		}
 	}
+	view.serversRead = true
 	view.publishEndpoints()
+	view.updateLoaded()
 }
 
 // Tick removes missing entries that were not registered again in time.
