Ignore announcements that arrive after a later one

Callers saw: after a daemon was frozen for seconds, requests that wait or are refused there while slots are free, or that are sent to full endpoints, until the deadlines of the work that it believed in.

Cause: the calls that a frozen daemon finds in its connections run at the same time when it continues, though their senders have given up. An old list of all work that was applied last put back what had ended and dropped what was newer, and later announcements named neither.

Evidence: TestAnnouncementsDelayedByAFreezeKeepTheirOrder delivers the calls of three seconds latest first. Before, the board held the ended request and not the running one, two seconds after the thaw.

Change: announcements are numbered, are applied one at a time, and one with a number that is not above that of the last one applied is ignored. That loses nothing: the next announcement is only sent once the one before has succeeded, or has failed and all work is listed again. Daemons that don't number theirs are served as before.

--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -16,6 +16,7 @@
 	"maps"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -82,6 +83,8 @@
 // Batch is one announcement.
 type Batch struct {
 	From dogwoodfleet.InstanceID
+	// Sequence increases with each announcement of the daemon; 0 from one that does not number them.
+	Sequence uint64
 	// Whole is true if Items lists all work of the daemon.
 	Whole bool
 	// Serves is false while the daemon can't serve callers.
@@ -120,6 +123,10 @@
 // Duty announces this daemon's work and applies the announcements of others.
 type Duty struct {
 	options Options
+	// sequence is the number of this daemon's last announcement.
+	sequence atomic.Uint64
+	// applying is held while an announcement is applied.
+	applying sync.Mutex
 
 	mutex       sync.Mutex
 	own         map[dogwoodpacking.WorkID]dogwoodpacking.Work
@@ -131,6 +138,7 @@
 // peerReport is the state that a peer last announced.
 type peerReport struct {
 	received time.Time
+	sequence uint64
 	serves   bool
 	// leaves and requests have the same meaning as in Batch.
 	leaves, requests int
--- a/core/duty/dogwoodboard/board_test.go
+++ b/core/duty/dogwoodboard/board_test.go
@@ -28,6 +28,8 @@
 	hubOf map[int]int
 	// viewCalls counts the leaves' queries of the view.
 	viewCalls int
+	// frozen holds the calls to a daemon that is frozen; nil if none is.
+	frozen *frozenNode
 }
 
 func (mesh *mesh) countViewCalls() int {
@@ -78,15 +80,18 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(index)}), 1)
 }
 
-func (mesh *mesh) Call(_ context.Context, peer netip.AddrPort, method string, args, reply any) error {
+func (mesh *mesh) Call(ctx context.Context, peer netip.AddrPort, method string, args, reply any) error {
 	mesh.mutex.Lock()
-	receiver, cut := mesh.receivers[peer], mesh.cut
+	receiver, cut, frozen := mesh.receivers[peer], mesh.cut, mesh.frozen
 	mesh.calls[peer]++
 	mesh.mutex.Unlock()
 	if cut {
 		return errors.New("no path")
 	}
 	time.Sleep(time.Millisecond)
+	if frozen != nil && peer == frozen.address {
+		return frozen.hold(ctx, func() { _ = receiver.Tell(args.(Batch), reply.(*bool)) })
+	}
 	if method == Name+".View" {
 		mesh.mutex.Lock()
 		mesh.viewCalls++
--- a/core/duty/dogwoodboard/link.go
+++ b/core/duty/dogwoodboard/link.go
@@ -202,7 +202,7 @@
 func (duty *Duty) newBatch(drained updates) Batch {
 	now := time.Now()
 	batch := Batch{
-		From: duty.options.Self, Whole: drained.whole, Serves: duty.options.Serves(), Ended: drained.ended, Paces: drained.paces,
+		From: duty.options.Self, Sequence: duty.sequence.Add(1), Whole: drained.whole, Serves: duty.options.Serves(), Ended: drained.ended, Paces: drained.paces,
 		Requests: duty.options.Board.RecentOwnSends(now),
 	}
 	if duty.options.Leaves != nil {
--- a/core/duty/dogwoodboard/receiver.go
+++ b/core/duty/dogwoodboard/receiver.go
@@ -19,7 +19,27 @@
 
 // Tell applies an announcement of another daemon.
 func (receiver *Receiver) Tell(batch Batch, reply *bool) error {
-	duty, now := receiver.duty, time.Now()
+	duty := receiver.duty
+	duty.applying.Lock()
+	defer duty.applying.Unlock()
+	*reply = true
+	if duty.isSuperseded(&batch) {
+		duty.options.Logger.Debug("An announcement arrived after a later one and is ignored.", "peer", batch.From)
+		return nil
+	}
+	duty.apply(time.Now(), batch)
+	return nil
+}
+
+// isSuperseded reports whether a later announcement of the same daemon was applied. The calls that waited while this
+// daemon was frozen run at the same time when it continues, and each later one lists all work again.
+func (duty *Duty) isSuperseded(batch *Batch) bool {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	return batch.Sequence != 0 && batch.Sequence <= duty.peerReports[batch.From].sequence
+}
+
+func (duty *Duty) apply(now time.Time, batch Batch) {
 	works := make([]dogwoodpacking.Work, 0, len(batch.Items))
 	listed := make(map[dogwoodpacking.WorkID]bool, len(batch.Items))
 	for _, item := range batch.Items {
@@ -43,8 +63,6 @@
 	for _, pace := range batch.Paces {
 		board.RecordPeerPace(pace.Endpoint, pace.Pace)
 	}
-	*reply = true
-	return nil
 }
 
 // work returns the item's work with its times converted to this daemon's clock.
@@ -64,7 +82,7 @@
 func (duty *Duty) recordReport(now time.Time, batch *Batch, works []dogwoodpacking.Work) {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
-	duty.peerReports[batch.From] = peerReport{received: now, serves: batch.Serves, leaves: batch.Leaves, requests: batch.Requests}
+	duty.peerReports[batch.From] = peerReport{received: now, sequence: batch.Sequence, serves: batch.Serves, leaves: batch.Leaves, requests: batch.Requests}
 	if duty.links[batch.From] != nil || duty.isLeaf() {
 		return
 	}
