Ask local hubs beside the polls of a remote one, and less often if they fail

Callers saw: a daemon whose text grows old for 1.6 s of each four, and that is not ready then, because it goes back again and again to a hub of its data centre that answers the first poll and no other; updates of a leaf that come 0.4 s late each three seconds while a dead local hub is listed; leaves that stay with a hub of another data centre although one of their own answers.

Cause: a leaf asked the first three local hubs of the list between two polls of its own hub, every three seconds, whatever had happened before.

Evidence, on paused time, before: TestLeafReturnsLessOftenToAHubThatFails 38 polls held in vain in a minute; TestDeadLocalHubDelaysNoUpdate 1.6 s between two polls that are held for 1.2 s; TestLeafFindsTheLocalHubThatAnswers still at the remote hub after a minute.

Change: the search runs beside the polls and asks three hubs at random; its interval doubles, up to 48 s, each time a local hub fails sooner than that after the switch. The leaf now switches up to 1.2 s after the local hub has answered, when its current poll ends.

--- a/core/duty/dogwoodhub/leaf.go
+++ b/core/duty/dogwoodhub/leaf.go
@@ -40,9 +40,6 @@
 	// in the leaf's own data centre and then in the others.
 	maxLocalCandidates  = 3
 	maxRemoteCandidates = 2
-	// localHubInterval is how often a leaf that follows a hub of another data centre asks the listed ones of its
-	// own. A dead one delays the next update by up to answerTimeout.
-	localHubInterval = 3 * time.Second
 	// ineligibleFor is how long a leaf that could not be listed must not be promoted: most such
 	// faults last some seconds, and another leaf can be a hub meanwhile.
 	ineligibleFor = 10 * time.Second
@@ -77,13 +74,15 @@
 	hub   dogwoodhubs.Daemon // the hub that answered last
 	// ineligibleUntil is the time until which the leaf must not be promoted.
 	ineligibleUntil time.Time
-	// localHubsAsked is when the leaf, while following a remote hub, last asked the local ones.
-	localHubsAsked time.Time
+	// localHubsAsked is when the leaf, while following a remote hub, last asked the local ones, and
+	// localHubInterval how often it does so.
+	localHubsAsked   time.Time
+	localHubInterval time.Duration
 }
 
 // NewLeaf returns a leaf that follows no hub yet.
 func NewLeaf(options LeafOptions) *Leaf {
-	return &Leaf{options: options}
+	return &Leaf{options: options, localHubInterval: localHubInterval}
 }
 
 // markIneligible records that this daemon could not be listed as a hub.
@@ -126,9 +125,9 @@
 	begun, timeout := time.Now(), startSearchTimeout
 	var failed dogwoodfleet.VM // the hub that failed last
 	for ctx.Err() == nil {
-		hub, news, found := leaf.findHub(ctx, listed, failed)
+		answer, found := leaf.findHub(ctx, listed, failed)
 		if found {
-			err := leaf.follow(ctx, hub, news)
+			hub, err := leaf.follow(ctx, answer)
 			if errors.Is(err, ErrPromoted) {
 				return err
 			}
@@ -157,7 +156,7 @@
 // findHub returns a hub that answers: a random one in the leaf's own data centre, or else one of
 // the highest-ranked hubs of the others. All leaves of a data centre without a hub go to these
 // few, which therefore see all of the leaves and can promote the best.
-func (leaf *Leaf) findHub(ctx context.Context, listed []dogwoodhubs.Daemon, failed dogwoodfleet.VM) (dogwoodhubs.Daemon, News, bool) {
+func (leaf *Leaf) findHub(ctx context.Context, listed []dogwoodhubs.Daemon, failed dogwoodfleet.VM) (hubAnswer, bool) {
 	hubs := leaf.Fleet().Hubs
 	if len(hubs) == 0 {
 		hubs = listed
@@ -166,8 +165,8 @@
 	hubs = slices.DeleteFunc(slices.Clone(hubs), func(hub dogwoodhubs.Daemon) bool { return hub.VM == failed || hub.VM == self.VM })
 	local := inPlace(hubs, self.Place)
 	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
-	if hub, news, found := leaf.pollAny(ctx, local[:min(len(local), maxLocalCandidates)]); found {
-		return hub, news, true
+	if answer, found := leaf.pollAny(ctx, local[:min(len(local), maxLocalCandidates)]); found {
+		return answer, true
 	}
 	remote := slices.DeleteFunc(hubs, func(hub dogwoodhubs.Daemon) bool { return hub.Place == self.Place })
 	slices.SortFunc(remote, dogwoodhubs.Compare)
@@ -176,14 +175,10 @@
 
 // pollAny polls some hubs at once and returns the first that answers. Hubs answer a first poll
 // without waiting for an update, so those that are gone are detected soon.
-func (leaf *Leaf) pollAny(ctx context.Context, hubs []dogwoodhubs.Daemon) (dogwoodhubs.Daemon, News, bool) {
-	type answer struct {
-		hub  dogwoodhubs.Daemon
-		news News
-	}
+func (leaf *Leaf) pollAny(ctx context.Context, hubs []dogwoodhubs.Daemon) (hubAnswer, bool) {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	answers := make(chan answer, len(hubs))
+	answers := make(chan hubAnswer, len(hubs))
 	var group errgroup.Group
 	for _, hub := range hubs {
 		group.Go(func() error {
@@ -192,7 +187,7 @@
 				leaf.options.Logger.Debug("A hub does not answer.", "hub", hub.VM, "error", err)
 				return nil
 			}
-			answers <- answer{hub: hub, news: news}
+			answers <- hubAnswer{hub: hub, news: news}
 			cancel()
 			return nil
 		})
@@ -200,14 +195,18 @@
 	_ = group.Wait() // errors are logged above
 	select {
 	case earliest := <-answers:
-		return earliest.hub, earliest.news, true
+		return earliest, true
 	default:
-		return dogwoodhubs.Daemon{}, News{}, false
+		return hubAnswer{}, false
 	}
 }
 
-// follow polls one hub until the hub fails or the leaf should stop following it.
-func (leaf *Leaf) follow(ctx context.Context, hub dogwoodhubs.Daemon, news News) error {
+// follow polls a hub that has answered, or a local one that answers later, until it fails or the leaf should stop
+// following it. It returns the hub that was followed last.
+func (leaf *Leaf) follow(ctx context.Context, first hubAnswer) (dogwoodhubs.Daemon, error) {
+	search := newLocalSearch()
+	defer search.stop()
+	hub, news, since := first.hub, first.news, time.Now()
 	leaf.options.Logger.Info("Following a hub.", "hub", hub.VM)
 	var version uint64 // each hub numbers the versions of its own list
 	for {
@@ -216,16 +215,21 @@
 		}
 		leaf.recordFleet(hub, news.Fleet)
 		if news.Promoted {
-			return ErrPromoted
+			return hub, ErrPromoted
 		}
-		if local, localNews, found := leaf.findLocalHub(ctx, hub); found {
-			hub, news, version = local, localNews, 0
+		search.start(ctx, leaf, hub)
+		var err error
+		news, err = leaf.pollWithTimeout(ctx, hub, version)
+		if local, found := search.result(); found && !news.Promoted {
+			hub, news, version, since = local.hub, local.news, 0, time.Now()
 			leaf.options.Logger.Info("Following a hub.", "hub", hub.VM)
 			continue
 		}
-		var err error
-		if news, err = leaf.pollWithTimeout(ctx, hub, version); err != nil {
-			return err
+		if err != nil {
+			if hub.Place == leaf.options.Self().Place {
+				leaf.recordLocalFailure(time.Since(since))
+			}
+			return hub, err
 		}
 	}
 }
@@ -252,29 +256,6 @@
 	leaf.hub = hub
 }
 
-// findLocalHub returns a hub of the leaf's own data centre that answers, if the leaf follows one of another data
-// centre. A listed hub may be dead, so the leaf keeps the one that answers until another one does, and asks the
-// listed ones again only after localHubInterval.
-func (leaf *Leaf) findLocalHub(ctx context.Context, hub dogwoodhubs.Daemon) (dogwoodhubs.Daemon, News, bool) {
-	place := leaf.options.Self().Place
-	local := inPlace(leaf.Fleet().Hubs, place)
-	if hub.Place == place || len(local) == 0 || !leaf.mayAskLocalHubs(time.Now()) {
-		return dogwoodhubs.Daemon{}, News{}, false
-	}
-	return leaf.pollAny(ctx, local[:min(len(local), maxLocalCandidates)])
-}
-
-// mayAskLocalHubs returns true once in localHubInterval.
-func (leaf *Leaf) mayAskLocalHubs(now time.Time) bool {
-	leaf.mutex.Lock()
-	defer leaf.mutex.Unlock()
-	if now.Sub(leaf.localHubsAsked) < localHubInterval {
-		return false
-	}
-	leaf.localHubsAsked = now
-	return true
-}
-
 // poll sends one poll to the hub and feeds the table updates of its answer.
 func (leaf *Leaf) poll(ctx context.Context, hub dogwoodhubs.Daemon, version uint64) (News, error) {
 	request := FollowRequest{Leaf: leaf.self(), Fleet: version}
