Let the careless daemon of the soak's test cut from the first request on

No caller is concerned; the daemon that failed to break its promise is one that the test runs.

Cause: it cuts requests whose number is a multiple of ten, counted from its start, within two seconds of a signal. On a busy machine fewer than ten requests come to it in that time.

Evidence: with a line for each request after the signal, 26 copies of the test at once beside ten busy processes: 5 failed, each with 5 to 8 such requests and no cut; all runs with at least one cut were found, also with one of 7.

Change: requests are numbered as they arrive and from the change on, so that the first one after it is cut, and then each tenth.

--- a/dogwoodload/dogwoodsoak/careless_test.go
+++ b/dogwoodload/dogwoodsoak/careless_test.go
@@ -70,9 +70,9 @@
 	servers   map[string]dogwoodview.Server
 	takenOut  map[string]bool
 	keys      map[string]dogwoodfleet.Customer // all keys that were ever valid
-	sent      int
-	version   int64     // of the operators' text
-	changedAt time.Time // time of the latest change that makes it cut requests
+	received  int                              // number of the latest request
+	version   int64                            // of the operators' text
+	changedAt time.Time                        // time of the latest change that makes it cut requests
 }
 
 // runCareless runs a careless daemon with the settings that the subcommand "serve" of the platform would read.
@@ -136,11 +136,12 @@
 	}
 }
 
-// recordChange starts a period in which requests are cut, if the given fault is that of the daemon. The caller holds
-// the mutex.
+// recordChange starts a period in which requests are cut, if the given fault is that of the daemon. The first request
+// of the period is the first one cut: on a busy machine there may be fewer than ten. The caller holds the mutex.
 func (careless *careless) recordChange(fault fault) {
 	if careless.fault == fault {
 		careless.changedAt = time.Now()
+		careless.received = -1
 	}
 }
 
@@ -210,19 +211,24 @@
 func (careless *careless) route(received *http.Request) (*dogwoodroute.Route, bool) {
 	careless.mutex.Lock()
 	defer careless.mutex.Unlock()
-	careless.sent++
 	if careless.table == nil {
 		return nil, false
 	}
 	return careless.table.Route(received.Host, received.URL.Path)
 }
 
-// triggers reports whether the fault occurs now, which it does for every tenth request: intermittent faults have to
-// be found, too.
-func (careless *careless) triggers(fault fault) bool {
+// nextNumber returns the number of a request that arrives.
+func (careless *careless) nextNumber() int {
 	careless.mutex.Lock()
 	defer careless.mutex.Unlock()
-	return careless.fault == fault && careless.sent%10 == 0
+	careless.received++
+	return careless.received
+}
+
+// triggers reports whether the fault occurs for the request with a number, which it does for every tenth one:
+// intermittent faults have to be found, too.
+func (careless *careless) triggers(fault fault, number int) bool {
+	return careless.fault == fault && number%10 == 0
 }
 
 // recentlyChanged reports whether a change that cuts requests was made less than cutDuration ago.
@@ -238,6 +244,7 @@
 	if err != nil {
 		return
 	}
+	number := careless.nextNumber()
 	route, ok := careless.route(received)
 	if !ok {
 		writer.WriteHeader(http.StatusServiceUnavailable)
@@ -250,22 +257,22 @@
 	}
 	once := route.Repeat == dogwoodroute.Once
 	switch {
-	case careless.triggers(answeredLate):
+	case careless.triggers(answeredLate, number):
 		time.Sleep(time.Minute)
-	case careless.triggers(processDied):
+	case careless.triggers(processDied, number):
 		os.Exit(1)
-	case careless.triggers(cutWithoutCause), careless.recentlyChanged() && careless.triggers(careless.fault):
+	case careless.triggers(cutWithoutCause, number), careless.recentlyChanged() && careless.triggers(careless.fault, number):
 		panic(http.ErrAbortHandler)
-	case careless.triggers(memoryHeld):
+	case careless.triggers(memoryHeld, number):
 		careless.reserve(received.Context())
 	}
 	header := dogwoodwire.Request(received.Header)
 	header.Set(dogwoodwire.Customer, string(customer))
-	if careless.triggers(keyPassedOn) {
+	if careless.triggers(keyPassedOn, number) {
 		header.Set(dogwoodwire.Authorization, received.Header.Get(dogwoodwire.Authorization))
 	}
 	repeats := 1
-	if once && careless.triggers(twiceRun) || !once && careless.fault == retryBudget {
+	if once && careless.triggers(twiceRun, number) || !once && careless.fault == retryBudget {
 		repeats = 2
 	}
 	var response *http.Response
@@ -276,11 +283,11 @@
 		}
 		defer func() { _ = response.Body.Close() }()
 	}
-	if once && careless.triggers(falseNotRun) {
+	if once && careless.triggers(falseNotRun, number) {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	careless.copy(writer, response)
+	careless.copy(writer, response, number)
 }
 
 func (careless *careless) send(received *http.Request, service dogwoodfleet.Service, header http.Header, body string) (*http.Response, error) {
@@ -297,7 +304,7 @@
 	return careless.client.RoundTrip(request)
 }
 
-func (careless *careless) copy(writer http.ResponseWriter, response *http.Response) {
+func (careless *careless) copy(writer http.ResponseWriter, response *http.Response, number int) {
 	for name, values := range response.Header {
 		writer.Header()[name] = values
 	}
@@ -305,7 +312,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if careless.triggers(wrongAnswer) && len(body) > 0 {
+	if careless.triggers(wrongAnswer, number) && len(body) > 0 {
 		body[len(body)/2] ^= 1
 	}
 	writer.WriteHeader(response.StatusCode)
