--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -276,12 +276,17 @@
 	board.notifyChange()
 }
 
-// recordPrefill records that a prompt was prefilled at its endpoint. The time at which its helpers
-// prefilled their parts is unknown, so theirs is not updated.
+// recordPrefill records that a prompt was prefilled at its endpoint, and that its helpers have prefilled their
+// parts, which they may have done earlier.
 func (board *Board) recordPrefill(now time.Time, work *Work) {
 	if state := board.endpoints[work.Endpoint]; state != nil {
 		state.lastPrefillAt = now
 	}
+	for _, part := range work.Helpers {
+		if state := board.endpoints[part.Endpoint]; state != nil {
+			state.recordPart(now, work.ID)
+		}
+	}
 }
 
 // Count returns the number of endpoints in force and the number of other known endpoints.
--- a/core/decision/dogwoodpacking/helpers_test.go
+++ b/core/decision/dogwoodpacking/helpers_test.go
@@ -98,3 +98,21 @@
 		}
 	}
 }
+
+// Guards against short prompts that are sent to an engine which still has a long prompt of its own to prefill: it
+// first prefilled a part of another engine's prompt, and while that took long its own prompt seemed to be done.
+func TestOwnPromptWaitsForThePartAheadOfIt(t *testing.T) {
+	board, now := pool(2), time.Now()
+	joint := waitingWork("e00", now, 5*time.Second, 5*time.Second)
+	joint.Helpers = []Part{{Endpoint: "e01"}}
+	board.Put(now.Add(-5*time.Second), joint)
+	board.Put(now.Add(-3*time.Second), waitingWork("e01", now, 3*time.Second, 1600*time.Millisecond))
+	joint.Writing = true
+	board.Put(now, joint)
+	for _, later := range []time.Duration{0, time.Second} {
+		want := 1600*time.Millisecond - later
+		if got := board.endpoints["e01"].load(now.Add(later)).Queued; got < want {
+			t.Errorf("%s after the joint prompt's first token: got %s queued at its helper, want at least %s", later, got, want)
+		}
+	}
+}
--- a/core/decision/dogwoodpacking/load.go
+++ b/core/decision/dogwoodpacking/load.go
@@ -12,6 +12,8 @@
 	begun   time.Time
 	prefill time.Duration
 	tokens  int
+	// end is when it is predicted to be prefilled.
+	end time.Time
 }
 
 // load estimates an engine's load from the requests sent there that have not ended. Prompts are
@@ -56,18 +58,54 @@
 			state.addPending(work)
 		}
 	}
+	freeAt := state.pendingEnd()
+	for _, pending := range state.pendingPrefills {
+		if pending.end.After(now) {
+			tokens += pending.tokens
+		}
+	}
+	return max(freeAt.Sub(now), 0), tokens
+}
+
+// pendingEnd sets the ends of pendingPrefills, which are prefilled one after another in the order in which they
+// were sent, and returns the last one.
+func (state *endpointState) pendingEnd() time.Time {
 	slices.SortFunc(state.pendingPrefills, func(a, b pendingPrefill) int { return a.begun.Compare(b.begun) })
 	freeAt := state.lastPrefillAt
-	for _, pending := range state.pendingPrefills {
+	for i := range state.pendingPrefills {
+		pending := &state.pendingPrefills[i]
 		if pending.begun.After(freeAt) {
 			freeAt = pending.begun
 		}
 		freeAt = freeAt.Add(time.Duration(float64(pending.prefill) * state.health.slowness()))
-		if freeAt.After(now) {
-			tokens += pending.tokens
+		pending.end = freeAt
+	}
+	return freeAt
+}
+
+// recordPart records that this engine has prefilled its part of another engine's prompt: when that was predicted to
+// end, or else now. Its own prompts began no earlier. If they seemed to have been prefilled meanwhile, short prompts
+// would be sent there and wait behind them.
+func (state *endpointState) recordPart(now time.Time, id WorkID) {
+	state.pendingPrefills = state.pendingPrefills[:0]
+	part := state.helpedWork.index(id)
+	if part < 0 {
+		return
+	}
+	last := state.helpedWork[part]
+	for _, work := range state.helpedWork {
+		if !work.Writing && !work.Begun.After(last.Begun) {
+			state.addPending(work)
 		}
 	}
-	return max(freeAt.Sub(now), 0), tokens
+	state.lastPrefillAt = earlier(now, state.pendingEnd())
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // waitingShare is the minimum share of the prefill time of all unanswered prompts that counts as
