--- a/core/duty/dogwoodrelay/reserve.go
+++ b/core/duty/dogwoodrelay/reserve.go
@@ -25,7 +25,7 @@
 )
 
 // reserve reserves memory at the helpers, all or nothing, in the order that all daemons use. The
-// reservation expires unless it is renewed.
+// reservation expires unless it is renewed. If one fails, the placement ends.
 func (relay *Relay) reserve(ctx context.Context, id dogwoodpacking.WorkID, placement dogwoodpacking.Placement) ([]Helper, *reservation, error) {
 	helpers := make([]Helper, len(placement.Helpers))
 	reservation := &reservation{relay: relay, ticket: "t-" + string(id), primary: placement.Endpoint.Endpoint, reserved: time.Now()}
@@ -33,6 +33,7 @@
 	defer func() {
 		if !complete {
 			reservation.releaseInBackground(ctx)
+			relay.options.Places.End(id)
 		}
 	}()
 	for i, helper := range placement.Helpers {
--- a/core/duty/dogwoodrelay/secondrun.go
+++ b/core/duty/dogwoodrelay/secondrun.go
@@ -47,23 +47,16 @@
 		return nil, failed
 	}
 	run := newRun(ctx, preparedTry)
-	ended, panicked := true, true
+	succeeded := false
 	defer func() {
-		if panicked {
-			attempt.reachedTries++
-			attempt.recordDropped()
-		}
-		if ended {
+		if !succeeded {
 			run.close()
 		}
 	}()
-	stop := attempt.limitSecondSilence(run)
-	err := run.peek()
-	stop()
-	panicked = false
+	err := attempt.peekSecond(run)
 	if err == nil || errors.Is(err, errStreamEnded) {
 		attempt.reachedTries++
-		ended = false
+		succeeded = true
 		return run, tryResult{}
 	}
 	var unsent *NotSent
@@ -78,6 +71,21 @@
 	return nil, result
 }
 
+// peekSecond waits for a second run's first event. If that panics, the try counts as one that may have run.
+func (attempt *attempt) peekSecond(run *run) error {
+	defer attempt.limitSecondSilence(run)()
+	panicked := true
+	defer func() {
+		if panicked {
+			attempt.reachedTries++
+			attempt.recordDropped()
+		}
+	}()
+	err := run.peek()
+	panicked = false
+	return err
+}
+
 // limitSecondSilence ends a second run that is also silent as soon as a third one may follow. The limit
 // applies until the returned function is called.
 func (attempt *attempt) limitSecondSilence(run *run) func() {
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -187,17 +187,10 @@
 	relay.options.Logger.Info(dogwoodlog.Placed, "request", request.ID, "try", attempt.tries, "endpoint", placement.Endpoint.ID,
 		"waited", time.Since(waitStart), "helpers", helperNames(placement), "prompt", request.Prompt, "predicted", placement.Predicted,
 		"writers", placement.Load.DecodingRequests, "queued", placement.Load.Queued, "queuedtokens", placement.Load.QueuedTokens)
-	placed := false
-	defer func() {
-		if !placed {
-			relay.options.Places.End(placementRequest.ID)
-		}
-	}()
 	helpers, reservation, err := relay.reserve(ctx, placementRequest.ID, placement)
 	if err != nil {
 		return nil, attempt.tryNotSent(err)
 	}
-	placed = true
 	attempt.triedEndpoints = append(attempt.triedEndpoints, placement.Endpoint.ID)
 	endpointRequest := &EndpointRequest{
 		Request: request, Endpoint: placement.Endpoint.Endpoint, Helpers: helpers,
--- a/core/edge/dogwoodpeer/codec.go
+++ b/core/edge/dogwoodpeer/codec.go
@@ -53,8 +53,8 @@
 type incomingCall struct {
 	codec  *codec
 	header rpc.Request
-	// read ends the reading of the arguments, so that the next call can be read.
-	read func()
+	// finishReading lets the next call be read.
+	finishReading func()
 }
 
 // ReadRequestHeader returns the header.
@@ -65,7 +65,7 @@
 
 // ReadRequestBody reads the arguments.
 func (call *incomingCall) ReadRequestBody(arguments any) error {
-	defer call.read()
+	defer call.finishReading()
 	return call.codec.decoder.Decode(arguments)
 }
 
@@ -84,20 +84,20 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	for {
-		done := make(chan struct{})
-		call := &incomingCall{codec: codec, read: sync.OnceFunc(func() { close(done) })}
+		argumentsRead := make(chan struct{})
+		call := &incomingCall{codec: codec, finishReading: sync.OnceFunc(func() { close(argumentsRead) })}
 		if err := codec.decoder.Decode(&call.header); err != nil {
 			server.logger.Debug("A peer's connection has ended.", "from", conn.RemoteAddr(), "error", err)
 			return
 		}
 		group.Go(func() { server.serveCall(call) })
-		<-done
+		<-argumentsRead
 	}
 }
 
 // serveCall runs a method and answers its call, also if it panics.
 func (server *Server) serveCall(call *incomingCall) {
-	defer call.read()
+	defer call.finishReading()
 	method := call.header.ServiceMethod
 	panicked := dogwoodkernel.LogPanic(server.logger, "call", func() {
 		_ = server.rpc.ServeRequest(call) // the client has the error in its response
