--- a/core/dogwoodfleet/fleet.go
+++ b/core/dogwoodfleet/fleet.go
@@ -118,9 +118,6 @@
 	PriorityShort  Priority = 20
 )
 
-// Digest identifies a request's customer and body. Equal requests have equal digests.
-type Digest [32]byte
-
 // Request holds what decisions about a caller's request depend on. The body stays at the
 // entry daemon.
 type Request struct {
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -44,6 +44,8 @@
 	// Header holds the headers to forward.
 	Header http.Header
 	Body   []byte
+	// Digest is equal for copies of a request that a customer sends again.
+	Digest dogwoodfleet.Digest
 	// Arrived and Deadline are times of this daemon's clock. Deadline is the earlier of the
 	// caller's and the route's.
 	Arrived, Deadline time.Time
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -184,7 +184,7 @@
 	if err != nil {
 		return nil, tryResult{err: err}
 	}
-	relay.options.Logger.Info(dogwoodlog.Placed, "request", request.ID, "try", attempt.tries, "endpoint", placement.Endpoint.ID,
+	relay.options.Logger.Info(dogwoodlog.Placed, "request", request.ID, "digest", request.Digest.String(), "try", attempt.tries, "endpoint", placement.Endpoint.ID,
 		"waited", time.Since(waitStart), "helpers", helperNames(placement), "prompt", request.Prompt, "predicted", placement.Predicted,
 		"writers", placement.Load.DecodingRequests, "queued", placement.Load.Queued, "queuedtokens", placement.Load.QueuedTokens)
 	helpers, reservation, err := relay.reserve(ctx, placementRequest.ID, placement)
--- a/core/edge/dogwoodcaller/prompt.go
+++ b/core/edge/dogwoodcaller/prompt.go
@@ -41,7 +41,7 @@
 	call.Request.PromptTokens = prompt.Tokens()
 	call.Request.MaxTokens = prompt.MaxTokens
 	call.Request.Repeatable = true // a model request has no side effects
-	call.Request.Digest = digest(call.Request.Customer, []byte(call.Target), body)
+	call.Request.Digest = digest(call.Request.Customer, body, call.Target)
 	call.Request.Blocks = dogwoodprefix.Blocks(prompt.Text, maxPrefixBlocks)
 	ctx, cancel := exchange.withDeadline(call.Request.Deadline)
 	defer cancel()
--- a/core/edge/dogwoodcaller/request.go
+++ b/core/edge/dogwoodcaller/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"errors"
 	"io"
 	"net/http"
@@ -125,15 +124,11 @@
 	return exchange.call, nil
 }
 
-// digest returns a hash that identifies a customer's call by its content.
-func digest(customer dogwoodfleet.Customer, parts ...[]byte) dogwoodfleet.Digest {
-	hash := sha256.New()
-	hash.Write([]byte(customer))
-	for _, part := range parts {
-		hash.Write([]byte{0})
-		hash.Write(part)
-	}
-	return dogwoodfleet.Digest(hash.Sum(nil))
+// digest returns the digest of a customer's call.
+func digest(customer dogwoodfleet.Customer, body []byte, parts ...string) dogwoodfleet.Digest {
+	digester := dogwoodfleet.NewDigester(customer, parts...)
+	_, _ = digester.Write(body) // a hash returns no error
+	return digester.Digest()
 }
 
 // withDeadline returns a context that ends at the deadline or when the caller's connection
--- a/core/edge/dogwoodcaller/service.go
+++ b/core/edge/dogwoodcaller/service.go
@@ -34,7 +34,7 @@
 	call.Target = endpointTarget(exchange.request.URL, path)
 	call.Header = forwardedHeader(exchange.request.Header)
 	call.Request.Repeatable = repeatable(service, call.Method, path)
-	call.Request.Digest = digest(call.Request.Customer, []byte(name), []byte(call.Method), []byte(call.Target), body)
+	call.Request.Digest = digest(call.Request.Customer, body, string(name), call.Method, call.Target)
 	ctx, cancel := exchange.withDeadline(call.Request.Deadline)
 	defer cancel()
 	answer, err := edge.options.Dispatcher.Service(ctx, call)
