--- /dev/null
+++ b/core/decision/dogwoodsuspect/shared.go
@@ -0,0 +1,187 @@
+package dogwoodsuspect
+
+import (
+	"slices"
+	"time"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+const (
+	// ProvisionalTTL is how long a digest stays convicted while the ends of its endpoints are not confirmed. A
+	// daemon that can't reach an endpoint takes it for dead; the store drops the entry of one that is dead
+	// well within this time.
+	ProvisionalTTL = 6 * time.Second
+	// minSharedEndpoints is the number of endpoints that must end under a digest, the last one during a trial,
+	// before the digest is convicted, and maxAmbiguousEndpoints the number from which it is convicted although
+	// another digest ran on the same endpoints.
+	minSharedEndpoints    = 2
+	maxAmbiguousEndpoints = 3
+	// maxSharedStrikes bounds the strikes that a record keeps.
+	maxSharedStrikes = 16
+)
+
+// sharedStrike is the end of an endpoint that ran a request beside others.
+type sharedStrike struct {
+	request  dogwoodfleet.RequestID
+	endpoint dogwoodfleet.EndpointID
+	at       time.Time
+	// trial is true if the request ran with a permit because its digest was a suspect.
+	trial bool
+	// confirmed is true once the endpoint's entry is gone or another instance has its address.
+	confirmed bool
+}
+
+// strikeShared records the end of an endpoint that ran a request beside others.
+func (ledger *Ledger) strikeShared(at, now time.Time, notice *Notice) {
+	found := ledger.records[notice.Digest]
+	if found == nil {
+		found = ledger.add(now, notice.Digest)
+	}
+	if at.Before(found.clearedAt) {
+		return
+	}
+	if notice.Request == found.permitHolder {
+		found.permitHolder = ""
+	}
+	i := slices.IndexFunc(found.shared, func(strike sharedStrike) bool { return strike.endpoint == notice.Endpoint })
+	if i >= 0 {
+		ledger.mergeShared(&found.shared[i], notice)
+		return
+	}
+	if len(found.shared) == maxSharedStrikes {
+		return
+	}
+	found.shared = append(found.shared, sharedStrike{
+		request: notice.Request, endpoint: notice.Endpoint, at: at, trial: notice.Trial, confirmed: notice.Confirmed,
+	})
+	found.expires = at.Add(StrikeTTL)
+	ledger.version++
+	ledger.struck[notice.Endpoint] = append(ledger.struck[notice.Endpoint], notice.Digest)
+}
+
+// mergeShared adds to a strike what another notice of it reports.
+func (ledger *Ledger) mergeShared(known *sharedStrike, notice *Notice) {
+	merged := *known
+	merged.trial, merged.confirmed = known.trial || notice.Trial, known.confirmed || notice.Confirmed
+	if merged != *known {
+		*known = merged
+		ledger.version++
+	}
+}
+
+// Version increases whenever the shared strikes change.
+func (ledger *Ledger) Version() uint64 { return ledger.version }
+
+// Confirm records that the end of an endpoint is certain.
+func (ledger *Ledger) Confirm(endpoint dogwoodfleet.EndpointID) {
+	for _, digest := range ledger.struck[endpoint] {
+		strikes := ledger.records[digest].shared
+		for i := range strikes {
+			if strikes[i].endpoint == endpoint {
+				strikes[i].confirmed = true
+			}
+		}
+	}
+}
+
+// Struck returns the endpoints that ended under requests beside others.
+func (ledger *Ledger) Struck() []dogwoodfleet.EndpointID {
+	endpoints := make([]dogwoodfleet.EndpointID, 0, len(ledger.struck))
+	for endpoint := range ledger.struck {
+		endpoints = append(endpoints, endpoint)
+	}
+	return endpoints
+}
+
+// dropShared removes the strikes that a record has from before the time.
+func (ledger *Ledger) dropShared(digest dogwoodfleet.Digest, found *record, before time.Time) {
+	found.shared = slices.DeleteFunc(found.shared, func(strike sharedStrike) bool {
+		if !strike.at.Before(before) {
+			return false
+		}
+		ledger.version++
+		remaining := slices.DeleteFunc(ledger.struck[strike.endpoint], func(other dogwoodfleet.Digest) bool { return other == digest })
+		if len(remaining) == 0 {
+			delete(ledger.struck, strike.endpoint)
+		} else {
+			ledger.struck[strike.endpoint] = remaining
+		}
+		return true
+	})
+}
+
+// sharedConviction returns the time until which a digest is convicted by the ends of endpoints that it shared with
+// other requests; zero if it is not.
+//
+// Every request of a batch gets a strike, so strikes alone show little: the copies of a popular request run on
+// nearly every endpoint of a rack that fails. A digest is convicted only if an endpoint ended during a trial, which
+// began after the first strike, and if it has not finished recently. Of the digests that ended the same endpoints
+// the one that ended the most is taken for the cause: a harmless request that was retried beside it twice has fewer.
+func (ledger *Ledger) sharedConviction(digest dogwoodfleet.Digest, found *record) time.Time {
+	if len(found.shared) < minSharedEndpoints || ledger.Proven(digest) || ledger.isDominated(digest, found) {
+		return time.Time{}
+	}
+	var last time.Time
+	trials, confirmed := 0, 0
+	for i := range found.shared {
+		strike := &found.shared[i]
+		if strike.at.After(last) {
+			last = strike.at
+		}
+		if strike.trial {
+			trials++
+		}
+		if strike.confirmed {
+			confirmed++
+		}
+	}
+	switch {
+	case trials == 0:
+		return time.Time{}
+	case confirmed >= minSharedEndpoints:
+		return last.Add(ConvictionTTL)
+	default:
+		return last.Add(ProvisionalTTL)
+	}
+}
+
+// isDominated reports whether another digest explains the ends of all endpoints that ended under a digest.
+func (ledger *Ledger) isDominated(digest dogwoodfleet.Digest, found *record) bool {
+	for _, other := range ledger.struck[found.shared[0].endpoint] {
+		if other == digest {
+			continue
+		}
+		others := ledger.records[other].shared
+		if !coversAll(others, found.shared) {
+			continue
+		}
+		if len(others) > len(found.shared) || len(found.shared) < maxAmbiguousEndpoints {
+			return true
+		}
+	}
+	return false
+}
+
+// coversAll reports whether strikes contains the endpoints of all others.
+func coversAll(strikes, others []sharedStrike) bool {
+	for i := range others {
+		if !slices.ContainsFunc(strikes, func(strike sharedStrike) bool { return strike.endpoint == others[i].endpoint }) {
+			return false
+		}
+	}
+	return true
+}
+
+// sharedNotices returns the notices of a record's shared strikes.
+func sharedNotices(now time.Time, digest dogwoodfleet.Digest, found *record) []Notice {
+	notices := make([]Notice, 0, len(found.shared))
+	for i := range found.shared {
+		strike := &found.shared[i]
+		notices = append(notices, Notice{
+			Kind: Strike, Digest: digest, Request: strike.request, Endpoint: strike.endpoint, Age: now.Sub(strike.at),
+			Shared: true, Trial: strike.trial, Confirmed: strike.confirmed,
+		})
+	}
+	return notices
+}
--- /dev/null
+++ b/core/decision/dogwoodsuspect/shared_test.go
@@ -0,0 +1,154 @@
+package dogwoodsuspect
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+// sharedEnd returns the notice that an endpoint ended under a digest beside others.
+func sharedEnd(digest dogwoodfleet.Digest, endpoint dogwoodfleet.EndpointID, trial, confirmed bool) Notice {
+	return Notice{
+		Kind: Strike, Digest: digest, Request: dogwoodfleet.RequestID("r" + endpoint), Endpoint: endpoint,
+		Age: time.Millisecond, Shared: true, Trial: trial, Confirmed: confirmed,
+	}
+}
+
+// Guards against refusing a harmless request that ran on endpoints that ended, and against running one that ends
+// each of them.
+func TestSharedStrikes(t *testing.T) {
+	tests := []struct {
+		name        string
+		notices     []Notice
+		want, other Standing
+	}{
+		{name: "one end", notices: []Notice{sharedEnd(digest, "a", false, true)}, want: Suspect},
+		{
+			name: "copies on a rack that fails at once",
+			notices: []Notice{
+				sharedEnd(digest, "a", false, true), sharedEnd(digest, "b", false, true),
+				sharedEnd(digest, "c", false, true), sharedEnd(digest, "d", false, true),
+			},
+			want: Suspect,
+		},
+		{
+			name:    "a trial ends another endpoint",
+			notices: []Notice{sharedEnd(digest, "a", false, true), sharedEnd(digest, "b", true, true)},
+			want:    Convicted,
+		},
+		{
+			name:    "one end reported twice",
+			notices: []Notice{sharedEnd(digest, "a", false, true), sharedEnd(digest, "a", true, true)},
+			want:    Suspect,
+		},
+		{
+			name: "another request was retried beside it",
+			notices: []Notice{
+				sharedEnd(digest, "a", false, true), sharedEnd(otherDigest, "a", false, true),
+				sharedEnd(digest, "b", true, true), sharedEnd(otherDigest, "b", true, true),
+			},
+			want: Suspect, other: Suspect,
+		},
+		{
+			name: "the other one was not there at the third end",
+			notices: []Notice{
+				sharedEnd(digest, "a", false, true), sharedEnd(otherDigest, "a", false, true),
+				sharedEnd(digest, "b", true, true), sharedEnd(otherDigest, "b", true, true),
+				sharedEnd(digest, "c", true, true),
+			},
+			want: Convicted, other: Suspect,
+		},
+		{
+			name: "both were there at the third end",
+			notices: []Notice{
+				sharedEnd(digest, "a", false, true), sharedEnd(otherDigest, "a", false, true),
+				sharedEnd(digest, "b", true, true), sharedEnd(otherDigest, "b", true, true),
+				sharedEnd(digest, "c", true, true), sharedEnd(otherDigest, "c", true, true),
+			},
+			want: Convicted, other: Convicted,
+		},
+		{
+			name: "finished since",
+			notices: []Notice{
+				sharedEnd(digest, "a", false, true), sharedEnd(digest, "b", true, true),
+				{Kind: Acquittal, Digest: digest},
+			},
+			want: Clear,
+		},
+		{
+			name: "an end from before a lift arrives after it",
+			notices: []Notice{
+				{Kind: Lift, Digest: digest},
+				{Kind: Strike, Digest: digest, Request: "1", Endpoint: "a", Age: time.Second, Shared: true},
+			},
+			want: Clear,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ledger := NewLedger()
+			ledger.Learn(start, test.notices)
+			checkStanding(t, ledger, start, digest, test.want)
+			checkStanding(t, ledger, start, otherDigest, test.other)
+			fresh := NewLedger()
+			fresh.Learn(start, ledger.Notices(start))
+			checkStanding(t, fresh, start, digest, test.want)
+			checkStanding(t, fresh, start, otherDigest, test.other)
+		})
+	}
+}
+
+// Guards against refusing a popular harmless request: its copies run on nearly each endpoint that ends, also during
+// trials, but others finish.
+func TestProvenDigestIsNotRefused(t *testing.T) {
+	ledger := NewLedger()
+	ledger.Finished(start, Run{Digest: digest, Request: "0", Shared: true})
+	ledger.Learn(start, []Notice{sharedEnd(digest, "a", false, true), sharedEnd(digest, "b", true, true), sharedEnd(digest, "c", true, true)})
+	checkStanding(t, ledger, start, digest, Clear)
+	elsewhere := NewLedger()
+	elsewhere.Learn(start, ledger.Notices(start))
+	checkStanding(t, elsewhere, start, digest, Convicted)
+	now := start.Add(time.Second)
+	elsewhere.Learn(now, ledger.Finished(now, Run{Digest: digest, Request: "4", Shared: true}))
+	checkStanding(t, elsewhere, now, digest, Clear)
+}
+
+// Guards against refusing a request for long on the word of a daemon whose own way to the endpoints was cut: their
+// entries stay, so their ends are never confirmed.
+func TestUnconfirmedEndsRefuseOnlyForAMoment(t *testing.T) {
+	ledger := NewLedger()
+	ledger.Learn(start, []Notice{sharedEnd(digest, "a", false, false), sharedEnd(digest, "b", true, false)})
+	checkStanding(t, ledger, start, digest, Convicted)
+	checkStanding(t, ledger, start.Add(ProvisionalTTL), digest, Suspect)
+	ledger.Confirm("a")
+	ledger.Confirm("b")
+	checkStanding(t, ledger, start.Add(ProvisionalTTL), digest, Convicted)
+	checkStanding(t, ledger, start.Add(ConvictionTTL), digest, Clear)
+}
+
+// Guards against a ledger that grows without bound, or that keeps endpoints of records that it dropped.
+func TestSharedStrikesAreBounded(t *testing.T) {
+	ledger := NewLedger()
+	for number := range MaxRecords + 100 {
+		digest := dogwoodfleet.Digest{byte(number), byte(number >> 8), byte(number >> 16)}
+		endpoint := dogwoodfleet.EndpointID(rune('a' + number%1000))
+		ledger.Learn(start, []Notice{sharedEnd(digest, endpoint, false, false)})
+	}
+	if got := len(ledger.records); got > MaxRecords {
+		t.Errorf("got %d records, want at most %d", got, MaxRecords)
+	}
+	struck := 0
+	for _, digests := range ledger.struck {
+		struck += len(digests)
+	}
+	if struck != len(ledger.records) {
+		t.Errorf("got %d strikes by endpoint, want %d", struck, len(ledger.records))
+	}
+	for number := range 100 {
+		ledger.Learn(start, []Notice{sharedEnd(digest, dogwoodfleet.EndpointID(rune('a'+number)), true, false)})
+	}
+	if got := len(ledger.records[digest].shared); got > maxSharedStrikes {
+		t.Errorf("got %d strikes of one digest, want at most %d", got, maxSharedStrikes)
+	}
+}
--- a/core/decision/dogwoodsuspect/suspect.go
+++ b/core/decision/dogwoodsuspect/suspect.go
@@ -72,6 +72,9 @@
 	Endpoint dogwoodfleet.EndpointID
 	// Age is the time since the event. It is relative because the owners' clocks differ.
 	Age time.Duration
+	// Shared is true for a strike at an endpoint that ran other requests too. Trial and Confirmed then have the
+	// same meaning as in Run.
+	Shared, Trial, Confirmed bool
 }
 
 // Run is a request that an endpoint ran until it finished or the endpoint died.
@@ -80,10 +83,17 @@
 	Request dogwoodfleet.RequestID
 	// Alone is true if the request ran alone on its endpoint because it was a suspect.
 	Alone bool
+	// Shared is true if the endpoint ran other requests too.
+	Shared bool
+	// Trial is true if the request ran with a permit because it was a suspect, but not alone.
+	Trial bool
+	// Confirmed is true if the endpoint's end is certain.
+	Confirmed bool
 }
 
 type record struct {
 	strikes        []strike
+	shared         []sharedStrike
 	expires        time.Time
 	convictedUntil time.Time              // zero if not convicted
 	permitHolder   dogwoodfleet.RequestID // the suspect's request that may run now
@@ -100,13 +110,18 @@
 // Ledger holds one owner's records of digests. It is not safe for concurrent use.
 type Ledger struct {
 	records map[dogwoodfleet.Digest]*record
-	proven  [2]map[dogwoodfleet.Digest]struct{}
+	// struck holds the digests with a shared strike at each endpoint.
+	struck map[dogwoodfleet.EndpointID][]dogwoodfleet.Digest
+	proven [2]map[dogwoodfleet.Digest]struct{}
+	// version counts the changes of shared strikes.
+	version uint64
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
 	return &Ledger{
 		records: map[dogwoodfleet.Digest]*record{},
+		struck:  map[dogwoodfleet.EndpointID][]dogwoodfleet.Digest{},
 		proven:  [2]map[dogwoodfleet.Digest]struct{}{{}, {}},
 	}
 }
@@ -120,11 +135,16 @@
 		return Clear, time.Time{}
 	case now.Before(found.convictedUntil):
 		return Convicted, found.convictedUntil
-	case now.Before(found.expires) && len(found.strikes) > 0:
-		return Suspect, found.expires
-	default:
+	case !now.Before(found.expires) || len(found.strikes)+len(found.shared) == 0:
 		return Clear, time.Time{}
 	}
+	if until := ledger.sharedConviction(digest, found); now.Before(until) {
+		return Convicted, until
+	}
+	if len(found.strikes) == 0 && ledger.Proven(digest) {
+		return Clear, time.Time{}
+	}
+	return Suspect, found.expires
 }
 
 // Died records the death of an endpoint and the requests that were running there, and returns
@@ -132,7 +152,10 @@
 func (ledger *Ledger) Died(now time.Time, endpoint dogwoodfleet.EndpointID, batch []Run) []Notice {
 	notices := make([]Notice, 0, len(batch))
 	for _, run := range batch {
-		notice := Notice{Kind: Strike, Digest: run.Digest, Request: run.Request, Endpoint: endpoint}
+		notice := Notice{
+			Kind: Strike, Digest: run.Digest, Request: run.Request, Endpoint: endpoint,
+			Shared: run.Shared, Trial: run.Trial, Confirmed: run.Confirmed,
+		}
 		if found := ledger.records[run.Digest]; run.Alone && found != nil && len(found.strikes) > 0 {
 			notice.Kind = Conviction
 		}
@@ -140,7 +163,7 @@
 	}
 	ledger.Learn(now, notices)
 	for i := range notices {
-		if standing, _ := ledger.Standing(now, notices[i].Digest); standing == Convicted {
+		if standing, _ := ledger.Standing(now, notices[i].Digest); standing == Convicted && !notices[i].Shared {
 			notices[i].Kind = Conviction
 		}
 	}
@@ -152,10 +175,12 @@
 	for i := range notices {
 		notice := &notices[i]
 		at := now.Add(-notice.Age)
-		switch notice.Kind {
-		case Acquittal, Lift:
+		switch {
+		case notice.Kind == Acquittal || notice.Kind == Lift:
 			ledger.clear(at, notice)
-		case Strike, Conviction:
+		case notice.Shared:
+			ledger.strikeShared(at, now, notice)
+		default:
 			ledger.strike(at, now, notice)
 		}
 	}
@@ -168,6 +193,10 @@
 	if found == nil {
 		found = ledger.add(at, notice.Digest)
 	}
+	if notice.Kind == Acquittal && len(found.shared) > 0 {
+		ledger.recordProven(notice.Digest)
+	}
+	ledger.dropShared(notice.Digest, found, at)
 	if notice.Kind == Acquittal && found.convictedAt.After(at) {
 		return
 	}
@@ -216,22 +245,31 @@
 func (ledger *Ledger) sweep(now time.Time) {
 	for digest, record := range ledger.records {
 		if now.After(record.expires) && now.After(record.convictedUntil) {
-			delete(ledger.records, digest)
+			ledger.drop(digest, record)
 		}
 	}
-	for digest := range ledger.records {
+	for digest, record := range ledger.records {
 		if len(ledger.records) < MaxRecords {
 			return
 		}
-		delete(ledger.records, digest)
+		ledger.drop(digest, record)
 	}
 }
 
+func (ledger *Ledger) drop(digest dogwoodfleet.Digest, found *record) {
+	ledger.dropShared(digest, found, endOfTime)
+	delete(ledger.records, digest)
+}
+
+// endOfTime is after every strike.
+var endOfTime = time.Unix(1<<40, 0)
+
 // Finished records that a run finished and returns the notices to send to other owners. A
 // suspect that finished alone is cleared.
 func (ledger *Ledger) Finished(now time.Time, run Run) []Notice {
 	ledger.recordProven(run.Digest)
-	if !run.Alone {
+	found := ledger.records[run.Digest]
+	if !run.Alone && (found == nil || len(found.shared) == 0) {
 		return nil
 	}
 	notices := []Notice{{Kind: Acquittal, Digest: run.Digest, Request: run.Request}}
@@ -273,9 +311,9 @@
 // Convictions returns the digests that are convicted now.
 func (ledger *Ledger) Convictions(now time.Time) []ConvictedDigest {
 	var convictions []ConvictedDigest
-	for digest, record := range ledger.records {
-		if now.Before(record.convictedUntil) {
-			convictions = append(convictions, ConvictedDigest{Digest: digest, Until: record.convictedUntil})
+	for digest := range ledger.records {
+		if standing, until := ledger.Standing(now, digest); standing == Convicted {
+			convictions = append(convictions, ConvictedDigest{Digest: digest, Until: until})
 		}
 	}
 	return convictions
@@ -292,6 +330,7 @@
 		if now.After(record.expires) && kind == Strike {
 			continue
 		}
+		notices = append(notices, sharedNotices(now, digest, record)...)
 		for _, strike := range record.strikes {
 			notices = append(notices, Notice{
 				Kind: kind, Digest: digest, Request: strike.request, Endpoint: strike.endpoint, Age: now.Sub(at),
--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -22,6 +22,7 @@
 	"dogwoodmux.example/core/decision/dogwoodretry"
 	"dogwoodmux.example/core/decision/dogwoodroute"
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/duty/dogwoodsuspects"
 )
 
 // sentRequest is an EndpointRequest as received by an endpoint.
@@ -38,6 +39,8 @@
 	noFreeMemory map[dogwoodfleet.EndpointID]bool // endpoints that refuse reservations
 	// darkFrom returns when an endpoint stops responding; nil if none does.
 	darkFrom func(endpoint dogwoodfleet.EndpointID) time.Time
+	// hasEnded reports whether an endpoint has ended; nil if none has.
+	hasEnded func(endpoint dogwoodfleet.EndpointID) bool
 
 	mutex        sync.Mutex
 	sends        []sentRequest
@@ -80,6 +83,10 @@
 	return nil
 }
 
+func (fake *fakeEndpoints) HasEnded(_ context.Context, endpoint dogwoodfleet.Endpoint) (ended, replaced bool) {
+	return fake.hasEnded != nil && fake.hasEnded(endpoint.ID), false
+}
+
 func (fake *fakeEndpoints) Release(_ context.Context, endpoint dogwoodfleet.Endpoint, ticket string) error {
 	fake.mutex.Lock()
 	defer fake.mutex.Unlock()
@@ -126,6 +133,7 @@
 	relay     *Relay
 	board     *dogwoodpacking.Board
 	endpoints *fakeEndpoints
+	suspects  *dogwoodsuspects.Duty
 	stale     atomic.Bool
 	answer    *recorder
 }
@@ -139,9 +147,12 @@
 		board: dogwoodpacking.NewBoard("me"), answer: &recorder{},
 		endpoints: &fakeEndpoints{script: script, reservations: map[string]int{}, leases: map[string]time.Time{}, noFreeMemory: map[dogwoodfleet.EndpointID]bool{}},
 	}
+	fixture.suspects = dogwoodsuspects.New(dogwoodsuspects.Options{
+		Self: "me", Hubs: func() []dogwoodsuspects.Peer { return nil }, IsLeaf: func() bool { return false }, Logger: hclog.NewNullLogger(),
+	})
 	fixture.setEndpoints(3, engine)
 	fixture.relay = New(Options{
-		Places: places{fixture.board}, Endpoints: fixture.endpoints,
+		Places: places{fixture.board}, Endpoints: fixture.endpoints, Suspects: fixture.suspects,
 		Retries: &dogwoodretry.SharedBudget{Ratio: 0.2, Allowance: 10, Window: 10 * time.Second},
 		Daemons: func() int { return 1 },
 		Fresh:   func() bool { return !fixture.stale.Load() },
@@ -162,6 +173,11 @@
 		})
 	}
 	fixture.board.SetEndpoints(endpoints)
+	listed := make([]dogwoodsuspects.Endpoint, count)
+	for i := range endpoints {
+		listed[i] = dogwoodsuspects.Endpoint{ID: endpoints[i].ID, InForce: true}
+	}
+	fixture.suspects.SetEndpoints(listed)
 }
 
 // takeSlots occupies a number of slots.
--- a/core/duty/dogwoodrelay/forward.go
+++ b/core/duty/dogwoodrelay/forward.go
@@ -21,7 +21,7 @@
 			return attempt.runEnded(ctx, run, err), nil
 		}
 		if attempt.request.isPlain() {
-			return attempt.forwardAnswer(run, event.raw), nil
+			return attempt.forwardAnswer(ctx, run, event.raw), nil
 		}
 		attempt.recordEvent(run)
 		if err := attempt.forwardEvent(run.response, event); err != nil {
@@ -38,9 +38,9 @@
 	case run.rejected(err) && !attempt.stream.begun:
 		event, err := run.readWhole()
 		if err != nil {
-			return attempt.sendFailed(ctx, run.placement, run.withCause(&Broken{Cause: err}))
+			return attempt.sendFailed(ctx, run, run.withCause(&Broken{Cause: err}))
 		}
-		return attempt.forwardAnswer(run, event.raw)
+		return attempt.forwardAnswer(ctx, run, event.raw)
 	}
 	return attempt.classify(ctx, run, err)
 }
--- a/core/duty/dogwoodrelay/plain.go
+++ b/core/duty/dogwoodrelay/plain.go
@@ -1,6 +1,7 @@
 package dogwoodrelay
 
 import (
+	"context"
 	"errors"
 	"io"
 )
@@ -11,9 +12,9 @@
 
 // forwardAnswer forwards the answer that data holds. If that is only the beginning, since the
 // answer is larger than maxHeldBytes, it also forwards the rest of the body as it arrives.
-func (attempt *attempt) forwardAnswer(run *run, data []byte) tryResult {
+func (attempt *attempt) forwardAnswer(ctx context.Context, run *run, data []byte) tryResult {
 	if len(data) > maxHeldBytes {
-		return attempt.forwardLarge(run.response, data)
+		return attempt.forwardLarge(ctx, run, data)
 	}
 	if err := attempt.sendAnswer(run.response, data); err != nil {
 		return tryResult{err: err}
@@ -34,14 +35,14 @@
 
 // forwardLarge forwards the start of an answer that is too large to be held, then the rest of the
 // body as it arrives.
-func (attempt *attempt) forwardLarge(response *Response, start []byte) tryResult {
-	if err := attempt.sendAnswer(response, start); err != nil {
+func (attempt *attempt) forwardLarge(ctx context.Context, run *run, start []byte) tryResult {
+	if err := attempt.sendAnswer(run.response, start); err != nil {
 		return tryResult{err: err}
 	}
 	attempt.stream.begun = true
 	buffer := make([]byte, copyBufferSize)
 	for {
-		count, err := response.Body.Read(buffer)
+		count, err := run.response.Body.Read(buffer)
 		if count > 0 {
 			if err := attempt.answer.Write(buffer[:count]); err != nil {
 				return tryResult{err: errors.Join(ErrCallerGone, err)}
@@ -51,6 +52,9 @@
 			return tryResult{done: true}
 		}
 		if err != nil {
+			if ctx.Err() == nil {
+				attempt.reportEnd(ctx, run)
+			}
 			return tryResult{err: Error.Wrap(err)}
 		}
 	}
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -25,6 +25,7 @@
 	"dogwoodmux.example/core/decision/dogwoodroute"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
+	"dogwoodmux.example/core/duty/dogwoodsuspects"
 )
 
 // Error is the class of this package's errors.
@@ -122,6 +123,8 @@
 	Reserve(ctx context.Context, endpoint dogwoodfleet.Endpoint, ticket string, tokens int, lease time.Duration) error
 	// Release releases the memory reserved under a ticket.
 	Release(ctx context.Context, endpoint dogwoodfleet.Endpoint, ticket string) error
+	// HasEnded reports whether the endpoint is known to have ended, and whether another instance has its address.
+	HasEnded(ctx context.Context, endpoint dogwoodfleet.Endpoint) (ended, replaced bool)
 	// Check returns an error if the engine does not respond on a new connection.
 	Check(ctx context.Context, endpoint dogwoodfleet.Endpoint) error
 }
@@ -151,6 +154,19 @@
 	HasOtherEndpoint(placementRequest *dogwoodpacking.PlacementRequest) bool
 }
 
+// Suspects keeps requests that crash endpoints from running again.
+type Suspects interface {
+	// Admit waits until a request may run. It returns the permit of a suspect, nil for other requests, or a
+	// *dogwoodsuspects.Refused error.
+	Admit(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) (*dogwoodsuspects.Permit, error)
+	// StillAdmitted reports whether a request may still run after it waited for a slot.
+	StillAdmitted(permit *dogwoodsuspects.Permit, digest dogwoodfleet.Digest) bool
+	// EndpointEnded records that an endpoint ended during a run.
+	EndpointEnded(ctx context.Context, run dogwoodsuspects.Run, replaced bool)
+	// Finished records that a request has its answer.
+	Finished(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID)
+}
+
 // Metrics records latencies by name and label.
 type Metrics interface {
 	Observe(name, label string, duration time.Duration)
@@ -166,6 +182,7 @@
 type Options struct {
 	Places    Places
 	Endpoints Endpoints
+	Suspects  Suspects
 	// Retries is this daemon's share of the retry budget.
 	Retries *dogwoodretry.SharedBudget
 	// Daemons returns the number of daemons that share the budget.
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -11,6 +11,7 @@
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
 	"dogwoodmux.example/core/dogwoodlog"
+	"dogwoodmux.example/core/duty/dogwoodsuspects"
 )
 
 const (
@@ -83,6 +84,9 @@
 	attempt.stream.lastEvent = request.LastEventID
 	for {
 		tryResult := attempt.try(ctx)
+		if tryResult.done {
+			relay.options.Suspects.Finished(ctx, request.Digest, dogwoodfleet.RequestID(request.ID))
+		}
 		if tryResult.done || tryResult.err != nil {
 			return attempt.finish(tryResult.err)
 		}
@@ -141,12 +145,14 @@
 	placement       dogwoodpacking.Placement
 	id              dogwoodpacking.WorkID
 	reservation     *reservation
+	permit          *dogwoodsuspects.Permit
 }
 
-// close releases the slot and the memory.
+// close releases the slot, the memory and the permit.
 func (preparedTry *preparedTry) close(ctx context.Context) {
 	preparedTry.reservation.close(ctx)
 	preparedTry.attempt.relay.options.Places.End(preparedTry.id)
+	preparedTry.permit.Return(ctx)
 }
 
 // try places the request, sends it and forwards the answer. Another run may take over.
@@ -167,11 +173,45 @@
 	}
 }
 
-// prepare gets a placement and the memory that a try needs. If it can't, it returns nil and
-// the result of the try.
+// prepare gets a permit if the request is a suspect, a placement and the memory that a try needs. If it can't, it
+// returns nil and the result of the try.
 func (attempt *attempt) prepare(ctx context.Context) (*preparedTry, tryResult) {
-	relay, request := attempt.relay, attempt.request
 	attempt.tries++
+	for {
+		permit, err := attempt.admit(ctx)
+		if err != nil {
+			return nil, tryResult{err: err}
+		}
+		prepared, failed := attempt.prepareAdmitted(ctx, permit)
+		if prepared == nil {
+			permit.Return(ctx)
+			return nil, failed
+		}
+		if attempt.relay.options.Suspects.StillAdmitted(permit, attempt.request.Digest) {
+			attempt.triedEndpoints = append(attempt.triedEndpoints, prepared.placement.Endpoint.ID)
+			return prepared, tryResult{}
+		}
+		prepared.close(ctx)
+	}
+}
+
+// admit waits until the request may run.
+func (attempt *attempt) admit(ctx context.Context) (*dogwoodsuspects.Permit, error) {
+	request := attempt.request
+	permit, err := attempt.relay.options.Suspects.Admit(ctx, request.Digest, dogwoodfleet.RequestID(request.ID))
+	var refused *dogwoodsuspects.Refused
+	switch {
+	case errors.As(err, &refused):
+		return nil, attempt.newFailure(dogwoodfleet.ReasonSuspect, refused.RetryAfter, refused.Error())
+	case err != nil:
+		return nil, contextError(ctx, attempt.runState)
+	}
+	return permit, nil
+}
+
+// prepareAdmitted gets a placement and the memory for a request that may run.
+func (attempt *attempt) prepareAdmitted(ctx context.Context, permit *dogwoodsuspects.Permit) (*preparedTry, tryResult) {
+	relay, request := attempt.relay, attempt.request
 	if !attempt.keysFresh() {
 		return nil, tryResult{err: &Failure{
 			Reason: dogwoodfleet.ReasonStore, Run: attempt.runState, RetryAfter: staleRetryAfter,
@@ -191,12 +231,13 @@
 	if err != nil {
 		return nil, attempt.tryNotSent(err)
 	}
-	attempt.triedEndpoints = append(attempt.triedEndpoints, placement.Endpoint.ID)
 	endpointRequest := &EndpointRequest{
 		Request: request, Endpoint: placement.Endpoint.Endpoint, Helpers: helpers,
 		Left: time.Until(request.Deadline), LastEventID: attempt.stream.lastEvent,
 	}
-	return &preparedTry{attempt: attempt, endpointRequest: endpointRequest, placement: placement, id: placementRequest.ID, reservation: reservation}, tryResult{}
+	return &preparedTry{
+		attempt: attempt, endpointRequest: endpointRequest, placement: placement, id: placementRequest.ID, reservation: reservation, permit: permit,
+	}, tryResult{}
 }
 
 func (attempt *attempt) newFailure(reason dogwoodfleet.Reason, retryAfter time.Duration, detail string) error {
--- /dev/null
+++ b/core/duty/dogwoodrelay/suspects_test.go
@@ -0,0 +1,111 @@
+package dogwoodrelay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dogwoodmux.example/core/decision/dogwoodroute"
+	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/duty/dogwoodsuspects"
+)
+
+var testDigest = dogwoodfleet.Digest{7}
+
+// isSuspect reports whether a request with testDigest would run as a suspect.
+func (fixture *fixture) isSuspect(t *testing.T) bool {
+	t.Helper()
+	permit, err := fixture.suspects.Admit(t.Context(), testDigest, "probe")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer permit.Return(t.Context())
+	return permit.IsTrial()
+}
+
+// Guards against a harmless request that becomes a suspect: only the end of an endpoint that ran it counts, not an
+// answer that is lost or spoilt on the way, a failure that the endpoint reports, or silence.
+func TestOnlyTheEndOfAnEndpointMakesASuspect(t *testing.T) {
+	never := func(dogwoodfleet.EndpointID) bool { return false }
+	always := func(dogwoodfleet.EndpointID) bool { return true }
+	tests := []struct {
+		name     string
+		step     step
+		hasEnded func(dogwoodfleet.EndpointID) bool
+		want     bool
+	}{
+		{"it ended before its answer", fails(&Broken{Cause: io.EOF}), always, true},
+		{"it ended during its answer", breaksOff("half"), always, true},
+		{"the connection was reset", breaksOff("half"), never, false},
+		{"it failed the request", responds(http.StatusInternalServerError, "failed"), always, false},
+		{"it did not begin", notRun(http.StatusServiceUnavailable), always, false},
+		{"it refused the connection", fails(&NotSent{Cause: errors.New("refused")}), always, false},
+		{"it answered", responds(http.StatusOK, "whole"), always, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runRelayTest(t, nil, []step{test.step}, func(t *testing.T, fixture *fixture) {
+				fixture.endpoints.hasEnded = test.hasEnded
+				request := plainRequest(dogwoodroute.Once)
+				request.Digest = testDigest
+				_ = fixture.relay.Serve(t.Context(), request, fixture.answer) // most steps fail
+				if got := fixture.isSuspect(t); got != test.want {
+					t.Errorf("got suspect %t, want %t", got, test.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a stream that ends one endpoint after the other, by its resumes and by its caller's copies: the caller
+// gets a refusal that is true about whether it has run, and nothing more reaches an endpoint.
+func TestStreamThatEndsEndpointsIsRefused(t *testing.T) {
+	runRelayTest(t, testEngine, []step{breaksOff("id: 1\ndata: x\n\n")}, func(t *testing.T, fixture *fixture) {
+		fixture.setEndpoints(6, testEngine)
+		fixture.endpoints.hasEnded = func(dogwoodfleet.EndpointID) bool { return true }
+		request := streamRequest()
+		request.Digest = testDigest
+		if err := fixture.relay.Serve(t.Context(), request, fixture.answer); !errors.Is(err, ErrCut) {
+			t.Fatalf("got %v, want the answer cut", err)
+		}
+		if got := len(fixture.endpoints.sends); got != 2 {
+			t.Fatalf("got %d sends, want 2", got)
+		}
+		failure := failureOf(t, fixture.relay.Serve(t.Context(), request, &recorder{}))
+		if failure.Reason != dogwoodfleet.ReasonSuspect || failure.Run != dogwoodfleet.NotRun || failure.RetryAfter <= 0 {
+			t.Errorf("got %+v, want a refusal as a suspect that has not run, and when to retry", failure)
+		}
+		if got := len(fixture.endpoints.sends); got != 2 {
+			t.Errorf("got %d sends, want none for the copy", got)
+		}
+	})
+}
+
+// Guards against copies that wait for a slot while their digest is convicted: when the endpoints are back, all of them
+// would be sent at once.
+func TestCopyThatWaitsIsCheckedBeforeItIsSent(t *testing.T) {
+	runRelayTest(t, testEngine, []step{responds(http.StatusOK, "id: 1\ndata: x\n\n")}, func(t *testing.T, fixture *fixture) {
+		fixture.takeSlots(t, 12)
+		request := streamRequest()
+		request.Digest = testDigest
+		result := make(chan error, 1)
+		go func() { result <- fixture.relay.Serve(t.Context(), request, fixture.answer) }()
+		time.Sleep(10 * time.Millisecond)
+		for i, endpoint := range []dogwoodfleet.EndpointID{"a", "b"} {
+			fixture.suspects.EndpointEnded(context.Background(), dogwoodsuspects.Run{
+				Digest: testDigest, Request: dogwoodfleet.RequestID(endpoint), Endpoint: dogwoodfleet.Endpoint{ID: endpoint}, Trial: i > 0,
+			}, true)
+		}
+		fixture.board.End("0")
+		if failure := failureOf(t, <-result); failure.Reason != dogwoodfleet.ReasonSuspect || !strings.Contains(failure.Detail, "refused") {
+			t.Errorf("got %+v, want a refusal as a suspect", failure)
+		}
+		if got := len(fixture.endpoints.sends); got != 0 {
+			t.Errorf("got %d sends, want none", got)
+		}
+	})
+}
--- a/core/duty/dogwoodrelay/tryresult.go
+++ b/core/duty/dogwoodrelay/tryresult.go
@@ -9,6 +9,7 @@
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
+	"dogwoodmux.example/core/duty/dogwoodsuspects"
 )
 
 // minReportedHang is the least time without an answer after which an endpoint is reported as failed.
@@ -17,20 +18,20 @@
 // classify returns the result of a run that returned no answer. It writes nothing to the caller.
 func (attempt *attempt) classify(ctx context.Context, run *run, err error) tryResult {
 	if !errors.Is(err, errUnusable) {
-		return attempt.sendFailed(ctx, run.placement, err)
+		return attempt.sendFailed(ctx, run, err)
 	}
 	if tryResult, declined := attempt.declined(run.endpointRequest, run.placement, run.response); declined {
 		return tryResult
 	}
 	event, err := run.readWhole()
 	if err != nil {
-		return attempt.sendFailed(ctx, run.placement, run.withCause(&Broken{Cause: err}))
+		return attempt.sendFailed(ctx, run, run.withCause(&Broken{Cause: err}))
 	}
 	return attempt.endpointFailed(run.placement, run.response, func() error {
 		if attempt.stream.begun {
 			return ErrCut
 		}
-		return attempt.forwardAnswer(run, event.raw).err
+		return attempt.forwardAnswer(ctx, run, event.raw).err
 	})
 }
 
@@ -43,7 +44,8 @@
 }
 
 // sendFailed returns the result of a try after an error of Send or of reading the answer.
-func (attempt *attempt) sendFailed(ctx context.Context, placement dogwoodpacking.Placement, err error) tryResult {
+func (attempt *attempt) sendFailed(ctx context.Context, run *run, err error) tryResult {
+	placement := run.placement
 	var unsent *NotSent
 	if errors.As(err, &unsent) {
 		if ctx.Err() != nil {
@@ -56,9 +58,30 @@
 		attempt.reportHang(ctx, placement)
 		return tryResult{err: contextError(ctx, attempt.runState)}
 	}
+	if !errors.Is(err, errSilent) {
+		attempt.reportEnd(ctx, run)
+	}
 	return attempt.tryUnanswered(placement, err)
 }
 
+// endCheckTimeout bounds the question whether an endpoint has ended.
+const endCheckTimeout = 300 * time.Millisecond
+
+// reportEnd reports the endpoint of a run that broke off if it has ended. A reset connection alone shows nothing.
+func (attempt *attempt) reportEnd(ctx context.Context, run *run) {
+	options, endpoint := &attempt.relay.options, run.placement.Endpoint.Endpoint
+	checkContext, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	ended, replaced := options.Endpoints.HasEnded(checkContext, endpoint)
+	if !ended {
+		return
+	}
+	options.Suspects.EndpointEnded(ctx, dogwoodsuspects.Run{
+		Digest: attempt.request.Digest, Request: dogwoodfleet.RequestID(attempt.request.ID),
+		Endpoint: endpoint, Trial: run.permit.IsTrial(),
+	}, replaced)
+}
+
 // reportHang reports an endpoint as failed if it held a call for much longer than the route's
 // aim when the deadline passed. A deadline that passes earlier is no evidence against the endpoint.
 func (attempt *attempt) reportHang(ctx context.Context, placement dogwoodpacking.Placement) {
--- /dev/null
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -0,0 +1,285 @@
+// Package dogwoodsuspects keeps requests that crash endpoints from running again, for daemons that place requests
+// without owners. Each daemon has a ledger of dogwoodsuspect. It sends what it observes to all hubs before the
+// caller learns of the failure, and asks the digest's home, one of the hubs, before it runs a suspect.
+//
+// A daemon that starts, continues after a freeze or missed a notice compares its ledger with another hub's. A leaf
+// compares its ledger with its hub's while it serves requests.
+package dogwoodsuspects
+
+import (
+	"context"
+	"expvar"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"dogwoodmux.example/core/decision/dogwoodsuspect"
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+const (
+	// Name is the name under which the receiver is registered with the peers' server.
+	Name = "Suspects"
+	// notifyTimeout bounds how long a failure is withheld from its caller while the hubs are notified: about a
+	// hundred round trips within a region.
+	notifyTimeout = 300 * time.Millisecond
+	// maxConcurrentNotices bounds the concurrent calls that send notices.
+	maxConcurrentNotices = 64
+	// permitTimeout bounds one request for a permit, permitRetryInterval is the delay before another one if the home
+	// can't be reached.
+	permitTimeout       = 300 * time.Millisecond
+	permitRetryInterval = 100 * time.Millisecond
+	// trialLease is how long a trial keeps other runs of its digest from starting. Requests that crash endpoints
+	// do so soon after they begin; copies of a harmless one must not wait until a long answer ends.
+	trialLease = 2 * time.Second
+	// maxSuspectWait is how long a suspect waits for a permit before it is refused.
+	maxSuspectWait = 2 * time.Second
+	// waitRetryAfter is sent to the caller of a suspect that got no permit.
+	waitRetryAfter = time.Second
+)
+
+// counters are published under "Suspects": Strikes, Convictions, Refused, Waited, Trials, Cleared, NoticesLost.
+var counters = expvar.NewMap("Suspects")
+
+// Caller calls other daemons.
+type Caller interface {
+	Call(ctx context.Context, peer netip.AddrPort, method string, args, reply any) error
+}
+
+// Peer is a hub.
+type Peer struct {
+	Instance dogwoodfleet.InstanceID
+	Address  netip.AddrPort
+}
+
+// Endpoint is an endpoint that is listed in the store.
+type Endpoint struct {
+	ID       dogwoodfleet.EndpointID
+	Instance dogwoodfleet.InstanceID
+	InForce  bool
+}
+
+// Options configure a Duty.
+type Options struct {
+	Self   dogwoodfleet.InstanceID
+	Caller Caller
+	// Hubs lists the live hubs, this daemon included if it is one.
+	Hubs func() []Peer
+	// IsLeaf reports whether this daemon is a leaf. LeafHub returns the hub that a leaf follows.
+	IsLeaf  func() bool
+	LeafHub func() (Peer, bool)
+	Logger  hclog.Logger
+}
+
+// Duty is one daemon's part. It is safe for concurrent use.
+type Duty struct {
+	options Options
+	refresh refresh
+
+	mutex  sync.Mutex
+	ledger *dogwoodsuspect.Ledger
+	// inForce holds the listed endpoints, each by the ID of its lifetime, and whether it is in force; nil before they
+	// are known.
+	inForce map[dogwoodfleet.EndpointID]bool
+	// convicted holds the digests that were logged as convicted.
+	convicted map[dogwoodfleet.Digest]bool
+}
+
+// New returns a Duty with an empty ledger.
+func New(options Options) *Duty {
+	return &Duty{
+		options: options, ledger: dogwoodsuspect.NewLedger(), convicted: map[dogwoodfleet.Digest]bool{}, refresh: newRefresh(),
+	}
+}
+
+// SetEndpoints replaces the listed endpoints. The end of one that is no longer listed is certain.
+func (duty *Duty) SetEndpoints(endpoints []Endpoint) {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	duty.inForce = make(map[dogwoodfleet.EndpointID]bool, len(endpoints))
+	for _, endpoint := range endpoints {
+		duty.inForce[lifetimeID(endpoint.ID, endpoint.Instance)] = endpoint.InForce
+	}
+	duty.confirm()
+}
+
+// lifetimeID returns the ID of one lifetime of an endpoint, which may start again under its ID.
+func lifetimeID(id dogwoodfleet.EndpointID, instance dogwoodfleet.InstanceID) dogwoodfleet.EndpointID {
+	if instance == "" {
+		return id
+	}
+	return id + "@" + dogwoodfleet.EndpointID(instance)
+}
+
+// confirm confirms the ends of endpoints that are no longer listed. The caller holds the mutex.
+func (duty *Duty) confirm() {
+	if duty.inForce == nil {
+		return
+	}
+	for _, endpoint := range duty.ledger.Struck() {
+		if _, listed := duty.inForce[endpoint]; !listed {
+			duty.ledger.Confirm(endpoint)
+		}
+	}
+}
+
+// Run is a run of a request at an endpoint.
+type Run struct {
+	Digest   dogwoodfleet.Digest
+	Request  dogwoodfleet.RequestID
+	Endpoint dogwoodfleet.Endpoint
+	// Trial is true if the run has a permit.
+	Trial bool
+}
+
+// EndpointEnded records that an endpoint ended while it ran a request, and notifies the hubs. If replaced is true,
+// another instance was seen at its address. An endpoint that was leaving ended as it should.
+func (duty *Duty) EndpointEnded(ctx context.Context, run Run, replaced bool) {
+	endpoint := lifetimeID(run.Endpoint.ID, run.Endpoint.Instance)
+	duty.mutex.Lock()
+	if !duty.inForce[endpoint] {
+		duty.mutex.Unlock()
+		return
+	}
+	notices := duty.ledger.Died(time.Now(), endpoint, []dogwoodsuspect.Run{{
+		Digest: run.Digest, Request: run.Request, Shared: true, Trial: run.Trial, Confirmed: replaced,
+	}})
+	duty.changed(notices)
+	duty.mutex.Unlock()
+	counters.Add("Strikes", 1)
+	duty.options.Logger.Info("An endpoint ended under a request.", "digest", run.Digest.String(), "request", run.Request,
+		"endpoint", endpoint, "trial", run.Trial, "replaced", replaced)
+	duty.notify(ctx, notices)
+}
+
+// Finished records that a request with the digest has an answer, and notifies the hubs if the digest was a suspect.
+func (duty *Duty) Finished(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) {
+	duty.mutex.Lock()
+	notices := duty.ledger.Finished(time.Now(), dogwoodsuspect.Run{Digest: digest, Request: request, Shared: true})
+	duty.changed(notices)
+	duty.mutex.Unlock()
+	if len(notices) == 0 {
+		return
+	}
+	counters.Add("Cleared", 1)
+	duty.options.Logger.Info("A suspect finished.", "digest", digest.String(), "request", request)
+	duty.notify(ctx, notices)
+}
+
+// changed records a change of the ledger and logs new convictions. The caller holds the mutex.
+func (duty *Duty) changed(notices []dogwoodsuspect.Notice) {
+	if len(notices) == 0 {
+		return
+	}
+	duty.confirm()
+	now := time.Now()
+	for i := range notices {
+		digest := notices[i].Digest
+		standing, until := duty.ledger.Standing(now, digest)
+		switch isConvicted := standing == dogwoodsuspect.Convicted; {
+		case isConvicted && !duty.convicted[digest]:
+			counters.Add("Convictions", 1)
+			duty.options.Logger.Warn("Requests with a digest are refused, since endpoints ended under them.",
+				"digest", digest.String(), "endpoint", notices[i].Endpoint, "for", until.Sub(now))
+			duty.convicted[digest] = true
+		case !isConvicted:
+			delete(duty.convicted, digest)
+		}
+	}
+}
+
+// forgetExpired drops the digests that are no longer convicted from those that were logged.
+func (duty *Duty) forgetExpired() {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	maps.DeleteFunc(duty.convicted, func(digest dogwoodfleet.Digest, _ bool) bool {
+		standing, _ := duty.ledger.Standing(time.Now(), digest)
+		return standing != dogwoodsuspect.Convicted
+	})
+}
+
+// Convictions returns the digests whose requests are refused now.
+func (duty *Duty) Convictions() []dogwoodsuspect.ConvictedDigest {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	return duty.ledger.Convictions(time.Now())
+}
+
+// standing returns the digest's standing and its end.
+func (duty *Duty) standing(digest dogwoodfleet.Digest) (dogwoodsuspect.Standing, time.Time) {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	return duty.ledger.Standing(time.Now(), digest)
+}
+
+// notify sends notices to all other hubs. A call that fails isn't repeated: the hub gets what it missed when
+// it compares its ledger with another one.
+func (duty *Duty) notify(ctx context.Context, notices []dogwoodsuspect.Notice) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), notifyTimeout)
+	defer cancel()
+	var group errgroup.Group
+	group.SetLimit(maxConcurrentNotices)
+	for _, hub := range duty.options.Hubs() {
+		if hub.Instance == duty.options.Self {
+			continue
+		}
+		group.Go(func() error {
+			var reply bool
+			if err := duty.options.Caller.Call(ctx, hub.Address, Name+".Learn", notices, &reply); err != nil {
+				counters.Add("NoticesLost", 1)
+				duty.options.Logger.Debug("A hub did not get notices of suspects.", "peer", hub.Instance, "error", err)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // the functions return no errors
+}
+
+func (duty *Duty) learn(notices []dogwoodsuspect.Notice) {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	duty.ledger.Learn(time.Now(), notices)
+	duty.changed(notices)
+}
+
+func (duty *Duty) judge(request dogwoodsuspect.PermitRequest) dogwoodsuspect.PermitResponse {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	return duty.ledger.Judge(time.Now(), request)
+}
+
+// requestPermit sends a request to the digest's home, which may be this daemon.
+func (duty *Duty) requestPermit(ctx context.Context, request dogwoodsuspect.PermitRequest) (dogwoodsuspect.PermitResponse, error) {
+	hubs := duty.options.Hubs()
+	instances := make([]dogwoodfleet.InstanceID, len(hubs))
+	for i, hub := range hubs {
+		instances[i] = hub.Instance
+	}
+	home := dogwoodsuspect.Home(request.Digest, instances)
+	if home < 0 || hubs[home].Instance == duty.options.Self {
+		return duty.judge(request), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	var response dogwoodsuspect.PermitResponse
+	err := duty.options.Caller.Call(ctx, hubs[home].Address, Name+".Judge", request, &response)
+	return response, err
+}
+
+// refreshPeer returns the hub to compare ledgers with: a leaf's own hub, or a random other one.
+func (duty *Duty) refreshPeer() (Peer, bool) {
+	if duty.options.IsLeaf() {
+		return duty.options.LeafHub()
+	}
+	hubs := slices.DeleteFunc(slices.Clone(duty.options.Hubs()), func(hub Peer) bool { return hub.Instance == duty.options.Self })
+	if len(hubs) == 0 {
+		return Peer{}, false
+	}
+	return hubs[rand.IntN(len(hubs))], true
+}
--- /dev/null
+++ b/core/duty/dogwoodsuspects/suspects_test.go
@@ -0,0 +1,312 @@
+package dogwoodsuspects
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"dogwoodmux.example/core/decision/dogwoodsuspect"
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+const (
+	// latency is the time that a call between daemons takes.
+	latency = time.Millisecond
+	// crashDelay is the time from the start of a run that crashes its endpoint to its end.
+	crashDelay = 200 * time.Millisecond
+)
+
+var crashing = dogwoodfleet.Digest{1}
+
+// fleet is a number of daemons in one process. The first hubs of them are hubs, the others leaves of the first.
+type fleet struct {
+	hubs int
+
+	mutex     sync.Mutex
+	duties    []*Duty
+	cut       map[int]bool // daemons that no call reaches
+	endpoints int
+	crashes   int
+}
+
+func address(index int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(index)}), 1)
+}
+
+func (fleet *fleet) peer(index int) Peer {
+	return Peer{Instance: dogwoodfleet.InstanceID(fmt.Sprint(index)), Address: address(index)}
+}
+
+// caller calls other daemons of the fleet.
+type caller struct {
+	fleet *fleet
+	self  int
+}
+
+// Call calls a method of another daemon.
+func (caller caller) Call(ctx context.Context, peer netip.AddrPort, method string, args, reply any) error {
+	time.Sleep(latency)
+	index := int(peer.Addr().As4()[3])
+	caller.fleet.mutex.Lock()
+	duty, cut := caller.fleet.duties[index], caller.fleet.cut[index] || caller.fleet.cut[caller.self]
+	caller.fleet.mutex.Unlock()
+	if cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	receiver := duty.Receiver()
+	switch method {
+	case Name + ".Learn":
+		return receiver.Learn(args.([]dogwoodsuspect.Notice), reply.(*bool))
+	case Name + ".Judge":
+		return receiver.Judge(args.(dogwoodsuspect.PermitRequest), reply.(*dogwoodsuspect.PermitResponse))
+	case Name + ".List":
+		return receiver.List(args.(uint64), reply.(*NoticeList))
+	}
+	return fmt.Errorf("no method %s", method)
+}
+
+func (fleet *fleet) newDuty(index int) *Duty {
+	duty := New(Options{
+		Self: fleet.peer(index).Instance, Caller: caller{fleet, index},
+		Hubs: func() []Peer {
+			hubs := make([]Peer, fleet.hubs)
+			for i := range hubs {
+				hubs[i] = fleet.peer(i)
+			}
+			return hubs
+		},
+		IsLeaf:  func() bool { return index >= fleet.hubs },
+		LeafHub: func() (Peer, bool) { return fleet.peer(0), true },
+		Logger:  hclog.NewNullLogger(),
+	})
+	duty.SetEndpoints(listed())
+	return duty
+}
+
+// listed returns more endpoints than any test ends.
+func listed() []Endpoint {
+	endpoints := make([]Endpoint, 200)
+	for i := range endpoints {
+		endpoints[i] = Endpoint{ID: endpointID(i), InForce: true}
+	}
+	return endpoints
+}
+
+func endpointID(index int) dogwoodfleet.EndpointID {
+	return dogwoodfleet.EndpointID(fmt.Sprintf("e%d", index))
+}
+
+// runFleetTest runs a test with fake time on a number of hubs and leaves.
+func runFleetTest(t *testing.T, hubs, leaves int, body func(t *testing.T, fleet *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fleet := &fleet{hubs: hubs, cut: map[int]bool{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		for index := range hubs + leaves {
+			fleet.duties = append(fleet.duties, fleet.newDuty(index))
+		}
+		for _, duty := range fleet.duties {
+			group.Go(func() { _ = duty.Run(ctx) })
+		}
+		time.Sleep(time.Second)
+		body(t, fleet)
+		cancel()
+		group.Wait()
+	})
+}
+
+func (fleet *fleet) duty(index int) *Duty {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.duties[index]
+}
+
+// setCut sets whether calls reach a daemon and its own calls arrive.
+func (fleet *fleet) setCut(index int, cut bool) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.cut[index] = cut
+}
+
+// send sends the crashing request through a daemon to an endpoint that is still alive.
+func (fleet *fleet) send(ctx context.Context, index int, request string) error {
+	duty := fleet.duty(index)
+	permit, err := duty.Admit(ctx, crashing, dogwoodfleet.RequestID(request))
+	if err != nil {
+		return err
+	}
+	fleet.mutex.Lock()
+	endpoint := dogwoodfleet.Endpoint{ID: endpointID(fleet.endpoints)}
+	fleet.endpoints++
+	fleet.mutex.Unlock()
+	time.Sleep(crashDelay)
+	fleet.mutex.Lock()
+	fleet.crashes++
+	fleet.mutex.Unlock()
+	duty.EndpointEnded(ctx, Run{Digest: crashing, Request: dogwoodfleet.RequestID(request), Endpoint: endpoint, Trial: permit.IsTrial()}, true)
+	permit.Return(ctx)
+	return nil
+}
+
+// sendAll sends copies through several daemons at the same moment.
+func (fleet *fleet) sendAll(ctx context.Context, name string, daemons ...int) {
+	var group sync.WaitGroup
+	for _, index := range daemons {
+		group.Go(func() { _ = fleet.send(ctx, index, fmt.Sprintf("%s-%d", name, index)) }) // a refusal is expected
+	}
+	group.Wait()
+}
+
+func isConvicted(err error) bool {
+	var refused *Refused
+	return errors.As(err, &refused) && refused.Convicted
+}
+
+// Guards against copies of a crashing request that end one endpoint for each daemon and each moment they are sent at:
+// after the first moment one trial at most ends another one.
+func TestCopiesAtTheSameMomentAreTriedOnce(t *testing.T) {
+	const hubs = 8
+	all := []int{0, 1, 2, 3, 4, 5, 6, 7}
+	runFleetTest(t, hubs, 0, func(t *testing.T, fleet *fleet) {
+		for moment := range 5 {
+			fleet.sendAll(t.Context(), fmt.Sprint(moment), all...)
+		}
+		if got, limit := fleet.crashes, hubs+1; got > limit {
+			t.Errorf("got %d endpoints ended, want at most one for each copy of the first moment and one for a trial, %d", got, limit)
+		}
+		for _, index := range all {
+			if err := fleet.send(t.Context(), index, "late"); !isConvicted(err) {
+				t.Errorf("daemon %d: got %v, want the request refused", index, err)
+			}
+		}
+	})
+}
+
+// Guards against daemons that learn of a crashing request only by an endpoint of their own: one that starts, one that
+// missed the notices while it was frozen, and a leaf that was idle.
+func TestDaemonsLearnWithoutLosingAnEndpoint(t *testing.T) {
+	const frozen, leaf = 2, 3
+	runFleetTest(t, 3, 1, func(t *testing.T, fleet *fleet) {
+		fleet.setCut(frozen, true)
+		for number := range 3 {
+			_ = fleet.send(t.Context(), 0, fmt.Sprint(number))
+		}
+		crashes := fleet.crashes
+		if err := fleet.send(t.Context(), leaf, "at a leaf"); !isConvicted(err) {
+			t.Errorf("a leaf: got %v, want the request refused", err)
+		}
+		fleet.setCut(frozen, false)
+		time.Sleep(2 * hubInterval)
+		if err := fleet.send(t.Context(), frozen, "after the freeze"); !isConvicted(err) {
+			t.Errorf("a daemon that was frozen: got %v, want the request refused", err)
+		}
+		started := fleet.newDuty(frozen)
+		fleet.mutex.Lock()
+		fleet.duties[frozen] = started
+		fleet.mutex.Unlock()
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { _ = started.Run(ctx) })
+		time.Sleep(2 * firstInterval)
+		if err := fleet.send(t.Context(), frozen, "after the start"); !isConvicted(err) {
+			t.Errorf("a daemon that has started: got %v, want the request refused", err)
+		}
+		if fleet.crashes != crashes {
+			t.Errorf("got %d more endpoints ended, want none", fleet.crashes-crashes)
+		}
+		cancel()
+		group.Wait()
+	})
+}
+
+// Guards against suspects that wait in vain while the daemon that grants their permits is cut off, and against trials
+// without end in the daemons that can't reach it.
+func TestUnreachableHomeRefusesSuspects(t *testing.T) {
+	runFleetTest(t, 2, 0, func(t *testing.T, fleet *fleet) {
+		home := dogwoodsuspect.Home(crashing, []dogwoodfleet.InstanceID{"0", "1"})
+		other := 1 - home
+		if err := fleet.send(t.Context(), other, "first"); err != nil {
+			t.Fatal(err)
+		}
+		fleet.setCut(home, true)
+		began := time.Now()
+		err := fleet.send(t.Context(), other, "second")
+		var refused *Refused
+		if !errors.As(err, &refused) || refused.RetryAfter <= 0 {
+			t.Errorf("got %v, want a refusal that says when to retry", err)
+		}
+		if got, limit := time.Since(began), maxSuspectWait+permitTimeout; got > limit {
+			t.Errorf("got an answer after %s, want it within %s", got, limit)
+		}
+		if fleet.crashes != 1 {
+			t.Errorf("got %d endpoints ended, want 1", fleet.crashes)
+		}
+	})
+}
+
+// Guards against a strike for an endpoint that ended as it should: one that was draining, or that had left.
+func TestEndpointsThatLeaveAreNoStrikes(t *testing.T) {
+	runFleetTest(t, 1, 0, func(t *testing.T, fleet *fleet) {
+		duty := fleet.duty(0)
+		duty.SetEndpoints([]Endpoint{{ID: "draining"}, {ID: "again", Instance: "2", InForce: true}})
+		for _, endpoint := range []dogwoodfleet.Endpoint{{ID: "draining"}, {ID: "left"}, {ID: "again", Instance: "1"}} {
+			duty.EndpointEnded(t.Context(), Run{Digest: crashing, Request: "1", Endpoint: endpoint}, true)
+		}
+		if got, _ := duty.standing(crashing); got != dogwoodsuspect.Clear {
+			t.Errorf("got standing %v, want it clear", got)
+		}
+	})
+}
+
+// Guards against copies of a popular harmless request that wait for each other: one was running when an endpoint ended,
+// and the others wait only until the trial has finished.
+func TestHarmlessSuspectIsClearedEverywhere(t *testing.T) {
+	runFleetTest(t, 3, 0, func(t *testing.T, fleet *fleet) {
+		duty := fleet.duty(0)
+		duty.EndpointEnded(t.Context(), Run{Digest: crashing, Request: "1", Endpoint: dogwoodfleet.Endpoint{ID: "e0"}}, false)
+		permit, err := duty.Admit(t.Context(), crashing, "2")
+		if err != nil || !permit.IsTrial() {
+			t.Fatalf("got permit %v and error %v, want a trial", permit, err)
+		}
+		var group sync.WaitGroup
+		for index := range 3 {
+			group.Go(func() {
+				permit, err := fleet.duty(index).Admit(t.Context(), crashing, dogwoodfleet.RequestID(fmt.Sprint("copy-", index)))
+				if err != nil || permit.IsTrial() {
+					t.Errorf("daemon %d: got permit %v and error %v, want the request admitted without a permit", index, permit, err)
+				}
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		duty.Finished(t.Context(), crashing, "2")
+		permit.Return(t.Context())
+		group.Wait()
+	})
+}
+
+// Guards against two hubs that send each other their whole ledgers again and again although nothing has changed.
+func TestComparisonsOfEqualLedgersAreEmpty(t *testing.T) {
+	runFleetTest(t, 2, 0, func(t *testing.T, fleet *fleet) {
+		_ = fleet.send(t.Context(), 0, "1")
+		time.Sleep(10 * hubInterval)
+		for index := range 2 {
+			var list NoticeList
+			other := fleet.duty(1 - index)
+			if err := fleet.duty(index).Receiver().List(other.refresh.knownVersion(fleet.peer(index).Instance), &list); err != nil {
+				t.Fatal(err)
+			}
+			if len(list.Notices) != 0 {
+				t.Errorf("daemon %d: got %d notices, want none", index, len(list.Notices))
+			}
+		}
+	})
+}
