Count the end of an endpoint that could not be asked, or that started again under its ID

What callers saw: the same request, still sent on, if the endpoint that it ended was back under its ID before it was asked, or if its address dropped packets.

Cause: the question after a broken run knew no instance, and an endpoint that gave no answer counted as running.

--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -39,8 +39,8 @@
 	noFreeMemory map[dogwoodfleet.EndpointID]bool // endpoints that refuse reservations
 	// darkFrom returns when an endpoint stops responding; nil if none does.
 	darkFrom func(endpoint dogwoodfleet.EndpointID) time.Time
-	// hasEnded reports whether an endpoint has ended; nil if none has.
-	hasEnded func(endpoint dogwoodfleet.EndpointID) bool
+	// condition is the condition of all endpoints.
+	condition dogwoodsuspects.Condition
 
 	mutex        sync.Mutex
 	sends        []sentRequest
@@ -83,8 +83,8 @@
 	return nil
 }
 
-func (fake *fakeEndpoints) HasEnded(_ context.Context, endpoint dogwoodfleet.Endpoint) (ended, replaced bool) {
-	return fake.hasEnded != nil && fake.hasEnded(endpoint.ID), false
+func (fake *fakeEndpoints) Condition(context.Context, dogwoodfleet.Endpoint) dogwoodsuspects.Condition {
+	return fake.condition
 }
 
 func (fake *fakeEndpoints) Release(_ context.Context, endpoint dogwoodfleet.Endpoint, ticket string) error {
--- a/core/duty/dogwoodrelay/plain.go
+++ b/core/duty/dogwoodrelay/plain.go
@@ -53,7 +53,7 @@
 		}
 		if err != nil {
 			if ctx.Err() == nil {
-				attempt.reportEnd(ctx, run)
+				attempt.reportBroken(ctx, run)
 			}
 			return tryResult{err: Error.Wrap(err)}
 		}
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -123,8 +123,8 @@
 	Reserve(ctx context.Context, endpoint dogwoodfleet.Endpoint, ticket string, tokens int, lease time.Duration) error
 	// Release releases the memory reserved under a ticket.
 	Release(ctx context.Context, endpoint dogwoodfleet.Endpoint, ticket string) error
-	// HasEnded reports whether the endpoint is known to have ended, and whether another instance has its address.
-	HasEnded(ctx context.Context, endpoint dogwoodfleet.Endpoint) (ended, replaced bool)
+	// Condition asks an endpoint at which a run broke off whether it is still running.
+	Condition(ctx context.Context, endpoint dogwoodfleet.Endpoint) dogwoodsuspects.Condition
 	// Check returns an error if the engine does not respond on a new connection.
 	Check(ctx context.Context, endpoint dogwoodfleet.Endpoint) error
 }
@@ -161,8 +161,8 @@
 	Admit(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) (*dogwoodsuspects.Permit, error)
 	// StillAdmitted reports whether a request may still run after it waited for a slot.
 	StillAdmitted(permit *dogwoodsuspects.Permit, digest dogwoodfleet.Digest) bool
-	// EndpointEnded records that an endpoint ended during a run.
-	EndpointEnded(ctx context.Context, run dogwoodsuspects.Run, replaced bool)
+	// Broke records that a run broke off, with what is known of its endpoint.
+	Broke(ctx context.Context, run dogwoodsuspects.Run, condition dogwoodsuspects.Condition)
 	// Finished records that a request has its answer.
 	Finished(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID)
 }
--- a/core/duty/dogwoodrelay/suspects_test.go
+++ b/core/duty/dogwoodrelay/suspects_test.go
@@ -30,26 +30,25 @@
 // Guards against a harmless request that becomes a suspect: only the end of an endpoint that ran it counts, not an
 // answer that is lost or spoilt on the way, a failure that the endpoint reports, or silence.
 func TestOnlyTheEndOfAnEndpointMakesASuspect(t *testing.T) {
-	never := func(dogwoodfleet.EndpointID) bool { return false }
-	always := func(dogwoodfleet.EndpointID) bool { return true }
 	tests := []struct {
-		name     string
-		step     step
-		hasEnded func(dogwoodfleet.EndpointID) bool
-		want     bool
+		name      string
+		step      step
+		condition dogwoodsuspects.Condition
+		want      bool
 	}{
-		{"it ended before its answer", fails(&Broken{Cause: io.EOF}), always, true},
-		{"it ended during its answer", breaksOff("half"), always, true},
-		{"the connection was reset", breaksOff("half"), never, false},
-		{"it failed the request", responds(http.StatusInternalServerError, "failed"), always, false},
-		{"it did not begin", notRun(http.StatusServiceUnavailable), always, false},
-		{"it refused the connection", fails(&NotSent{Cause: errors.New("refused")}), always, false},
-		{"it answered", responds(http.StatusOK, "whole"), always, false},
+		{"it ended before its answer", fails(&Broken{Cause: io.EOF}), dogwoodsuspects.Ended, true},
+		{"it ended during its answer", breaksOff("half"), dogwoodsuspects.Ended, true},
+		{"the connection was reset", breaksOff("half"), dogwoodsuspects.Running, false},
+		{"its condition is unknown and its entry stays", breaksOff("half"), dogwoodsuspects.Unknown, false},
+		{"it failed the request", responds(http.StatusInternalServerError, "failed"), dogwoodsuspects.Ended, false},
+		{"it did not begin", notRun(http.StatusServiceUnavailable), dogwoodsuspects.Ended, false},
+		{"it refused the connection", fails(&NotSent{Cause: errors.New("refused")}), dogwoodsuspects.Ended, false},
+		{"it answered", responds(http.StatusOK, "whole"), dogwoodsuspects.Ended, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			runRelayTest(t, nil, []step{test.step}, func(t *testing.T, fixture *fixture) {
-				fixture.endpoints.hasEnded = test.hasEnded
+				fixture.endpoints.condition = test.condition
 				request := plainRequest(dogwoodroute.Once)
 				request.Digest = testDigest
 				_ = fixture.relay.Serve(t.Context(), request, fixture.answer) // most steps fail
@@ -66,7 +65,7 @@
 func TestStreamThatEndsEndpointsIsRefused(t *testing.T) {
 	runRelayTest(t, testEngine, []step{breaksOff("id: 1\ndata: x\n\n")}, func(t *testing.T, fixture *fixture) {
 		fixture.setEndpoints(6, testEngine)
-		fixture.endpoints.hasEnded = func(dogwoodfleet.EndpointID) bool { return true }
+		fixture.endpoints.condition = dogwoodsuspects.Ended
 		request := streamRequest()
 		request.Digest = testDigest
 		if err := fixture.relay.Serve(t.Context(), request, fixture.answer); !errors.Is(err, ErrCut) {
@@ -96,9 +95,9 @@
 		go func() { result <- fixture.relay.Serve(t.Context(), request, fixture.answer) }()
 		time.Sleep(10 * time.Millisecond)
 		for i, endpoint := range []dogwoodfleet.EndpointID{"a", "b"} {
-			fixture.suspects.EndpointEnded(context.Background(), dogwoodsuspects.Run{
+			fixture.suspects.Broke(context.Background(), dogwoodsuspects.Run{
 				Digest: testDigest, Request: dogwoodfleet.RequestID(endpoint), Endpoint: dogwoodfleet.Endpoint{ID: endpoint}, Trial: i > 0,
-			}, true)
+			}, dogwoodsuspects.Ended)
 		}
 		fixture.board.End("0")
 		if failure := failureOf(t, <-result); failure.Reason != dogwoodfleet.ReasonSuspect || !strings.Contains(failure.Detail, "refused") {
--- a/core/duty/dogwoodrelay/tryresult.go
+++ b/core/duty/dogwoodrelay/tryresult.go
@@ -59,27 +59,24 @@
 		return tryResult{err: contextError(ctx, attempt.runState)}
 	}
 	if !errors.Is(err, errSilent) {
-		attempt.reportEnd(ctx, run)
+		attempt.reportBroken(ctx, run)
 	}
 	return attempt.tryUnanswered(placement, err)
 }
 
-// endCheckTimeout bounds the question whether an endpoint has ended.
-const endCheckTimeout = 300 * time.Millisecond
+// conditionTimeout bounds the question for an endpoint's condition.
+const conditionTimeout = 300 * time.Millisecond
 
-// reportEnd reports the endpoint of a run that broke off if it has ended. A reset connection alone shows nothing.
-func (attempt *attempt) reportEnd(ctx context.Context, run *run) {
+// reportBroken reports a run that broke off. The endpoint may have ended under the request.
+func (attempt *attempt) reportBroken(ctx context.Context, run *run) {
 	options, endpoint := &attempt.relay.options, run.placement.Endpoint.Endpoint
-	checkContext, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	conditionContext, cancel := context.WithTimeout(ctx, conditionTimeout)
 	defer cancel()
-	ended, replaced := options.Endpoints.HasEnded(checkContext, endpoint)
-	if !ended {
-		return
-	}
-	options.Suspects.EndpointEnded(ctx, dogwoodsuspects.Run{
+	condition := options.Endpoints.Condition(conditionContext, endpoint)
+	options.Suspects.Broke(ctx, dogwoodsuspects.Run{
 		Digest: attempt.request.Digest, Request: dogwoodfleet.RequestID(attempt.request.ID),
 		Endpoint: endpoint, Trial: run.permit.IsTrial(),
-	}, replaced)
+	}, condition)
 }
 
 // reportHang reports an endpoint as failed if it held a call for much longer than the route's
--- a/core/duty/dogwoodsuspects/refresh.go
+++ b/core/duty/dogwoodsuspects/refresh.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"dogwoodmux.example/core/decision/dogwoodsuspect"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
@@ -98,8 +100,25 @@
 	}
 }
 
-// Run compares the ledger with those of other daemons until the context ends.
+// Run compares the ledger with those of other daemons, and records the ends of endpoints that show later, until the
+// context ends.
 func (duty *Duty) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return duty.runComparisons(ctx) })
+	group.Go(func() error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case run := <-duty.resolved:
+				duty.endpointEnded(ctx, run, true)
+			}
+		}
+	})
+	return group.Wait()
+}
+
+func (duty *Duty) runComparisons(ctx context.Context) error {
 	succeeded := false
 	for {
 		pause := firstInterval
--- a/core/duty/dogwoodsuspects/suspects.go
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -40,11 +40,13 @@
 	trialLease = 2 * time.Second
 	// maxSuspectWait is how long a suspect waits for a permit before it is refused.
 	maxSuspectWait = 2 * time.Second
+	// maxUnresolved bounds the runs that broke off at endpoints of unknown condition.
+	maxUnresolved = 256
 	// waitRetryAfter is sent to the caller of a suspect that got no permit.
 	waitRetryAfter = time.Second
 )
 
-// counters are published under "Suspects": Strikes, Convictions, Refused, Waited, Trials, Cleared, NoticesLost.
+// counters are published under "Suspects": Strikes, Convictions, Refused, Waited, Trials, Cleared, NoticesLost, RunsDropped.
 var counters = expvar.NewMap("Suspects")
 
 // Caller calls other daemons.
@@ -87,6 +89,10 @@
 	// inForce holds the listed endpoints, each by the ID of its lifetime, and whether it is in force; nil before they
 	// are known.
 	inForce map[dogwoodfleet.EndpointID]bool
+	// unresolved are the runs that broke off at endpoints of unknown condition. resolved receives those whose endpoints
+	// turn out to have ended.
+	unresolved []unresolvedRun
+	resolved   chan Run
 	// convicted holds the digests that were logged as convicted.
 	convicted map[dogwoodfleet.Digest]bool
 }
@@ -95,6 +101,7 @@
 func New(options Options) *Duty {
 	return &Duty{
 		options: options, ledger: dogwoodsuspect.NewLedger(), convicted: map[dogwoodfleet.Digest]bool{}, refresh: newRefresh(),
+		resolved: make(chan Run, maxUnresolved),
 	}
 }
 
@@ -107,6 +114,24 @@
 		duty.inForce[lifetimeID(endpoint.ID, endpoint.Instance)] = endpoint.InForce
 	}
 	duty.confirm()
+	duty.resolve(time.Now())
+}
+
+// resolve moves the runs whose endpoints are no longer listed to resolved, and drops those whose endpoints are leaving
+// or stay listed. The caller holds the mutex.
+func (duty *Duty) resolve(now time.Time) {
+	duty.unresolved = slices.DeleteFunc(duty.unresolved, func(run unresolvedRun) bool {
+		inForce, listed := duty.inForce[run.lifetime()]
+		if listed {
+			return !inForce || now.Sub(run.at) > dogwoodsuspect.ProvisionalTTL
+		}
+		select {
+		case duty.resolved <- run.Run:
+		default:
+			counters.Add("RunsDropped", 1)
+		}
+		return true
+	})
 }
 
 // lifetimeID returns the ID of one lifetime of an endpoint, which may start again under its ID.
@@ -114,7 +139,7 @@
 	if instance == "" {
 		return id
 	}
-	return id + "@" + dogwoodfleet.EndpointID(instance)
+	return dogwoodfleet.EndpointID(instance)
 }
 
 // confirm confirms the ends of endpoints that are no longer listed. The caller holds the mutex.
@@ -129,6 +154,21 @@
 	}
 }
 
+// Condition is what is known of an endpoint after a run broke off.
+type Condition int
+
+// The conditions.
+const (
+	// Unknown means that the endpoint does not answer, or resets connections.
+	Unknown Condition = iota
+	// Running means that the endpoint answers: only the run's connection broke.
+	Running
+	// Ended means that its address refuses connections.
+	Ended
+	// Replaced means that another instance answers at its address.
+	Replaced
+)
+
 // Run is a run of a request at an endpoint.
 type Run struct {
 	Digest   dogwoodfleet.Digest
@@ -138,23 +178,42 @@
 	Trial bool
 }
 
-// EndpointEnded records that an endpoint ended while it ran a request, and notifies the hubs. If replaced is true,
-// another instance was seen at its address. An endpoint that was leaving ended as it should.
-func (duty *Duty) EndpointEnded(ctx context.Context, run Run, replaced bool) {
-	endpoint := lifetimeID(run.Endpoint.ID, run.Endpoint.Instance)
+func (run *Run) lifetime() dogwoodfleet.EndpointID {
+	return lifetimeID(run.Endpoint.ID, run.Endpoint.Instance)
+}
+
+// unresolvedRun is a run that broke off at an endpoint of unknown condition.
+type unresolvedRun struct {
+	Run
+	at time.Time
+}
+
+// Broke records that a run broke off, with what is known of its endpoint, and notifies the hubs if the endpoint ended.
+// An endpoint that was leaving ended as it should. If nothing is known, the run counts once the endpoint's entry is gone
+// or names another instance.
+func (duty *Duty) Broke(ctx context.Context, run Run, condition Condition) {
 	duty.mutex.Lock()
-	if !duty.inForce[endpoint] {
-		duty.mutex.Unlock()
-		return
+	inForce := duty.inForce[run.lifetime()]
+	if inForce && condition == Unknown {
+		duty.unresolved = append(duty.unresolved, unresolvedRun{run, time.Now()})
+		duty.unresolved = duty.unresolved[max(0, len(duty.unresolved)-maxUnresolved):]
 	}
-	notices := duty.ledger.Died(time.Now(), endpoint, []dogwoodsuspect.Run{{
-		Digest: run.Digest, Request: run.Request, Shared: true, Trial: run.Trial, Confirmed: replaced,
+	duty.mutex.Unlock()
+	if inForce && (condition == Ended || condition == Replaced) {
+		duty.endpointEnded(ctx, run, condition == Replaced)
+	}
+}
+
+func (duty *Duty) endpointEnded(ctx context.Context, run Run, certain bool) {
+	duty.mutex.Lock()
+	notices := duty.ledger.Died(time.Now(), run.lifetime(), []dogwoodsuspect.Run{{
+		Digest: run.Digest, Request: run.Request, Shared: true, Trial: run.Trial, Confirmed: certain,
 	}})
 	duty.changed(notices)
 	duty.mutex.Unlock()
 	counters.Add("Strikes", 1)
 	duty.options.Logger.Info("An endpoint ended under a request.", "digest", run.Digest.String(), "request", run.Request,
-		"endpoint", endpoint, "trial", run.Trial, "replaced", replaced)
+		"endpoint", run.lifetime(), "trial", run.Trial, "certain", certain)
 	duty.notify(ctx, notices)
 }
 
--- a/core/duty/dogwoodsuspects/suspects_test.go
+++ b/core/duty/dogwoodsuspects/suspects_test.go
@@ -152,7 +152,7 @@
 	fleet.mutex.Lock()
 	fleet.crashes++
 	fleet.mutex.Unlock()
-	duty.EndpointEnded(ctx, Run{Digest: crashing, Request: dogwoodfleet.RequestID(request), Endpoint: endpoint, Trial: permit.IsTrial()}, true)
+	duty.Broke(ctx, Run{Digest: crashing, Request: dogwoodfleet.RequestID(request), Endpoint: endpoint, Trial: permit.IsTrial()}, Replaced)
 	permit.Return(ctx)
 	return nil
 }
@@ -259,7 +259,7 @@
 		duty := fleet.duty(0)
 		duty.SetEndpoints([]Endpoint{{ID: "draining"}, {ID: "again", Instance: "2", InForce: true}})
 		for _, endpoint := range []dogwoodfleet.Endpoint{{ID: "draining"}, {ID: "left"}, {ID: "again", Instance: "1"}} {
-			duty.EndpointEnded(t.Context(), Run{Digest: crashing, Request: "1", Endpoint: endpoint}, true)
+			duty.Broke(t.Context(), Run{Digest: crashing, Request: "1", Endpoint: endpoint}, Replaced)
 		}
 		if got, _ := duty.standing(crashing); got != dogwoodsuspect.Clear {
 			t.Errorf("got standing %v, want it clear", got)
@@ -267,12 +267,50 @@
 	})
 }
 
+// Guards against an end that is missed since the endpoint could not be asked: its address drops packets, or it starts
+// again under its ID before it is asked. Its entry shows the end later, unless it was leaving.
+func TestEntryShowsTheEndLater(t *testing.T) {
+	running, leaving := Endpoint{ID: "e", Instance: "1", InForce: true}, Endpoint{ID: "e", Instance: "1"}
+	tests := []struct {
+		name string
+		// entries are the entries that are read one after the other.
+		entries [][]Endpoint
+		want    dogwoodsuspect.Standing
+	}{
+		{"the entry is gone", [][]Endpoint{{}}, dogwoodsuspect.Suspect},
+		{"the entry names another instance", [][]Endpoint{{{ID: "e", Instance: "2", InForce: true}}}, dogwoodsuspect.Suspect},
+		{"the entry stays", [][]Endpoint{{running}}, dogwoodsuspect.Clear},
+		{"the endpoint was leaving", [][]Endpoint{{leaving}, {}}, dogwoodsuspect.Clear},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runFleetTest(t, 2, 0, func(t *testing.T, fleet *fleet) {
+				duty := fleet.duty(0)
+				duty.SetEndpoints([]Endpoint{running})
+				duty.Broke(t.Context(), Run{Digest: crashing, Request: "1", Endpoint: dogwoodfleet.Endpoint{ID: "e", Instance: "1"}}, Unknown)
+				if got, _ := duty.standing(crashing); got != dogwoodsuspect.Clear {
+					t.Errorf("before: got standing %v, want it clear", got)
+				}
+				for _, entries := range test.entries {
+					duty.SetEndpoints(entries)
+					time.Sleep(time.Second)
+				}
+				for index := range 2 {
+					if got, _ := fleet.duty(index).standing(crashing); got != test.want {
+						t.Errorf("daemon %d: got standing %v, want %v", index, got, test.want)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against copies of a popular harmless request that wait for each other: one was running when an endpoint ended,
 // and the others wait only until the trial has finished.
 func TestHarmlessSuspectIsClearedEverywhere(t *testing.T) {
 	runFleetTest(t, 3, 0, func(t *testing.T, fleet *fleet) {
 		duty := fleet.duty(0)
-		duty.EndpointEnded(t.Context(), Run{Digest: crashing, Request: "1", Endpoint: dogwoodfleet.Endpoint{ID: "e0"}}, false)
+		duty.Broke(t.Context(), Run{Digest: crashing, Request: "1", Endpoint: dogwoodfleet.Endpoint{ID: "e0"}}, Ended)
 		permit, err := duty.Admit(t.Context(), crashing, "2")
 		if err != nil || !permit.IsTrial() {
 			t.Fatalf("got permit %v and error %v, want a trial", permit, err)
