Send requests that crash engines in the soak, and check how often they reach them

The soak had no such request, so it could not find that the daemon sends one without end. For some seconds, one call in seven is now a copy of one; a crashed engine is replaced by another at its address, and its entry goes later. CrashRetries counts the copies that reach endpoints later than 3 s after the third crash.

Measured: a careless daemon is found by CrashRetries; TestDaemonKeepsPromises finds nothing.

--- a/dogwoodload/dogwoodsoak/careless_test.go
+++ b/dogwoodload/dogwoodsoak/careless_test.go
@@ -44,6 +44,7 @@
 	sentAfterLeaving fault = "SentAfterLeaving"
 	sentAfterTakeOut fault = "SentAfterTakeOut"
 	retryBudget      fault = "RetryBudget"
+	crashRetries     fault = "CrashRetries"
 	memoryHeld       fault = "MemoryHeld"
 	answeredLate     fault = "AnsweredLate"
 	processDied      fault = "ProcessDied"
--- /dev/null
+++ b/dogwoodload/dogwoodsoak/crashes.go
@@ -0,0 +1,79 @@
+package dogwoodsoak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"dogwoodmux.example/core/dogwoodkernel"
+	"dogwoodmux.example/platform/dogwoodstandin"
+)
+
+// superviseInterval is how often the endpoints' processes are checked for crashes.
+const superviseInterval = 50 * time.Millisecond
+
+// crashing guards the request that crashes engines: there is one at a time.
+type crashing struct {
+	mutex  sync.Mutex
+	number int
+}
+
+// sendCrashing makes callers send copies of a request that crashes engines for a while. Each call uses another request.
+func (site *site) sendCrashing(ctx context.Context, duration time.Duration) error {
+	site.crashing.mutex.Lock()
+	defer site.crashing.mutex.Unlock()
+	site.crashing.number++
+	site.callers.SetCrashing(fmt.Sprintf("%s?number=%d", crashPath, site.crashing.number))
+	dogwoodkernel.Sleep(ctx, duration)
+	site.callers.SetCrashing("")
+	return nil
+}
+
+// superviseEndpoints replaces endpoints that crashed, as the platform does, until the context ends.
+func (site *site) superviseEndpoints(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, endpoint := range site.endpoints {
+		group.Go(func() error {
+			for dogwoodkernel.Sleep(ctx, superviseInterval) {
+				if err := site.replaceCrashed(ctx, endpoint); err != nil && !errors.Is(err, context.Canceled) {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+// replaceCrashed starts another endpoint at the address of one that crashed, and removes its entry later. It does nothing
+// while a step acts on the process.
+func (site *site) replaceCrashed(ctx context.Context, endpoint *endpoint) error {
+	if !endpoint.processMutex.TryLock() {
+		return nil
+	}
+	defer endpoint.processMutex.Unlock()
+	if endpoint.process.Running() {
+		return nil
+	}
+	fault := site.endpointFault(endpoint)
+	fault.From = time.Now().Add(-2 * superviseInterval)
+	crashed := endpoint.id
+	defer func() {
+		fault.To = time.Now()
+		site.mutex.Lock()
+		defer site.mutex.Unlock()
+		site.recorded.Faults = append(site.recorded.Faults, fault)
+	}()
+	if !dogwoodkernel.Sleep(ctx, restartDelay) {
+		return site.startEndpoint(context.WithoutCancel(ctx), endpoint, true, coldDuration) // the memory of all engines is checked at the end
+	}
+	if err := site.startEndpoint(ctx, endpoint, true, coldDuration); err != nil {
+		return err
+	}
+	dogwoodkernel.Sleep(ctx, removalDelay-restartDelay)
+	return dogwoodstandin.Withdraw(context.WithoutCancel(ctx), site.control, crashed)
+}
--- a/dogwoodload/dogwoodsoak/endpoint.go
+++ b/dogwoodload/dogwoodsoak/endpoint.go
@@ -77,6 +77,7 @@
 		standinFlag{dogwoodstandinrun.FlagEvents, fmt.Sprint(events)},
 		standinFlag{dogwoodstandinrun.FlagWork, work.String()},
 		standinFlag{dogwoodstandinrun.FlagCold, cold.String()},
+		standinFlag{dogwoodstandinrun.FlagCrashPath, crashPath},
 		standinFlag{dogwoodstandinrun.FlagDrain, (checkBounds.Drain + drainSlack).String()},
 	)
 	endpoint.process = process
--- a/dogwoodload/dogwoodsoak/history.go
+++ b/dogwoodload/dogwoodsoak/history.go
@@ -81,6 +81,9 @@
 		if record.Left != nil {
 			history.Leavings = append(history.Leavings, dogwoodsoakcheck.Leaving{Endpoint: id, At: *record.Left})
 		}
+		if crash := record.Crash; crash != nil {
+			history.Crashes = append(history.Crashes, dogwoodsoakcheck.Crash{Endpoint: id, RequestID: crash.RequestID, At: crash.At})
+		}
 		if arrival := record.Arrival; arrival != nil {
 			history.Arrivals = append(history.Arrivals, dogwoodsoakcheck.Arrival{
 				Endpoint: id, DataCentre: arrival.DataCentre, Service: arrival.Service, RequestID: arrival.RequestID,
--- a/dogwoodload/dogwoodsoak/parameters.go
+++ b/dogwoodload/dogwoodsoak/parameters.go
@@ -39,6 +39,10 @@
 	drainSlack = time.Second
 	// removalDelay is how long after an endpoint falls silent the platform removes its entry.
 	removalDelay = 1500 * time.Millisecond
+	// crashPath is the path of requests that crash an engine, restartDelay the time from a crash to the start of another
+	// endpoint at the address.
+	crashPath    = "/draft/crash"
+	restartDelay = time.Second
 )
 
 // recovery is the time after the last fault by which requests must be served again.
@@ -56,7 +60,7 @@
 	checkBounds = dogwoodsoakcheck.Bounds{
 		Stability: 3 * time.Second, Revoke: daemonBounds.Revoke, Drain: 2 * time.Second, TakeOut: 5 * time.Second,
 		RetryRatio: daemonBounds.RetryRatio, RetryAllowance: daemonBounds.RetryAllowance, RetryWindow: daemonBounds.RetryWindow,
-		ColdPerSecond: coldPerSecond, ColdOvershoot: 1.5, ColdSlack: 5, AnswerSlack: time.Second,
+		ColdPerSecond: coldPerSecond, ColdOvershoot: 1.5, ColdSlack: 5, CrashesToLearn: 3, LateRetries: 3, AnswerSlack: time.Second,
 		ChangeWindow: 2 * time.Second, TextSlack: time.Second,
 		StopSlack: 200 * time.Millisecond, AcceptsFor: 2 * time.Second,
 		Recovery: recovery, ServedShare: 0.25,
@@ -72,6 +76,11 @@
 	},
 }
 
+// crashingKind is the kind of requests that crash engines.
+var crashingKind = dogwoodsoakcaller.Kind{
+	Kind: dogwoodsoakcheck.Prompt, Service: engineName, Wait: 10 * time.Second, Events: streamEvents, PromptTokens: []int{5_000},
+}
+
 var routes = []dogwoodstandin.Route{
 	{Name: "hold", Host: host, Prefix: "/hold/", Service: deskName, Repeat: dogwoodstandin.Once, Timeout: 4 * time.Second, Aim: 300 * time.Millisecond, Attempts: 3},
 	{Name: "stock", Host: host, Prefix: "/stock/", Service: deskName, Repeat: dogwoodstandin.Idempotent, Timeout: 4 * time.Second, Aim: 300 * time.Millisecond, Attempts: 3},
--- a/dogwoodload/dogwoodsoak/site.go
+++ b/dogwoodload/dogwoodsoak/site.go
@@ -45,6 +45,8 @@
 	version    int64
 	withdrawn  map[string]bool
 
+	crashing crashing
+
 	mutex    sync.Mutex // guards recorded, and the endpoints' ids
 	recorded dogwoodsoakcheck.History
 }
@@ -116,6 +118,7 @@
 	}
 	site.callers = dogwoodsoakcaller.New(dogwoodsoakcaller.Options{
 		Host: host, DataCentres: dataCentres, Daemons: daemonAddresses, Kinds: callKinds, Keys: keys, MeanInterval: callInterval,
+		Crashing: crashingKind, CrashingKey: keys[len(keys)-1], // this key is never withdrawn
 	})
 	return nil
 }
--- a/dogwoodload/dogwoodsoak/soak.go
+++ b/dogwoodload/dogwoodsoak/soak.go
@@ -188,6 +188,10 @@
 	if err := writeSteps(filepath.Join(directory, "steps"), started, steps); err != nil {
 		return nil, err
 	}
+	supervisorContext, stopSupervising := context.WithCancel(ctx)
+	defer stopSupervising()
+	var supervisor errgroup.Group
+	supervisor.Go(func() error { return site.superviseEndpoints(supervisorContext) })
 	callersContext, stopSending := context.WithCancel(ctx)
 	defer stopSending()
 	var callers errgroup.Group
@@ -203,7 +207,8 @@
 	dogwoodkernel.Sleep(ctx, max(time.Until(started.Add(options.For)), options.tail()))
 	stopSending()
 	_ = callers.Wait() // callers return no error
-	if err := errors.Join(stepsErr, ctx.Err()); err != nil {
+	stopSupervising()
+	if err := errors.Join(stepsErr, supervisor.Wait(), ctx.Err()); err != nil {
 		return nil, err
 	}
 	history, err := site.history(ctx, calm)
--- a/dogwoodload/dogwoodsoakcaller/caller.go
+++ b/dogwoodload/dogwoodsoakcaller/caller.go
@@ -55,6 +55,9 @@
 	Keys        []string
 	// MeanInterval is the mean time between two requests of one caller.
 	MeanInterval time.Duration
+	// Crashing is the kind of requests that crash endpoints, and CrashingKey their key.
+	Crashing    Kind
+	CrashingKey string
 }
 
 const (
@@ -68,6 +71,8 @@
 	giveUpDelay = 4 * time.Second
 	// closeShare is the share of the requests that close their connection.
 	closeShare = 0.3
+	// crashingShare is the share of the calls that are copies of a crashing request while there is one.
+	crashingShare = 0.15
 )
 
 // Callers send requests and record the answers. They are safe for concurrent use.
@@ -76,6 +81,8 @@
 
 	mutex sync.Mutex
 	calls []dogwoodsoakcheck.Call
+	// crashing is the target of a request that crashes endpoints, of which callers send copies now; empty for none.
+	crashing string
 }
 
 // New returns callers.
@@ -83,6 +90,23 @@
 	return &Callers{options: options}
 }
 
+// SetCrashing makes callers send copies of a request with a target that crashes endpoints. An empty target ends that.
+func (callers *Callers) SetCrashing(target string) {
+	callers.mutex.Lock()
+	defer callers.mutex.Unlock()
+	callers.crashing = target
+}
+
+// crashingTarget returns the target of the crashing request for some of the calls, and "" for the others.
+func (caller *caller) crashingTarget() string {
+	caller.mutex.Lock()
+	defer caller.mutex.Unlock()
+	if caller.crashing == "" || caller.random.Float64() >= crashingShare {
+		return ""
+	}
+	return caller.crashing
+}
+
 // Calls returns all requests that have ended.
 func (callers *Callers) Calls() []dogwoodsoakcheck.Call {
 	callers.mutex.Lock()
@@ -188,6 +212,9 @@
 	return &caller.options.Kinds[0]
 }
 
+// crashingBody is the body of requests that crash endpoints.
+const crashingBody = "crash"
+
 // call sends one request and records its result.
 func (caller *caller) call(ctx context.Context) {
 	daemon, ok := caller.pickDaemon()
@@ -202,6 +229,11 @@
 	}
 	target := fmt.Sprintf("%s%d?q=%d", kind.Prefix, caller.number, caller.sent)
 	body := strings.Repeat("x", 1+caller.random.IntN(200))
+	if crashing := caller.crashingTarget(); crashing != "" {
+		kind = &caller.options.Crashing
+		call.Kind, call.Service, call.Wait, call.Key, call.Crashing = kind.Kind, kind.Service, kind.Wait, caller.options.CrashingKey, crashing
+		target, body = crashing, crashingBody
+	}
 	call.Sent = time.Now()
 	caller.exchange(ctx, &call, kind, daemon.ProxyAddress, target, body)
 	call.Ended = time.Now()
--- a/dogwoodload/dogwoodsoakcheck/check_test.go
+++ b/dogwoodload/dogwoodsoakcheck/check_test.go
@@ -18,7 +18,7 @@
 var bounds = Bounds{
 	Stability: 3 * time.Second, Revoke: 5 * time.Second, Drain: 2 * time.Second, TakeOut: 5 * time.Second,
 	RetryRatio: 0.2, RetryAllowance: 3, RetryWindow: 10 * time.Second,
-	ColdPerSecond: 2, ColdOvershoot: 1.5, ColdSlack: 1, AnswerSlack: time.Second,
+	ColdPerSecond: 2, ColdOvershoot: 1.5, ColdSlack: 1, CrashesToLearn: 3, LateRetries: 3, AnswerSlack: time.Second,
 	ChangeWindow: 2 * time.Second, TextSlack: time.Second,
 	AcceptsFor: 2 * time.Second, Recovery: 12 * time.Second, ServedShare: 0.25,
 }
@@ -62,6 +62,16 @@
 	history.Changes = append(history.Changes, Change{Daemon: daemon, From: after(from), To: after(from + 0.1)})
 }
 
+// crash makes the prompts of the first seconds copies of a request, each of which crashes its endpoint. The third one
+// crashes it at 2 s, so that the copies from 6 s on are late.
+func (history *History) crash(copies int) {
+	for second := range copies {
+		call := history.call(fmt.Sprintf("Prompt-%d", second))
+		call.Crashing, call.Status, call.Sealed = "/crash", 502, false
+		history.Crashes = append(history.Crashes, Crash{Endpoint: "e", RequestID: call.ID, At: after(float64(second) + 0.05)})
+	}
+}
+
 // cut makes a request end without an answer.
 func (history *History) cut(id string) {
 	call := history.call(id)
@@ -181,6 +191,12 @@
 				arrival.Cold, arrival.At = true, after(20+float64(number)/10)
 			}
 		}, ""},
+		{"a request goes on crashing endpoints", func(history *History) { history.crash(10) }, "CrashRetries"},
+		{"a request reaches endpoints as often after the bound as is allowed", func(history *History) { history.crash(9) }, ""},
+		{"a request goes on crashing endpoints through a daemon that was frozen", func(history *History) {
+			history.crash(12)
+			history.fault(Fault{Daemon: "d"}, 0, 40)
+		}, ""},
 		{"memory is never released", func(history *History) { history.Held = []Held{{Endpoint: "e", Tokens: 7}} }, "MemoryHeld"},
 		{"a request ends too late", func(history *History) { history.call("Once-20").Ended = after(25.1) }, "AnsweredLate"},
 		{"a request ends too late at a frozen daemon", func(history *History) {
--- a/dogwoodload/dogwoodsoakcheck/history.go
+++ b/dogwoodload/dogwoodsoakcheck/history.go
@@ -18,6 +18,9 @@
 	// ColdPerSecond is the rate that a cold endpoint can take. The checks allow this rate times ColdOvershoot
 	// plus ColdSlack.
 	ColdPerSecond, ColdOvershoot, ColdSlack float64
+	// LateRetries is how often a request that crashes endpoints may reach them later than Stability after it has
+	// crashed as many as CrashesToLearn.
+	CrashesToLearn, LateRetries int
 	// AnswerSlack is how long after its time limit a request may end.
 	AnswerSlack time.Duration
 	// ChangeWindow is how long after a change a daemon may still be applying it. For the operators' rows,
@@ -66,6 +69,9 @@
 	Wrong string
 	// Error is the reason why there is no complete answer.
 	Error string
+	// Crashing is the target of a request that crashes each endpoint that runs it; empty for other requests. Calls with
+	// the same target are copies of one request.
+	Crashing string
 }
 
 // Served reports whether an endpoint answered the call completely and correctly.
@@ -81,6 +87,12 @@
 	Ran, Cold, KeySeen            bool
 }
 
+// Crash is an endpoint that a request crashed.
+type Crash struct {
+	Endpoint, RequestID string
+	At                  time.Time
+}
+
 // Fault is a period in which one or all daemons lacked something that they depend on, or in which requests
 // to an endpoint, or its answers, were delayed.
 type Fault struct {
@@ -147,6 +159,7 @@
 type History struct {
 	Calls       []Call
 	Arrivals    []Arrival
+	Crashes     []Crash
 	Faults      []Fault
 	Withdrawals []Withdrawal
 	TakeOuts    []TakeOut
--- a/dogwoodload/dogwoodsoakplan/plan.go
+++ b/dogwoodload/dogwoodsoakplan/plan.go
@@ -50,6 +50,8 @@
 	EndpointBusy Kind = "EndpointBusy"
 	// EntryLapsed removes an endpoint's entry and restores it after the duration.
 	EntryLapsed Kind = "EntryLapsed"
+	// CrashingCalls makes callers send copies of a request that crashes each endpoint that runs it.
+	CrashingCalls Kind = "CrashingCalls"
 	// StoreDown, StoreSilent, StoreSlow and StoreLosing are faults of the store that affect all daemons.
 	StoreDown   Kind = "StoreDown"
 	StoreSilent Kind = "StoreSilent"
@@ -75,6 +77,7 @@
 	Store
 	Key
 	DataCentre
+	Callers
 )
 
 // traits hold how often a kind is drawn, what it acts on and how long it lasts.
@@ -89,7 +92,7 @@
 
 const second = time.Second
 
-// kinds lists all kinds but those in busyKinds. Many ranges of durations include the daemons' bounds of 4 and 5
+// kinds lists all kinds but those in busyKinds and crashKinds. Many ranges of durations include the daemons' bounds of 4 and 5
 // seconds, so that some steps end before these bounds and some after.
 var kinds = []traits{
 	{DaemonKilled, Daemon, 6, second / 2, 3 * second, second / 2},
@@ -124,6 +127,11 @@
 	{EndpointBusy, Endpoint, 1, second, 3 * second, second / 10},
 }
 
+// crashKinds lists the kinds that are drawn independently of kinds and busyKinds.
+var crashKinds = []traits{
+	{CrashingCalls, Callers, 1, 4 * second, 10 * second, 0},
+}
+
 // Shape holds the number of subjects of each type.
 type Shape struct {
 	Daemons, Endpoints, Keys, DataCentres int
@@ -163,13 +171,16 @@
 	// busyInterval and busySeriesShare correspond to stepInterval and seriesShare for busyKinds.
 	busyInterval    = 4 * time.Second
 	busySeriesShare = 0.5
+	// crashInterval corresponds to stepInterval for crashKinds.
+	crashInterval = 15 * time.Second
 )
 
 // Draw returns the steps of a seed in order of time. All of them start and end between from and until.
 func Draw(seed uint64, shape Shape, from, until time.Duration) []Step {
 	faults := sequence{rand.New(rand.NewPCG(seed, seed)), kinds, stepInterval, seriesShare}
 	pauses := sequence{rand.New(rand.NewPCG(seed, ^seed)), busyKinds, busyInterval, busySeriesShare}
-	steps := append(faults.draw(shape, from, until), pauses.draw(shape, from, until)...)
+	crashes := sequence{rand.New(rand.NewPCG(^seed, seed)), crashKinds, crashInterval, 0}
+	steps := slices.Concat(faults.draw(shape, from, until), pauses.draw(shape, from, until), crashes.draw(shape, from, until))
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
@@ -222,7 +233,7 @@
 
 // SubjectOf returns what a kind of step acts on.
 func SubjectOf(kind Kind) Subject {
-	for _, candidate := range slices.Concat(kinds, busyKinds) {
+	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds) {
 		if candidate.kind == kind {
 			return candidate.subject
 		}
--- a/dogwoodload/dogwoodstandinrun/run.go
+++ b/dogwoodload/dogwoodstandinrun/run.go
@@ -39,8 +39,12 @@
 	FlagWork             = "work"
 	FlagCold             = "cold"
 	FlagDrain            = "drain"
+	FlagCrashPath        = "crashpath"
 )
 
+// crashExitCode is the exit code of an endpoint that a request crashed.
+const crashExitCode = 3
+
 // headerTimeout bounds how long a daemon may take to send the headers of a request.
 const headerTimeout = 8 * time.Second
 
@@ -88,6 +92,7 @@
 	flags.IntVar(&options.Endpoint.Events, FlagEvents, 0, "`events` of a stream; 0 answers plainly")
 	flags.DurationVar(&options.Endpoint.Work, FlagWork, 0, "`time` of a plain answer, and between two events")
 	flags.DurationVar(&options.Endpoint.ColdFor, FlagCold, 0, "`time` for which it is cold")
+	flags.StringVar(&options.Endpoint.CrashPath, FlagCrashPath, "", "`path` of requests that crash it; none if empty")
 	flags.DurationVar(&options.Drain, FlagDrain, 0, "`time` that it serves on when it leaves")
 }
 
@@ -112,6 +117,10 @@
 	options.Endpoint.AnnouncedAddress = options.Announced
 	options.Endpoint.EventInterval, options.Endpoint.MemoryTokens = options.Endpoint.Work, dogwoodstandin.EngineMemoryTokens
 	options.Endpoint.Record = func(arrival dogwoodstandin.Arrival) { running.record(dogwoodstandin.Record{Arrival: &arrival}) }
+	options.Endpoint.Crash = func(crash dogwoodstandin.Crash) {
+		running.record(dogwoodstandin.Record{Crash: &crash})
+		os.Exit(crashExitCode)
+	}
 	running.endpoint = dogwoodstandin.NewEndpoint(options.Endpoint)
 	signal.Notify(running.signals, syscall.SIGTERM, syscall.SIGHUP)
 	defer signal.Stop(running.signals)
