Let the soak's steps meet endpoints that a request has crashed

Signals to one that has crashed are left out, and a step that needs a running one has it replaced first. The soak's own fault; the daemon was not concerned.

--- a/dogwoodload/dogwoodsoak/crashes.go
+++ b/dogwoodload/dogwoodsoak/crashes.go
@@ -39,7 +39,12 @@
 	for _, endpoint := range site.endpoints {
 		group.Go(func() error {
 			for dogwoodkernel.Sleep(ctx, superviseInterval) {
-				if err := site.replaceCrashed(ctx, endpoint); err != nil && !errors.Is(err, context.Canceled) {
+				if !endpoint.processMutex.TryLock() {
+					continue // a step acts on the process
+				}
+				err := site.replaceCrashed(ctx, endpoint)
+				endpoint.processMutex.Unlock()
+				if err != nil && !errors.Is(err, context.Canceled) {
 					return err
 				}
 			}
@@ -50,12 +55,8 @@
 }
 
 // replaceCrashed starts another endpoint at the address of one that crashed, and removes its entry later. It does nothing
-// while a step acts on the process.
+// while the process runs. The caller holds processMutex.
 func (site *site) replaceCrashed(ctx context.Context, endpoint *endpoint) error {
-	if !endpoint.processMutex.TryLock() {
-		return nil
-	}
-	defer endpoint.processMutex.Unlock()
 	if endpoint.process.Running() {
 		return nil
 	}
--- a/dogwoodload/dogwoodsoak/endpoint.go
+++ b/dogwoodload/dogwoodsoak/endpoint.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -102,7 +104,7 @@
 		return site.replaceEndpoint(ctx, endpoint)
 	case dogwoodsoakplan.EndpointFrozen:
 		return site.recordFault(&endpoint.processMutex, site.endpointFault(endpoint), func() error {
-			return freeze(ctx, endpoint.process.Signal, step.For)
+			return freeze(ctx, endpoint.signal, step.For)
 		})
 	case dogwoodsoakplan.EndpointReset:
 		return breakLink(dogwoodsoakproxy.Fault{Refused: true}, 0)
@@ -126,7 +128,7 @@
 // for longer than removalDelay, its entry is removed, as the platform does.
 func (site *site) killEndpoint(ctx context.Context, endpoint *endpoint, downtime time.Duration) error {
 	return site.recordFault(&endpoint.processMutex, site.endpointFault(endpoint), func() error {
-		if err := endpoint.process.Signal(syscall.SIGKILL); err != nil {
+		if err := endpoint.signal(syscall.SIGKILL); err != nil {
 			return err
 		}
 		endpoint.process.Wait(ctx)
@@ -148,8 +150,11 @@
 func (site *site) replaceEndpoint(ctx context.Context, endpoint *endpoint) error {
 	endpoint.processMutex.Lock()
 	defer endpoint.processMutex.Unlock()
+	if err := site.replaceCrashed(ctx, endpoint); err != nil {
+		return err
+	}
 	waitUntilListening(ctx, endpoint.address)
-	if err := endpoint.process.Signal(syscall.SIGTERM); err != nil {
+	if err := endpoint.signal(syscall.SIGTERM); err != nil {
 		return err
 	}
 	endpoint.process.Wait(ctx)
@@ -163,18 +168,35 @@
 func (site *site) makeBusy(ctx context.Context, endpoint *endpoint, duration time.Duration) error {
 	endpoint.processMutex.Lock()
 	defer endpoint.processMutex.Unlock()
+	if err := site.replaceCrashed(ctx, endpoint); err != nil {
+		return err
+	}
 	waitUntilListening(ctx, endpoint.address)
-	return dogwoodstandin.SetBusyAt(ctx, endpoint.address, duration)
+	if err := dogwoodstandin.SetBusyAt(ctx, endpoint.address, duration); err != nil && endpoint.process.Running() {
+		return err
+	}
+	return nil // one that has crashed meanwhile is not busy
 }
 
 // expireEntry removes the entry of a running endpoint for a while.
 func (site *site) expireEntry(ctx context.Context, endpoint *endpoint, duration time.Duration) error {
 	endpoint.processMutex.Lock()
 	defer endpoint.processMutex.Unlock()
+	if err := site.replaceCrashed(ctx, endpoint); err != nil {
+		return err
+	}
 	if err := dogwoodstandin.Withdraw(ctx, site.control, endpoint.id); err != nil {
 		return err
 	}
 	dogwoodkernel.Sleep(ctx, duration)
 	waitUntilListening(ctx, endpoint.address)
-	return endpoint.process.Signal(syscall.SIGHUP)
+	return endpoint.signal(syscall.SIGHUP)
+}
+
+// signal sends a signal to the endpoint's process, unless a request has crashed it.
+func (endpoint *endpoint) signal(signal syscall.Signal) error {
+	if err := endpoint.process.Signal(signal); !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	return nil
 }
