Keep the limit of requests that an endpoint names, over all daemons together

What callers saw: nothing; an endpoint in need that named 1.7 requests a second got 20 in 4 s, as many as the others.

Cause: the header was read by nothing.

Change: the relay reads the limit from each answer of the endpoint itself; a change is announced with the daemons' work. Each daemon keeps a token bucket into which the requests of all daemons go, and they take turns for each request, since a share for each would be one request in many seconds.

--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -83,6 +83,7 @@
 	// sends holds the requests of the last second by all daemons, ownSends those by this daemon.
 	sends, ownSends timestamps
 	health          health
+	limit           limitState
 	// lastPrefillAt is the latest time at which a prompt is known to have been prefilled here.
 	lastPrefillAt   time.Time
 	pendingPrefills []pendingPrefill // reused by load
--- a/core/decision/dogwoodpacking/choose.go
+++ b/core/decision/dogwoodpacking/choose.go
@@ -122,12 +122,12 @@
 	return work
 }
 
-// HasOtherEndpoint reports whether the service has an endpoint in force that is not in request.Avoid.
+// HasOtherEndpoint reports whether the service has an endpoint in force that is not in request.Avoid and names no limit.
 func (board *Board) HasOtherEndpoint(request *PlacementRequest) bool {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	for _, state := range board.endpoints {
-		if state.Service == request.Service && state.InForce && !slices.Contains(request.Avoid, state.ID) {
+		if state.Service == request.Service && state.InForce && !state.limit.Named && !slices.Contains(request.Avoid, state.ID) {
 			return true
 		}
 	}
--- a/core/decision/dogwoodpacking/cold.go
+++ b/core/decision/dogwoodpacking/cold.go
@@ -72,6 +72,7 @@
 // recordSend records a request, and whether this daemon sent it. The caller holds the board's
 // mutex.
 func (state *endpointState) recordSend(now time.Time, own bool) {
+	state.limit.take(now)
 	state.sends = append(state.sends, now)
 	state.sends.countRecent(now)
 	if own {
@@ -89,6 +90,9 @@
 
 // admits reports whether this daemon may send the endpoint one more request now.
 func (board *Board) admits(state *endpointState, now time.Time) bool {
+	if state.limit.Named && !state.limit.admits(now, state.hash, board.senders) {
+		return false
+	}
 	if state.ColdPerSecond <= 0 {
 		return true
 	}
--- a/core/decision/dogwoodpacking/engines.go
+++ b/core/decision/dogwoodpacking/engines.go
@@ -181,7 +181,9 @@
 		if !engine.failing {
 			search.primaries = append(search.primaries, engine)
 		}
-		search.helpers = append(search.helpers, engine)
+		if !engine.state.limit.Named { // a part is a request that the limit does not count
+			search.helpers = append(search.helpers, engine)
+		}
 	}
 	board.scratch.primaries, board.scratch.helpers = search.primaries, search.helpers
 	slices.SortStableFunc(search.primaries, func(a, b *engine) int {
--- /dev/null
+++ b/core/decision/dogwoodpacking/limit.go
@@ -0,0 +1,174 @@
+package dogwoodpacking
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+const (
+	// limitBurst is the time whose requests an endpoint with a named limit may get at once. An endpoint with a low limit
+	// gets its requests one by one.
+	limitBurst = 100 * time.Millisecond
+	// maxLimitTurn is the time for which a daemon leaves a request at an endpoint with a named limit to each daemon whose
+	// turn comes before its own. Announcements arrive within it. turnShare bounds the turns of all daemons together, as a
+	// share of the time between two requests.
+	maxLimitTurn = 10 * time.Millisecond
+	turnShare    = 0.25
+	// limitProbeInterval is the time without an answer after which an endpoint whose limit is 0 gets one request: nothing
+	// else would show that it has taken the limit back.
+	limitProbeInterval = 10 * time.Second
+	// maxLiftLag is by how much an answer without a limit may precede one with a limit and still lift it at another daemon:
+	// the answers may have arrived in another order than they were sent. If the endpoint has named the limit again, its
+	// next answer shows that.
+	maxLiftLag = time.Second
+	// maxNamedLimit bounds the limits that are kept. No endpoint gets as many requests a second.
+	maxNamedLimit = 1e6
+)
+
+// NamedLimit is what an endpoint's answer says about the requests that it takes.
+type NamedLimit struct {
+	// Named is false if the endpoint names no limit.
+	Named bool
+	// PerSecond is the number of requests a second that it takes from all daemons together.
+	PerSecond float64
+}
+
+// IsValid reports whether the limit can be kept.
+func (limit NamedLimit) IsValid() bool {
+	return !limit.Named || limit.PerSecond >= 0 && limit.PerSecond <= maxNamedLimit
+}
+
+// EndpointLimit is a named limit with its endpoint and the time at which the endpoint named it or took it back.
+type EndpointLimit struct {
+	Endpoint dogwoodfleet.EndpointID
+	Limit    NamedLimit
+	At       time.Time
+}
+
+// limitState is the limit that an endpoint has named.
+type limitState struct {
+	NamedLimit
+	// at is when the endpoint was last heard to name the limit, or to name none.
+	at time.Time
+	// bucket holds the requests that the endpoint may get now; nil while it names no limit. It is emptied by the requests
+	// of all daemons that are known here.
+	bucket *rate.Limiter
+	// sent counts the requests since the limit was named.
+	sent int
+	// lastSend is the time of the last request.
+	lastSend time.Time
+}
+
+// set replaces the limit. A change begins with an empty bucket, since the endpoint has just got its full share.
+func (state *limitState) set(now time.Time, limit NamedLimit, at time.Time) {
+	changed := limit != state.NamedLimit
+	state.NamedLimit, state.at = limit, at
+	switch {
+	case !limit.Named:
+		*state = limitState{at: at}
+	case changed:
+		burst := max(int(limit.PerSecond*limitBurst.Seconds()), 1)
+		state.bucket = rate.NewLimiter(rate.Limit(limit.PerSecond), burst)
+		state.bucket.ReserveN(now, burst)
+		state.lastSend = now
+	}
+}
+
+// take counts a request of any daemon.
+func (state *limitState) take(now time.Time) {
+	if state.bucket != nil {
+		state.bucket.ReserveN(now, 1)
+		state.sent++
+		state.lastSend = now
+	}
+}
+
+// admits reports whether a daemon may send one more request now. The daemons take turns for each request, so that two
+// of them rarely send one before either has the other's announcement.
+func (state *limitState) admits(now time.Time, hash uint64, senders Senders) bool {
+	if senders.Standby {
+		return false
+	}
+	turn := int((hash + uint64(state.sent) + uint64(senders.Index)) % uint64(senders.Count))
+	if state.PerSecond == 0 {
+		since := now.Sub(state.lastSend) - time.Duration(turn)*maxLimitTurn
+		return since >= limitProbeInterval
+	}
+	share := time.Duration(turnShare / state.PerSecond / float64(senders.Count) * float64(time.Second))
+	return state.bucket.TokensAt(now.Add(-time.Duration(turn)*min(share, maxLimitTurn))) >= 1
+}
+
+// SetLimit records what an answer says about the limit of its endpoint. sent is when the answer's request was sent: an
+// answer to an earlier request doesn't show that a limit was taken back. It returns what the other daemons have to
+// learn; false if that is nothing.
+func (board *Board) SetLimit(now, sent time.Time, id dogwoodfleet.EndpointID, limit NamedLimit) (EndpointLimit, bool) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	state := board.endpoints[id]
+	if state == nil || !limit.IsValid() || !limit.Named && (!state.limit.Named || !sent.After(state.limit.at)) {
+		return EndpointLimit{}, false
+	}
+	changed := limit != state.limit.NamedLimit
+	state.limit.set(now, limit, now)
+	if changed {
+		board.notifyChange()
+	}
+	return EndpointLimit{Endpoint: id, Limit: limit, At: now}, changed
+}
+
+// LearnLimit records a limit that another daemon announced. An earlier one than the one known has no effect, except that it
+// may lift one heard at nearly the same time.
+func (board *Board) LearnLimit(now time.Time, learned EndpointLimit) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	state := board.endpoints[learned.Endpoint]
+	if state == nil || !learned.Limit.IsValid() {
+		return
+	}
+	at := learned.At
+	if !learned.Limit.Named {
+		at = at.Add(maxLiftLag)
+	}
+	if !at.After(state.limit.at) {
+		return
+	}
+	state.limit.set(now, learned.Limit, learned.At)
+	board.notifyChange()
+}
+
+// Limits returns the limits that endpoints name, and those that they took back.
+func (board *Board) Limits() []EndpointLimit {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	var limits []EndpointLimit
+	for id, state := range board.endpoints {
+		if !state.limit.at.IsZero() {
+			limits = append(limits, EndpointLimit{Endpoint: id, Limit: state.limit.NamedLimit, At: state.limit.at})
+		}
+	}
+	return limits
+}
+
+// LimitedRate returns this daemon's share of the requests a second that a service's endpoints take, and true if all
+// endpoints in force name a limit.
+func (board *Board) LimitedRate(service dogwoodfleet.Service) (perSecond float64, limited bool) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	for _, state := range board.endpoints {
+		if state.Service != service || !state.InForce {
+			continue
+		}
+		if !state.limit.Named {
+			return 0, false
+		}
+		perSecond += state.limit.PerSecond
+		limited = true
+	}
+	if board.senders.Standby {
+		return 0, limited
+	}
+	return perSecond / float64(board.senders.Count), limited
+}
--- /dev/null
+++ b/core/decision/dogwoodpacking/limit_test.go
@@ -0,0 +1,225 @@
+package dogwoodpacking
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+// daemonsSimulation places requests at one endpoint through several daemons, which get each other's announcements late.
+type daemonsSimulation struct {
+	boards []*Board
+	// announced holds the work that other daemons have not received yet, in order of time.
+	announced []announcement
+	sends     []time.Time
+}
+
+type announcement struct {
+	at   time.Time
+	work Work
+}
+
+const (
+	// announcementDelay is the time until other daemons receive an announcement.
+	announcementDelay = 3 * time.Millisecond
+	// simulationStep is how often each daemon tries to place a request.
+	simulationStep = 5 * time.Millisecond
+)
+
+func newDaemonsSimulation(now time.Time, daemons int, limit NamedLimit) *daemonsSimulation {
+	simulation := &daemonsSimulation{}
+	for index := range daemons {
+		board := NewBoard(dogwoodfleet.InstanceID(fmt.Sprint(index)))
+		board.SetEndpoints([]Endpoint{engineEndpoint(0)})
+		board.SetSenders(Senders{Count: daemons, Index: index})
+		board.SetLimit(now, now, "e00", limit)
+		simulation.boards = append(simulation.boards, board)
+	}
+	return simulation
+}
+
+// step lets each daemon place a request if it can.
+func (simulation *daemonsSimulation) step(now time.Time) {
+	for len(simulation.announced) > 0 && !simulation.announced[0].at.After(now) {
+		work := simulation.announced[0].work
+		simulation.announced = simulation.announced[1:]
+		for _, board := range simulation.boards {
+			if board.owner != string(work.Holder) {
+				board.Put(now, work)
+				board.Remove(work.ID)
+			}
+		}
+	}
+	for _, board := range simulation.boards {
+		request := short(now, 3_000)
+		request.Holder = dogwoodfleet.InstanceID(board.owner)
+		placement, refusal := board.Place(now, request)
+		if refusal != Placed {
+			continue
+		}
+		board.End(request.ID)
+		simulation.sends = append(simulation.sends, now)
+		simulation.announced = append(simulation.announced, announcement{now.Add(announcementDelay), placement.Work})
+	}
+}
+
+// mostWithin returns the largest number of sends in a window.
+func (simulation *daemonsSimulation) mostWithin(window time.Duration) int {
+	most, first := 0, 0
+	for i, at := range simulation.sends {
+		for at.Sub(simulation.sends[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against daemons that each keep a limit by themselves: the limit is for all of them together, from the moment
+// at which it is named, and a share for each would be less than a request in minutes. It is used nearly in full.
+func TestDaemonsKeepANamedLimitTogether(t *testing.T) {
+	const window, duration = 4 * time.Second, 20 * time.Second
+	tests := []struct {
+		perSecond float64
+		daemons   int
+	}{{1.8, 8}, {1, 8}, {0.2, 60}, {0.2, 500}, {12, 8}, {100, 8}, {0, 8}}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%v for %d", test.perSecond, test.daemons), func(t *testing.T) {
+			start := time.Now()
+			simulation := newDaemonsSimulation(start, test.daemons, NamedLimit{Named: true, PerSecond: test.perSecond})
+			for now := start; now.Before(start.Add(duration)); now = now.Add(simulationStep) {
+				simulation.step(now)
+			}
+			if got, allowed := simulation.mostWithin(window), int(1.5*test.perSecond*window.Seconds()+5); got > allowed {
+				t.Errorf("got %d requests within %s, want at most %d", got, window, allowed)
+			}
+			if got, want := len(simulation.sends), int(0.6*test.perSecond*duration.Seconds()); got < want {
+				t.Errorf("got %d requests in %s, want at least %d", got, duration, want)
+			}
+			if test.perSecond == 0 && len(simulation.sends) > 2 {
+				t.Errorf("got %d requests in %s at an endpoint that takes none, want one each %s", len(simulation.sends), duration, limitProbeInterval)
+			}
+		})
+	}
+}
+
+// Guards against a limit that stays after the endpoint took it back, and one that an old answer lifts.
+func TestLimitFollowsTheEndpoint(t *testing.T) {
+	start := time.Now()
+	named := NamedLimit{Named: true, PerSecond: 2}
+	after := start.Add
+	tests := []struct {
+		name   string
+		change func(board *Board)
+		want   NamedLimit
+	}{
+		{"nothing more is heard", func(*Board) {}, named},
+		{"an answer to a later request names none", func(board *Board) {
+			board.SetLimit(after(2*time.Second), after(time.Second), "e00", NamedLimit{})
+		}, NamedLimit{}},
+		{"an answer to an earlier request names none", func(board *Board) {
+			board.SetLimit(after(2*time.Second), after(-time.Second), "e00", NamedLimit{})
+		}, named},
+		{"another value", func(board *Board) {
+			board.SetLimit(after(2*time.Second), after(time.Second), "e00", NamedLimit{Named: true, PerSecond: 5})
+		}, NamedLimit{Named: true, PerSecond: 5}},
+		{"an invalid value", func(board *Board) {
+			board.SetLimit(after(2*time.Second), after(time.Second), "e00", NamedLimit{Named: true, PerSecond: -1})
+		}, named},
+		{"another daemon heard another value later", func(board *Board) {
+			board.LearnLimit(after(2*time.Second), EndpointLimit{"e00", NamedLimit{Named: true, PerSecond: 5}, after(time.Second)})
+		}, NamedLimit{Named: true, PerSecond: 5}},
+		{"another daemon heard another value earlier", func(board *Board) {
+			board.LearnLimit(after(2*time.Second), EndpointLimit{"e00", NamedLimit{Named: true, PerSecond: 5}, after(-time.Millisecond)})
+		}, named},
+		{"another daemon heard just before that it was taken back", func(board *Board) {
+			board.LearnLimit(after(2*time.Second), EndpointLimit{"e00", NamedLimit{}, after(-time.Millisecond)})
+		}, NamedLimit{}},
+		{"another daemon heard long before that it was taken back", func(board *Board) {
+			board.LearnLimit(after(2*time.Second), EndpointLimit{"e00", NamedLimit{}, after(-time.Minute)})
+		}, named},
+		{"another instance has the address", func(board *Board) {
+			replaced := engineEndpoint(0)
+			replaced.Instance = "another"
+			board.SetEndpoints([]Endpoint{replaced})
+		}, NamedLimit{}},
+		{"the list of endpoints changes", func(board *Board) {
+			board.SetEndpoints([]Endpoint{engineEndpoint(0), engineEndpoint(1)})
+		}, named},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			board := pool(1)
+			board.SetLimit(start, start, "e00", named)
+			test.change(board)
+			if got := board.endpoints["e00"].limit.NamedLimit; got != test.want {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against limits that can't be kept.
+func TestInvalidLimits(t *testing.T) {
+	for _, perSecond := range []float64{-1, math.NaN(), math.Inf(1), math.Inf(-1), 1e300} {
+		if (NamedLimit{Named: true, PerSecond: perSecond}).IsValid() {
+			t.Errorf("got %v valid, want it invalid", perSecond)
+		}
+	}
+	for _, perSecond := range []float64{0, 0.001, 1.8, 1e5} {
+		if !(NamedLimit{Named: true, PerSecond: perSecond}).IsValid() {
+			t.Errorf("got %v invalid, want it valid", perSecond)
+		}
+	}
+}
+
+// Guards against parts of joint prompts at an endpoint in need: its limit does not count them.
+func TestLimitedEndpointHelpsWithNoPrompt(t *testing.T) {
+	board, now := pool(8), time.Now()
+	for i := 1; i < 4; i++ {
+		board.SetLimit(now, now, engineEndpoint(i).ID, NamedLimit{Named: true, PerSecond: 1})
+	}
+	placement := mustPlace(t, board, now, long(now, 180_000))
+	if len(placement.Helpers) == 0 {
+		t.Fatal("got no helpers, want some")
+	}
+	for _, helper := range placement.Helpers {
+		if board.endpoints[helper.Endpoint.ID].limit.Named {
+			t.Errorf("got the helper %s, want none that names a limit", helper.Endpoint.ID)
+		}
+	}
+}
+
+// Guards against a retry that waits for an endpoint that takes hardly any requests, while one that was tried has room.
+func TestLimitedEndpointIsNoOtherEndpoint(t *testing.T) {
+	board, now := pool(2), time.Now()
+	request := short(now, 3_000)
+	request.Avoid = []dogwoodfleet.EndpointID{"e00"}
+	if !board.HasOtherEndpoint(request) {
+		t.Error("without a limit: got no other endpoint, want one")
+	}
+	board.SetLimit(now, now, "e01", NamedLimit{Named: true, PerSecond: 1})
+	if board.HasOtherEndpoint(request) {
+		t.Error("with a limit: got another endpoint, want none")
+	}
+}
+
+// The share of a daemon in the limits of a service is known only if all endpoints in force name one.
+func TestLimitedRate(t *testing.T) {
+	board, now := pool(2), time.Now()
+	board.SetSenders(Senders{Count: 4})
+	board.SetLimit(now, now, "e00", NamedLimit{Named: true, PerSecond: 2})
+	if _, limited := board.LimitedRate("models"); limited {
+		t.Error("with one endpoint without a limit: got limited, want not")
+	}
+	board.SetLimit(now, now, "e01", NamedLimit{Named: true, PerSecond: 6})
+	if got, limited := board.LimitedRate("models"); !limited || got != 2 {
+		t.Errorf("got %v a second, limited %t, want 2 and limited", got, limited)
+	}
+	if _, limited := board.LimitedRate("other"); limited {
+		t.Error("a service without endpoints: got limited, want not")
+	}
+}
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -80,6 +80,13 @@
 	Pace     float64
 }
 
+// Limit is a limit that an endpoint named, or took back, some time ago.
+type Limit struct {
+	Endpoint dogwoodfleet.EndpointID
+	Limit    dogwoodpacking.NamedLimit
+	Age      time.Duration
+}
+
 // Batch is one announcement.
 type Batch struct {
 	From dogwoodfleet.InstanceID
@@ -96,6 +103,7 @@
 	Ended            []dogwoodpacking.WorkID
 	Avoid            []Avoid
 	Paces            []Pace
+	Limits           []Limit
 }
 
 // Options configure a Duty.
@@ -326,6 +334,27 @@
 	}
 }
 
+// SetLimit records what an answer says about its endpoint's limit, and announces a change. sent is when the answer's
+// request was sent.
+func (duty *Duty) SetLimit(sent time.Time, endpoint dogwoodfleet.EndpointID, limit dogwoodpacking.NamedLimit) {
+	changed, ok := duty.options.Board.SetLimit(time.Now(), sent, endpoint, limit)
+	if !ok {
+		return
+	}
+	duty.options.Logger.Info("An endpoint changed its limit.", "endpoint", endpoint, "named", limit.Named, "persecond", limit.PerSecond)
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	for _, link := range duty.links {
+		link.setLimit(changed)
+	}
+}
+
+// LimitedRate returns this daemon's share of the requests a second that a service's endpoints take, and true if all of
+// them name a limit.
+func (duty *Duty) LimitedRate(service dogwoodfleet.Service) (perSecond float64, limited bool) {
+	return duty.options.Board.LimitedRate(service)
+}
+
 // Changed returns a channel that is closed when a slot may have become free.
 func (duty *Duty) Changed() <-chan struct{} {
 	return duty.options.Board.Changed()
--- a/core/duty/dogwoodboard/leafview.go
+++ b/core/duty/dogwoodboard/leafview.go
@@ -99,4 +99,7 @@
 	duty.view.setFetched(now)
 	duty.updateVisible(len(peers) + 1)
 	duty.options.Board.ReplacePeerWork(now, works)
+	for _, limit := range view.Limits {
+		duty.options.Board.LearnLimit(now, limit.learned(now))
+	}
 }
--- a/core/duty/dogwoodboard/link.go
+++ b/core/duty/dogwoodboard/link.go
@@ -33,6 +33,7 @@
 	// avoided holds the endpoints to avoid, and until when.
 	avoided map[dogwoodfleet.EndpointID]time.Time
 	paces   map[dogwoodfleet.EndpointID]float64
+	limits  map[dogwoodfleet.EndpointID]dogwoodpacking.EndpointLimit
 }
 
 func newLink(peer Peer, cancel context.CancelFunc) *link {
@@ -41,6 +42,7 @@
 		works:   map[dogwoodpacking.WorkID]dogwoodpacking.Work{},
 		avoided: map[dogwoodfleet.EndpointID]time.Time{},
 		paces:   map[dogwoodfleet.EndpointID]float64{},
+		limits:  map[dogwoodfleet.EndpointID]dogwoodpacking.EndpointLimit{},
 	}
 }
 
@@ -80,6 +82,21 @@
 	link.paces[endpoint] = pace
 }
 
+// setLimit queues a limit, unless a later one of the endpoint is queued.
+func (link *link) setLimit(limit dogwoodpacking.EndpointLimit) {
+	link.mutex.Lock()
+	link.keepLimit(limit)
+	link.mutex.Unlock()
+	link.signal()
+}
+
+// keepLimit queues a limit unless a later one is queued. The caller holds the mutex.
+func (link *link) keepLimit(limit dogwoodpacking.EndpointLimit) {
+	if limit.At.After(link.limits[limit.Endpoint].At) {
+		link.limits[limit.Endpoint] = limit
+	}
+}
+
 func (link *link) signal() {
 	select {
 	case link.wake <- struct{}{}:
@@ -94,13 +111,14 @@
 	ended   []dogwoodpacking.WorkID
 	avoided map[dogwoodfleet.EndpointID]time.Time
 	paces   []Pace
+	limits  map[dogwoodfleet.EndpointID]dogwoodpacking.EndpointLimit
 }
 
 // drain removes the queued updates and returns them.
 func (link *link) drain() updates {
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
-	drained := updates{whole: link.whole, ended: link.ended, avoided: maps.Clone(link.avoided)}
+	drained := updates{whole: link.whole, ended: link.ended, avoided: maps.Clone(link.avoided), limits: maps.Clone(link.limits)}
 	for _, work := range link.works {
 		drained.works = append(drained.works, work)
 	}
@@ -110,6 +128,7 @@
 	clear(link.works)
 	clear(link.avoided)
 	clear(link.paces)
+	clear(link.limits)
 	link.whole, link.failed, link.ended = false, false, nil
 	return drained
 }
@@ -137,6 +156,9 @@
 	for endpoint, until := range failed.avoided {
 		link.avoidUntil(endpoint, until)
 	}
+	for _, limit := range failed.limits {
+		link.keepLimit(limit)
+	}
 }
 
 // needsRetry reports whether the last announcement failed.
@@ -217,6 +239,13 @@
 	for _, work := range works {
 		batch.Items = append(batch.Items, newItem(work, now))
 	}
+	limits := slices.Collect(maps.Values(drained.limits))
+	if drained.whole {
+		limits = append(duty.options.Board.Limits(), limits...)
+	}
+	for _, limit := range limits {
+		batch.Limits = append(batch.Limits, newLimit(limit, now))
+	}
 	for endpoint, until := range drained.avoided {
 		if left := until.Sub(now); left > 0 {
 			batch.Avoid = append(batch.Avoid, Avoid{Endpoint: endpoint, For: left})
--- a/core/duty/dogwoodboard/receiver.go
+++ b/core/duty/dogwoodboard/receiver.go
@@ -63,6 +63,18 @@
 	for _, pace := range batch.Paces {
 		board.RecordPeerPace(pace.Endpoint, pace.Pace)
 	}
+	for _, limit := range batch.Limits {
+		board.LearnLimit(now, limit.learned(now))
+	}
+}
+
+// learned returns the limit with its time on this daemon's clock.
+func (limit *Limit) learned(now time.Time) dogwoodpacking.EndpointLimit {
+	return dogwoodpacking.EndpointLimit{Endpoint: limit.Endpoint, Limit: limit.Limit, At: now.Add(-limit.Age)}
+}
+
+func newLimit(limit dogwoodpacking.EndpointLimit, now time.Time) Limit {
+	return Limit{Endpoint: limit.Endpoint, Limit: limit.Limit, Age: now.Sub(limit.At)}
 }
 
 // work returns the item's work with its times converted to this daemon's clock.
@@ -99,12 +111,16 @@
 		for _, pace := range batch.Paces {
 			link.setPace(pace.Endpoint, pace.Pace)
 		}
+		for _, limit := range batch.Limits {
+			link.setLimit(limit.learned(now))
+		}
 	}
 }
 
-// View lists the work in the pool that is on a daemon's board.
+// View lists the work in the pool that is on a daemon's board, and the limits that endpoints name.
 type View struct {
-	Items []Item
+	Items  []Item
+	Limits []Limit
 }
 
 // View returns to a leaf the work of all other daemons.
@@ -113,5 +129,8 @@
 	for _, work := range receiver.duty.options.Board.WorkExcept(leaf) {
 		view.Items = append(view.Items, newItem(work, now))
 	}
+	for _, limit := range receiver.duty.options.Board.Limits() {
+		view.Limits = append(view.Limits, newLimit(limit, now))
+	}
 	return nil
 }
--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -128,6 +128,10 @@
 	places.Board.RecordPace(endpoint, pause)
 }
 
+func (places places) SetLimit(sent time.Time, endpoint dogwoodfleet.EndpointID, limit dogwoodpacking.NamedLimit) {
+	places.Board.SetLimit(time.Now(), sent, endpoint, limit)
+}
+
 // fixture is a relay over a pool of three endpoints.
 type fixture struct {
 	relay     *Relay
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -112,6 +112,9 @@
 	OtherInstance bool
 	// Genuine is false for a success without the endpoint's seal. Its body is not the answer.
 	Genuine bool
+	// Limit is what the endpoint says about the requests that it takes. LimitError is set if that can't be read.
+	Limit      dogwoodpacking.NamedLimit
+	LimitError error
 	// FaultyHelper is the helper at which a joint request failed, if one did.
 	FaultyHelper netip.AddrPort
 }
@@ -148,6 +151,11 @@
 	Failed(now time.Time, endpoint dogwoodfleet.EndpointID)
 	// Avoid assigns an endpoint no new work for the duration, unless no other is available.
 	Avoid(now time.Time, endpoint dogwoodfleet.EndpointID, duration time.Duration)
+	// SetLimit records what an answer says about its endpoint's limit. sent is when the answer's request was sent.
+	SetLimit(sent time.Time, endpoint dogwoodfleet.EndpointID, limit dogwoodpacking.NamedLimit)
+	// LimitedRate returns this daemon's share of the requests a second that a service's endpoints take, and true if all
+	// of them name a limit.
+	LimitedRate(service dogwoodfleet.Service) (perSecond float64, limited bool)
 	// Changed returns a channel that is closed when a slot may have become free.
 	Changed() <-chan struct{}
 	// HasOtherEndpoint reports whether the service has an endpoint that the request doesn't avoid.
@@ -201,10 +209,12 @@
 
 // Relay serves attempts. It is safe for concurrent use.
 type Relay struct {
-	options    Options
-	queue      queue
-	liveness   liveness
-	background errgroup.Group
+	options  Options
+	queue    queue
+	liveness liveness
+	// invalidLimits are the endpoints whose invalid limits were logged.
+	invalidLimits loggedEndpoints
+	background    errgroup.Group
 }
 
 // New returns a relay.
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -131,12 +131,28 @@
 		return run.withCause(err)
 	}
 	run.response, run.events = response, newEventReader(response.Body)
+	run.recordLimit()
 	if !run.isAnswer() {
 		return errUnusable
 	}
 	return nil
 }
 
+// recordLimit records what the response says about its endpoint's limit.
+func (run *run) recordLimit() {
+	response, relay, endpoint := run.response, run.attempt.relay, run.placement.Endpoint.ID
+	success := response.Status >= 200 && response.Status < 300
+	switch {
+	case response.OtherInstance, success && !response.Genuine:
+	case response.LimitError != nil:
+		if relay.invalidLimits.add(endpoint) {
+			relay.options.Logger.Warn("An endpoint's limit can't be read and is ignored.", "endpoint", endpoint, "error", response.LimitError)
+		}
+	default:
+		relay.options.Places.SetLimit(run.sentAt, endpoint, response.Limit)
+	}
+}
+
 // isAnswer reports whether the response is an answer to forward. A response after which another endpoint may
 // be tried is none, and neither is an error status in place of a stream.
 func (run *run) isAnswer() bool {
