--- a/dogwoodload/dogwoodsoak/careless_test.go
+++ b/dogwoodload/dogwoodsoak/careless_test.go
@@ -44,6 +44,7 @@
 	sentAfterLeaving fault = "SentAfterLeaving"
 	sentAfterTakeOut fault = "SentAfterTakeOut"
 	retryBudget      fault = "RetryBudget"
+	namedLimit       fault = "NamedLimit"
 	crashRetries     fault = "CrashRetries"
 	memoryHeld       fault = "MemoryHeld"
 	answeredLate     fault = "AnsweredLate"
--- a/dogwoodload/dogwoodsoak/endpoint.go
+++ b/dogwoodload/dogwoodsoak/endpoint.go
@@ -32,6 +32,7 @@
 	process      *dogwoodsoakprocess.Process
 	id           string
 	generation   int
+	limitMutex   sync.Mutex // held while it names limits
 	linkMutex    sync.Mutex // held while the connections to it are broken
 
 	// ids are all ids that were used at the address; they are guarded by the site's mutex.
@@ -117,6 +118,8 @@
 		return breakLink(dogwoodsoakproxy.Fault{Delay: delay}, step.For)
 	case dogwoodsoakplan.EndpointBusy:
 		return site.makeBusy(ctx, endpoint, step.For)
+	case dogwoodsoakplan.EndpointLimited:
+		return site.limitEndpoint(ctx, endpoint, step.For)
 	case dogwoodsoakplan.EntryLapsed:
 		return site.expireEntry(ctx, endpoint, step.For)
 	default:
--- a/dogwoodload/dogwoodsoak/parameters.go
+++ b/dogwoodload/dogwoodsoak/parameters.go
@@ -60,7 +60,8 @@
 	checkBounds = dogwoodsoakcheck.Bounds{
 		Stability: 3 * time.Second, Revoke: daemonBounds.Revoke, Drain: 2 * time.Second, TakeOut: 5 * time.Second,
 		RetryRatio: daemonBounds.RetryRatio, RetryAllowance: daemonBounds.RetryAllowance, RetryWindow: daemonBounds.RetryWindow,
-		ColdPerSecond: coldPerSecond, ColdOvershoot: 1.5, ColdSlack: 5, CrashesToLearn: 3, LateRetries: 3, AnswerSlack: time.Second,
+		ColdPerSecond: coldPerSecond, ColdOvershoot: 1.5, ColdSlack: 5, LimitWindow: 4 * time.Second, LimitOvershoot: 1.5, LimitSlack: 5,
+		CrashesToLearn: 3, LateRetries: 3, AnswerSlack: time.Second,
 		ChangeWindow: 2 * time.Second, TextSlack: time.Second,
 		StopSlack: 200 * time.Millisecond, AcceptsFor: 2 * time.Second,
 		Recovery: recovery, ServedShare: 0.25,
--- a/dogwoodload/dogwoodsoak/soak_test.go
+++ b/dogwoodload/dogwoodsoak/soak_test.go
@@ -82,6 +82,7 @@
 		{wrongAnswer, nil},
 		{keyPassedOn, nil},
 		{retryBudget, nil},
+		{namedLimit, []dogwoodsoakplan.Step{step(dogwoodsoakplan.EndpointLimited, 0, 9*time.Second)}},
 		{crashRetries, []dogwoodsoakplan.Step{step(dogwoodsoakplan.CrashingCalls, 0, 9*time.Second)}},
 		{memoryHeld, nil},
 		{answeredLate, nil},
--- a/dogwoodload/dogwoodsoakcheck/check.go
+++ b/dogwoodload/dogwoodsoakcheck/check.go
@@ -32,6 +32,7 @@
 	{"SentAfterTakeOut", sentAfterTakeOut},
 	{"RetryBudget", retryBudget},
 	{"ColdLimit", coldLimit},
+	{"NamedLimit", namedLimit},
 	{"CrashRetries", crashRetries},
 	{"MemoryHeld", memoryHeld},
 	{"AnsweredLate", answeredLate},
--- a/dogwoodload/dogwoodsoakcheck/check_test.go
+++ b/dogwoodload/dogwoodsoakcheck/check_test.go
@@ -18,7 +18,8 @@
 var bounds = Bounds{
 	Stability: 3 * time.Second, Revoke: 5 * time.Second, Drain: 2 * time.Second, TakeOut: 5 * time.Second,
 	RetryRatio: 0.2, RetryAllowance: 3, RetryWindow: 10 * time.Second,
-	ColdPerSecond: 2, ColdOvershoot: 1.5, ColdSlack: 1, CrashesToLearn: 3, LateRetries: 3, AnswerSlack: time.Second,
+	ColdPerSecond: 2, ColdOvershoot: 1.5, ColdSlack: 1, LimitWindow: 4 * time.Second, LimitOvershoot: 1.5, LimitSlack: 5,
+	CrashesToLearn: 3, LateRetries: 3, AnswerSlack: time.Second,
 	ChangeWindow: 2 * time.Second, TextSlack: time.Second,
 	AcceptsFor: 2 * time.Second, Recovery: 12 * time.Second, ServedShare: 0.25,
 }
@@ -191,6 +192,19 @@
 				arrival.Cold, arrival.At = true, after(20+float64(number)/10)
 			}
 		}, ""},
+		{"too many requests at an endpoint that names a limit", func(history *History) {
+			history.Limits = []Limit{{Endpoint: "e", PerSecond: 1, From: after(0), To: after(10)}}
+		}, "NamedLimit"},
+		{"as many requests at an endpoint as its limit allows", func(history *History) {
+			history.Limits = []Limit{{Endpoint: "e", PerSecond: 7.0 / 6, From: after(0), To: after(10)}}
+		}, ""},
+		{"an endpoint has just named its limit", func(history *History) {
+			history.Limits = []Limit{{Endpoint: "e", PerSecond: 1, From: after(0), To: after(6)}}
+		}, ""},
+		{"requests at an endpoint that names a limit come from a daemon that was frozen", func(history *History) {
+			history.Limits = []Limit{{Endpoint: "e", PerSecond: 1, From: after(0), To: after(10)}}
+			history.fault(Fault{Daemon: "d"}, 0, 11)
+		}, ""},
 		{"a request goes on crashing endpoints", func(history *History) { history.crash(10) }, "CrashRetries"},
 		{"a request reaches endpoints as often after the bound as is allowed", func(history *History) { history.crash(9) }, ""},
 		{"a request goes on crashing endpoints through a daemon that was frozen", func(history *History) {
--- a/dogwoodload/dogwoodsoakcheck/history.go
+++ b/dogwoodload/dogwoodsoakcheck/history.go
@@ -18,6 +18,9 @@
 	// ColdPerSecond is the rate that a cold endpoint can take. The checks allow this rate times ColdOvershoot
 	// plus ColdSlack.
 	ColdPerSecond, ColdOvershoot, ColdSlack float64
+	// An endpoint that names a limit may get in LimitWindow what that allows times LimitOvershoot, plus LimitSlack.
+	LimitWindow                time.Duration
+	LimitOvershoot, LimitSlack float64
 	// LateRetries is how often a request that crashes endpoints may reach them later than Stability after it has
 	// crashed as many as CrashesToLearn.
 	CrashesToLearn, LateRetries int
@@ -93,6 +96,13 @@
 	At                  time.Time
 }
 
+// Limit is a period in which an endpoint named a limit in its answers.
+type Limit struct {
+	Endpoint  string
+	PerSecond float64
+	From, To  time.Time
+}
+
 // Fault is a period in which one or all daemons lacked something that they depend on, or in which requests
 // to an endpoint, or its answers, were delayed.
 type Fault struct {
@@ -160,6 +170,7 @@
 	Calls       []Call
 	Arrivals    []Arrival
 	Crashes     []Crash
+	Limits      []Limit
 	Faults      []Fault
 	Withdrawals []Withdrawal
 	TakeOuts    []TakeOut
--- a/dogwoodload/dogwoodsoakcheck/limits.go
+++ b/dogwoodload/dogwoodsoakcheck/limits.go
@@ -76,3 +76,46 @@
 	}
 	return findings
 }
+
+// namedLimit counts the requests at each endpoint while it names a limit, from Stability after it first did. Requests of
+// daemons that had a fault shortly before are not counted, nor is anything while the way to the endpoint is disturbed:
+// requests that were delayed arrive together.
+func namedLimit(analysis *analysis) []Finding {
+	var findings []Finding
+	for i := range analysis.Limits {
+		if finding := analysis.checkLimit(&analysis.Limits[i]); finding != nil {
+			findings = append(findings, *finding)
+		}
+	}
+	return findings
+}
+
+// checkLimit returns the first finding of one period in which an endpoint named a limit, or nil.
+func (analysis *analysis) checkLimit(limit *Limit) *Finding {
+	from, window := limit.From.Add(analysis.bounds.Stability), analysis.bounds.LimitWindow
+	allowed := analysis.bounds.LimitOvershoot*limit.PerSecond*window.Seconds() + analysis.bounds.LimitSlack
+	var recent []time.Time
+	for i := range analysis.Arrivals {
+		arrival := &analysis.Arrivals[i]
+		if arrival.Endpoint != limit.Endpoint || arrival.At.Before(from) || arrival.At.After(limit.To) || !analysis.isBoundByLimit(arrival) {
+			continue
+		}
+		recent = slices.DeleteFunc(recent, func(moment time.Time) bool { return arrival.At.Sub(moment) >= window })
+		recent = append(recent, arrival.At)
+		if float64(len(recent)) > allowed {
+			return &Finding{
+				Detail: fmt.Sprintf("%d requests within %s reached %s, which names a limit of %v a second; %.1f allowed",
+					len(recent), window, limit.Endpoint, limit.PerSecond, allowed),
+				RequestID: arrival.RequestID, At: arrival.At,
+			}
+		}
+	}
+	return nil
+}
+
+// isBoundByLimit reports whether the daemon that sent a request is bound by the limit that its endpoint names.
+func (analysis *analysis) isBoundByLimit(arrival *Arrival) bool {
+	call := analysis.calls[arrival.RequestID]
+	return call != nil && analysis.daemonUnaffected(call.Daemon, call.Sent, arrival.At, analysis.bounds.Stability) &&
+		analysis.endpointUnaffected(arrival.Endpoint, arrival.At.Add(-analysis.bounds.LimitWindow), arrival.At)
+}
--- a/dogwoodload/dogwoodsoakplan/plan.go
+++ b/dogwoodload/dogwoodsoakplan/plan.go
@@ -48,6 +48,8 @@
 	EndpointSlow Kind = "EndpointSlow"
 	// EndpointBusy makes an endpoint send nothing for a while and then continue, which doesn't count as a fault.
 	EndpointBusy Kind = "EndpointBusy"
+	// EndpointLimited makes an endpoint name a limit in its answers, change it halfway and take it back.
+	EndpointLimited Kind = "EndpointLimited"
 	// EntryLapsed removes an endpoint's entry and restores it after the duration.
 	EntryLapsed Kind = "EntryLapsed"
 	// CrashingCalls makes callers send copies of a request that crashes each endpoint that runs it.
@@ -92,7 +94,7 @@
 
 const second = time.Second
 
-// kinds lists all kinds but those in busyKinds and crashKinds. Many ranges of durations include the daemons' bounds of 4 and 5
+// kinds lists all kinds but those in busyKinds, crashKinds and limitKinds. Many ranges of durations include the daemons' bounds of 4 and 5
 // seconds, so that some steps end before these bounds and some after.
 var kinds = []traits{
 	{DaemonKilled, Daemon, 6, second / 2, 3 * second, second / 2},
@@ -132,6 +134,11 @@
 	{CrashingCalls, Callers, 1, 4 * second, 10 * second, 0},
 }
 
+// limitKinds lists the kinds that are drawn independently of all others.
+var limitKinds = []traits{
+	{EndpointLimited, Endpoint, 1, 8 * second, 14 * second, second},
+}
+
 // Shape holds the number of subjects of each type.
 type Shape struct {
 	Daemons, Endpoints, Keys, DataCentres int
@@ -173,6 +180,9 @@
 	busySeriesShare = 0.5
 	// crashInterval corresponds to stepInterval for crashKinds.
 	crashInterval = 15 * time.Second
+	// limitInterval and limitSeriesShare correspond to stepInterval and seriesShare for limitKinds.
+	limitInterval    = 10 * time.Second
+	limitSeriesShare = 0.25
 )
 
 // Draw returns the steps of a seed in order of time. All of them start and end between from and until.
@@ -180,7 +190,11 @@
 	faults := sequence{rand.New(rand.NewPCG(seed, seed)), kinds, stepInterval, seriesShare}
 	pauses := sequence{rand.New(rand.NewPCG(seed, ^seed)), busyKinds, busyInterval, busySeriesShare}
 	crashes := sequence{rand.New(rand.NewPCG(^seed, seed)), crashKinds, crashInterval, 0}
-	steps := slices.Concat(faults.draw(shape, from, until), pauses.draw(shape, from, until), crashes.draw(shape, from, until))
+	limits := sequence{rand.New(rand.NewPCG(^seed, ^seed)), limitKinds, limitInterval, limitSeriesShare}
+	var steps []Step
+	for _, sequence := range []sequence{faults, pauses, crashes, limits} {
+		steps = append(steps, sequence.draw(shape, from, until)...)
+	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
@@ -233,7 +247,7 @@
 
 // SubjectOf returns what a kind of step acts on.
 func SubjectOf(kind Kind) Subject {
-	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds) {
+	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds) {
 		if candidate.kind == kind {
 			return candidate.subject
 		}
