Tell leaves of refused requests with the answers to their polls, and of limits that were taken back

A leaf compared its ledger of suspects with its hub's while it served requests. The platform sends each daemon a plain call a second, so all leaves would have asked their hubs twice a second, for ever. The answers to their polls have the version of the hub's list of refused requests now, and a leaf fetches the list when that changes.

A leaf that gets plain calls alone had no way to learn that a limit was taken back: it sends such an endpoint nothing and so hears nothing. It asks for its hub's view now while an endpoint names a limit.

--- a/core/decision/dogwoodpacking/limit.go
+++ b/core/decision/dogwoodpacking/limit.go
@@ -152,6 +152,18 @@
 	return limits
 }
 
+// HasLimits reports whether an endpoint names a limit.
+func (board *Board) HasLimits() bool {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	for _, state := range board.endpoints {
+		if state.limit.Named {
+			return true
+		}
+	}
+	return false
+}
+
 // LimitedRate returns this daemon's share of the requests a second that a service's endpoints take, and true if all
 // endpoints in force name a limit.
 func (board *Board) LimitedRate(service dogwoodfleet.Service) (perSecond float64, limited bool) {
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -265,7 +265,7 @@
 
 // Place assigns a request to an endpoint and announces the work.
 func (duty *Duty) Place(now time.Time, request *dogwoodpacking.PlacementRequest) (dogwoodpacking.Placement, dogwoodpacking.Refusal) {
-	if duty.isLeaf() && request.Prompt > 0 {
+	if duty.isLeaf() && (request.Prompt > 0 || duty.options.Board.HasLimits()) {
 		duty.view.request(now)
 	}
 	request.Holder = duty.options.Self
--- a/core/duty/dogwoodboard/limit_test.go
+++ b/core/duty/dogwoodboard/limit_test.go
@@ -56,5 +56,10 @@
 		nodes[2].placePrompt("w", 1000)
 		time.Sleep(2 * viewInterval)
 		checkLimits(t, nodes, "heard by another hub", dogwoodpacking.NamedLimit{Named: true, PerSecond: 3})
+		time.Sleep(2 * viewIdleTimeout)
+		nodes[1].duty.SetLimit(time.Now().Add(time.Millisecond), "e", dogwoodpacking.NamedLimit{})
+		nodes[2].place("call")
+		time.Sleep(2 * viewInterval)
+		checkLimits(t, nodes, "taken back, and the leaf has only plain calls", dogwoodpacking.NamedLimit{})
 	})
 }
--- a/core/duty/dogwoodhub/hub.go
+++ b/core/duty/dogwoodhub/hub.go
@@ -68,7 +68,9 @@
 	// Requests returns how many requests each hub sent to endpoints within the last second.
 	Requests    func(now time.Time) map[dogwoodfleet.InstanceID]int
 	DataCentres int
-	Logger      hclog.Logger
+	// RefusedVersion returns the version of this daemon's list of refused requests; nil if it has none.
+	RefusedVersion func() uint64
+	Logger         hclog.Logger
 }
 
 // Hub answers the polls of leaves and promotes leaves to hubs. It is safe for concurrent use.
--- a/core/duty/dogwoodhub/leaf.go
+++ b/core/duty/dogwoodhub/leaf.go
@@ -62,6 +62,8 @@
 	// TableNames are the tables that the leaf follows. The first is the one whose confirmations matter.
 	TableNames []string
 	Clock      dogwoodfreshness.Clock
+	// SeeRefused is called with the version of a hub's list of refused requests; nil if it doesn't matter.
+	SeeRefused func(hub dogwoodhubs.Daemon, version uint64)
 	Logger     hclog.Logger
 }
 
@@ -274,5 +276,8 @@
 			leaf.options.Feed.Apply(table.Table, table.ToLocalClock(sent, after))
 		}
 	}
+	if leaf.options.SeeRefused != nil {
+		leaf.options.SeeRefused(hub, news.Refused)
+	}
 	return news, nil
 }
--- a/core/duty/dogwoodhub/messages.go
+++ b/core/duty/dogwoodhub/messages.go
@@ -75,6 +75,8 @@
 	Tables []TableUpdate
 	// Fleet is nil if the leaf already has this version.
 	Fleet *Fleet
+	// Refused is the version of the hub's list of refused requests.
+	Refused uint64
 	// Promoted asks the leaf to become a hub.
 	Promoted bool
 }
--- a/core/duty/dogwoodhub/receiver.go
+++ b/core/duty/dogwoodhub/receiver.go
@@ -67,6 +67,9 @@
 		isUpdate = isUpdate || answer.Whole || len(answer.Rows) > 0 || i == 0 && advance > minConfirmationStep
 		update.Tables = append(update.Tables, TableUpdate{Table: position.Table, Told: dogwoodcopy.Tell(answer, arrived)})
 	}
+	if hub.options.RefusedVersion != nil {
+		update.Refused = hub.options.RefusedVersion()
+	}
 	hub.mutex.Lock()
 	defer hub.mutex.Unlock()
 	signals.fleet = hub.changed
--- /dev/null
+++ b/core/duty/dogwoodsuspects/leaf.go
@@ -0,0 +1,124 @@
+package dogwoodsuspects
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodkernel"
+)
+
+// fetchRetryInterval is the pause before a leaf tries again to fetch its hub's list.
+const fetchRetryInterval = 200 * time.Millisecond
+
+// refusedList is a leaf's copy of its hub's list of refused requests.
+type refusedList struct {
+	fetch chan struct{}
+
+	mutex sync.Mutex
+	// hub is the hub that the leaf follows, and seen the latest version of its list.
+	hub  Peer
+	seen uint64
+	// from and version identify the copy.
+	from    dogwoodfleet.InstanceID
+	version uint64
+	ends    map[dogwoodfleet.Digest]time.Time
+}
+
+// until returns the end of a digest's refusal; zero if it is not refused.
+func (refusedList *refusedList) until(digest dogwoodfleet.Digest) time.Time {
+	refusedList.mutex.Lock()
+	defer refusedList.mutex.Unlock()
+	return refusedList.ends[digest]
+}
+
+// outdated returns the hub whose list must be fetched, and false if the copy is up to date.
+func (refusedList *refusedList) outdated() (Peer, bool) {
+	refusedList.mutex.Lock()
+	defer refusedList.mutex.Unlock()
+	return refusedList.hub, refusedList.from != refusedList.hub.Instance || refusedList.version != refusedList.seen
+}
+
+// SeeRefused records the version of the list of the hub that this leaf follows.
+func (duty *Duty) SeeRefused(hub Peer, version uint64) {
+	duty.refused.mutex.Lock()
+	duty.refused.hub, duty.refused.seen = hub, version
+	duty.refused.mutex.Unlock()
+	if _, outdated := duty.refused.outdated(); outdated {
+		select {
+		case duty.refused.fetch <- struct{}{}:
+		default: // a fetch is due already
+		}
+	}
+}
+
+// RefusedVersion returns the version of this daemon's list of refused requests.
+func (duty *Duty) RefusedVersion() uint64 {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	return duty.refusedVersion
+}
+
+// runFetches fetches the hub's list whenever its version changes.
+func (duty *Duty) runFetches(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-duty.refused.fetch:
+		}
+		for hub, outdated := duty.refused.outdated(); outdated; hub, outdated = duty.refused.outdated() {
+			if !duty.fetchRefused(ctx, hub) && !dogwoodkernel.Sleep(ctx, fetchRetryInterval) {
+				return nil
+			}
+		}
+	}
+}
+
+func (duty *Duty) fetchRefused(ctx context.Context, hub Peer) bool {
+	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
+	defer cancel()
+	var refused RefusedList
+	if err := duty.options.Caller.Call(ctx, hub.Address, Name+".Refused", duty.options.Self, &refused); err != nil {
+		duty.options.Logger.Debug("The hub's list of refused requests could not be fetched.", "peer", hub.Instance, "error", err)
+		return false
+	}
+	now, ends := time.Now(), make(map[dogwoodfleet.Digest]time.Time, len(refused.Requests))
+	for _, request := range refused.Requests {
+		ends[request.Digest] = now.Add(request.Left)
+	}
+	list := &duty.refused
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	list.from, list.version, list.ends = hub.Instance, refused.Version, ends
+	if list.hub.Instance == hub.Instance {
+		list.seen = max(list.seen, refused.Version)
+	}
+	return true
+}
+
+// RefusedList lists the requests that a hub refuses.
+type RefusedList struct {
+	Version  uint64
+	Requests []RefusedRequest
+}
+
+// RefusedRequest is a digest whose requests are refused, and for how much longer.
+type RefusedRequest struct {
+	Digest dogwoodfleet.Digest
+	Left   time.Duration
+}
+
+// Refused returns the list of refused requests to a leaf.
+func (receiver *Receiver) Refused(_ dogwoodfleet.InstanceID, list *RefusedList) error {
+	duty := receiver.duty
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	now := time.Now()
+	list.Version = duty.refusedVersion
+	for _, conviction := range duty.ledger.Convictions(now) {
+		list.Requests = append(list.Requests, RefusedRequest{Digest: conviction.Digest, Left: conviction.Until.Sub(now)})
+	}
+	return nil
+}
--- a/core/duty/dogwoodsuspects/refresh.go
+++ b/core/duty/dogwoodsuspects/refresh.go
@@ -2,109 +2,29 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"dogwoodmux.example/core/decision/dogwoodsuspect"
-	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
 )
 
 const (
-	// hubInterval is how often a hub compares its ledger with another hub's, firstInterval how often until the first
-	// comparison succeeds.
-	hubInterval   = 2 * time.Second
-	firstInterval = 200 * time.Millisecond
-	// leafInterval is how often a leaf compares its ledger with its hub's while it serves requests, and until
-	// leafIdleTimeout after the last one.
-	leafInterval    = 500 * time.Millisecond
-	leafIdleTimeout = 3 * time.Second
-	// maxLeafAge is the age of a leaf's last comparison up to which it admits requests without another one, and
-	// maxRefreshWait how long a request waits for that.
-	maxLeafAge     = 1500 * time.Millisecond
-	maxRefreshWait = 100 * time.Millisecond
-	// refreshTimeout bounds one comparison.
-	refreshTimeout = 500 * time.Millisecond
+	// compareInterval is how often a hub compares its ledger with another hub's, and firstInterval how often until the
+	// first comparison has succeeded.
+	compareInterval = 2 * time.Second
+	firstInterval   = 200 * time.Millisecond
+	// compareTimeout bounds one comparison, and the fetch of a list by a leaf.
+	compareTimeout = 500 * time.Millisecond
 )
 
-// refresh tracks the comparisons with other ledgers.
-type refresh struct {
-	requested chan struct{}
-
-	mutex sync.Mutex
-	// known holds the version of each hub's ledger at the last comparison.
-	known map[dogwoodfleet.InstanceID]uint64
-	used  time.Time // when the last request was admitted
-	done  time.Time // when the last comparison began that succeeded
-	// next is closed when the next comparison has ended.
-	next chan struct{}
-}
-
-func newRefresh() refresh {
-	return refresh{requested: make(chan struct{}, 1), known: map[dogwoodfleet.InstanceID]uint64{}, next: make(chan struct{})}
-}
-
-// use records a request. It returns the end of the next comparison and the age of the last one.
-func (refresh *refresh) use(now time.Time) (next <-chan struct{}, age time.Duration) {
-	refresh.mutex.Lock()
-	defer refresh.mutex.Unlock()
-	refresh.used = now
-	select {
-	case refresh.requested <- struct{}{}:
-	default:
-	}
-	return refresh.next, now.Sub(refresh.done)
-}
-
-func (refresh *refresh) isUsed(now time.Time) bool {
-	refresh.mutex.Lock()
-	defer refresh.mutex.Unlock()
-	return now.Sub(refresh.used) < leafIdleTimeout
-}
-
-func (refresh *refresh) knownVersion(peer dogwoodfleet.InstanceID) uint64 {
-	refresh.mutex.Lock()
-	defer refresh.mutex.Unlock()
-	return refresh.known[peer]
-}
-
-// end records the end of a comparison that began at the given time.
-func (refresh *refresh) end(peer dogwoodfleet.InstanceID, version uint64, began time.Time, succeeded bool) {
-	refresh.mutex.Lock()
-	defer refresh.mutex.Unlock()
-	if succeeded {
-		refresh.known[peer], refresh.done = version, began
-	}
-	close(refresh.next)
-	refresh.next = make(chan struct{})
-}
-
-// awaitRefresh lets a request at a leaf that was idle wait until the ledger is up to date, but not for long: the hub
-// may be dead, and most requests are harmless.
-func (duty *Duty) awaitRefresh(ctx context.Context) {
-	if !duty.options.IsLeaf() {
-		return
-	}
-	next, age := duty.refresh.use(time.Now())
-	if age <= maxLeafAge {
-		return
-	}
-	timer := time.NewTimer(maxRefreshWait)
-	defer timer.Stop()
-	select {
-	case <-next:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// Run compares the ledger with those of other daemons, and records the ends of endpoints that show later, until the
-// context ends.
+// Run compares the ledger with those of other hubs, fetches the list of refused requests at a leaf, and records the ends
+// of endpoints that show later, until the context ends.
 func (duty *Duty) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return duty.runComparisons(ctx) })
+	group.Go(func() error { return duty.runFetches(ctx) })
 	group.Go(func() error {
 		for {
 			select {
@@ -119,60 +39,36 @@
 }
 
 func (duty *Duty) runComparisons(ctx context.Context) error {
-	succeeded := false
-	for {
-		pause := firstInterval
-		switch {
-		case duty.options.IsLeaf():
-			pause = leafInterval
-			if !duty.awaitUse(ctx) {
-				return nil
-			}
-		case succeeded:
-			pause = dogwoodkernel.Jittered(hubInterval)
-		}
-		succeeded = duty.compare(ctx)
+	pause := firstInterval
+	for dogwoodkernel.Sleep(ctx, pause) {
 		duty.forgetExpired()
-		if !dogwoodkernel.Sleep(ctx, pause) {
-			return nil
+		if duty.options.IsLeaf() {
+			continue
+		}
+		pause = firstInterval
+		if duty.compare(ctx) {
+			pause = dogwoodkernel.Jittered(compareInterval)
 		}
 	}
+	return nil
 }
 
-// awaitUse waits until a leaf serves requests. It returns false if the context ends first.
-func (duty *Duty) awaitUse(ctx context.Context) bool {
-	if duty.refresh.isUsed(time.Now()) {
-		return true
-	}
-	timer := time.NewTimer(hubInterval) // the daemon may become a hub
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-duty.refresh.requested:
-	case <-timer.C:
-	}
-	return true
-}
-
-// compare fetches the notices of another ledger if that has changed since the last comparison.
+// compare fetches the notices of another hub's ledger if that has changed since the last comparison.
 func (duty *Duty) compare(ctx context.Context) bool {
-	peer, ok := duty.refreshPeer()
+	hub, ok := duty.otherHub()
 	if !ok {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
 	defer cancel()
-	began, version := time.Now(), duty.refresh.knownVersion(peer.Instance)
 	var list NoticeList
-	err := duty.options.Caller.Call(ctx, peer.Address, Name+".List", version, &list)
-	if err != nil {
-		duty.options.Logger.Debug("The ledger of suspects could not be compared.", "peer", peer.Instance, "error", err)
-	} else if len(list.Notices) > 0 {
-		duty.learn(list.Notices)
+	if err := duty.options.Caller.Call(ctx, hub.Address, Name+".List", duty.known[hub.Instance], &list); err != nil {
+		duty.options.Logger.Debug("The ledger of suspects could not be compared.", "peer", hub.Instance, "error", err)
+		return false
 	}
-	duty.refresh.end(peer.Instance, list.Version, began, err == nil)
-	return err == nil
+	duty.learn(list.Notices)
+	duty.known[hub.Instance] = list.Version
+	return true
 }
 
 // NoticeList is what a daemon's ledger holds.
--- a/core/duty/dogwoodsuspects/suspects.go
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -2,8 +2,9 @@
 // without owners. Each daemon has a ledger of dogwoodsuspect. It sends what it observes to all hubs before the
 // caller learns of the failure, and asks the digest's home, one of the hubs, before it runs a suspect.
 //
-// A daemon that starts, continues after a freeze or missed a notice compares its ledger with another hub's. A leaf
-// compares its ledger with its hub's while it serves requests.
+// A hub that starts, continues after a freeze or missed a notice compares its ledger with another hub's. A leaf gets no
+// notices: the answers to its polls have the version of its hub's list of refused requests, which it fetches when that
+// changes.
 package dogwoodsuspects
 
 import (
@@ -73,16 +74,17 @@
 	Caller Caller
 	// Hubs lists the live hubs, this daemon included if it is one.
 	Hubs func() []Peer
-	// IsLeaf reports whether this daemon is a leaf. LeafHub returns the hub that a leaf follows.
-	IsLeaf  func() bool
-	LeafHub func() (Peer, bool)
-	Logger  hclog.Logger
+	// IsLeaf reports whether this daemon is a leaf.
+	IsLeaf func() bool
+	Logger hclog.Logger
 }
 
 // Duty is one daemon's part. It is safe for concurrent use.
 type Duty struct {
 	options Options
-	refresh refresh
+	refused refusedList
+	// known holds the version of each hub's ledger at the last comparison; only Run uses it.
+	known map[dogwoodfleet.InstanceID]uint64
 
 	mutex  sync.Mutex
 	ledger *dogwoodsuspect.Ledger
@@ -93,14 +95,17 @@
 	// turn out to have ended.
 	unresolved []unresolvedRun
 	resolved   chan Run
-	// convicted holds the digests that were logged as convicted.
-	convicted map[dogwoodfleet.Digest]bool
+	// convicted holds the digests that were convicted when their standing was last checked. refusedVersion increases
+	// whenever they change.
+	convicted      map[dogwoodfleet.Digest]bool
+	refusedVersion uint64
 }
 
 // New returns a Duty with an empty ledger.
 func New(options Options) *Duty {
 	return &Duty{
-		options: options, ledger: dogwoodsuspect.NewLedger(), convicted: map[dogwoodfleet.Digest]bool{}, refresh: newRefresh(),
+		options: options, ledger: dogwoodsuspect.NewLedger(), convicted: map[dogwoodfleet.Digest]bool{}, known: map[dogwoodfleet.InstanceID]uint64{},
+		refused:  refusedList{fetch: make(chan struct{}, 1)},
 		resolved: make(chan Run, maxUnresolved),
 	}
 }
@@ -247,20 +252,26 @@
 			duty.options.Logger.Warn("Requests with a digest are refused, since endpoints ended under them.",
 				"digest", digest.String(), "endpoint", notices[i].Endpoint, "for", until.Sub(now))
 			duty.convicted[digest] = true
-		case !isConvicted:
+			duty.refusedVersion++
+		case !isConvicted && duty.convicted[digest]:
 			delete(duty.convicted, digest)
+			duty.refusedVersion++
 		}
 	}
 }
 
-// forgetExpired drops the digests that are no longer convicted from those that were logged.
+// forgetExpired drops the digests that are no longer convicted.
 func (duty *Duty) forgetExpired() {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
+	before := len(duty.convicted)
 	maps.DeleteFunc(duty.convicted, func(digest dogwoodfleet.Digest, _ bool) bool {
 		standing, _ := duty.ledger.Standing(time.Now(), digest)
 		return standing != dogwoodsuspect.Convicted
 	})
+	if len(duty.convicted) != before {
+		duty.refusedVersion++
+	}
 }
 
 // Convictions returns the digests whose requests are refused now.
@@ -270,8 +281,13 @@
 	return duty.ledger.Convictions(time.Now())
 }
 
-// standing returns the digest's standing and its end.
+// standing returns the digest's standing and its end. At a leaf, a digest that its hub refuses is convicted.
 func (duty *Duty) standing(digest dogwoodfleet.Digest) (dogwoodsuspect.Standing, time.Time) {
+	if duty.options.IsLeaf() {
+		if until := duty.refused.until(digest); time.Now().Before(until) {
+			return dogwoodsuspect.Convicted, until
+		}
+	}
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
 	return duty.ledger.Standing(time.Now(), digest)
@@ -331,11 +347,8 @@
 	return response, err
 }
 
-// refreshPeer returns the hub to compare ledgers with: a leaf's own hub, or a random other one.
-func (duty *Duty) refreshPeer() (Peer, bool) {
-	if duty.options.IsLeaf() {
-		return duty.options.LeafHub()
-	}
+// otherHub returns a random hub other than this daemon.
+func (duty *Duty) otherHub() (Peer, bool) {
 	hubs := slices.DeleteFunc(slices.Clone(duty.options.Hubs()), func(hub Peer) bool { return hub.Instance == duty.options.Self })
 	if len(hubs) == 0 {
 		return Peer{}, false
