Let a popular harmless request hide no crashing one

A request that had ended several endpoints was never refused if a popular harmless one had run on all of these and on more: that one was taken for the cause, although it finishes all the time. Digests that finished recently explain no ends any more.

TestProvenDigestExplainsNoEnds failed before: suspect, not convicted.

--- a/core/decision/dogwoodsuspect/shared.go
+++ b/core/decision/dogwoodsuspect/shared.go
@@ -146,10 +146,11 @@
 	}
 }
 
-// isDominated reports whether another digest explains the ends of all endpoints that ended under a digest.
+// isDominated reports whether another digest, which has not finished recently, explains the ends of all endpoints that
+// ended under a digest.
 func (ledger *Ledger) isDominated(digest dogwoodfleet.Digest, found *record) bool {
 	for _, other := range ledger.struck[found.shared[0].endpoint] {
-		if other == digest {
+		if other == digest || ledger.Proven(other) {
 			continue
 		}
 		others := ledger.records[other].shared
--- a/core/decision/dogwoodsuspect/shared_test.go
+++ b/core/decision/dogwoodsuspect/shared_test.go
@@ -114,6 +114,19 @@
 	checkStanding(t, elsewhere, now, digest, Clear)
 }
 
+// Guards against a crashing request that is never refused, since a popular harmless one ran on all endpoints that it
+// ended and on more.
+func TestProvenDigestExplainsNoEnds(t *testing.T) {
+	ledger := NewLedger()
+	ledger.Finished(start, Run{Digest: otherDigest, Request: "0", Shared: true})
+	ledger.Learn(start, []Notice{
+		sharedEnd(digest, "a", false, true), sharedEnd(otherDigest, "a", false, true),
+		sharedEnd(digest, "b", true, true), sharedEnd(otherDigest, "b", false, true), sharedEnd(otherDigest, "c", false, true),
+	})
+	checkStanding(t, ledger, start, digest, Convicted)
+	checkStanding(t, ledger, start, otherDigest, Clear)
+}
+
 // Guards against refusing a request for long on the word of a daemon whose own way to the endpoints was cut: their
 // entries stay, so their ends are never confirmed.
 func TestUnconfirmedEndsRefuseOnlyForAMoment(t *testing.T) {
