Tell leaves when a refusal lasts longer because its ends were confirmed

Found in the review before the landing. A leaf fetched the list of refused requests when one was convicted, for the six seconds before the ends of its endpoints are confirmed, and not again: after that it would have run the request. The version of the list counts changed times too.

TestLeafLearnsOfConfirmedEnds failed before: clear, not convicted.

--- a/core/duty/dogwoodsuspects/refresh.go
+++ b/core/duty/dogwoodsuspects/refresh.go
@@ -41,7 +41,7 @@
 func (duty *Duty) runComparisons(ctx context.Context) error {
 	pause := firstInterval
 	for dogwoodkernel.Sleep(ctx, pause) {
-		duty.forgetExpired()
+		duty.updateConvictions()
 		if duty.options.IsLeaf() {
 			continue
 		}
--- a/core/duty/dogwoodsuspects/suspects.go
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -95,16 +95,16 @@
 	// turn out to have ended.
 	unresolved []unresolvedRun
 	resolved   chan Run
-	// convicted holds the digests that were convicted when their standing was last checked. refusedVersion increases
-	// whenever they change.
-	convicted      map[dogwoodfleet.Digest]bool
+	// convicted holds the digests that were convicted when their standing was last checked, and until when. refusedVersion
+	// increases whenever they change.
+	convicted      map[dogwoodfleet.Digest]time.Time
 	refusedVersion uint64
 }
 
 // New returns a Duty with an empty ledger.
 func New(options Options) *Duty {
 	return &Duty{
-		options: options, ledger: dogwoodsuspect.NewLedger(), convicted: map[dogwoodfleet.Digest]bool{}, known: map[dogwoodfleet.InstanceID]uint64{},
+		options: options, ledger: dogwoodsuspect.NewLedger(), convicted: map[dogwoodfleet.Digest]time.Time{}, known: map[dogwoodfleet.InstanceID]uint64{},
 		refused:  refusedList{fetch: make(chan struct{}, 1)},
 		resolved: make(chan Run, maxUnresolved),
 	}
@@ -242,35 +242,38 @@
 		return
 	}
 	duty.confirm()
-	now := time.Now()
 	for i := range notices {
-		digest := notices[i].Digest
-		standing, until := duty.ledger.Standing(now, digest)
-		switch isConvicted := standing == dogwoodsuspect.Convicted; {
-		case isConvicted && !duty.convicted[digest]:
-			counters.Add("Convictions", 1)
-			duty.options.Logger.Warn("Requests with a digest are refused, since endpoints ended under them.",
-				"digest", digest.String(), "endpoint", notices[i].Endpoint, "for", until.Sub(now))
-			duty.convicted[digest] = true
-			duty.refusedVersion++
-		case !isConvicted && duty.convicted[digest]:
-			delete(duty.convicted, digest)
-			duty.refusedVersion++
-		}
+		duty.updateConviction(notices[i].Digest)
 	}
 }
 
-// forgetExpired drops the digests that are no longer convicted.
-func (duty *Duty) forgetExpired() {
+// updateConviction updates whether a digest is convicted, and until when. The caller holds the mutex.
+func (duty *Duty) updateConviction(digest dogwoodfleet.Digest) {
+	now := time.Now()
+	standing, until := duty.ledger.Standing(now, digest)
+	known, wasConvicted := duty.convicted[digest]
+	switch isConvicted := standing == dogwoodsuspect.Convicted; {
+	case !isConvicted && !wasConvicted, isConvicted && wasConvicted && until.Equal(known):
+		return
+	case !isConvicted:
+		delete(duty.convicted, digest)
+	default:
+		duty.convicted[digest] = until
+	}
+	duty.refusedVersion++
+	if standing == dogwoodsuspect.Convicted && !wasConvicted {
+		counters.Add("Convictions", 1)
+		duty.options.Logger.Warn("Requests with a digest are refused, since endpoints ended under them.",
+			"digest", digest.String(), "for", until.Sub(now))
+	}
+}
+
+// updateConvictions updates all convictions: they expire, and last longer once the ends of their endpoints are confirmed.
+func (duty *Duty) updateConvictions() {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
-	before := len(duty.convicted)
-	maps.DeleteFunc(duty.convicted, func(digest dogwoodfleet.Digest, _ bool) bool {
-		standing, _ := duty.ledger.Standing(time.Now(), digest)
-		return standing != dogwoodsuspect.Convicted
-	})
-	if len(duty.convicted) != before {
-		duty.refusedVersion++
+	for _, digest := range slices.Collect(maps.Keys(duty.convicted)) {
+		duty.updateConviction(digest)
 	}
 }
 
--- a/core/duty/dogwoodsuspects/suspects_test.go
+++ b/core/duty/dogwoodsuspects/suspects_test.go
@@ -370,6 +370,25 @@
 	})
 }
 
+// Guards against a leaf that runs a request again as soon as its hub's first, short refusal has ended: the ends of the
+// endpoints were confirmed meanwhile.
+func TestLeafLearnsOfConfirmedEnds(t *testing.T) {
+	const leaf = 1
+	runFleetTest(t, 1, 1, func(t *testing.T, fleet *fleet) {
+		hub := fleet.duty(0)
+		for number := range 2 {
+			run := Run{Digest: crashing, Request: "1", Endpoint: dogwoodfleet.Endpoint{ID: endpointID(number)}, Trial: number > 0}
+			hub.Broke(t.Context(), run, Ended)
+		}
+		time.Sleep(2 * pollInterval)
+		hub.SetEndpoints([]Endpoint{})
+		time.Sleep(dogwoodsuspect.ProvisionalTTL)
+		if got, _ := fleet.duty(leaf).standing(crashing); got != dogwoodsuspect.Convicted {
+			t.Errorf("got standing %v, want it convicted", got)
+		}
+	})
+}
+
 // Guards against a leaf that goes on refusing a request that its hub does not refuse any more.
 func TestLeafFollowsItsHubsList(t *testing.T) {
 	const leaf = 2
