--- a/core/decision/dogwoodpacking/limit_test.go
+++ b/core/decision/dogwoodpacking/limit_test.go
@@ -185,7 +185,8 @@
 	for i := 1; i < 4; i++ {
 		board.SetLimit(now, now, engineEndpoint(i).ID, NamedLimit{Named: true, PerSecond: 1})
 	}
-	placement := mustPlace(t, board, now, long(now, 180_000))
+	later := now.Add(5 * time.Second) // each of them may get a request again
+	placement := mustPlace(t, board, later, long(later, 180_000))
 	if len(placement.Helpers) == 0 {
 		t.Fatal("got no helpers, want some")
 	}
--- a/core/duty/dogwoodboard/limit_test.go
+++ b/core/duty/dogwoodboard/limit_test.go
@@ -44,6 +44,22 @@
 	})
 }
 
+// Guards against a daemon that knows of no limit because it was not there when that was announced.
+func TestAllLimitsFollowAFailedAnnouncement(t *testing.T) {
+	named := dogwoodpacking.NamedLimit{Named: true, PerSecond: 2}
+	runMesh(t, 2, func(t *testing.T, nodes []*node, mesh *mesh) {
+		now := time.Now()
+		nodes[0].board.SetLimit(now, now, "e", named) // not announced
+		time.Sleep(announceInterval)
+		mesh.setCut(true)
+		nodes[0].place("w")
+		time.Sleep(announceTimeout)
+		mesh.setCut(false)
+		time.Sleep(2 * failureBackoff)
+		checkLimits(t, nodes, "after the failure", named)
+	})
+}
+
 // Guards against limits that a leaf's hub does not pass on, in either direction.
 func TestLeafSharesLimits(t *testing.T) {
 	named := dogwoodpacking.NamedLimit{Named: true, PerSecond: 2}
--- a/core/duty/dogwoodsuspects/suspects_test.go
+++ b/core/duty/dogwoodsuspects/suspects_test.go
@@ -212,6 +212,20 @@
 	})
 }
 
+// Guards against a caller that repeats a crashing request at once through one daemon after the other, each of which would
+// lose an endpoint before it compares its ledger: the ends are known to all before the caller learns of the failure.
+func TestCallerThatRepeatsAtOnceEndsTwoEndpoints(t *testing.T) {
+	const hubs = 8
+	runFleetTest(t, hubs, 0, func(t *testing.T, fleet *fleet) {
+		for index := range hubs {
+			_ = fleet.send(t.Context(), index, fmt.Sprint(index)) // later ones are refused
+		}
+		if got := fleet.crashes; got != 2 {
+			t.Errorf("got %d endpoints ended, want 2", got)
+		}
+	})
+}
+
 // Guards against daemons that learn of a crashing request only by an endpoint of their own: one that starts, one that
 // missed the notices while it was frozen, and a leaf that was idle.
 func TestDaemonsLearnWithoutLosingAnEndpoint(t *testing.T) {
