Record a crash as a fault of its endpoint, whatever acts on its process

In each, the engine of the request had been crashed by another one while a step was waiting for that engine to leave (the records have the crash 27 to 30 ms before the cut, or with the second daemon's try), so that the supervisor found nothing to replace and recorded no fault. The soak's own fault: crashes come from the endpoints' records now.

--- a/dogwoodload/dogwoodsoak/history.go
+++ b/dogwoodload/dogwoodsoak/history.go
@@ -83,6 +83,8 @@
 		}
 		if crash := record.Crash; crash != nil {
 			history.Crashes = append(history.Crashes, dogwoodsoakcheck.Crash{Endpoint: id, RequestID: crash.RequestID, At: crash.At})
+			// A step that acts on the process may end the endpoint's time before its crash is seen.
+			history.Faults = append(history.Faults, dogwoodsoakcheck.Fault{Endpoint: id, From: crash.At, To: crash.At.Add(restartDelay)})
 		}
 		if arrival := record.Arrival; arrival != nil {
 			history.Arrivals = append(history.Arrivals, dogwoodsoakcheck.Arrival{
--- a/dogwoodload/dogwoodsoak/soak_test.go
+++ b/dogwoodload/dogwoodsoak/soak_test.go
@@ -21,6 +21,7 @@
 	"dogwoodmux.example/dogwoodload/dogwoodsoakcheck"
 	"dogwoodmux.example/dogwoodload/dogwoodsoakplan"
 	"dogwoodmux.example/dogwoodload/dogwoodstandinrun"
+	"dogwoodmux.example/platform/dogwoodstandin"
 )
 
 // carelessPrefix is the prefix of the test program's name when it runs as a careless daemon. The fault's name
@@ -184,6 +185,27 @@
 	}
 }
 
+// Guards against findings for requests that were cut by a crash while a step was acting on the endpoint's process: no
+// fault was recorded then.
+func TestCrashIsAFaultOfItsEndpoint(t *testing.T) {
+	directory, at := t.TempDir(), time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	recorder, err := dogwoodstandin.NewRecorder(filepath.Join(directory, "i-0-1.records"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := recorder.Write(dogwoodstandin.Record{Crash: &dogwoodstandin.Crash{RequestID: "c1-1", At: at}}); err != nil {
+		t.Fatal(err)
+	}
+	var history dogwoodsoakcheck.History
+	if err := newSite(&Options{}, directory, "", "").addRecords(&history, "i-0-1"); err != nil {
+		t.Fatal(err)
+	}
+	want := []dogwoodsoakcheck.Fault{{Endpoint: "i-0-1", From: at, To: at.Add(restartDelay)}}
+	if !slices.Equal(history.Faults, want) || len(history.Crashes) != 1 {
+		t.Errorf("got faults %+v and crashes %+v, want %+v and one crash", history.Faults, history.Crashes, want)
+	}
+}
+
 // Records of an earlier soak in the same directory would count as runs of this soak's requests.
 func TestNonEmptyDirectoryIsRejected(t *testing.T) {
 	directory := t.TempDir()
