Refuse a suspect for a moment after a trial whose endpoint gives no answer

Cause: after a trial that broke, the engine gave no answer to the question whether it runs (its address reset connections rather than refusing them), so that nothing was known until its entry went 1.9 s later. The permit was returned at once, and the next copies were tried at 34.4 s and 35.2 s; the first trial's end was counted at 35.96 s.

Change: a trial that breaks at an endpoint that gives no answer counts like one whose address refuses connections: the digest is refused for six seconds, and for ten minutes once the entry is gone.

TestTrialThatBreaksIsNotRepeatedAtOnce failed before: the next copy was admitted.

--- a/core/duty/dogwoodsuspects/suspects.go
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -194,17 +194,17 @@
 }
 
 // Broke records that a run broke off, with what is known of its endpoint, and notifies the hubs if the endpoint ended.
-// An endpoint that was leaving ended as it should. If nothing is known, the run counts once the endpoint's entry is gone
-// or names another instance.
+// An endpoint that was leaving ended as it should. If nothing is known, a trial counts as one that ended its endpoint, which
+// refuses its digest for a moment, and any other run counts once the endpoint's entry is gone or names another instance.
 func (duty *Duty) Broke(ctx context.Context, run Run, condition Condition) {
 	duty.mutex.Lock()
 	inForce := duty.inForce[run.lifetime()]
-	if inForce && condition == Unknown {
+	if inForce && condition == Unknown && !run.Trial {
 		duty.unresolved = append(duty.unresolved, unresolvedRun{run, time.Now()})
 		duty.unresolved = duty.unresolved[max(0, len(duty.unresolved)-maxUnresolved):]
 	}
 	duty.mutex.Unlock()
-	if inForce && (condition == Ended || condition == Replaced) {
+	if inForce && (condition == Ended || condition == Replaced || condition == Unknown && run.Trial) {
 		duty.endpointEnded(ctx, run, condition == Replaced)
 	}
 }
--- a/core/duty/dogwoodsuspects/suspects_test.go
+++ b/core/duty/dogwoodsuspects/suspects_test.go
@@ -341,6 +341,41 @@
 	}
 }
 
+// Guards against one trial after the other while the entries of the endpoints that they ended are still listed: an
+// endpoint that gives no answer after a trial counts as ended until its entry shows otherwise.
+func TestTrialThatBreaksIsNotRepeatedAtOnce(t *testing.T) {
+	tests := []struct {
+		name    string
+		entries []Endpoint
+		want    dogwoodsuspect.Standing
+	}{
+		{"the entry is gone", []Endpoint{}, dogwoodsuspect.Convicted},
+		{"the entry stays", listed(), dogwoodsuspect.Suspect},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runFleetTest(t, 1, 0, func(t *testing.T, fleet *fleet) {
+				duty := fleet.duty(0)
+				duty.Broke(t.Context(), Run{Digest: crashing, Request: "1", Endpoint: dogwoodfleet.Endpoint{ID: "e0"}}, Ended)
+				permit, err := duty.Admit(t.Context(), crashing, "2")
+				if err != nil {
+					t.Fatal(err)
+				}
+				duty.Broke(t.Context(), Run{Digest: crashing, Request: "2", Endpoint: dogwoodfleet.Endpoint{ID: "e1"}, Trial: permit.IsTrial()}, Unknown)
+				permit.Return(t.Context())
+				if _, err := duty.Admit(t.Context(), crashing, "3"); !isConvicted(err) {
+					t.Errorf("just after: got %v, want the request refused", err)
+				}
+				duty.SetEndpoints(test.entries)
+				time.Sleep(dogwoodsuspect.ProvisionalTTL)
+				if got, _ := duty.standing(crashing); got != test.want {
+					t.Errorf("later: got standing %v, want %v", got, test.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against copies of a popular harmless request that wait for each other: one was running when an endpoint ended,
 // and the others wait only until the trial has finished.
 func TestHarmlessSuspectIsClearedEverywhere(t *testing.T) {
