--- a/dogwoodload/dogwoodsoak/endpoint.go
+++ b/dogwoodload/dogwoodsoak/endpoint.go
@@ -175,7 +175,7 @@
 		return err
 	}
 	waitUntilListening(ctx, endpoint.address)
-	if err := dogwoodstandin.SetBusyAt(ctx, endpoint.address, duration); err != nil && endpoint.process.Running() {
+	if err := dogwoodstandin.SetBusyAt(ctx, endpoint.address, duration); err != nil && !endpoint.endsSoon(ctx) {
 		return err
 	}
 	return nil // one that has crashed meanwhile is not busy
@@ -196,6 +196,16 @@
 	return endpoint.signal(syscall.SIGHUP)
 }
 
+// endTimeout bounds the time from the end of a process's connections to the end of the process.
+const endTimeout = 500 * time.Millisecond
+
+// endsSoon reports whether the process ends within endTimeout, for calls to an endpoint that a request crashes meanwhile.
+func (endpoint *endpoint) endsSoon(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	return endpoint.process.Wait(ctx)
+}
+
 // signal sends a signal to the endpoint's process, unless a request has crashed it.
 func (endpoint *endpoint) signal(signal syscall.Signal) error {
 	if err := endpoint.process.Signal(signal); !errors.Is(err, os.ErrProcessDone) {
--- a/dogwoodload/dogwoodsoak/limits.go
+++ b/dogwoodload/dogwoodsoak/limits.go
@@ -52,7 +52,7 @@
 	}
 	waitUntilListening(ctx, endpoint.address)
 	if err := dogwoodstandin.SetLimitAt(ctx, endpoint.address, limit); err != nil {
-		if !endpoint.process.Running() {
+		if endpoint.endsSoon(ctx) {
 			return nil, "", nil
 		}
 		return nil, "", err
