Send an endpoint with any low limit a request each ten seconds

What callers would have seen: an endpoint that named 0.001 requests a second and recovered got no work for 17 minutes, since nothing was sent to it and nothing else shows that a limit was taken back. Only a limit of 0 was probed, as a case of its own.

Change: the probe belongs to the bucket, for every limit; the case of its own is gone. Whether any endpoint names a limit is counted when that changes, and no longer looked up over all endpoints for each waiting request and each plain call of a leaf.

TestLowLimitIsProbed failed before: refused 11 s after 0.001 was named.

--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -95,6 +95,7 @@
 	endpoints map[dogwoodfleet.EndpointID]*endpointState
 	ranked    []*endpointState // endpoints sorted by rank
 	workByID  map[WorkID]*Work
+	limited   int // the number of endpoints that name limits
 	changed   chan struct{}
 	owner     string
 	// seenShare is the share of the daemons whose work is on the board.
@@ -147,6 +148,7 @@
 	for _, work := range board.workByID {
 		board.attach(work)
 	}
+	board.countLimited()
 	board.notifyChange()
 }
 
--- a/core/decision/dogwoodpacking/limit.go
+++ b/core/decision/dogwoodpacking/limit.go
@@ -17,8 +17,8 @@
 	// share of the time between two requests.
 	maxLimitTurn = 10 * time.Millisecond
 	turnShare    = 0.25
-	// limitProbeInterval is the time without an answer after which an endpoint whose limit is 0 gets one request: nothing
-	// else would show that it has taken the limit back.
+	// limitProbeInterval is the time without a request after which an endpoint gets one, however low its limit: nothing else
+	// would show that it has taken the limit back.
 	limitProbeInterval = 10 * time.Second
 	// maxLiftLag is by how much an answer without a limit may precede one with a limit and still lift it at another daemon:
 	// the answers may have arrived in another order than they were sent. If the endpoint has named the limit again, its
@@ -92,13 +92,31 @@
 	if senders.Standby {
 		return false
 	}
-	turn := int((hash + uint64(state.sent) + uint64(senders.Index)) % uint64(senders.Count))
-	if state.PerSecond == 0 {
-		since := now.Sub(state.lastSend) - time.Duration(turn)*maxLimitTurn
-		return since >= limitProbeInterval
+	turn := (hash + uint64(state.sent) + uint64(senders.Index)) % uint64(senders.Count)
+	turnTime := min(maxLimitTurn.Seconds(), turnShare/state.PerSecond/float64(senders.Count))
+	now = now.Add(-time.Duration(float64(turn) * turnTime * float64(time.Second)))
+	return state.bucket.TokensAt(now) >= 1 || now.Sub(state.lastSend) >= limitProbeInterval
+}
+
+// setLimit replaces an endpoint's limit. The caller holds the mutex.
+func (board *Board) setLimit(now time.Time, state *endpointState, limit NamedLimit, at time.Time) (changed bool) {
+	changed = limit != state.limit.NamedLimit
+	state.limit.set(now, limit, at)
+	if changed {
+		board.countLimited()
+		board.notifyChange()
+	}
+	return changed
+}
+
+// countLimited counts the endpoints that name limits, which are seldom any. The caller holds the mutex.
+func (board *Board) countLimited() {
+	board.limited = 0
+	for _, state := range board.endpoints {
+		if state.limit.Named {
+			board.limited++
+		}
 	}
-	share := time.Duration(turnShare / state.PerSecond / float64(senders.Count) * float64(time.Second))
-	return state.bucket.TokensAt(now.Add(-time.Duration(turn)*min(share, maxLimitTurn))) >= 1
 }
 
 // SetLimit records what an answer says about the limit of its endpoint. sent is when the answer's request was sent: an
@@ -111,11 +129,7 @@
 	if state == nil || !limit.IsValid() || !limit.Named && (!state.limit.Named || !sent.After(state.limit.at)) {
 		return EndpointLimit{}, false
 	}
-	changed := limit != state.limit.NamedLimit
-	state.limit.set(now, limit, now)
-	if changed {
-		board.notifyChange()
-	}
+	changed := board.setLimit(now, state, limit, now)
 	return EndpointLimit{Endpoint: id, Limit: limit, At: now}, changed
 }
 
@@ -135,8 +149,7 @@
 	if !at.After(state.limit.at) {
 		return
 	}
-	state.limit.set(now, learned.Limit, learned.At)
-	board.notifyChange()
+	board.setLimit(now, state, learned.Limit, learned.At)
 }
 
 // Limits returns the limits that endpoints name, and those that they took back.
@@ -156,12 +169,7 @@
 func (board *Board) HasLimits() bool {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
-	for _, state := range board.endpoints {
-		if state.limit.Named {
-			return true
-		}
-	}
-	return false
+	return board.limited > 0
 }
 
 // LimitedRate returns this daemon's share of the requests a second that a service's endpoints take, and true if all
@@ -169,6 +177,9 @@
 func (board *Board) LimitedRate(service dogwoodfleet.Service) (perSecond float64, limited bool) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
+	if board.limited == 0 {
+		return 0, false
+	}
 	for _, state := range board.endpoints {
 		if state.Service != service || !state.InForce {
 			continue
--- a/core/decision/dogwoodpacking/limit_test.go
+++ b/core/decision/dogwoodpacking/limit_test.go
@@ -109,6 +109,25 @@
 	}
 }
 
+// Guards against an endpoint that gets no work for minutes after it has recovered: nothing is sent to one that names a very
+// low limit, so that nothing shows that it was taken back.
+func TestLowLimitIsProbed(t *testing.T) {
+	for _, perSecond := range []float64{0, 0.001} {
+		start := time.Now()
+		board := pool(1)
+		board.SetLimit(start, start, "e00", NamedLimit{Named: true, PerSecond: perSecond})
+		for _, step := range []struct {
+			after time.Duration
+			want  Refusal
+		}{{limitProbeInterval - time.Second, Full}, {limitProbeInterval + time.Second, Placed}, {limitProbeInterval + 2*time.Second, Full}} {
+			now := start.Add(step.after)
+			if _, got := board.Place(now, short(now, 3_000)); got != step.want {
+				t.Errorf("limit %v, %s after it was named: got refusal %q, want %q", perSecond, step.after, got, step.want)
+			}
+		}
+	}
+}
+
 // Guards against a limit that stays after the endpoint took it back, and one that an old answer lifts.
 func TestLimitFollowsTheEndpoint(t *testing.T) {
 	start := time.Now()
@@ -197,7 +216,7 @@
 	}
 }
 
-// Guards against a retry that waits for an endpoint that takes hardly any requests, while one that was tried has room.
+// Guards against a retry that waits for an endpoint with a low limit, while one that the request was sent to before has room.
 func TestLimitedEndpointIsNoOtherEndpoint(t *testing.T) {
 	board, now := pool(2), time.Now()
 	request := short(now, 3_000)
--- a/core/duty/dogwoodrelay/place.go
+++ b/core/duty/dogwoodrelay/place.go
@@ -66,8 +66,10 @@
 	waiter := &waiter{placementRequest: placementRequest, result: make(chan placementResult, 1), request: attempt.waitingRequest()}
 	queue := &attempt.relay.queue
 	queue.add(waiter)
-	if err := attempt.checkLimits(waitUntil); err != nil && queue.remove(waiter) {
-		return dogwoodpacking.Placement{}, err
+	if len(waiter.result) == 0 {
+		if err := attempt.checkLimits(waitUntil); err != nil && queue.remove(waiter) {
+			return dogwoodpacking.Placement{}, err
+		}
 	}
 	maxWait := time.NewTimer(time.Until(waitUntil))
 	defer maxWait.Stop()
