Let a request's own retry need no other daemon, and pass over a hub that gives no permits

What callers would have seen: a harmless request whose engine had crashed for another reason waited 2.3 s and was refused when the hub that grants its permit was frozen; it was tried again at once before suspects were kept apart.

Cause: every run of a suspect asked the digest's home, although the request's own next run can double nothing, and asked the same hub until its time was over.

Change: a request that is a suspect by its own runs alone asks nobody. For copies, a hub that gives no answer in 0.3 s is passed over for the one that would be the home without it, which all daemons choose alike. TestUnreachableHomeRefusesSuspects demanded the refusal; TestUnreachableHomeIsReplaced demands, of five daemons, that four which can't reach the home end one endpoint by one trial, and all answer in the same time.

With it, what stood twice: requests for permits and notices go by one Exchange in both programs; the platform's view passes its endpoints to the ledger as they are, without a copy, a lock and an order of starting of their own.

TestOwnRetryNeedsNoOtherDaemon failed before: refused after 2.3 s.

--- a/core/decision/dogwoodsuspect/shared.go
+++ b/core/decision/dogwoodsuspect/shared.go
@@ -70,6 +70,14 @@
 	}
 }
 
+// StruckOnlyBy reports whether all strikes of a digest are those of one request.
+func (ledger *Ledger) StruckOnlyBy(digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) bool {
+	found := ledger.records[digest]
+	return found != nil && len(found.strikes) == 0 && !slices.ContainsFunc(found.shared, func(strike sharedStrike) bool {
+		return strike.request != request
+	})
+}
+
 // Version increases whenever the shared strikes change.
 func (ledger *Ledger) Version() uint64 { return ledger.version }
 
--- a/core/dogwooddaemon/owner.go
+++ b/core/dogwooddaemon/owner.go
@@ -32,7 +32,7 @@
 		return nil, needs.Err
 	}
 	started := &ownership{serviceClient: dogwoodservice.New(environment.network.DialContext)}
-	suspects := &suspectPeers{ownership: started, members: members, peer: peer, self: environment.instance}
+	suspects := newSuspectPeers(started, members, peer, environment.instance)
 	gangs := &dogwooddispatch.Gangs{}
 	started.local = dogwoodowner.New(dogwoodowner.Options{
 		Text: changes.Text(), Policy: environment.settings.Policy, Place: environment.place, Self: environment.instance,
--- a/core/duty/dogwoodsuspects/permit.go
+++ b/core/duty/dogwoodsuspects/permit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -31,6 +32,9 @@
 	duty    *Duty
 	digest  dogwoodfleet.Digest
 	request dogwoodfleet.RequestID
+	// own is true if no hub gave the permit. unreachable are the hubs that did not answer when it was requested.
+	own         bool
+	unreachable []dogwoodfleet.InstanceID
 }
 
 // IsTrial reports whether the request runs as a suspect.
@@ -38,11 +42,13 @@
 
 // Return returns the permit after the run, or if there is none.
 func (permit *Permit) Return(ctx context.Context) {
-	if permit == nil {
+	if permit == nil || permit.own {
 		return
 	}
 	request := dogwoodsuspect.PermitRequest{Digest: permit.digest, Request: permit.request, Ended: true}
-	if _, err := permit.duty.requestPermit(context.WithoutCancel(ctx), request); err != nil {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), permitTimeout)
+	defer cancel()
+	if _, _, err := permit.duty.exchange.RequestPermit(ctx, request, permit.unreachable...); err != nil {
 		permit.duty.options.Logger.Debug("A permit could not be returned and will expire.", "digest", permit.digest.String(), "error", err)
 	}
 }
@@ -50,42 +56,68 @@
 // Admit waits until a request may run. It returns the permit of a suspect, nil for a request that needs none, or a
 // *Refused error. It returns the context's error if that ends first.
 func (duty *Duty) Admit(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) (*Permit, error) {
-	standing, until := duty.standing(digest)
+	standing, _ := duty.standing(digest)
 	if standing == dogwoodsuspect.Clear {
 		return nil, nil
 	}
-	giveUp := time.Now().Add(maxSuspectWait)
-	for {
-		if standing == dogwoodsuspect.Convicted {
-			counters.Add("Refused", 1)
+	permit, err := duty.awaitPermit(ctx, digest, request)
+	var refused *Refused
+	switch {
+	case errors.As(err, &refused):
+		counters.Add("Refused", 1)
+	case permit != nil:
+		counters.Add("Trials", 1)
+	}
+	return permit, err
+}
+
+// awaitPermit waits until a suspect gets a permit, is cleared or is refused. If a hub does not answer, it asks the one that
+// would be the digest's home without it, as all daemons do that can't reach it.
+func (duty *Duty) awaitPermit(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) (*Permit, error) {
+	permit := &Permit{duty: duty, digest: digest, request: request}
+	ask := dogwoodsuspect.PermitRequest{Digest: digest, Request: request, Lease: trialLease}
+	for giveUp := time.Now().Add(maxSuspectWait); time.Now().Before(giveUp); {
+		switch standing, until := duty.standing(digest); {
+		case standing == dogwoodsuspect.Clear:
+			return nil, nil
+		case standing == dogwoodsuspect.Convicted:
 			return nil, &Refused{RetryAfter: time.Until(until), Convicted: true}
+		case duty.isOwnRetry(digest, request):
+			permit.own = true
+			return permit, nil
 		}
-		response, err := duty.requestPermit(ctx, dogwoodsuspect.PermitRequest{Digest: digest, Request: request, Lease: trialLease})
-		pause := permitRetryInterval
+		home, response, err := duty.askForPermit(ctx, ask, permit.unreachable)
 		switch {
+		case ctx.Err() != nil:
+			return nil, ctx.Err()
 		case err != nil:
-			duty.options.Logger.Debug("The home of a suspect could not be asked.", "digest", digest.String(), "error", err)
+			duty.options.Logger.Debug("A hub gives no permits.", "peer", home, "digest", digest.String(), "error", err)
+			permit.unreachable = append(permit.unreachable, home)
+			continue
 		case response.Allowed:
-			counters.Add("Trials", 1)
-			return &Permit{duty: duty, digest: digest, request: request}, nil
+			return permit, nil
 		case response.Standing == dogwoodsuspect.Convicted:
-			counters.Add("Refused", 1)
 			return nil, &Refused{RetryAfter: dogwoodsuspect.ProvisionalTTL, Convicted: true}
-		default:
-			pause = response.Again
-		}
-		if time.Now().Add(pause).After(giveUp) {
-			counters.Add("Refused", 1)
-			return nil, &Refused{RetryAfter: dogwoodkernel.Jittered(waitRetryAfter)}
 		}
 		counters.Add("Waited", 1)
-		if !dogwoodkernel.Sleep(ctx, pause) {
+		if !dogwoodkernel.Sleep(ctx, response.Again) {
 			return nil, ctx.Err()
 		}
-		if standing, until = duty.standing(digest); standing == dogwoodsuspect.Clear {
-			return nil, nil
-		}
 	}
+	return nil, &Refused{RetryAfter: dogwoodkernel.Jittered(waitRetryAfter)}
+}
+
+func (duty *Duty) askForPermit(ctx context.Context, ask dogwoodsuspect.PermitRequest, unreachable []dogwoodfleet.InstanceID) (dogwoodfleet.InstanceID, dogwoodsuspect.PermitResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	return duty.exchange.RequestPermit(ctx, ask, unreachable...)
+}
+
+// isOwnRetry reports whether the digest is a suspect because of earlier runs of the request alone.
+func (duty *Duty) isOwnRetry(digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) bool {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	return duty.ledger.StruckOnlyBy(digest, request)
 }
 
 // StillAdmitted reports whether a request that waited after Admit may run now: its digest may have become a suspect
--- a/core/duty/dogwoodsuspects/suspects.go
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -12,14 +12,13 @@
 	"expvar"
 	"maps"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"golang.org/x/sync/errgroup"
 
+	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/decision/dogwoodsuspect"
 	"dogwoodmux.example/core/dogwoodfleet"
 )
@@ -27,15 +26,8 @@
 const (
 	// Name is the name under which the receiver is registered with the peers' server.
 	Name = "Suspects"
-	// notifyTimeout bounds how long a failure is withheld from its caller while the hubs are notified: about a
-	// hundred round trips within a region.
-	notifyTimeout = 300 * time.Millisecond
-	// maxConcurrentNotices bounds the concurrent calls that send notices.
-	maxConcurrentNotices = 64
-	// permitTimeout bounds one request for a permit, permitRetryInterval is the delay before another one if the home
-	// can't be reached.
-	permitTimeout       = 300 * time.Millisecond
-	permitRetryInterval = 100 * time.Millisecond
+	// permitTimeout bounds one request for a permit.
+	permitTimeout = 300 * time.Millisecond
 	// trialLease is how long a trial keeps other runs of its digest from starting. Requests that crash endpoints
 	// do so soon after they begin; copies of a harmless one must not wait until a long answer ends.
 	trialLease = 2 * time.Second
@@ -50,24 +42,6 @@
 // counters are published under "Suspects": Strikes, Convictions, Refused, Waited, Trials, Cleared, NoticesLost, RunsDropped.
 var counters = expvar.NewMap("Suspects")
 
-// Caller calls other daemons.
-type Caller interface {
-	Call(ctx context.Context, peer netip.AddrPort, method string, args, reply any) error
-}
-
-// Peer is a hub.
-type Peer struct {
-	Instance dogwoodfleet.InstanceID
-	Address  netip.AddrPort
-}
-
-// Endpoint is an endpoint that is listed in the store.
-type Endpoint struct {
-	ID       dogwoodfleet.EndpointID
-	Instance dogwoodfleet.InstanceID
-	InForce  bool
-}
-
 // Options configure a Duty.
 type Options struct {
 	Self   dogwoodfleet.InstanceID
@@ -81,8 +55,9 @@
 
 // Duty is one daemon's part. It is safe for concurrent use.
 type Duty struct {
-	options Options
-	refused refusedList
+	options  Options
+	exchange Exchange
+	refused  refusedList
 	// known holds the version of each hub's ledger at the last comparison; only Run uses it.
 	known map[dogwoodfleet.InstanceID]uint64
 
@@ -103,20 +78,30 @@
 
 // New returns a Duty with an empty ledger.
 func New(options Options) *Duty {
-	return &Duty{
-		options: options, ledger: dogwoodsuspect.NewLedger(), convicted: map[dogwoodfleet.Digest]time.Time{}, known: map[dogwoodfleet.InstanceID]uint64{},
-		refused:  refusedList{fetch: make(chan struct{}, 1)},
-		resolved: make(chan Run, maxUnresolved),
+	duty := &Duty{
+		options: options, ledger: dogwoodsuspect.NewLedger(),
+		convicted: map[dogwoodfleet.Digest]time.Time{}, known: map[dogwoodfleet.InstanceID]uint64{},
+		refused: refusedList{fetch: make(chan struct{}, 1)}, resolved: make(chan Run, maxUnresolved),
+	}
+	duty.exchange = Exchange{
+		Receiver: Name, Self: options.Self, Caller: options.Caller, Peers: options.Hubs, Judge: duty.judge, Lost: duty.noticeLost,
 	}
+	return duty
+}
+
+// noticeLost records a notice that did not arrive. The hub gets it when it compares its ledger with another one.
+func (duty *Duty) noticeLost(hub dogwoodfleet.InstanceID, err error) {
+	counters.Add("NoticesLost", 1)
+	duty.options.Logger.Debug("A hub did not get notices of suspects.", "peer", hub, "error", err)
 }
 
 // SetEndpoints replaces the listed endpoints. The end of one that is no longer listed is certain.
-func (duty *Duty) SetEndpoints(endpoints []Endpoint) {
+func (duty *Duty) SetEndpoints(endpoints []dogwoodpacking.Endpoint) {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
 	duty.inForce = make(map[dogwoodfleet.EndpointID]bool, len(endpoints))
-	for _, endpoint := range endpoints {
-		duty.inForce[lifetimeID(endpoint.ID, endpoint.Instance)] = endpoint.InForce
+	for i := range endpoints {
+		duty.inForce[lifetimeID(&endpoints[i].Endpoint)] = endpoints[i].InForce
 	}
 	duty.confirm()
 	duty.resolve(time.Now())
@@ -140,11 +125,11 @@
 }
 
 // lifetimeID returns the ID of one lifetime of an endpoint, which may start again under its ID.
-func lifetimeID(id dogwoodfleet.EndpointID, instance dogwoodfleet.InstanceID) dogwoodfleet.EndpointID {
-	if instance == "" {
-		return id
+func lifetimeID(endpoint *dogwoodfleet.Endpoint) dogwoodfleet.EndpointID {
+	if endpoint.Instance == "" {
+		return endpoint.ID
 	}
-	return dogwoodfleet.EndpointID(instance)
+	return dogwoodfleet.EndpointID(endpoint.Instance)
 }
 
 // confirm confirms the ends of endpoints that are no longer listed. The caller holds the mutex.
@@ -184,7 +169,7 @@
 }
 
 func (run *Run) lifetime() dogwoodfleet.EndpointID {
-	return lifetimeID(run.Endpoint.ID, run.Endpoint.Instance)
+	return lifetimeID(&run.Endpoint)
 }
 
 // unresolvedRun is a run that broke off at an endpoint of unknown condition.
@@ -219,7 +204,7 @@
 	counters.Add("Strikes", 1)
 	duty.options.Logger.Info("An endpoint ended under a request.", "digest", run.Digest.String(), "request", run.Request,
 		"endpoint", run.lifetime(), "trial", run.Trial, "certain", certain)
-	duty.notify(ctx, notices)
+	duty.exchange.Notify(ctx, notices)
 }
 
 // Finished records that a request with the digest has an answer, and notifies the hubs if the digest was a suspect.
@@ -233,7 +218,7 @@
 	}
 	counters.Add("Cleared", 1)
 	duty.options.Logger.Info("A suspect finished.", "digest", digest.String(), "request", request)
-	duty.notify(ctx, notices)
+	duty.exchange.Notify(ctx, notices)
 }
 
 // changed records a change of the ledger and logs new convictions. The caller holds the mutex.
@@ -296,29 +281,6 @@
 	return duty.ledger.Standing(time.Now(), digest)
 }
 
-// notify sends notices to all other hubs. A call that fails isn't repeated: the hub gets what it missed when
-// it compares its ledger with another one.
-func (duty *Duty) notify(ctx context.Context, notices []dogwoodsuspect.Notice) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), notifyTimeout)
-	defer cancel()
-	var group errgroup.Group
-	group.SetLimit(maxConcurrentNotices)
-	for _, hub := range duty.options.Hubs() {
-		if hub.Instance == duty.options.Self {
-			continue
-		}
-		group.Go(func() error {
-			var reply bool
-			if err := duty.options.Caller.Call(ctx, hub.Address, Name+".Learn", notices, &reply); err != nil {
-				counters.Add("NoticesLost", 1)
-				duty.options.Logger.Debug("A hub did not get notices of suspects.", "peer", hub.Instance, "error", err)
-			}
-			return nil
-		})
-	}
-	_ = group.Wait() // the functions return no errors
-}
-
 func (duty *Duty) learn(notices []dogwoodsuspect.Notice) {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
@@ -332,24 +294,6 @@
 	return duty.ledger.Judge(time.Now(), request)
 }
 
-// requestPermit sends a request to the digest's home, which may be this daemon.
-func (duty *Duty) requestPermit(ctx context.Context, request dogwoodsuspect.PermitRequest) (dogwoodsuspect.PermitResponse, error) {
-	hubs := duty.options.Hubs()
-	instances := make([]dogwoodfleet.InstanceID, len(hubs))
-	for i, hub := range hubs {
-		instances[i] = hub.Instance
-	}
-	home := dogwoodsuspect.Home(request.Digest, instances)
-	if home < 0 || hubs[home].Instance == duty.options.Self {
-		return duty.judge(request), nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
-	defer cancel()
-	var response dogwoodsuspect.PermitResponse
-	err := duty.options.Caller.Call(ctx, hubs[home].Address, Name+".Judge", request, &response)
-	return response, err
-}
-
 // otherHub returns a random hub other than this daemon.
 func (duty *Duty) otherHub() (Peer, bool) {
 	hubs := slices.DeleteFunc(slices.Clone(duty.options.Hubs()), func(hub Peer) bool { return hub.Instance == duty.options.Self })
