Notify the hubs of a broken run beside its next try, not before it

What callers would have seen: while one hub was frozen, the next try of each request whose engine had crashed came 0.3 s late, and the end of a suspect's answer another 0.3 s, since notices and the return of a permit were waited for.

Cause: the hubs must know of an end before the caller learns of the failure, and the code withheld the next try as well.

Change: notices are sent beside the next try, and the failure alone waits for them. Nothing waits for notices of an answer or for a permit's return.

TestRetryDoesNotWaitForNotices failed before: 600 ms.

--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -138,6 +138,8 @@
 	board     *dogwoodpacking.Board
 	endpoints *fakeEndpoints
 	suspects  *dogwoodsuspects.Duty
+	// frozenHub is another hub, which answers no call; nil if this daemon is the only one.
+	frozenHub *dogwoodsuspects.Peer
 	stale     atomic.Bool
 	answer    *recorder
 }
@@ -152,7 +154,7 @@
 		endpoints: &fakeEndpoints{script: script, reservations: map[string]int{}, leases: map[string]time.Time{}, noFreeMemory: map[dogwoodfleet.EndpointID]bool{}},
 	}
 	fixture.suspects = dogwoodsuspects.New(dogwoodsuspects.Options{
-		Self: "me", Hubs: func() []dogwoodsuspects.Peer { return nil }, IsLeaf: func() bool { return false }, Logger: hclog.NewNullLogger(),
+		Self: "me", Caller: frozenCaller{}, Hubs: fixture.hubs, IsLeaf: func() bool { return false }, Logger: hclog.NewNullLogger(),
 	})
 	fixture.setEndpoints(3, engine)
 	fixture.relay = New(Options{
@@ -166,6 +168,23 @@
 	return fixture
 }
 
+// frozenCaller makes calls that get no answer.
+type frozenCaller struct{}
+
+// Call waits until the context ends.
+func (frozenCaller) Call(ctx context.Context, _ netip.AddrPort, _ string, _, _ any) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (fixture *fixture) hubs() []dogwoodsuspects.Peer {
+	hubs := []dogwoodsuspects.Peer{{Instance: "me"}}
+	if fixture.frozenHub != nil {
+		hubs = append(hubs, *fixture.frozenHub)
+	}
+	return hubs
+}
+
 // setEndpoints sets the pool to a number of endpoints named a, b, c and so on.
 func (fixture *fixture) setEndpoints(count int, engine *dogwoodenginetime.Engine) {
 	var endpoints []dogwoodpacking.Endpoint
@@ -200,6 +219,7 @@
 		fixture := newFixture(ctx, &group, engine, script...)
 		body(t, fixture)
 		fixture.relay.Wait()
+		fixture.suspects.Wait()
 		cancel()
 		group.Wait()
 	})
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -169,8 +169,9 @@
 	Admit(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) (*dogwoodsuspects.Permit, error)
 	// StillAdmitted reports whether a request may still run after it waited for a slot.
 	StillAdmitted(permit *dogwoodsuspects.Permit, digest dogwoodfleet.Digest) bool
-	// Broke records that a run broke off, with what is known of its endpoint.
-	Broke(ctx context.Context, run dogwoodsuspects.Run, condition dogwoodsuspects.Condition)
+	// Broke records that a run broke off, with what is known of its endpoint. The channel is closed once the other daemons
+	// are notified, before which the caller must not learn of the failure.
+	Broke(ctx context.Context, run dogwoodsuspects.Run, condition dogwoodsuspects.Condition) <-chan struct{}
 	// Finished records that a request has its answer.
 	Finished(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID)
 }
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -48,6 +48,8 @@
 	tries          int
 	triedEndpoints []dogwoodfleet.EndpointID
 	runState       dogwoodfleet.RunState
+	// notified is closed once the other daemons know of the last run that broke off; nil if none did.
+	notified <-chan struct{}
 	// stream tracks what the caller has received of a stream.
 	stream progress
 }
@@ -104,10 +106,15 @@
 }
 
 // finish adds ErrCut to an error that ends an answer after it has begun.
+// The other daemons have learned of broken runs by then, so that none needs to lose an endpoint to a caller that sends the
+// request again at once.
 func (attempt *attempt) finish(err error) error {
 	if err == nil {
 		return nil
 	}
+	if attempt.notified != nil {
+		<-attempt.notified
+	}
 	if attempt.stream.begun && !errors.Is(err, ErrCallerGone) {
 		return fmt.Errorf("%w: %w", ErrCut, err)
 	}
--- a/core/duty/dogwoodrelay/suspects_test.go
+++ b/core/duty/dogwoodrelay/suspects_test.go
@@ -84,6 +84,33 @@
 	})
 }
 
+// Guards against a retry that waits for a hub that is frozen: its engine has crashed, perhaps for another reason. The hubs
+// must know of that before the caller learns of a failure, not before the next engine is tried.
+func TestRetryDoesNotWaitForNotices(t *testing.T) {
+	runRelayTest(t, nil, []step{fails(&Broken{Cause: io.EOF}), responds(http.StatusOK, "whole")}, func(t *testing.T, fixture *fixture) {
+		fixture.endpoints.condition = dogwoodsuspects.Ended
+		fixture.frozenHub = &dogwoodsuspects.Peer{Instance: "frozen"}
+		request, began := plainRequest(dogwoodroute.Idempotent), time.Now()
+		if err := fixture.relay.Serve(t.Context(), request, fixture.answer); err != nil {
+			t.Fatal(err)
+		}
+		if got := time.Since(began); got > 0 {
+			t.Errorf("got the second engine's answer after %s, want it at once", got)
+		}
+	})
+	runRelayTest(t, nil, []step{fails(&Broken{Cause: io.EOF})}, func(t *testing.T, fixture *fixture) {
+		fixture.endpoints.condition = dogwoodsuspects.Ended
+		fixture.frozenHub = &dogwoodsuspects.Peer{Instance: "frozen"}
+		began := time.Now()
+		if err := fixture.relay.Serve(t.Context(), plainRequest(dogwoodroute.Once), fixture.answer); err == nil {
+			t.Fatal("got no failure, want one")
+		}
+		if time.Since(began) == 0 {
+			t.Error("got the failure at once, want it withheld while the hubs are notified")
+		}
+	})
+}
+
 // Guards against copies that wait for a slot while their digest is convicted: when the endpoints are back, all of them
 // would be sent at once.
 func TestCopyThatWaitsIsCheckedBeforeItIsSent(t *testing.T) {
--- a/core/duty/dogwoodrelay/tryresult.go
+++ b/core/duty/dogwoodrelay/tryresult.go
@@ -73,7 +73,7 @@
 	conditionContext, cancel := context.WithTimeout(ctx, conditionTimeout)
 	defer cancel()
 	condition := options.Endpoints.Condition(conditionContext, endpoint)
-	options.Suspects.Broke(ctx, dogwoodsuspects.Run{
+	attempt.notified = options.Suspects.Broke(ctx, dogwoodsuspects.Run{
 		Digest: attempt.request.Digest, Request: dogwoodfleet.RequestID(attempt.request.ID),
 		Endpoint: endpoint, Trial: run.permit.IsTrial(),
 	}, condition)
--- /dev/null
+++ b/core/duty/dogwoodsuspects/benchmark_test.go
@@ -0,0 +1,28 @@
+package dogwoodsuspects
+
+import (
+	"encoding/binary"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+// BenchmarkHarmlessRequest measures what each request costs that no endpoint ended under.
+func BenchmarkHarmlessRequest(b *testing.B) {
+	duty := New(Options{
+		Self: "me", Hubs: func() []Peer { return nil }, IsLeaf: func() bool { return false }, Logger: hclog.NewNullLogger(),
+	})
+	b.ReportAllocs()
+	var digest dogwoodfleet.Digest
+	for number := uint64(0); b.Loop(); number++ {
+		binary.BigEndian.PutUint64(digest[:], number)
+		permit, err := duty.Admit(b.Context(), digest, "r")
+		if err != nil || !duty.StillAdmitted(permit, digest) {
+			b.Fatal("got a harmless request refused")
+		}
+		permit.Return(b.Context())
+		duty.Finished(b.Context(), digest, "r")
+	}
+}
--- a/core/duty/dogwoodsuspects/permit.go
+++ b/core/duty/dogwoodsuspects/permit.go
@@ -40,17 +40,18 @@
 // IsTrial reports whether the request runs as a suspect.
 func (permit *Permit) IsTrial() bool { return permit != nil }
 
-// Return returns the permit after the run, or if there is none.
+// Return returns the permit after the run, or if there is none. It does not wait for the hub.
 func (permit *Permit) Return(ctx context.Context) {
 	if permit == nil || permit.own {
 		return
 	}
 	request := dogwoodsuspect.PermitRequest{Digest: permit.digest, Request: permit.request, Ended: true}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), permitTimeout)
-	defer cancel()
-	if _, _, err := permit.duty.exchange.RequestPermit(ctx, request, permit.unreachable...); err != nil {
-		permit.duty.options.Logger.Debug("A permit could not be returned and will expire.", "digest", permit.digest.String(), "error", err)
-	}
+	permit.duty.background.Go(func() error {
+		if _, _, err := permit.duty.askForPermit(context.WithoutCancel(ctx), request, permit.unreachable); err != nil {
+			permit.duty.options.Logger.Debug("A permit could not be returned and will expire.", "digest", permit.digest.String(), "error", err)
+		}
+		return nil
+	})
 }
 
 // Admit waits until a request may run. It returns the permit of a suspect, nil for a request that needs none, or a
--- a/core/duty/dogwoodsuspects/refresh.go
+++ b/core/duty/dogwoodsuspects/refresh.go
@@ -31,13 +31,18 @@
 			case <-ctx.Done():
 				return nil
 			case run := <-duty.resolved:
-				duty.endpointEnded(ctx, run, true)
+				duty.exchange.Notify(ctx, duty.recordEnd(run, true))
 			}
 		}
 	})
 	return group.Wait()
 }
 
+// Wait waits until the hubs are notified of all that requests have shown. No request may run any more.
+func (duty *Duty) Wait() {
+	_ = duty.background.Wait() // its functions return no errors
+}
+
 func (duty *Duty) runComparisons(ctx context.Context) error {
 	pause := firstInterval
 	for dogwoodkernel.Sleep(ctx, pause) {
--- a/core/duty/dogwoodsuspects/suspects.go
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
 
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/decision/dogwoodsuspect"
@@ -57,7 +58,9 @@
 type Duty struct {
 	options  Options
 	exchange Exchange
-	refused  refusedList
+	// background holds the goroutines that notify the hubs and return permits.
+	background errgroup.Group
+	refused    refusedList
 	// known holds the version of each hub's ledger at the last comparison; only Run uses it.
 	known map[dogwoodfleet.InstanceID]uint64
 
@@ -178,10 +181,12 @@
 	at time.Time
 }
 
-// Broke records that a run broke off, with what is known of its endpoint, and notifies the hubs if the endpoint ended.
+// Broke records that a run broke off, with what is known of its endpoint, and notifies the hubs if the endpoint ended. The
+// channel is closed once they are notified, or can't be; the caller of the request must not learn of the failure before.
 // An endpoint that was leaving ended as it should. If nothing is known, a trial counts as one that ended its endpoint, which
 // refuses its digest for a moment, and any other run counts once the endpoint's entry is gone or names another instance.
-func (duty *Duty) Broke(ctx context.Context, run Run, condition Condition) {
+func (duty *Duty) Broke(ctx context.Context, run Run, condition Condition) <-chan struct{} {
+	notified := make(chan struct{})
 	duty.mutex.Lock()
 	inForce := duty.inForce[run.lifetime()]
 	if inForce && condition == Unknown && !run.Trial {
@@ -190,11 +195,20 @@
 	}
 	duty.mutex.Unlock()
 	if inForce && (condition == Ended || condition == Replaced || condition == Unknown && run.Trial) {
-		duty.endpointEnded(ctx, run, condition == Replaced)
+		notices := duty.recordEnd(run, condition == Replaced)
+		duty.background.Go(func() error {
+			defer close(notified)
+			duty.exchange.Notify(ctx, notices)
+			return nil
+		})
+		return notified
 	}
+	close(notified)
+	return notified
 }
 
-func (duty *Duty) endpointEnded(ctx context.Context, run Run, certain bool) {
+// recordEnd records that an endpoint ended during a run, and returns the notices for the hubs.
+func (duty *Duty) recordEnd(run Run, certain bool) []dogwoodsuspect.Notice {
 	duty.mutex.Lock()
 	notices := duty.ledger.Died(time.Now(), run.lifetime(), []dogwoodsuspect.Run{{
 		Digest: run.Digest, Request: run.Request, Shared: true, Trial: run.Trial, Confirmed: certain,
@@ -204,10 +218,11 @@
 	counters.Add("Strikes", 1)
 	duty.options.Logger.Info("An endpoint ended under a request.", "digest", run.Digest.String(), "request", run.Request,
 		"endpoint", run.lifetime(), "trial", run.Trial, "certain", certain)
-	duty.exchange.Notify(ctx, notices)
+	return notices
 }
 
-// Finished records that a request with the digest has an answer, and notifies the hubs if the digest was a suspect.
+// Finished records that a request with the digest has an answer, and notifies the hubs if the digest was a suspect. It does
+// not wait for them, since the caller waits for the end of its answer.
 func (duty *Duty) Finished(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) {
 	duty.mutex.Lock()
 	notices := duty.ledger.Finished(time.Now(), dogwoodsuspect.Run{Digest: digest, Request: request, Shared: true})
@@ -218,7 +233,10 @@
 	}
 	counters.Add("Cleared", 1)
 	duty.options.Logger.Info("A suspect finished.", "digest", digest.String(), "request", request)
-	duty.exchange.Notify(ctx, notices)
+	duty.background.Go(func() error {
+		duty.exchange.Notify(ctx, notices)
+		return nil
+	})
 }
 
 // changed records a change of the ledger and logs new convictions. The caller holds the mutex.
--- a/core/duty/dogwoodsuspects/suspects_test.go
+++ b/core/duty/dogwoodsuspects/suspects_test.go
@@ -139,6 +139,9 @@
 		body(t, fleet)
 		cancel()
 		group.Wait()
+		for _, duty := range fleet.duties {
+			duty.Wait()
+		}
 	})
 }
 
@@ -179,8 +182,9 @@
 	fleet.mutex.Lock()
 	fleet.crashes++
 	fleet.mutex.Unlock()
-	duty.Broke(ctx, Run{Digest: crashing, Request: dogwoodfleet.RequestID(request), Endpoint: endpoint, Trial: permit.IsTrial()}, Replaced)
+	notified := duty.Broke(ctx, Run{Digest: crashing, Request: dogwoodfleet.RequestID(request), Endpoint: endpoint, Trial: permit.IsTrial()}, Replaced)
 	permit.Return(ctx)
+	<-notified // only now may the caller learn of the failure
 	return nil
 }
 
