Let a fault of the store excuse no broken limit in the soak

The check left out all requests within three seconds of a fault of the store, although a limit comes with answers and the rule excuses a machine's own restart, freeze or cut alone.

--- a/dogwoodload/dogwoodsoakcheck/check_test.go
+++ b/dogwoodload/dogwoodsoakcheck/check_test.go
@@ -205,6 +205,10 @@
 			history.Limits = []Limit{{Endpoint: "e", PerSecond: 1, From: after(0), To: after(10)}}
 			history.fault(Fault{Daemon: "d"}, 0, 11)
 		}, ""},
+		{"too many requests at an endpoint that names a limit, during a fault of the store", func(history *History) {
+			history.Limits = []Limit{{Endpoint: "e", PerSecond: 1, From: after(0), To: after(10)}}
+			history.fault(Fault{Daemon: AllDaemons}, 0, 11)
+		}, "NamedLimit"},
 		{"a request goes on crashing endpoints", func(history *History) { history.crash(10) }, "CrashRetries"},
 		{"a request reaches endpoints as often after the bound as is allowed", func(history *History) { history.crash(9) }, ""},
 		{"a request goes on crashing endpoints through a daemon that was frozen", func(history *History) {
--- a/dogwoodload/dogwoodsoakcheck/limits.go
+++ b/dogwoodload/dogwoodsoakcheck/limits.go
@@ -113,9 +113,14 @@
 	return nil
 }
 
-// isBoundByLimit reports whether the daemon that sent a request is bound by the limit that its endpoint names.
+// isBoundByLimit reports whether the daemon that sent a request is bound by the limit that its endpoint names. A fault of
+// the store excuses none: limits come with answers.
 func (analysis *analysis) isBoundByLimit(arrival *Arrival) bool {
 	call := analysis.calls[arrival.RequestID]
-	return call != nil && analysis.daemonUnaffected(call.Daemon, call.Sent, arrival.At, analysis.bounds.Stability) &&
+	if call == nil {
+		return false
+	}
+	ownFault := func(fault *Fault) bool { return fault.Daemon == call.Daemon }
+	return analysis.noFault(call.Sent.Add(-analysis.bounds.Stability), arrival.At, ownFault) &&
 		analysis.endpointUnaffected(arrival.Endpoint, arrival.At.Add(-analysis.bounds.LimitWindow), arrival.At)
 }
