--- a/core/decision/dogwoodpacking/limit.go
+++ b/core/decision/dogwoodpacking/limit.go
@@ -9,20 +9,18 @@
 )
 
 const (
-	// limitBurst is the time whose requests an endpoint with a named limit may get at once. An endpoint with a low limit
-	// gets its requests one by one.
+	// limitBurst sets how many requests an endpoint may get at once: as many as its limit allows in this time, but at
+	// least one.
 	limitBurst = 100 * time.Millisecond
-	// maxLimitTurn is the time for which a daemon leaves a request at an endpoint with a named limit to each daemon whose
-	// turn comes before its own. Announcements arrive within it. turnShare bounds the turns of all daemons together, as a
-	// share of the time between two requests.
+	// maxLimitTurn is how long a daemon waits for each daemon whose turn comes before its own, so that their announcements
+	// arrive first. All turns together take no more than turnShare of the time between two requests.
 	maxLimitTurn = 10 * time.Millisecond
 	turnShare    = 0.25
 	// limitProbeInterval is the time without a request after which an endpoint gets one, however low its limit: nothing else
 	// would show that it has taken the limit back.
 	limitProbeInterval = 10 * time.Second
-	// maxLiftLag is by how much an answer without a limit may precede one with a limit and still lift it at another daemon:
-	// the answers may have arrived in another order than they were sent. If the endpoint has named the limit again, its
-	// next answer shows that.
+	// maxLiftLag is how much older than the last answer with a limit another daemon's answer without one may be and still lift
+	// it: answers to two daemons may arrive out of order. If the lift was wrong, the endpoint's next answer names the limit again.
 	maxLiftLag = time.Second
 	// maxNamedLimit bounds the limits that are kept. No endpoint gets as many requests a second.
 	maxNamedLimit = 1e6
@@ -126,8 +124,11 @@
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	state := board.endpoints[id]
-	if state == nil || !limit.IsValid() || !limit.Named && (!state.limit.Named || !sent.After(state.limit.at)) {
+	switch {
+	case state == nil, !limit.IsValid():
 		return EndpointLimit{}, false
+	case !limit.Named && !state.limit.Named, !limit.Named && !sent.After(state.limit.at):
+		return EndpointLimit{}, false // no limit is known, or the request was sent before it was named
 	}
 	changed := board.setLimit(now, state, limit, now)
 	return EndpointLimit{Endpoint: id, Limit: limit, At: now}, changed
--- a/core/duty/dogwoodsuspects/suspects.go
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -213,7 +213,7 @@
 	notices := duty.ledger.Died(time.Now(), run.lifetime(), []dogwoodsuspect.Run{{
 		Digest: run.Digest, Request: run.Request, Shared: true, Trial: run.Trial, Confirmed: certain,
 	}})
-	duty.changed(notices)
+	duty.updateStandings(notices)
 	duty.mutex.Unlock()
 	counters.Add("Strikes", 1)
 	duty.options.Logger.Info("An endpoint ended under a request.", "digest", run.Digest.String(), "request", run.Request,
@@ -226,7 +226,7 @@
 func (duty *Duty) Finished(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) {
 	duty.mutex.Lock()
 	notices := duty.ledger.Finished(time.Now(), dogwoodsuspect.Run{Digest: digest, Request: request, Shared: true})
-	duty.changed(notices)
+	duty.updateStandings(notices)
 	duty.mutex.Unlock()
 	if len(notices) == 0 {
 		return
@@ -239,8 +239,8 @@
 	})
 }
 
-// changed records a change of the ledger and logs new convictions. The caller holds the mutex.
-func (duty *Duty) changed(notices []dogwoodsuspect.Notice) {
+// updateStandings updates what depends on the standings of the digests of notices. The caller holds the mutex.
+func (duty *Duty) updateStandings(notices []dogwoodsuspect.Notice) {
 	if len(notices) == 0 {
 		return
 	}
@@ -303,7 +303,7 @@
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
 	duty.ledger.Learn(time.Now(), notices)
-	duty.changed(notices)
+	duty.updateStandings(notices)
 }
 
 func (duty *Duty) judge(request dogwoodsuspect.PermitRequest) dogwoodsuspect.PermitResponse {
