Show that daemons without the others' ledgers run refused requests

The daemon starts as a leaf and refuses the request, since it has its hub's list of refused requests. A moment later it is promoted, 10 to 65 ms after that it runs the request, and its own retry on a second endpoint, although it had refused it for up to half a second.

--- a/core/duty/dogwoodsuspects/suspects_test.go
+++ b/core/duty/dogwoodsuspects/suspects_test.go
@@ -33,10 +33,13 @@
 // fleet is a number of daemons in one process. The first hubs of them are hubs, the others leaves of the first.
 type fleet struct {
 	hubs int
+	// start runs another daemon until the test ends.
+	start func(duty *Duty)
 
 	mutex     sync.Mutex
 	duties    []*Duty
 	cut       map[int]bool // daemons that no call reaches
+	promoted  map[int]bool // leaves that have become hubs and know no other hub yet
 	endpoints int
 	crashes   int
 	// listed counts the notices in the answers to comparisons.
@@ -91,19 +94,39 @@
 	duty := New(Options{
 		Self: fleet.peer(index).Instance, Caller: caller{fleet, index},
 		Hubs: func() []Peer {
-			hubs := make([]Peer, fleet.hubs)
-			for i := range hubs {
-				hubs[i] = fleet.peer(i)
+			if fleet.isPromoted(index) {
+				return []Peer{fleet.peer(index)}
 			}
-			return hubs
+			return fleet.listedHubs()
 		},
-		IsLeaf: func() bool { return index >= fleet.hubs },
+		IsLeaf: func() bool { return index >= fleet.hubs && !fleet.isPromoted(index) },
 		Logger: hclog.NewNullLogger(),
 	})
 	duty.SetEndpoints(listed())
 	return duty
 }
 
+func (fleet *fleet) listedHubs() []Peer {
+	hubs := make([]Peer, fleet.hubs)
+	for i := range hubs {
+		hubs[i] = fleet.peer(i)
+	}
+	return hubs
+}
+
+// promote makes a leaf a hub that has not heard from the other hubs yet.
+func (fleet *fleet) promote(index int) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.promoted[index] = true
+}
+
+func (fleet *fleet) isPromoted(index int) bool {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.promoted[index]
+}
+
 // listed returns more endpoints than any test ends.
 func listed() []dogwoodpacking.Endpoint {
 	endpoints := make([]dogwoodpacking.Endpoint, 200)
@@ -125,7 +148,7 @@
 func runFleetTest(t *testing.T, hubs, leaves int, body func(t *testing.T, fleet *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		fleet := &fleet{hubs: hubs, cut: map[int]bool{}}
+		fleet := &fleet{hubs: hubs, cut: map[int]bool{}, promoted: map[int]bool{}}
 		ctx, cancel := context.WithCancel(t.Context())
 		var group sync.WaitGroup
 		for index := range hubs + leaves {
@@ -135,6 +158,7 @@
 			group.Go(func() { _ = duty.Run(ctx) })
 		}
 		group.Go(func() { fleet.pollHub(ctx) })
+		fleet.start = func(duty *Duty) { group.Go(func() { _ = duty.Run(ctx) }) }
 		time.Sleep(time.Second)
 		body(t, fleet)
 		cancel()
@@ -145,6 +169,18 @@
 	})
 }
 
+// restart replaces a daemon by one that has just started.
+func (fleet *fleet) restart(t *testing.T, index int) *Duty {
+	t.Helper()
+	fleet.setCut(index, false)
+	started := fleet.newDuty(index)
+	fleet.mutex.Lock()
+	fleet.duties[index] = started
+	fleet.mutex.Unlock()
+	fleet.start(started)
+	return started
+}
+
 // pollHub shows the version of the first hub's list to the leaves, as the answers to their polls do.
 func (fleet *fleet) pollHub(ctx context.Context) {
 	for dogwoodkernel.Sleep(ctx, pollInterval) {
@@ -255,13 +291,7 @@
 		if err := fleet.send(t.Context(), frozen, "after the freeze"); !isConvicted(err) {
 			t.Errorf("a daemon that was frozen: got %v, want the request refused", err)
 		}
-		started := fleet.newDuty(frozen)
-		fleet.mutex.Lock()
-		fleet.duties[frozen] = started
-		fleet.mutex.Unlock()
-		ctx, cancel := context.WithCancel(t.Context())
-		var group sync.WaitGroup
-		group.Go(func() { _ = started.Run(ctx) })
+		fleet.restart(t, frozen)
 		time.Sleep(2 * firstInterval)
 		if err := fleet.send(t.Context(), frozen, "after the start"); !isConvicted(err) {
 			t.Errorf("a daemon that has started: got %v, want the request refused", err)
@@ -269,11 +299,51 @@
 		if fleet.crashes != crashes {
 			t.Errorf("got %d more endpoints ended, want none", fleet.crashes-crashes)
 		}
-		cancel()
-		group.Wait()
 	})
 }
 
+// Guards against a daemon that ends an endpoint by a request that all others refuse, since it does not know their ledgers
+// at that moment: it has just started or been promoted, or it was frozen.
+func TestDaemonWithoutOthersLedgersRunsNothing(t *testing.T) {
+	const leaf, hub = 3, 2
+	tests := []struct {
+		name string
+		// prepare puts a daemon into that state and returns it.
+		prepare func(t *testing.T, fleet *fleet) *Duty
+	}{
+		{"a hub that has just started", func(t *testing.T, fleet *fleet) *Duty { return fleet.restart(t, hub) }},
+		{"a leaf that has just started", func(t *testing.T, fleet *fleet) *Duty { return fleet.restart(t, leaf) }},
+		{"a leaf that has just been promoted", func(_ *testing.T, fleet *fleet) *Duty {
+			time.Sleep(pollInterval + 10*latency)
+			fleet.promote(leaf)
+			return fleet.duty(leaf)
+		}},
+		{"a hub that was cut off", func(_ *testing.T, fleet *fleet) *Duty {
+			fleet.setCut(hub, false)
+			return fleet.duty(hub)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runFleetTest(t, 3, 1, func(t *testing.T, fleet *fleet) {
+				fleet.setCut(hub, true)
+				time.Sleep(10 * time.Second)
+				for number := range 3 {
+					_ = fleet.send(t.Context(), 0, fmt.Sprint(number)) // the last one is refused
+				}
+				duty := test.prepare(t, fleet)
+				began := time.Now()
+				if _, err := duty.Admit(t.Context(), crashing, "late"); !isConvicted(err) {
+					t.Errorf("got %v, want the request refused", err)
+				}
+				if waited := time.Since(began); waited > time.Second {
+					t.Errorf("got the request refused after %s, want it soon", waited)
+				}
+			})
+		})
+	}
+}
+
 // Guards against suspects that wait in vain while the daemon that grants their permits is cut off, and against a trial for
 // each daemon that can't reach it: the others agree on the next one.
 func TestUnreachableHomeIsReplaced(t *testing.T) {
