Let a daemon run nothing before it knows what the others refuse

What callers saw: a request that all daemons refused ended two more engines, with all that ran there, when it came through a daemon that had just started.

Cause: the list of refused requests that a leaf has from its hub counted only while it was a leaf. Once promoted, the daemon had an empty ledger until its first comparison, 0.2 to 2 s later; meanwhile it ran the request, and then ran its own retry, which asks nobody. A hub that starts and a leaf that starts had the same gap, and one that was frozen or cut off had it until its next comparison.

Change: a promoted leaf keeps its hub's list until it has compared its ledger. A new hub compares it at once, with all hubs that are listed or alive, until one answers that knows the others'. Requests at a daemon whose last comparison or poll is older than 4 s (on the clock that includes suspensions) wait for the next one, 0.9 s at most, and not again until one has succeeded.

TestDaemonsWithoutKnowledgeServe bounds the waits.

--- a/core/duty/dogwoodhub/leaf.go
+++ b/core/duty/dogwoodhub/leaf.go
@@ -62,8 +62,9 @@
 	// TableNames are the tables that the leaf follows. The first is the one whose confirmations matter.
 	TableNames []string
 	Clock      dogwoodfreshness.Clock
-	// SeeRefused is called with the version of a hub's list of refused requests; nil if it doesn't matter.
-	SeeRefused func(hub dogwoodhubs.Daemon, version uint64)
+	// SeeRefused is called with the version of a hub's list of refused requests, and when the hub was asked on Clock; nil if
+	// it doesn't matter.
+	SeeRefused func(hub dogwoodhubs.Daemon, version uint64, asked time.Duration)
 	Logger     hclog.Logger
 }
 
@@ -277,7 +278,7 @@
 		}
 	}
 	if leaf.options.SeeRefused != nil {
-		leaf.options.SeeRefused(hub, news.Refused)
+		leaf.options.SeeRefused(hub, news.Refused, sent)
 	}
 	return news, nil
 }
--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -139,7 +139,7 @@
 	endpoints *fakeEndpoints
 	suspects  *dogwoodsuspects.Duty
 	// frozenHub is another hub, which answers no call; nil if this daemon is the only one.
-	frozenHub *dogwoodsuspects.Peer
+	frozenHub atomic.Pointer[dogwoodsuspects.Peer]
 	stale     atomic.Bool
 	answer    *recorder
 }
@@ -154,7 +154,8 @@
 		endpoints: &fakeEndpoints{script: script, reservations: map[string]int{}, leases: map[string]time.Time{}, noFreeMemory: map[dogwoodfleet.EndpointID]bool{}},
 	}
 	fixture.suspects = dogwoodsuspects.New(dogwoodsuspects.Options{
-		Self: "me", Caller: frozenCaller{}, Hubs: fixture.hubs, IsLeaf: func() bool { return false }, Logger: hclog.NewNullLogger(),
+		Self: "me", Caller: frozenCaller{}, Hubs: fixture.hubs, Listed: func() []dogwoodsuspects.Peer { return nil },
+		Role: func() (bool, <-chan struct{}) { return false, nil }, Clock: func() time.Duration { return 0 }, Logger: hclog.NewNullLogger(),
 	})
 	fixture.setEndpoints(3, engine)
 	fixture.relay = New(Options{
@@ -165,6 +166,8 @@
 		Logger:  hclog.NewNullLogger(),
 	})
 	group.Go(func() { _ = fixture.relay.Run(ctx) })
+	group.Go(func() { _ = fixture.suspects.Run(ctx) })
+	synctest.Wait() // the daemon knows that it is the only one
 	return fixture
 }
 
@@ -179,8 +182,8 @@
 
 func (fixture *fixture) hubs() []dogwoodsuspects.Peer {
 	hubs := []dogwoodsuspects.Peer{{Instance: "me"}}
-	if fixture.frozenHub != nil {
-		hubs = append(hubs, *fixture.frozenHub)
+	if hub := fixture.frozenHub.Load(); hub != nil {
+		hubs = append(hubs, *hub)
 	}
 	return hubs
 }
--- a/core/duty/dogwoodrelay/suspects_test.go
+++ b/core/duty/dogwoodrelay/suspects_test.go
@@ -89,7 +89,7 @@
 func TestRetryDoesNotWaitForNotices(t *testing.T) {
 	runRelayTest(t, nil, []step{fails(&Broken{Cause: io.EOF}), responds(http.StatusOK, "whole")}, func(t *testing.T, fixture *fixture) {
 		fixture.endpoints.condition = dogwoodsuspects.Ended
-		fixture.frozenHub = &dogwoodsuspects.Peer{Instance: "frozen"}
+		fixture.frozenHub.Store(&dogwoodsuspects.Peer{Instance: "frozen"})
 		request, began := plainRequest(dogwoodroute.Idempotent), time.Now()
 		if err := fixture.relay.Serve(t.Context(), request, fixture.answer); err != nil {
 			t.Fatal(err)
@@ -100,7 +100,7 @@
 	})
 	runRelayTest(t, nil, []step{fails(&Broken{Cause: io.EOF})}, func(t *testing.T, fixture *fixture) {
 		fixture.endpoints.condition = dogwoodsuspects.Ended
-		fixture.frozenHub = &dogwoodsuspects.Peer{Instance: "frozen"}
+		fixture.frozenHub.Store(&dogwoodsuspects.Peer{Instance: "frozen"})
 		began := time.Now()
 		if err := fixture.relay.Serve(t.Context(), plainRequest(dogwoodroute.Once), fixture.answer); err == nil {
 			t.Fatal("got no failure, want one")
--- a/core/duty/dogwoodsuspects/benchmark_test.go
+++ b/core/duty/dogwoodsuspects/benchmark_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -12,8 +13,10 @@
 // BenchmarkHarmlessRequest measures what each request costs that no endpoint ended under.
 func BenchmarkHarmlessRequest(b *testing.B) {
 	duty := New(Options{
-		Self: "me", Hubs: func() []Peer { return nil }, IsLeaf: func() bool { return false }, Logger: hclog.NewNullLogger(),
+		Self: "me", Hubs: func() []Peer { return nil }, Listed: func() []Peer { return nil },
+		Role: func() (bool, <-chan struct{}) { return false, nil }, Clock: func() time.Duration { return 0 }, Logger: hclog.NewNullLogger(),
 	})
+	duty.knowledge.confirm(0)
 	b.ReportAllocs()
 	var digest dogwoodfleet.Digest
 	for number := uint64(0); b.Loop(); number++ {
--- a/core/duty/dogwoodsuspects/leaf.go
+++ b/core/duty/dogwoodsuspects/leaf.go
@@ -40,16 +40,25 @@
 	return refusedList.hub, refusedList.from != refusedList.hub.Instance || refusedList.version != refusedList.seen
 }
 
-// SeeRefused records the version of the list of the hub that this leaf follows.
-func (duty *Duty) SeeRefused(hub Peer, version uint64) {
+// clear drops the copy.
+func (refusedList *refusedList) clear() {
+	refusedList.mutex.Lock()
+	defer refusedList.mutex.Unlock()
+	refusedList.from, refusedList.ends = "", nil
+}
+
+// SeeRefused records the version of the list of the hub that this leaf follows, from the answer to a poll that was sent at asked.
+func (duty *Duty) SeeRefused(hub Peer, version uint64, asked time.Duration) {
 	duty.refused.mutex.Lock()
 	duty.refused.hub, duty.refused.seen = hub, version
 	duty.refused.mutex.Unlock()
-	if _, outdated := duty.refused.outdated(); outdated {
-		select {
-		case duty.refused.fetch <- struct{}{}:
-		default: // a fetch is due already
-		}
+	if _, outdated := duty.refused.outdated(); !outdated {
+		duty.knowledge.confirm(asked)
+		return
+	}
+	select {
+	case duty.refused.fetch <- struct{}{}:
+	default: // a fetch is due already
 	}
 }
 
@@ -79,6 +88,7 @@
 func (duty *Duty) fetchRefused(ctx context.Context, hub Peer) bool {
 	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
 	defer cancel()
+	asked := duty.knowledge.tracker.Now()
 	var refused RefusedList
 	if err := duty.options.Caller.Call(ctx, hub.Address, Name+".Refused", duty.options.Self, &refused); err != nil {
 		duty.options.Logger.Debug("The hub's list of refused requests could not be fetched.", "peer", hub.Instance, "error", err)
@@ -94,6 +104,7 @@
 	list.from, list.version, list.ends = hub.Instance, refused.Version, ends
 	if list.hub.Instance == hub.Instance {
 		list.seen = max(list.seen, refused.Version)
+		duty.knowledge.confirm(asked)
 	}
 	return true
 }
--- a/core/duty/dogwoodsuspects/permit.go
+++ b/core/duty/dogwoodsuspects/permit.go
@@ -57,6 +57,9 @@
 // Admit waits until a request may run. It returns the permit of a suspect, nil for a request that needs none, or a
 // *Refused error. It returns the context's error if that ends first.
 func (duty *Duty) Admit(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) (*Permit, error) {
+	if err := duty.knowledge.await(ctx); err != nil {
+		return nil, err
+	}
 	standing, _ := duty.standing(digest)
 	if standing == dogwoodsuspect.Clear {
 		return nil, nil
--- a/core/duty/dogwoodsuspects/suspects.go
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -4,21 +4,22 @@
 //
 // A hub that starts, continues after a freeze or missed a notice compares its ledger with another hub's. A leaf gets no
 // notices: the answers to its polls have the version of its hub's list of refused requests, which it fetches when that
-// changes.
+// changes. Requests wait for a moment at a daemon that has not done so for long.
 package dogwoodsuspects
 
 import (
 	"context"
 	"expvar"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
+	"dogwoodmux.example/core/decision/dogwoodfreshness"
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/decision/dogwoodsuspect"
 	"dogwoodmux.example/core/dogwoodfleet"
@@ -40,7 +41,8 @@
 	waitRetryAfter = time.Second
 )
 
-// counters are published under "Suspects": Strikes, Convictions, Refused, Waited, Trials, Cleared, NoticesLost, RunsDropped.
+// counters are published under "Suspects": Strikes, Convictions, Refused, Waited, Trials, Cleared, NoticesLost, RunsDropped,
+// AwaitedKnowledge.
 var counters = expvar.NewMap("Suspects")
 
 // Options configure a Duty.
@@ -49,8 +51,12 @@
 	Caller Caller
 	// Hubs lists the live hubs, this daemon included if it is one.
 	Hubs func() []Peer
-	// IsLeaf reports whether this daemon is a leaf.
-	IsLeaf func() bool
+	// Listed lists the other hubs of the fleet's list, live or not. Their instances may be unknown.
+	Listed func() []Peer
+	// Role reports whether this daemon is a leaf, or has no role yet. The channel is closed when that may have changed.
+	Role func() (isLeaf bool, changed <-chan struct{})
+	// Clock includes the time that the machine is suspended.
+	Clock  dogwoodfreshness.Clock
 	Logger hclog.Logger
 }
 
@@ -61,10 +67,13 @@
 	// background holds the goroutines that notify the hubs and return permits.
 	background errgroup.Group
 	refused    refusedList
-	// known holds the version of each hub's ledger at the last comparison; only Run uses it.
-	known map[dogwoodfleet.InstanceID]uint64
+	knowledge  *knowledge
+	// compared is true on a hub that has asked the others for their ledgers since it became one.
+	compared atomic.Bool
 
-	mutex  sync.Mutex
+	mutex sync.Mutex
+	// known holds the version of each hub's ledger at the last comparison.
+	known  map[dogwoodfleet.InstanceID]uint64
 	ledger *dogwoodsuspect.Ledger
 	// inForce holds the listed endpoints, each by the ID of its lifetime, and whether it is in force; nil before they
 	// are known.
@@ -85,6 +94,7 @@
 		options: options, ledger: dogwoodsuspect.NewLedger(),
 		convicted: map[dogwoodfleet.Digest]time.Time{}, known: map[dogwoodfleet.InstanceID]uint64{},
 		refused: refusedList{fetch: make(chan struct{}, 1)}, resolved: make(chan Run, maxUnresolved),
+		knowledge: newKnowledge(options.Clock, options.Logger),
 	}
 	duty.exchange = Exchange{
 		Receiver: Name, Self: options.Self, Caller: options.Caller, Peers: options.Hubs, Judge: duty.judge, Lost: duty.noticeLost,
@@ -287,12 +297,11 @@
 	return duty.ledger.Convictions(time.Now())
 }
 
-// standing returns the digest's standing and its end. At a leaf, a digest that its hub refuses is convicted.
+// standing returns the digest's standing and its end. At a leaf, a digest that its hub refuses is convicted, also once the
+// leaf is promoted, until it has compared its ledger.
 func (duty *Duty) standing(digest dogwoodfleet.Digest) (dogwoodsuspect.Standing, time.Time) {
-	if duty.options.IsLeaf() {
-		if until := duty.refused.until(digest); time.Now().Before(until) {
-			return dogwoodsuspect.Convicted, until
-		}
+	if until := duty.refused.until(digest); time.Now().Before(until) {
+		return dogwoodsuspect.Convicted, until
 	}
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
@@ -312,11 +321,7 @@
 	return duty.ledger.Judge(time.Now(), request)
 }
 
-// otherHub returns a random hub other than this daemon.
-func (duty *Duty) otherHub() (Peer, bool) {
-	hubs := slices.DeleteFunc(slices.Clone(duty.options.Hubs()), func(hub Peer) bool { return hub.Instance == duty.options.Self })
-	if len(hubs) == 0 {
-		return Peer{}, false
-	}
-	return hubs[rand.IntN(len(hubs))], true
+// otherHubs returns the live hubs other than this daemon.
+func (duty *Duty) otherHubs() []Peer {
+	return slices.DeleteFunc(slices.Clone(duty.options.Hubs()), func(hub Peer) bool { return hub.Instance == duty.options.Self })
 }
--- a/core/duty/dogwoodsuspects/suspects_test.go
+++ b/core/duty/dogwoodsuspects/suspects_test.go
@@ -32,16 +32,19 @@
 
 // fleet is a number of daemons in one process. The first hubs of them are hubs, the others leaves of the first.
 type fleet struct {
-	hubs int
+	hubs    int
+	started time.Time
 	// start runs another daemon until the test ends.
 	start func(duty *Duty)
 
-	mutex     sync.Mutex
-	duties    []*Duty
-	cut       map[int]bool // daemons that no call reaches
-	promoted  map[int]bool // leaves that have become hubs and know no other hub yet
-	endpoints int
-	crashes   int
+	mutex    sync.Mutex
+	duties   []*Duty
+	cut      map[int]bool // daemons that no call reaches
+	promoted map[int]bool // leaves that have become hubs and know no other hub yet
+	// roleChanged is closed at the next promotion.
+	roleChanged chan struct{}
+	endpoints   int
+	crashes     int
 	// listed counts the notices in the answers to comparisons.
 	listed int
 }
@@ -99,7 +102,13 @@
 			}
 			return fleet.listedHubs()
 		},
-		IsLeaf: func() bool { return index >= fleet.hubs && !fleet.isPromoted(index) },
+		Listed: fleet.listedHubs,
+		Role: func() (bool, <-chan struct{}) {
+			fleet.mutex.Lock()
+			defer fleet.mutex.Unlock()
+			return index >= fleet.hubs && !fleet.promoted[index], fleet.roleChanged
+		},
+		Clock:  func() time.Duration { return time.Since(fleet.started) },
 		Logger: hclog.NewNullLogger(),
 	})
 	duty.SetEndpoints(listed())
@@ -119,6 +128,8 @@
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	fleet.promoted[index] = true
+	close(fleet.roleChanged)
+	fleet.roleChanged = make(chan struct{})
 }
 
 func (fleet *fleet) isPromoted(index int) bool {
@@ -148,7 +159,7 @@
 func runFleetTest(t *testing.T, hubs, leaves int, body func(t *testing.T, fleet *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		fleet := &fleet{hubs: hubs, cut: map[int]bool{}, promoted: map[int]bool{}}
+		fleet := &fleet{hubs: hubs, started: time.Now(), cut: map[int]bool{}, promoted: map[int]bool{}, roleChanged: make(chan struct{})}
 		ctx, cancel := context.WithCancel(t.Context())
 		var group sync.WaitGroup
 		for index := range hubs + leaves {
@@ -178,14 +189,22 @@
 	fleet.duties[index] = started
 	fleet.mutex.Unlock()
 	fleet.start(started)
+	fleet.poll(index)
 	return started
 }
 
-// pollHub shows the version of the first hub's list to the leaves, as the answers to their polls do.
+// poll shows the version of the first hub's list to a leaf, as the answer to a poll does.
+func (fleet *fleet) poll(index int) {
+	if index >= fleet.hubs && !fleet.isPromoted(index) {
+		fleet.duty(index).SeeRefused(fleet.peer(0), fleet.duty(0).RefusedVersion(), time.Since(fleet.started))
+	}
+}
+
+// pollHub shows it to all leaves again and again.
 func (fleet *fleet) pollHub(ctx context.Context) {
 	for dogwoodkernel.Sleep(ctx, pollInterval) {
-		for index := fleet.hubs; index < len(fleet.duties); index++ {
-			fleet.duty(index).SeeRefused(fleet.peer(0), fleet.duty(0).RefusedVersion())
+		for index := range fleet.duties {
+			fleet.poll(index)
 		}
 	}
 }
@@ -292,7 +311,7 @@
 			t.Errorf("a daemon that was frozen: got %v, want the request refused", err)
 		}
 		fleet.restart(t, frozen)
-		time.Sleep(2 * firstInterval)
+		time.Sleep(2 * retryInterval)
 		if err := fleet.send(t.Context(), frozen, "after the start"); !isConvicted(err) {
 			t.Errorf("a daemon that has started: got %v, want the request refused", err)
 		}
@@ -344,6 +363,49 @@
 	}
 }
 
+// Guards against requests that wait although no other daemon can tell anything: all start at the same moment, as after a loss
+// of power, or one is cut off from the others for long.
+func TestDaemonsWithoutKnowledgeServe(t *testing.T) {
+	const hubs = 3
+	tests := []struct {
+		name    string
+		prepare func(t *testing.T, fleet *fleet)
+		want    time.Duration // the longest wait of the first request; later ones don't wait
+	}{
+		{"all start at once", func(t *testing.T, fleet *fleet) {
+			for index := range hubs {
+				fleet.restart(t, index)
+			}
+		}, 10 * latency},
+		{"the others are silent", func(t *testing.T, fleet *fleet) {
+			fleet.setCut(1, true)
+			fleet.setCut(2, true)
+			fleet.restart(t, 0)
+		}, compareTimeout},
+		{"it is cut off for long", func(_ *testing.T, fleet *fleet) {
+			fleet.setCut(0, true)
+			time.Sleep(time.Minute)
+		}, maxKnowledgeWait},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runFleetTest(t, hubs, 0, func(t *testing.T, fleet *fleet) {
+				test.prepare(t, fleet)
+				for number, want := range []time.Duration{test.want, 0} {
+					began := time.Now()
+					permit, err := fleet.duty(0).Admit(t.Context(), crashing, "harmless")
+					if permit != nil || err != nil {
+						t.Errorf("request %d: got permit %v and error %v, want the request admitted", number, permit, err)
+					}
+					if waited := time.Since(began); waited > want {
+						t.Errorf("request %d: got it admitted after %s, want %s at most", number, waited, want)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against suspects that wait in vain while the daemon that grants their permits is cut off, and against a trial for
 // each daemon that can't reach it: the others agree on the next one.
 func TestUnreachableHomeIsReplaced(t *testing.T) {
