Record the end of a trial's endpoint although many copies ran before

What callers would have seen: a request that crashes endpoints is never refused where 16 copies or more ran at the first moment, as in a fleet with more than 16 daemons; each trial ends one more endpoint, one after the other.

Cause: a record keeps 16 strikes and dropped all later ones, that of the trial too, without which a digest is not convicted.

Change: a full record drops the latest strike that is none of a trial's. The first ones stay, by which requests that ran on the same endpoints are told apart.

TestManyCopiesAreRefused failed before: still a suspect after 32 copies and the trial.

--- a/core/decision/dogwoodsuspect/shared.go
+++ b/core/decision/dogwoodsuspect/shared.go
@@ -17,7 +17,7 @@
 	// another digest ran on the same endpoints.
 	minSharedEndpoints    = 2
 	maxAmbiguousEndpoints = 3
-	// maxSharedStrikes bounds the strikes that a record keeps.
+	// maxSharedStrikes bounds the strikes that a record keeps: the first ones, those of trials and the latest.
 	maxSharedStrikes = 16
 )
 
@@ -49,7 +49,7 @@
 		ledger.mergeShared(&found.shared[i], notice)
 		return
 	}
-	if len(found.shared) == maxSharedStrikes {
+	if len(found.shared) == maxSharedStrikes && !ledger.dropLatestOutsideTrials(notice.Digest, found) {
 		return
 	}
 	found.shared = append(found.shared, sharedStrike{
@@ -109,16 +109,33 @@
 			return false
 		}
 		ledger.version++
-		remaining := slices.DeleteFunc(ledger.struck[strike.endpoint], func(other dogwoodfleet.Digest) bool { return other == digest })
-		if len(remaining) == 0 {
-			delete(ledger.struck, strike.endpoint)
-		} else {
-			ledger.struck[strike.endpoint] = remaining
-		}
+		ledger.unlink(digest, strike.endpoint)
 		return true
 	})
 }
 
+// dropLatestOutsideTrials drops the latest strike of a record whose run was no trial. It reports whether there was one.
+func (ledger *Ledger) dropLatestOutsideTrials(digest dogwoodfleet.Digest, found *record) bool {
+	for i, strike := range slices.Backward(found.shared) {
+		if !strike.trial {
+			ledger.unlink(digest, strike.endpoint)
+			found.shared = slices.Delete(found.shared, i, i+1)
+			return true
+		}
+	}
+	return false
+}
+
+// unlink removes a digest from those with a shared strike at the endpoint.
+func (ledger *Ledger) unlink(digest dogwoodfleet.Digest, endpoint dogwoodfleet.EndpointID) {
+	remaining := slices.DeleteFunc(ledger.struck[endpoint], func(other dogwoodfleet.Digest) bool { return other == digest })
+	if len(remaining) == 0 {
+		delete(ledger.struck, endpoint)
+		return
+	}
+	ledger.struck[endpoint] = remaining
+}
+
 // sharedConviction returns the time until which a digest is convicted by the ends of endpoints that it shared with
 // other requests; zero if it is not.
 //
--- a/core/decision/dogwoodsuspect/shared_test.go
+++ b/core/decision/dogwoodsuspect/shared_test.go
@@ -15,6 +15,10 @@
 	}
 }
 
+func endpoint(number int) dogwoodfleet.EndpointID {
+	return dogwoodfleet.EndpointID(rune('a' + number))
+}
+
 // Guards against refusing a harmless request that ran on endpoints that ended, and against running one that ends
 // each of them.
 func TestSharedStrikes(t *testing.T) {
@@ -114,6 +118,20 @@
 	checkStanding(t, elsewhere, now, digest, Clear)
 }
 
+// Guards against a crashing request that is never refused since so many copies of it ran at the first moment that the end of
+// its trial's endpoint was not recorded.
+func TestManyCopiesAreRefused(t *testing.T) {
+	ledger := NewLedger()
+	for number := range 2 * maxSharedStrikes {
+		ledger.Learn(start, []Notice{sharedEnd(digest, endpoint(number), false, true)})
+	}
+	checkStanding(t, ledger, start, digest, Suspect)
+	ledger.Learn(start, []Notice{sharedEnd(digest, "trial", true, true)})
+	checkStanding(t, ledger, start, digest, Convicted)
+	ledger.Learn(start, []Notice{sharedEnd(digest, "reported late", false, true)})
+	checkStanding(t, ledger, start, digest, Convicted)
+}
+
 // Guards against a crashing request that is never refused, since a popular harmless one ran on all endpoints that it
 // ended and on more.
 func TestProvenDigestExplainsNoEnds(t *testing.T) {
@@ -145,8 +163,7 @@
 	ledger := NewLedger()
 	for number := range MaxRecords + 100 {
 		digest := dogwoodfleet.Digest{byte(number), byte(number >> 8), byte(number >> 16)}
-		endpoint := dogwoodfleet.EndpointID(rune('a' + number%1000))
-		ledger.Learn(start, []Notice{sharedEnd(digest, endpoint, false, false)})
+		ledger.Learn(start, []Notice{sharedEnd(digest, endpoint(number%1000), false, false)})
 	}
 	if got := len(ledger.records); got > MaxRecords {
 		t.Errorf("got %d records, want at most %d", got, MaxRecords)
@@ -159,7 +176,7 @@
 		t.Errorf("got %d strikes by endpoint, want %d", struck, len(ledger.records))
 	}
 	for number := range 100 {
-		ledger.Learn(start, []Notice{sharedEnd(digest, dogwoodfleet.EndpointID(rune('a'+number)), true, false)})
+		ledger.Learn(start, []Notice{sharedEnd(digest, endpoint(number), true, false)})
 	}
 	if got := len(ledger.records[digest].shared); got > maxSharedStrikes {
 		t.Errorf("got %d strikes of one digest, want at most %d", got, maxSharedStrikes)
