Refuse a request that finished once and has only crashed endpoints since

What callers would have seen: a request that was answered before and ends each endpoint now, since its model or version has changed, is sent to endpoints without end: it is neither tried one copy at a time nor refused.

Cause: a digest that finished counted as harmless until 8,192 to 16,384 other ones had finished, whatever it did afterwards.

Change: a finished run removes the strikes before it, so strikes at three moments a second apart say that none has finished in between. Then the digest counts as one that never finished. A rack that fails is one moment; the copies of a popular request finish between two of them (TestPopularRequestIsNoSuspect, TestProvenDigestIsNotRefused pass unchanged).

TestProvenDigestThatOnlyCrashesIsRefused failed before: clear after 32 ends in 3.2 s.

--- a/core/decision/dogwoodsuspect/shared.go
+++ b/core/decision/dogwoodsuspect/shared.go
@@ -19,6 +19,11 @@
 	maxAmbiguousEndpoints = 3
 	// maxSharedStrikes bounds the strikes that a record keeps: the first ones, those of trials and the latest.
 	maxSharedStrikes = 16
+	// momentInterval is the time from which two ends are not ends of one rack, and maxProvenMoments the number of
+	// moments with ends, none of which a finished run has followed, at which a digest that finished before counts as one
+	// that never did.
+	momentInterval   = time.Second
+	maxProvenMoments = 3
 )
 
 // sharedStrike is the end of an endpoint that ran a request beside others.
@@ -136,15 +141,30 @@
 	ledger.struck[endpoint] = remaining
 }
 
+// isHarmless reports whether a digest finished recently and has not ended endpoints again and again since. A finished run
+// removes the strikes before it, so those of a popular harmless request are of one moment, or two.
+func (ledger *Ledger) isHarmless(digest dogwoodfleet.Digest, found *record) bool {
+	if !ledger.Proven(digest) {
+		return false
+	}
+	moments, latest := 0, time.Time{}
+	for i := range found.shared {
+		if at := found.shared[i].at; at.Sub(latest) >= momentInterval {
+			moments, latest = moments+1, at
+		}
+	}
+	return moments < maxProvenMoments
+}
+
 // sharedConviction returns the time until which a digest is convicted by the ends of endpoints that it shared with
 // other requests; zero if it is not.
 //
 // Every request of a batch gets a strike, so strikes alone show little: the copies of a popular request run on
 // nearly every endpoint of a rack that fails. A digest is convicted only if an endpoint ended during a trial, which
-// began after the first strike, and if it has not finished recently. Of the digests that ended the same endpoints
+// began after the first strike, and if it is not known as harmless. Of the digests that ended the same endpoints
 // the one that ended the most is taken for the cause: a harmless request that was retried beside it twice has fewer.
 func (ledger *Ledger) sharedConviction(digest dogwoodfleet.Digest, found *record) time.Time {
-	if len(found.shared) < minSharedEndpoints || ledger.Proven(digest) || ledger.isDominated(digest, found) {
+	if len(found.shared) < minSharedEndpoints || ledger.isHarmless(digest, found) || ledger.isDominated(digest, found) {
 		return time.Time{}
 	}
 	var last time.Time
--- a/core/decision/dogwoodsuspect/shared_test.go
+++ b/core/decision/dogwoodsuspect/shared_test.go
@@ -132,6 +132,27 @@
 	checkStanding(t, ledger, start, digest, Convicted)
 }
 
+// Guards against a request that finished once and has crashed each endpoint since, such as one whose model has changed: it
+// is no harmless one any more once endpoints have ended at three moments and none of its runs has finished in between.
+func TestProvenDigestThatOnlyCrashesIsRefused(t *testing.T) {
+	ledger := NewLedger()
+	ledger.Finished(start, Run{Digest: digest, Request: "0", Shared: true})
+	now := start
+	for number := range 2 * maxSharedStrikes {
+		now = start.Add(time.Duration(number) * 100 * time.Millisecond)
+		want := Clear
+		if now.Sub(start) >= 2*momentInterval {
+			want = Suspect
+		}
+		ledger.Learn(now.Add(time.Millisecond), []Notice{sharedEnd(digest, endpoint(number), false, true)})
+		checkStanding(t, ledger, now, digest, want)
+	}
+	ledger.Learn(now, []Notice{sharedEnd(digest, "trial", true, true)})
+	checkStanding(t, ledger, now, digest, Convicted)
+	ledger.Learn(now, ledger.Finished(now, Run{Digest: digest, Request: "1", Shared: true}))
+	checkStanding(t, ledger, now, digest, Clear)
+}
+
 // Guards against a crashing request that is never refused, since a popular harmless one ran on all endpoints that it
 // ended and on more.
 func TestProvenDigestExplainsNoEnds(t *testing.T) {
--- a/core/decision/dogwoodsuspect/suspect.go
+++ b/core/decision/dogwoodsuspect/suspect.go
@@ -141,7 +141,7 @@
 	if until := ledger.sharedConviction(digest, found); now.Before(until) {
 		return Convicted, until
 	}
-	if len(found.strikes) == 0 && ledger.Proven(digest) {
+	if len(found.strikes) == 0 && ledger.isHarmless(digest, found) {
 		return Clear, time.Time{}
 	}
 	return Suspect, found.expires
