Let a leaf ask before a suspect's own retry

What callers would have seen: copies of a crashing request at leaves, to which callers come with old addresses, ended two engines at each leaf that had not polled its hub since the refusal began, up to 1.2 s.

Cause: a request that is a suspect by its own runs alone asks nobody. That is right at a hub, which hears of all ends; a leaf hears of its own only.

TestLeafAsksBeforeItsOwnRetry failed before: its retry was admitted. It costs a harmless request's retry at a leaf one call, 0.3 s if the hub is frozen.

--- a/core/duty/dogwoodsuspects/permit.go
+++ b/core/duty/dogwoodsuspects/permit.go
@@ -117,8 +117,12 @@
 	return duty.exchange.RequestPermit(ctx, ask, unreachable...)
 }
 
-// isOwnRetry reports whether the digest is a suspect because of earlier runs of the request alone.
+// isOwnRetry reports whether the digest is a suspect because of earlier runs of the request alone. A leaf can't tell: it gets
+// no notices of other runs.
 func (duty *Duty) isOwnRetry(digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) bool {
+	if isLeaf, _ := duty.options.Role(); isLeaf {
+		return false
+	}
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
 	return duty.ledger.StruckOnlyBy(digest, request)
--- a/core/duty/dogwoodsuspects/suspects_test.go
+++ b/core/duty/dogwoodsuspects/suspects_test.go
@@ -452,6 +452,24 @@
 	})
 }
 
+// Guards against a leaf that ends two endpoints by a request that its hub has just begun to refuse: the leaf learns of that
+// with its next poll, and the request's own retry comes at once.
+func TestLeafAsksBeforeItsOwnRetry(t *testing.T) {
+	const leaf = 2
+	runFleetTest(t, 2, 1, func(t *testing.T, fleet *fleet) {
+		time.Sleep(10 * latency) // the leaf has just polled
+		for number := range 2 {
+			_ = fleet.send(t.Context(), 0, fmt.Sprint(number))
+		}
+		if err := fleet.send(t.Context(), leaf, "at a leaf"); err != nil {
+			t.Fatalf("got %v, want the request to run before the leaf has polled again", err)
+		}
+		if _, err := fleet.duty(leaf).Admit(t.Context(), crashing, "at a leaf"); !isConvicted(err) {
+			t.Errorf("its own retry: got %v, want it refused", err)
+		}
+	})
+}
+
 // Guards against a strike for an endpoint that ended as it should: one that was draining, or that had left.
 func TestEndpointsThatLeaveAreNoStrikes(t *testing.T) {
 	runFleetTest(t, 1, 0, func(t *testing.T, fleet *fleet) {
