Release memory that its prompt does not use, however long its prefill is predicted

Cause: a try whose primary engine fell silent before its prefill was given up a second before the bound, but never before twice the predicted prefill, since silence and a long prefill looked alike. A primary engine that sent events of other streams was also left alone.

If one says no, the try ends; if all say yes, it goes on.

TestUnusedMemoryIsReleasedInTime has a prompt with such a prediction now, which failed before. TestLongPrefillDoesNotCountAsUnusedMemory lets the engines report that they use the memory, as its story says.

--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -39,6 +39,8 @@
 	noFreeMemory map[dogwoodfleet.EndpointID]bool // endpoints that refuse reservations
 	// darkFrom returns when an endpoint stops responding; nil if none does.
 	darkFrom func(endpoint dogwoodfleet.EndpointID) time.Time
+	// memoryUsed is true if prompts use the memory that is reserved for them.
+	memoryUsed bool
 	// condition is the condition of all endpoints.
 	condition dogwoodsuspects.Condition
 
@@ -83,6 +85,14 @@
 	return nil
 }
 
+func (fake *fakeEndpoints) MemoryUsed(ctx context.Context, endpoint dogwoodfleet.Endpoint, _ string) (bool, error) {
+	if fake.isDark(endpoint.ID) {
+		<-ctx.Done()
+		return false, ctx.Err()
+	}
+	return fake.memoryUsed, nil
+}
+
 func (fake *fakeEndpoints) Condition(context.Context, dogwoodfleet.Endpoint) dogwoodsuspects.Condition {
 	return fake.condition
 }
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -126,6 +126,8 @@
 	Reserve(ctx context.Context, endpoint dogwoodfleet.Endpoint, ticket string, tokens int, lease time.Duration) error
 	// Release releases the memory reserved under a ticket.
 	Release(ctx context.Context, endpoint dogwoodfleet.Endpoint, ticket string) error
+	// MemoryUsed asks an endpoint whether the prompt has begun to use the memory reserved under the ticket.
+	MemoryUsed(ctx context.Context, endpoint dogwoodfleet.Endpoint, ticket string) (bool, error)
 	// Condition asks an endpoint at which a run broke off whether it is still running.
 	Condition(ctx context.Context, endpoint dogwoodfleet.Endpoint) dogwoodsuspects.Condition
 	// Check returns an error if the engine does not respond on a new connection.
--- a/core/duty/dogwoodrelay/reserve.go
+++ b/core/duty/dogwoodrelay/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -115,6 +116,31 @@
 	return err == nil
 }
 
+// isUsed asks all helpers whether the prompt uses the memory. It returns an error if none says that it is unused, and one
+// gives no answer.
+func (reservation *reservation) isUsed(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	var group errgroup.Group
+	var unused atomic.Bool
+	for _, helper := range reservation.helpers {
+		group.Go(func() error {
+			var err error
+			reservation.runTask("question for used memory", func() {
+				var used bool
+				if used, err = reservation.relay.options.Endpoints.MemoryUsed(ctx, helper.Endpoint.Endpoint, reservation.ticket); err == nil && !used {
+					unused.Store(true)
+				}
+			})
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil && !unused.Load() {
+		return false, err
+	}
+	return !unused.Load(), nil
+}
+
 func (reservation *reservation) renewAll(ctx context.Context) {
 	for _, helper := range reservation.helpers {
 		if err := reservation.renew(ctx, helper); err != nil && ctx.Err() == nil {
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -12,8 +12,8 @@
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 )
 
-// prefillFactor is how many times the predicted time a run may take before its helpers' memory can
-// count as unused. An engine that prefills uses that memory but sends no event in the meantime.
+// prefillFactor is how many times the predicted time a run may take before its helpers' memory counts as unused if they
+// can't say whether it is. An engine that prefills uses that memory but sends no event in the meantime.
 const prefillFactor = 2
 
 var (
@@ -63,7 +63,7 @@
 	run.send = func() (*Response, error) {
 		return preparedTry.attempt.relay.options.Endpoints.Send(ctx, preparedTry.endpointRequest)
 	}
-	run.limitUnusedMemory()
+	run.limitUnusedMemory(ctx)
 	preparedTry.reservation.startRenewing(ctx, func() { run.cancel(errSilent) })
 	return run
 }
@@ -197,25 +197,34 @@
 }
 
 // limitUnusedMemory ends the run if its helpers' reserved memory stays unused for too long.
-func (run *run) limitUnusedMemory() {
+func (run *run) limitUnusedMemory(ctx context.Context) {
 	limit := run.attempt.relay.options.UnusedMemoryTimeout
 	if limit <= 0 || !reservesMemory(run.placement) {
 		return
 	}
 	run.unusedTimer = time.AfterFunc(unarmed, func() {
-		run.attempt.relay.runTask("unused memory", run.attempt.request.ID, run.checkMemoryUse)
+		run.attempt.relay.runTask("unused memory", run.attempt.request.ID, func() { run.checkMemoryUse(ctx) })
 	})
-	run.unusedTimer.Reset(max(limit-releaseTimeout, prefillFactor*run.placement.Predicted)) // armed only now because the function uses the timer
+	run.unusedTimer.Reset(limit - releaseTimeout - checkTimeout - time.Since(run.reservation.reserved)) // armed only now because the function uses the timer
 }
 
-// checkMemoryUse ends the run if its memory is unused and its endpoint sends no events of other streams.
-func (run *run) checkMemoryUse() {
+// checkMemoryUse ends the run if its memory is unused. If the helpers can't say, it does so once the memory should have been
+// used for long and its endpoint sends no events of other streams.
+func (run *run) checkMemoryUse(ctx context.Context) {
+	if run.memoryUsed.Load() {
+		return
+	}
+	used, err := run.reservation.isUsed(ctx)
+	late := time.Since(run.sentAt) >= prefillFactor*run.placement.Predicted
 	switch {
-	case run.memoryUsed.Load():
-	case run.attempt.relay.liveness.seenRecently(time.Now(), run.placement.Endpoint.ID):
-		run.unusedTimer.Reset(silenceRecheck)
-	default:
+	case err == nil && used:
+		run.markMemoryUsed()
+	case err == nil, late && !run.attempt.relay.liveness.seenRecently(time.Now(), run.placement.Endpoint.ID):
+		run.attempt.relay.options.Logger.Warn("Memory stayed unused and is released.", "request", run.attempt.request.ID,
+			"ticket", run.reservation.ticket, "for", time.Since(run.reservation.reserved), "error", err)
 		run.cancel(errSilent)
+	default:
+		run.unusedTimer.Reset(silenceRecheck)
 	}
 }
 
--- a/core/duty/dogwoodrelay/unused_test.go
+++ b/core/duty/dogwoodrelay/unused_test.go
@@ -14,26 +14,32 @@
 // for the first event, four times the predicted time, is longer than any engine may keep memory unused.
 func TestUnusedMemoryIsReleasedInTime(t *testing.T) {
 	const maxUnused = 9 * time.Second
-	slow := *testEngine
-	slow.TokensPerSecond = 20_000
-	tests := []struct {
-		name     string
-		attempts int
-	}{
-		{"another try is left", 3},
-		{"it was the last try", 1},
+	slow, slower := *testEngine, *testEngine
+	slow.TokensPerSecond, slower.TokensPerSecond = 20_000, 5_000
+	tests := []unusedMemoryTest{
+		{"another try is left", &slow, 10 * time.Second, 15 * time.Second, 3},
+		{"it was the last try", &slow, 10 * time.Second, 15 * time.Second, 1},
+		{"its prefill would take longer than that", &slower, 30 * time.Second, time.Minute, 3},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) { testUnusedMemory(t, &slow, test.attempts, maxUnused) })
+		t.Run(test.name, func(t *testing.T) { test.run(t, maxUnused) })
 	}
 }
 
-func testUnusedMemory(t *testing.T, engine *dogwoodenginetime.Engine, attempts int, maxUnused time.Duration) {
-	runRelayTest(t, engine, []step{fallsSilent("")}, func(t *testing.T, fixture *fixture) {
+type unusedMemoryTest struct {
+	name            string
+	engine          *dogwoodenginetime.Engine
+	aim, timeToLive time.Duration
+	attempts        int
+}
+
+func (test unusedMemoryTest) run(t *testing.T, maxUnused time.Duration) {
+	t.Helper()
+	runRelayTest(t, test.engine, []step{fallsSilent("")}, func(t *testing.T, fixture *fixture) {
 		fixture.relay.options.UnusedMemoryTimeout = maxUnused
 		request := streamRequest()
-		request.Prompt, request.Route.Aim, request.Route.Attempts = 150_000, 10*time.Second, attempts
-		request.Deadline = time.Now().Add(15 * time.Second)
+		request.Prompt, request.Route.Aim, request.Route.Attempts = 150_000, test.aim, test.attempts
+		request.Deadline = time.Now().Add(test.timeToLive)
 		var group sync.WaitGroup
 		group.Go(func() { _ = fixture.relay.Serve(t.Context(), request, fixture.answer) }) // no engine answers
 		defer group.Wait()
@@ -64,6 +70,7 @@
 	late := delayed(prefillTime, responds(200, firstEvents))
 	runRelayTest(t, &slow, []step{late}, func(t *testing.T, fixture *fixture) {
 		fixture.relay.options.UnusedMemoryTimeout = maxUnused
+		fixture.endpoints.memoryUsed = true
 		request := streamRequest()
 		request.Prompt, request.Route.Aim = 150_000, 30*time.Second
 		request.Deadline = time.Now().Add(time.Minute)
