--- a/core/duty/dogwoodrelay/suspects_test.go
+++ b/core/duty/dogwoodrelay/suspects_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -119,7 +120,9 @@
 		request := streamRequest()
 		request.Digest = testDigest
 		result := make(chan error, 1)
-		go func() { result <- fixture.relay.Serve(t.Context(), request, fixture.answer) }()
+		var group sync.WaitGroup
+		defer group.Wait()
+		group.Go(func() { result <- fixture.relay.Serve(t.Context(), request, fixture.answer) })
 		time.Sleep(10 * time.Millisecond)
 		for i, endpoint := range []dogwoodfleet.EndpointID{"a", "b"} {
 			fixture.suspects.Broke(context.Background(), dogwoodsuspects.Run{
