Serve waiting requests by the operators' ranks

What callers would have seen: with all engines busy, a request of an urgent customer or route waits behind less urgent ones that have less time left, and behind all long prompts.

Change: requests that wait for a slot go by rank, a customer's before its route's; an answer that has begun goes first, and the order by aims holds within a rank.

TestRankGoesFirst; TestUrgentRequestGetsTheNextSlot failed without the rank in the queue (ranks 2, 1, 0 for 0, 1, 2).

--- a/core/decision/dogwoodroute/route.go
+++ b/core/decision/dogwoodroute/route.go
@@ -51,6 +51,8 @@
 	Attempts int
 	// Public routes need no key.
 	Public bool
+	// Rank orders waiting requests; 0 goes first.
+	Rank   int
 	Splits []Split
 }
 
@@ -97,6 +99,7 @@
 	routes       map[string][]Route // by host, longest prefix first
 	services     map[dogwoodfleet.Service]Service
 	customers    map[keyDigest]dogwoodfleet.Customer
+	ranks        map[dogwoodfleet.Customer]int
 	requiresKeys bool
 }
 
@@ -104,6 +107,8 @@
 type Customer struct {
 	Name dogwoodfleet.Customer
 	Keys []string
+	// Rank takes precedence over the ranks of routes; nil if the customer has none.
+	Rank *int
 }
 
 // NewTable returns a Table of the given routes, services and customers. Keys are required if
@@ -114,6 +119,7 @@
 		routes:       map[string][]Route{},
 		services:     map[dogwoodfleet.Service]Service{},
 		customers:    map[keyDigest]dogwoodfleet.Customer{},
+		ranks:        map[dogwoodfleet.Customer]int{},
 		requiresKeys: len(customers) > 0,
 	}
 	for _, route := range routes {
@@ -129,6 +135,9 @@
 		for _, key := range customer.Keys {
 			table.customers[sha256.Sum256([]byte(key))] = customer.Name
 		}
+		if customer.Rank != nil {
+			table.ranks[customer.Name] = *customer.Rank
+		}
 	}
 	return table
 }
@@ -166,3 +175,11 @@
 	customer, ok := table.customers[sha256.Sum256([]byte(key))]
 	return customer, ok
 }
+
+// Rank returns the rank of a customer's requests for the route.
+func (table *Table) Rank(route *Route, customer dogwoodfleet.Customer) int {
+	if rank, ok := table.ranks[customer]; ok {
+		return rank
+	}
+	return route.Rank
+}
--- a/core/decision/dogwoodroute/route_test.go
+++ b/core/decision/dogwoodroute/route_test.go
@@ -57,6 +57,26 @@
 	}
 }
 
+// Guards against a customer's rank that has no effect where the route has one, and the other way round.
+func TestRank(t *testing.T) {
+	rank := 0
+	route := Route{Host: "a.example", Prefix: "/", Rank: 2}
+	table := NewTable(1, Limits{}, []Route{route}, nil, []Customer{{Name: "urgent", Rank: &rank}, {Name: "other"}})
+	tests := []struct {
+		customer dogwoodfleet.Customer
+		want     int
+	}{
+		{"urgent", 0},
+		{"other", 2},
+		{"", 2},
+	}
+	for _, test := range tests {
+		if got := table.Rank(&route, test.customer); got != test.want {
+			t.Errorf("customer %q: got rank %d, want %d", test.customer, got, test.want)
+		}
+	}
+}
+
 func TestSplitsByWeight(t *testing.T) {
 	route, _ := testTable().Route("a.example", "/x/y/1")
 	random := rand.New(rand.NewPCG(1, 1))
--- a/core/decision/dogwoodwaiting/waiting.go
+++ b/core/decision/dogwoodwaiting/waiting.go
@@ -10,6 +10,9 @@
 // Long prompts go before short ones. They are one in twenty and take one slot each like any
 // other request, but in a burst of short prompts, whose latest start always comes sooner,
 // they would never get a slot.
+//
+// Both hold among requests of one rank. The operators' ranks go first: a request waits behind all
+// of a more urgent rank.
 package dogwoodwaiting
 
 import (
@@ -45,6 +48,8 @@
 	Aim, Pause time.Duration
 	// Prompt is the length of the prompt in tokens, or 0 for plain calls.
 	Prompt int
+	// Rank is the operators' rank of the request; 0 goes first.
+	Rank int
 	// Begun is true if the caller has received part of the answer already.
 	Begun bool
 }
@@ -63,6 +68,9 @@
 		}
 		return 1
 	}
+	if a.Rank != b.Rank {
+		return cmp.Compare(a.Rank, b.Rank)
+	}
 	if aLong, bLong := a.Prompt >= dogwoodenginetime.LongPrompt, b.Prompt >= dogwoodenginetime.LongPrompt; aLong != bLong {
 		if aLong {
 			return -1
--- a/core/decision/dogwoodwaiting/waiting_test.go
+++ b/core/decision/dogwoodwaiting/waiting_test.go
@@ -30,6 +30,28 @@
 	}
 }
 
+// Guards against an urgent request that waits behind less urgent ones, which arrived earlier, have less time left or have long
+// prompts. An answer that has begun goes first all the same.
+func TestRankGoesFirst(t *testing.T) {
+	now := time.Now()
+	request := func(rank int, ago time.Duration, prompt int) Request {
+		return Request{
+			Arrived: now.Add(-ago), Deadline: now.Add(10 * time.Second), Aim: 300 * time.Millisecond, Pause: 250 * time.Millisecond,
+			Prompt: prompt, Rank: rank,
+		}
+	}
+	urgent, urgentLate := request(0, 10*time.Millisecond, 1000), request(0, 2*time.Second, 1000)
+	long, fresh := request(1, time.Second, 182_000), request(1, 10*time.Millisecond, 1000)
+	begun := request(2, time.Second, 1000)
+	begun.Begun = true
+	queue := []*Request{&fresh, &urgentLate, &long, &urgent, &begun}
+	slices.SortFunc(queue, func(a, b *Request) int { return Compare(now, a, b) })
+	want := []*Request{&begun, &urgent, &urgentLate, &long, &fresh}
+	if !slices.Equal(queue, want) {
+		t.Errorf("got %v, want %v", queue, want)
+	}
+}
+
 func TestPatience(t *testing.T) {
 	now := time.Now()
 	tests := []struct {
--- a/core/duty/dogwoodrelay/place.go
+++ b/core/duty/dogwoodrelay/place.go
@@ -57,7 +57,7 @@
 	request := attempt.request
 	return dogwoodwaiting.Request{
 		Arrived: request.Arrived, Deadline: request.Deadline, Aim: request.Route.Aim, Pause: request.Route.Pause,
-		Prompt: request.Prompt, Begun: attempt.stream.begun,
+		Prompt: request.Prompt, Rank: request.Rank, Begun: attempt.stream.begun,
 	}
 }
 
--- a/core/duty/dogwoodrelay/queue_test.go
+++ b/core/duty/dogwoodrelay/queue_test.go
@@ -1,7 +1,10 @@
 package dogwoodrelay
 
 import (
+	"fmt"
+	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -62,6 +65,33 @@
 	odd.repeatPanic()
 }
 
+// Guards against an urgent request that gets a slot only after less urgent ones, which began to wait earlier.
+func TestUrgentRequestGetsTheNextSlot(t *testing.T) {
+	runRelayTest(t, testEngine, []step{delayed(10*time.Millisecond, responds(http.StatusOK, firstEvents))}, func(t *testing.T, fixture *fixture) {
+		fixture.takeSlots(t, 12)
+		answered := make(chan int, 3)
+		var group sync.WaitGroup
+		for _, rank := range []int{2, 1, 0} {
+			group.Go(func() {
+				request := streamRequest()
+				request.ID, request.Rank = fmt.Sprint("rank-", rank), rank
+				if err := fixture.relay.Serve(t.Context(), request, &recorder{}); err != nil {
+					t.Errorf("rank %d: got %v, want an answer", rank, err)
+				}
+				answered <- rank
+			})
+			time.Sleep(time.Millisecond)
+		}
+		fixture.board.End("0")
+		group.Wait()
+		for want := range 3 {
+			if got := <-answered; got != want {
+				t.Errorf("got rank %d answered, want rank %d next", got, want)
+			}
+		}
+	})
+}
+
 func newTestWaiter(id string) *waiter {
 	return &waiter{placementRequest: &dogwoodpacking.PlacementRequest{ID: dogwoodpacking.WorkID(id), Service: "s"}, result: make(chan placementResult, 1)}
 }
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -55,6 +55,8 @@
 	Prompt, Answer int
 	// LastEventID is the ID of the event after which a stream resumes; empty for the whole stream.
 	LastEventID string
+	// Rank orders waiting requests; 0 goes first.
+	Rank int
 	// Keyed is true if the request was authorized by a key. It is rejected while that key may
 	// have been withdrawn.
 	Keyed bool
