Fetch other daemons' notices of suspects again and again

If it knew no other one yet, or none answered, it never asked again, and one that was frozen never learned what it had missed; a failure was not logged. Found by reading, not seen in a run.

Change: it asks a random other daemon until one answers, and each 5 s from then on.

TestNoticesAreFetchedAgain fails with one question at the start: no notice learnt where one, and then two, are expected.

--- a/core/dogwooddaemon/owner.go
+++ b/core/dogwooddaemon/owner.go
@@ -32,7 +32,7 @@
 		return nil, needs.Err
 	}
 	started := &ownership{serviceClient: dogwoodservice.New(environment.network.DialContext)}
-	suspects := newSuspectPeers(started, members, peer, environment.instance)
+	suspects := newSuspectPeers(started, members, peer, environment.instance, kernel.Named(pluginOwner))
 	gangs := &dogwooddispatch.Gangs{}
 	started.local = dogwoodowner.New(dogwoodowner.Options{
 		Text: changes.Text(), Policy: environment.settings.Policy, Place: environment.place, Self: environment.instance,
@@ -58,7 +58,7 @@
 	kernel.Go("known suspects", func(ctx context.Context) error {
 		select {
 		case <-changes.duty.Ready():
-			suspects.fetchNotices(ctx)
+			suspects.runFetches(ctx)
 		case <-ctx.Done():
 		}
 		return nil
