Refuse no harmless request because racks of engines fail one after the other

Cause: one more end under a trial convicts, whatever else ended at that moment.

Change: the end of a trial's endpoint counts as one of a rack if one that did not run the digest ended within half a second. Three such ends convict all the same, so that several crashing requests at a time don't hide each other. What ended beside it is reported by other daemons some milliseconds later, so a conviction is used 0.2 s after the trial's end; until then requests with the digest wait.

Tried first: two others in place of one.

--- a/core/decision/dogwoodsuspect/permit.go
+++ b/core/decision/dogwoodsuspect/permit.go
@@ -46,6 +46,9 @@
 		return PermitResponse{Standing: standing}
 	}
 	if standing == Convicted {
+		if unsettled := ledger.Unsettled(now, request.Digest); unsettled > 0 {
+			return PermitResponse{Standing: Suspect, Again: unsettled}
+		}
 		return PermitResponse{Standing: standing}
 	}
 	if found == nil {
--- a/core/decision/dogwoodsuspect/shared.go
+++ b/core/decision/dogwoodsuspect/shared.go
@@ -24,6 +24,12 @@
 	// that never did.
 	momentInterval   = time.Second
 	maxProvenMoments = 3
+	// rackWindow is the time within which endpoints of one rack end. maxRackTrials ends of trials together with other
+	// endpoints convict all the same: several crashing requests at a time must not hide each other.
+	rackWindow    = 500 * time.Millisecond
+	maxRackTrials = 3
+	// settleTime is how long after the end of a trial's endpoint the ends of a rack are still being reported.
+	settleTime = 200 * time.Millisecond
 )
 
 // sharedStrike is the end of an endpoint that ran a request beside others.
@@ -37,6 +43,12 @@
 	confirmed bool
 }
 
+// endedEndpoint is an endpoint that ended under requests beside others.
+type endedEndpoint struct {
+	at      time.Time
+	digests []dogwoodfleet.Digest
+}
+
 // strikeShared records the end of an endpoint that ran a request beside others.
 func (ledger *Ledger) strikeShared(at, now time.Time, notice *Notice) {
 	found := ledger.records[notice.Digest]
@@ -62,7 +74,12 @@
 	})
 	found.expires = at.Add(StrikeTTL)
 	ledger.version++
-	ledger.struck[notice.Endpoint] = append(ledger.struck[notice.Endpoint], notice.Digest)
+	ended := ledger.ended[notice.Endpoint]
+	if ended == nil {
+		ended = &endedEndpoint{at: at}
+		ledger.ended[notice.Endpoint] = ended
+	}
+	ended.digests = append(ended.digests, notice.Digest)
 }
 
 // mergeShared adds to a strike what another notice of it reports.
@@ -88,7 +105,11 @@
 
 // Confirm records that the end of an endpoint is certain.
 func (ledger *Ledger) Confirm(endpoint dogwoodfleet.EndpointID) {
-	for _, digest := range ledger.struck[endpoint] {
+	ended := ledger.ended[endpoint]
+	if ended == nil {
+		return
+	}
+	for _, digest := range ended.digests {
 		strikes := ledger.records[digest].shared
 		for i := range strikes {
 			if strikes[i].endpoint == endpoint {
@@ -98,10 +119,10 @@
 	}
 }
 
-// Struck returns the endpoints that ended under requests beside others.
-func (ledger *Ledger) Struck() []dogwoodfleet.EndpointID {
-	endpoints := make([]dogwoodfleet.EndpointID, 0, len(ledger.struck))
-	for endpoint := range ledger.struck {
+// Ended returns the endpoints that ended under requests beside others.
+func (ledger *Ledger) Ended() []dogwoodfleet.EndpointID {
+	endpoints := make([]dogwoodfleet.EndpointID, 0, len(ledger.ended))
+	for endpoint := range ledger.ended {
 		endpoints = append(endpoints, endpoint)
 	}
 	return endpoints
@@ -133,12 +154,14 @@
 
 // unlink removes a digest from those with a shared strike at the endpoint.
 func (ledger *Ledger) unlink(digest dogwoodfleet.Digest, endpoint dogwoodfleet.EndpointID) {
-	remaining := slices.DeleteFunc(ledger.struck[endpoint], func(other dogwoodfleet.Digest) bool { return other == digest })
-	if len(remaining) == 0 {
-		delete(ledger.struck, endpoint)
+	ended := ledger.ended[endpoint]
+	if ended == nil {
 		return
 	}
-	ledger.struck[endpoint] = remaining
+	ended.digests = slices.DeleteFunc(ended.digests, func(other dogwoodfleet.Digest) bool { return other == digest })
+	if len(ended.digests) == 0 {
+		delete(ledger.ended, endpoint)
+	}
 }
 
 // isHarmless reports whether a digest finished recently and has not ended endpoints again and again since. A finished run
@@ -161,14 +184,14 @@
 //
 // Every request of a batch gets a strike, so strikes alone show little: the copies of a popular request run on
 // nearly every endpoint of a rack that fails. A digest is convicted only if an endpoint ended during a trial, which
-// began after the first strike, and if it is not known as harmless. Of the digests that ended the same endpoints
+// began after the first strike, and not as one of a rack, and if it is not known as harmless. Of the digests that ended the same endpoints
 // the one that ended the most is taken for the cause: a harmless request that was retried beside it twice has fewer.
 func (ledger *Ledger) sharedConviction(digest dogwoodfleet.Digest, found *record) time.Time {
 	if len(found.shared) < minSharedEndpoints || ledger.isHarmless(digest, found) || ledger.isDominated(digest, found) {
 		return time.Time{}
 	}
 	var last time.Time
-	trials, confirmed := 0, 0
+	trials, confirmed, endedAlone := 0, 0, false
 	for i := range found.shared {
 		strike := &found.shared[i]
 		if strike.at.After(last) {
@@ -176,13 +199,14 @@
 		}
 		if strike.trial {
 			trials++
+			endedAlone = endedAlone || !ledger.isOneOfARack(strike, found)
 		}
 		if strike.confirmed {
 			confirmed++
 		}
 	}
 	switch {
-	case trials == 0:
+	case !endedAlone && trials < maxRackTrials:
 		return time.Time{}
 	case confirmed >= minSharedEndpoints:
 		return last.Add(ConvictionTTL)
@@ -191,34 +215,54 @@
 	}
 }
 
+// isOneOfARack reports whether the endpoint of a strike ended together with one that did not run the digest. The others of a
+// rack may have run nothing.
+func (ledger *Ledger) isOneOfARack(strike *sharedStrike, found *record) bool {
+	for endpoint, ended := range ledger.ended {
+		if ended.at.Sub(strike.at).Abs() <= rackWindow && !found.ranAt(endpoint) {
+			return true
+		}
+	}
+	return false
+}
+
+// ranAt reports whether a record has a strike at an endpoint.
+func (found *record) ranAt(endpoint dogwoodfleet.EndpointID) bool {
+	return slices.ContainsFunc(found.shared, func(strike sharedStrike) bool { return strike.endpoint == endpoint })
+}
+
+// Unsettled returns how much longer a digest's standing may change because ends beside that of its latest trial's endpoint
+// are still being reported.
+func (ledger *Ledger) Unsettled(now time.Time, digest dogwoodfleet.Digest) time.Duration {
+	remaining := time.Duration(0)
+	if found := ledger.records[digest]; found != nil {
+		for i := range found.shared {
+			if strike := &found.shared[i]; strike.trial {
+				remaining = max(remaining, strike.at.Add(settleTime).Sub(now))
+			}
+		}
+	}
+	return remaining
+}
+
 // isDominated reports whether another digest, which has not finished recently, explains the ends of all endpoints that
 // ended under a digest.
 func (ledger *Ledger) isDominated(digest dogwoodfleet.Digest, found *record) bool {
-	for _, other := range ledger.struck[found.shared[0].endpoint] {
+	for _, other := range ledger.ended[found.shared[0].endpoint].digests {
 		if other == digest || ledger.Proven(other) {
 			continue
 		}
-		others := ledger.records[other].shared
-		if !coversAll(others, found.shared) {
+		record := ledger.records[other]
+		if slices.ContainsFunc(found.shared, func(strike sharedStrike) bool { return !record.ranAt(strike.endpoint) }) {
 			continue
 		}
-		if len(others) > len(found.shared) || len(found.shared) < maxAmbiguousEndpoints {
+		if len(record.shared) > len(found.shared) || len(found.shared) < maxAmbiguousEndpoints {
 			return true
 		}
 	}
 	return false
 }
 
-// coversAll reports whether strikes contains the endpoints of all others.
-func coversAll(strikes, others []sharedStrike) bool {
-	for i := range others {
-		if !slices.ContainsFunc(strikes, func(strike sharedStrike) bool { return strike.endpoint == others[i].endpoint }) {
-			return false
-		}
-	}
-	return true
-}
-
 // sharedNotices returns the notices of a record's shared strikes.
 func sharedNotices(now time.Time, digest dogwoodfleet.Digest, found *record) []Notice {
 	notices := make([]Notice, 0, len(found.shared))
--- a/core/decision/dogwoodsuspect/suspect.go
+++ b/core/decision/dogwoodsuspect/suspect.go
@@ -110,8 +110,8 @@
 // Ledger holds one owner's records of digests. It is not safe for concurrent use.
 type Ledger struct {
 	records map[dogwoodfleet.Digest]*record
-	// struck holds the digests with a shared strike at each endpoint.
-	struck map[dogwoodfleet.EndpointID][]dogwoodfleet.Digest
+	// ended holds the endpoints with shared strikes.
+	ended  map[dogwoodfleet.EndpointID]*endedEndpoint
 	proven [2]map[dogwoodfleet.Digest]struct{}
 	// version counts the changes of shared strikes.
 	version uint64
@@ -121,7 +121,7 @@
 func NewLedger() *Ledger {
 	return &Ledger{
 		records: map[dogwoodfleet.Digest]*record{},
-		struck:  map[dogwoodfleet.EndpointID][]dogwoodfleet.Digest{},
+		ended:   map[dogwoodfleet.EndpointID]*endedEndpoint{},
 		proven:  [2]map[dogwoodfleet.Digest]struct{}{{}, {}},
 	}
 }
--- a/core/duty/dogwoodsuspects/ends.go
+++ b/core/duty/dogwoodsuspects/ends.go
@@ -52,7 +52,7 @@
 	if duty.inForce == nil {
 		return
 	}
-	for _, endpoint := range duty.ledger.Struck() {
+	for _, endpoint := range duty.ledger.Ended() {
 		if _, listed := duty.inForce[endpoint]; !listed {
 			duty.ledger.Confirm(endpoint)
 		}
--- a/core/duty/dogwoodsuspects/permit.go
+++ b/core/duty/dogwoodsuspects/permit.go
@@ -84,6 +84,11 @@
 		switch standing, until := duty.standing(digest); {
 		case standing == dogwoodsuspect.Clear:
 			return nil, nil
+		case standing == dogwoodsuspect.Convicted && duty.unsettled(digest) > 0:
+			if !dogwoodkernel.Sleep(ctx, duty.unsettled(digest)) {
+				return nil, ctx.Err()
+			}
+			continue
 		case standing == dogwoodsuspect.Convicted:
 			return nil, &Refused{RetryAfter: time.Until(until), Convicted: true}
 		case duty.isOwnRetry(digest, request):
--- a/core/duty/dogwoodsuspects/suspects.go
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -106,7 +106,8 @@
 	duty.options.Logger.Debug("A hub did not get notices of suspects.", "peer", hub, "error", err)
 }
 
-// updateStandings updates what depends on the standings of the digests of notices. The caller holds the mutex.
+// updateStandings updates what depends on notices: the standings of their digests, and those of digests that are convicted,
+// since the end of one endpoint may explain that of another. The caller holds the mutex.
 func (duty *Duty) updateStandings(notices []dogwoodsuspect.Notice) {
 	if len(notices) == 0 {
 		return
@@ -115,6 +116,7 @@
 	for i := range notices {
 		duty.updateConviction(notices[i].Digest)
 	}
+	duty.updateKnownConvictions()
 }
 
 // updateConviction updates whether a digest is convicted, and until when. The caller holds the mutex.
@@ -142,6 +144,11 @@
 func (duty *Duty) updateConvictions() {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
+	duty.updateKnownConvictions()
+}
+
+// updateKnownConvictions is updateConvictions for a caller that holds the mutex.
+func (duty *Duty) updateKnownConvictions() {
 	for _, digest := range slices.Collect(maps.Keys(duty.convicted)) {
 		duty.updateConviction(digest)
 	}
@@ -172,6 +179,13 @@
 	duty.updateStandings(notices)
 }
 
+// unsettled returns how much longer it may turn out that a digest's trial ended with a rack.
+func (duty *Duty) unsettled(digest dogwoodfleet.Digest) time.Duration {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	return duty.ledger.Unsettled(time.Now(), digest)
+}
+
 func (duty *Duty) judge(request dogwoodsuspect.PermitRequest) dogwoodsuspect.PermitResponse {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
--- a/core/duty/dogwoodsuspects/suspects_test.go
+++ b/core/duty/dogwoodsuspects/suspects_test.go
@@ -522,6 +522,35 @@
 	}
 }
 
+// Guards against refusing a harmless request in the moment in which it is not known yet that its trial's endpoint was one of a
+// rack that failed.
+func TestTrialOnARackThatFailsIsNotRefused(t *testing.T) {
+	runFleetTest(t, 2, 0, func(t *testing.T, fleet *fleet) {
+		end := func(index int, digest dogwoodfleet.Digest, endpoint int, trial bool) {
+			run := Run{Digest: digest, Request: "1", Endpoint: dogwoodfleet.Endpoint{ID: endpointID(endpoint)}, Trial: trial}
+			fleet.duty(index).Broke(t.Context(), run, Replaced)
+		}
+		end(0, crashing, 0, false)
+		time.Sleep(time.Second)
+		end(0, crashing, 1, true)
+		var group sync.WaitGroup
+		for index := range 2 {
+			group.Go(func() {
+				permit, err := fleet.duty(index).Admit(t.Context(), crashing, dogwoodfleet.RequestID(fmt.Sprint(index+1)))
+				if err != nil || !permit.IsTrial() {
+					t.Errorf("daemon %d: got permit %v and error %v, want another trial", index, permit, err)
+				}
+				permit.Return(t.Context())
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		for number := range 3 {
+			end(1, dogwoodfleet.Digest{2, byte(number)}, 2+number, false)
+		}
+		group.Wait()
+	})
+}
+
 // Guards against one trial after the other while the entries of the endpoints that they ended are still listed: an
 // endpoint that gives no answer after a trial counts as ended until its entry shows otherwise.
 func TestTrialThatBreaksIsNotRepeatedAtOnce(t *testing.T) {
