--- a/core/duty/dogwoodsuspects/suspects.go
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -129,6 +129,7 @@
 		return
 	case !isConvicted:
 		delete(duty.convicted, digest)
+		duty.options.Logger.Info("Requests with a digest are not refused any more.", "digest", digest.String(), "early", now.Before(known))
 	default:
 		duty.convicted[digest] = until
 	}
