Forget the version of a list of refused requests with the list

A leaf that was a hub in between could take its empty list for its hub's, until that changed, if it did not know the hub's instance yet. Found by reading.

--- a/core/duty/dogwoodsuspects/leaf.go
+++ b/core/duty/dogwoodsuspects/leaf.go
@@ -44,7 +44,7 @@
 func (refusedList *refusedList) clear() {
 	refusedList.mutex.Lock()
 	defer refusedList.mutex.Unlock()
-	refusedList.from, refusedList.ends = "", nil
+	refusedList.from, refusedList.version, refusedList.ends = "", 0, nil
 }
 
 // SeeRefused records the version of the list of the hub that this leaf follows, from the answer to a poll that was sent at asked.
