Keep the limit of an endpoint whose entry lapses and comes back

What the endpoint saw: while it named 0.5 requests a second, nine requests in 4 s (8 allowed), five of them in one moment from five daemons.

Cause: a limit was kept with the endpoint's entry. The store dropped that for 1.8 s, all daemons forgot the limit, and used the endpoint as any other once its entry was back, until it had answered again. A limit announced to a daemon before it saw the entry was lost too.

Change: the limits of up to 1,000 endpoints without entries are kept, by instance, and follow what answers and other daemons say meanwhile.

TestLimitOutlivesTheEntry failed before in three of five cases: no limit where 0.5, 2 and 0.5 are expected.

--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -96,8 +96,10 @@
 	ranked    []*endpointState // endpoints sorted by rank
 	workByID  map[WorkID]*Work
 	limited   int // the number of endpoints that name limits
-	changed   chan struct{}
-	owner     string
+	// absentLimits holds the limits of endpoints whose entries are missing.
+	absentLimits map[dogwoodfleet.EndpointID]*absentLimit
+	changed      chan struct{}
+	owner        string
 	// seenShare is the share of the daemons whose work is on the board.
 	seenShare float64
 	senders   Senders
@@ -123,12 +125,12 @@
 func NewBoard(owner dogwoodfleet.InstanceID) *Board {
 	return &Board{
 		endpoints: map[dogwoodfleet.EndpointID]*endpointState{}, workByID: map[WorkID]*Work{},
-		changed: make(chan struct{}), owner: string(owner), seenShare: 1, senders: Senders{Count: 1},
+		absentLimits: map[dogwoodfleet.EndpointID]*absentLimit{}, changed: make(chan struct{}), owner: string(owner), seenShare: 1, senders: Senders{Count: 1},
 	}
 }
 
-// SetEndpoints replaces the endpoints. Endpoints that remain keep their work and health; one
-// that came back under its ID as another instance starts with a fresh state.
+// SetEndpoints replaces the endpoints. Endpoints that remain keep their work and health, and one whose entry
+// comes back keeps its limit; one that came back under its ID as another instance starts with a fresh state.
 func (board *Board) SetEndpoints(endpoints []Endpoint) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
@@ -139,10 +141,12 @@
 			known = &endpointState{}
 			known.rank = xxhash.Sum64String(board.owner + "\x00" + string(endpoint.ID))
 			known.hash = xxhash.Sum64String(string(endpoint.ID))
+			known.limit = board.takeAbsentLimit(&endpoint)
 		}
 		known.Endpoint = endpoint
 		states[endpoint.ID] = known
 	}
+	board.keepAbsentLimits(states)
 	board.endpoints = states
 	board.ranked = slices.SortedFunc(maps.Values(states), func(a, b *endpointState) int { return cmp.Compare(a.rank, b.rank) })
 	for _, work := range board.workByID {
--- a/core/decision/dogwoodpacking/limit.go
+++ b/core/decision/dogwoodpacking/limit.go
@@ -1,6 +1,8 @@
 package dogwoodpacking
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -24,6 +26,8 @@
 	maxLiftLag = time.Second
 	// maxNamedLimit bounds the limits that are kept. No endpoint gets as many requests a second.
 	maxNamedLimit = 1e6
+	// maxAbsentLimits bounds the limits that are kept of endpoints without entries.
+	maxAbsentLimits = 1000
 )
 
 // NamedLimit is what an endpoint's answer says about the requests that it takes.
@@ -96,10 +100,64 @@
 	return state.bucket.TokensAt(now) >= 1 || now.Sub(state.lastSend) >= limitProbeInterval
 }
 
+// absentLimit is the limit of an endpoint without an entry. Its instance is empty if the entry was never seen.
+type absentLimit struct {
+	instance dogwoodfleet.InstanceID
+	limit    limitState
+}
+
+// keepAbsentLimits keeps the limits of endpoints that are not among the given ones. The caller holds the mutex.
+func (board *Board) keepAbsentLimits(present map[dogwoodfleet.EndpointID]*endpointState) {
+	for id, state := range board.endpoints {
+		if present[id] == nil && !state.limit.at.IsZero() {
+			board.keepAbsentLimit(id, &absentLimit{instance: state.Instance, limit: state.limit})
+		}
+	}
+}
+
+// keepAbsentLimit keeps the limit of one endpoint, in place of the oldest if there are too many. The caller holds the mutex.
+func (board *Board) keepAbsentLimit(id dogwoodfleet.EndpointID, absent *absentLimit) {
+	if len(board.absentLimits) >= maxAbsentLimits {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(board.absentLimits)), func(a, b dogwoodfleet.EndpointID) int {
+			return board.absentLimits[a].limit.at.Compare(board.absentLimits[b].limit.at)
+		})
+		delete(board.absentLimits, oldest)
+	}
+	board.absentLimits[id] = absent
+}
+
+// takeAbsentLimit returns the limit that was kept of an endpoint whose entry is back, and forgets it. The caller holds the
+// mutex.
+func (board *Board) takeAbsentLimit(endpoint *Endpoint) limitState {
+	absent := board.absentLimits[endpoint.ID]
+	delete(board.absentLimits, endpoint.ID)
+	if absent == nil || absent.instance != "" && absent.instance != endpoint.Instance {
+		return limitState{}
+	}
+	return absent.limit
+}
+
+// limitOf returns the limit of an endpoint, with or without an entry, that an answer or another daemon says something about. It
+// returns nil if nothing is known that could be taken back. The caller holds the mutex.
+func (board *Board) limitOf(id dogwoodfleet.EndpointID, limit NamedLimit) *limitState {
+	if state := board.endpoints[id]; state != nil {
+		return &state.limit
+	}
+	absent := board.absentLimits[id]
+	if absent == nil {
+		if !limit.Named {
+			return nil
+		}
+		absent = &absentLimit{}
+		board.keepAbsentLimit(id, absent)
+	}
+	return &absent.limit
+}
+
 // setLimit replaces an endpoint's limit. The caller holds the mutex.
-func (board *Board) setLimit(now time.Time, state *endpointState, limit NamedLimit, at time.Time) (changed bool) {
-	changed = limit != state.limit.NamedLimit
-	state.limit.set(now, limit, at)
+func (board *Board) setLimit(now time.Time, state *limitState, limit NamedLimit, at time.Time) (changed bool) {
+	changed = limit != state.NamedLimit
+	state.set(now, limit, at)
 	if changed {
 		board.countLimited()
 		board.notifyChange()
@@ -123,11 +181,14 @@
 func (board *Board) SetLimit(now, sent time.Time, id dogwoodfleet.EndpointID, limit NamedLimit) (EndpointLimit, bool) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
-	state := board.endpoints[id]
+	if !limit.IsValid() {
+		return EndpointLimit{}, false
+	}
+	state := board.limitOf(id, limit)
 	switch {
-	case state == nil, !limit.IsValid():
+	case state == nil:
 		return EndpointLimit{}, false
-	case !limit.Named && !state.limit.Named, !limit.Named && !sent.After(state.limit.at):
+	case !limit.Named && !state.Named, !limit.Named && !sent.After(state.at):
 		return EndpointLimit{}, false // no limit is known, or the request was sent before it was named
 	}
 	changed := board.setLimit(now, state, limit, now)
@@ -139,15 +200,18 @@
 func (board *Board) LearnLimit(now time.Time, learned EndpointLimit) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
-	state := board.endpoints[learned.Endpoint]
-	if state == nil || !learned.Limit.IsValid() {
+	if !learned.Limit.IsValid() {
+		return
+	}
+	state := board.limitOf(learned.Endpoint, learned.Limit)
+	if state == nil {
 		return
 	}
 	at := learned.At
 	if !learned.Limit.Named {
 		at = at.Add(maxLiftLag)
 	}
-	if !at.After(state.limit.at) {
+	if !at.After(state.at) {
 		return
 	}
 	board.setLimit(now, state, learned.Limit, learned.At)
--- a/core/decision/dogwoodpacking/limit_test.go
+++ b/core/decision/dogwoodpacking/limit_test.go
@@ -81,6 +81,74 @@
 	return most
 }
 
+// Guards against an endpoint that gets a burst since its limit is forgotten while its entry is missing: the store was away and the
+// entry lapsed, or the limit was announced before the entry came. Another instance starts without the limit.
+func TestLimitOutlivesTheEntry(t *testing.T) {
+	limit, none := NamedLimit{Named: true, PerSecond: 0.5}, NamedLimit{}
+	listed := engineEndpoint(0)
+	listed.Instance = "e00@1"
+	restarted := listed
+	restarted.Instance = "e00@2"
+	tests := []struct {
+		name string
+		// absent are what other daemons announce while the entry is missing.
+		absent   []NamedLimit
+		returned Endpoint
+		want     NamedLimit
+	}{
+		{"the entry comes back", nil, listed, limit},
+		{"another limit was announced meanwhile", []NamedLimit{{Named: true, PerSecond: 2}}, listed, NamedLimit{Named: true, PerSecond: 2}},
+		{"the limit was taken back meanwhile", []NamedLimit{none}, listed, none},
+		{"another instance has its address", nil, restarted, none},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Now()
+			board := NewBoard("me")
+			board.SetEndpoints([]Endpoint{listed})
+			board.SetLimit(now, now, "e00", limit)
+			board.SetEndpoints(nil)
+			for _, announced := range test.absent {
+				now = now.Add(2 * time.Second)
+				board.LearnLimit(now, EndpointLimit{Endpoint: "e00", Limit: announced, At: now})
+			}
+			board.SetEndpoints([]Endpoint{test.returned})
+			checkLimit(t, board, test.want)
+		})
+	}
+	board, now := NewBoard("me"), time.Now()
+	board.LearnLimit(now, EndpointLimit{Endpoint: "e00", Limit: limit, At: now})
+	board.SetEndpoints([]Endpoint{listed})
+	checkLimit(t, board, limit)
+}
+
+// Guards against limits of endpoints that are gone for good, and are kept without bound.
+func TestAbsentLimitsAreBounded(t *testing.T) {
+	board, now := NewBoard("me"), time.Now()
+	for number := range maxAbsentLimits + 10 {
+		now = now.Add(time.Millisecond)
+		id := dogwoodfleet.EndpointID(fmt.Sprint(number))
+		board.LearnLimit(now, EndpointLimit{Endpoint: id, Limit: NamedLimit{Named: true, PerSecond: 1}, At: now})
+	}
+	if got := len(board.absentLimits); got != maxAbsentLimits {
+		t.Errorf("got %d limits, want %d", got, maxAbsentLimits)
+	}
+	if board.absentLimits["0"] != nil || board.absentLimits[dogwoodfleet.EndpointID(fmt.Sprint(maxAbsentLimits))] == nil {
+		t.Error("got the oldest limits kept, want the latest")
+	}
+}
+
+// checkLimit checks the limit that the only endpoint of a board names.
+func checkLimit(t *testing.T, board *Board, want NamedLimit) {
+	t.Helper()
+	if got := board.endpoints["e00"].limit.NamedLimit; got != want {
+		t.Errorf("got limit %+v, want %+v", got, want)
+	}
+	if got := board.HasLimits(); got != want.Named {
+		t.Errorf("got an endpoint with a limit %t, want %t", got, want.Named)
+	}
+}
+
 // Guards against daemons that each keep a limit by themselves: the limit is for all of them together, from the moment
 // at which it is named, and a share for each would be less than a request in minutes. It is used nearly in full.
 func TestDaemonsKeepANamedLimitTogether(t *testing.T) {
