Remember that a trial ended with a rack

What callers would have seen: a harmless request, whose trial had ended with a rack and which was therefore not refused, is refused a moment later, once the rack's other requests have been answered elsewhere.

Cause: whether a rack ended was worked out anew from the endpoints that the ledger holds, and it drops an endpoint with the last of its requests.

TestRackIsRemembered failed before: convicted after the other request had finished. Found by reading.

--- a/core/decision/dogwoodsuspect/shared.go
+++ b/core/decision/dogwoodsuspect/shared.go
@@ -41,6 +41,9 @@
 	trial bool
 	// confirmed is true once the endpoint's entry is gone or another instance has its address.
 	confirmed bool
+	// oneOfARack is true once an endpoint is known to have ended together with this one. The ledger forgets that endpoint
+	// when its requests have finished elsewhere.
+	oneOfARack bool
 }
 
 // endedEndpoint is an endpoint that ended under requests beside others.
@@ -199,7 +202,8 @@
 		}
 		if strike.trial {
 			trials++
-			endedAlone = endedAlone || !ledger.isOneOfARack(strike, found)
+			strike.oneOfARack = strike.oneOfARack || ledger.isOneOfARack(strike, found)
+			endedAlone = endedAlone || !strike.oneOfARack
 		}
 		if strike.confirmed {
 			confirmed++
--- a/core/decision/dogwoodsuspect/shared_test.go
+++ b/core/decision/dogwoodsuspect/shared_test.go
@@ -159,6 +159,18 @@
 	}
 }
 
+// Guards against refusing a harmless request once the others that a rack ended have been answered elsewhere: what ended
+// together with its trial's endpoint is no longer in the ledger then.
+func TestRackIsRemembered(t *testing.T) {
+	ledger := NewLedger()
+	ledger.Learn(start, []Notice{sharedEnd(digest, "a", false, true)})
+	now := start.Add(2 * rackWindow)
+	ledger.Learn(now, []Notice{sharedEnd(digest, "b", true, true), sharedEnd(otherDigest, "c", false, true)})
+	checkStanding(t, ledger, now, digest, Suspect)
+	ledger.Learn(now, ledger.Finished(now, Run{Digest: otherDigest, Request: "1", Shared: true}))
+	checkStanding(t, ledger, now, digest, Suspect)
+}
+
 // Guards against a crashing request that is never refused since so many copies of it ran at the first moment that the end of
 // its trial's endpoint was not recorded.
 func TestManyCopiesAreRefused(t *testing.T) {
