Show that a large text reaches most daemons late or never

The stand-in fleet's answers share links of 20 and 200 Mbit/s, a text of 4,200 routes comes into force while a third of the daemons, hubs too, stand still for two seconds.

A search for a hub polls up to three hubs at once and gives them 0.4 s; each answers with the whole text, 0.8 MB, which takes 0.33 s alone on a link of 20 Mbit/s and a second for three. No answer comes in time, and what was sent in vain delays the next search.

--- a/core/duty/dogwoodhub/fleet_test.go
+++ b/core/duty/dogwoodhub/fleet_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,11 +29,15 @@
 	nodes  []*node
 	byPeer map[netip.AddrPort]*node
 	// listed are the hubs in the store's list, and storeCalls counts the reads and writes of it.
-	listed      map[dogwoodfleet.VM]dogwoodhubs.Daemon
-	storeCalls  int
-	storeDown   bool
-	version     int64
+	listed     map[dogwoodfleet.VM]dogwoodhubs.Daemon
+	storeCalls int
+	storeDown  bool
+	version    int64
+	// text is the value of the text's row.
+	text        []byte
 	rate, calls int
+	// links are the daemons' network links; nil if answers take no time on them.
+	links atomic.Pointer[links]
 }
 
 // node is one daemon of a testFleet.
@@ -161,7 +166,7 @@
 // read copies the store's current contents into the hub's tables, as its feed would.
 func (node *node) read(known *tables) {
 	node.fleet.mutex.Lock()
-	down, version := node.fleet.storeDown, node.fleet.version
+	down, version, text := node.fleet.storeDown, node.fleet.version, node.fleet.text
 	node.fleet.mutex.Unlock()
 	node.mutex.Lock()
 	frozen := node.frozen
@@ -171,9 +176,11 @@
 	}
 	for _, name := range tableNames {
 		before, _ := known.copies[name].Known()
-		known.copies[name].Apply(dogwoodcopy.Answer{
-			Whole: before < 0, Rows: []dogwoodcopy.Row{{Key: "row", Version: version}}, Version: version, Proven: known.clock(),
-		}, true)
+		row := dogwoodcopy.Row{Key: "row", Version: version}
+		if name == tableNames[0] {
+			row.Value = text
+		}
+		known.copies[name].Apply(dogwoodcopy.Answer{Whole: before < 0, Rows: []dogwoodcopy.Row{row}, Version: version, Proven: known.clock()}, true)
 	}
 }
 
@@ -229,6 +236,9 @@
 	select {
 	case err := <-answered:
 		time.Sleep(time.Millisecond)
+		if err := node.awaitTransfer(ctx, called, news); err != nil {
+			return err
+		}
 		called.mutex.Lock()
 		dead, frozen := called.dead, called.frozen
 		called.mutex.Unlock()
@@ -243,6 +253,29 @@
 	}
 }
 
+// awaitTransfer waits until an answer has crossed the links.
+func (node *node) awaitTransfer(ctx context.Context, from *node, answer *News) error {
+	links := node.fleet.links.Load()
+	if links == nil {
+		return nil
+	}
+	select {
+	case <-time.After(time.Until(links.send(from, node, answer))):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Received returns how many bytes this daemon has received from another one.
+func (node *node) Received(peer netip.AddrPort) uint64 {
+	links := node.fleet.links.Load()
+	if links == nil {
+		return 0
+	}
+	return links.received(peer, node.self.Peer)
+}
+
 // Hubs, Register and Withdraw simulate the store's list of hubs. A call takes four milliseconds.
 func (node *node) Hubs(context.Context) ([]dogwoodhubs.Daemon, error) {
 	var hubs []dogwoodhubs.Daemon
