Deliver a large text to every daemon in time, however many look for a hub

On some daemons a text of 0.8 MB came into force up to 21 s after all daemons ran again.

Cause: congestion that keeps itself up. A leaf that looks for a hub polled up to three at once, each of which answered with the whole text, and gave them 0.4 s; the text alone takes 0.33 s on a link of 20 Mbit/s, three take a second. The search failed, what was sent in vain occupied the links of the next one, and hubs spent their links on answers that nobody read. Polls of a hub were begun anew after 1.6 s, and replies cut after 2 s, although they arrived.

Daemons that don't know of compression get plain values.

TestLargeTextReachesAllDaemonsInTime failed before: 35 of 78, 213 of 300 and 390 of 500 daemons lacked the text after 3 s; its case of a text that can't be compressed fails without the search that asks for no table. TestLeafAwaitsAnAnswerThatArrives and TestLargeReplyCrossesSlowLink fail without the other two.

--- a/core/duty/dogwoodhub/largetext_test.go
+++ b/core/duty/dogwoodhub/largetext_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/gob"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"sync"
@@ -102,6 +103,13 @@
 	return []byte(text.String())
 }
 
+// randomText returns a text that can't be compressed.
+func randomText(size int) []byte {
+	text := make([]byte, size)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(text) // never returns an error
+	return text
+}
+
 // Guards against a large text that reaches some daemons half a minute late: a third of the daemons, hubs too, stand
 // still for two seconds while it comes into force, and their leaves look for other hubs.
 func TestLargeTextReachesAllDaemonsInTime(t *testing.T) {
@@ -109,17 +117,19 @@
 	tests := []struct {
 		name                  string
 		centres, large, small int
+		text                  []byte
 	}{
-		{name: "78 daemons", centres: 3, large: 2, small: 24},
-		{name: "300 daemons", centres: 5, large: 3, small: 57},
-		{name: "500 daemons", centres: 5, large: 3, small: 97},
+		{name: "78 daemons", centres: 3, large: 2, small: 24, text: largeText(4200)},
+		{name: "300 daemons", centres: 5, large: 3, small: 57, text: largeText(4200)},
+		{name: "500 daemons", centres: 5, large: 3, small: 97, text: largeText(4200)},
+		{name: "78 daemons, not compressible", centres: 3, large: 2, small: 24, text: randomText(800_000)},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			runFleet(t, test.centres, test.large, test.small, func(t *testing.T, fleet *testFleet) {
 				fleet.links.Store(newLinks())
 				fleet.freezeThird(true)
-				fleet.update(func(fleet *testFleet) { fleet.version, fleet.text = 2, largeText(4200) })
+				fleet.update(func(fleet *testFleet) { fleet.version, fleet.text = 2, test.text })
 				time.Sleep(2 * time.Second)
 				fleet.freezeThird(false)
 				time.Sleep(limit)
--- a/core/duty/dogwoodhub/leaf.go
+++ b/core/duty/dogwoodhub/leaf.go
@@ -26,6 +26,9 @@
 	ErrNoHub = errors.New("no hub answers")
 )
 
+// errSilentHub means that a hub sent neither an answer in time nor a part of one.
+var errSilentHub = errors.New("the hub is silent")
+
 const (
 	// startSearchTimeout is how long a leaf that starts searches for a hub before it gives up
 	// with ErrNoHub. Hubs that lost power together with it are back within this time.
@@ -177,7 +180,8 @@
 }
 
 // pollAny polls some hubs at once and returns the first that answers. Hubs answer a first poll
-// without waiting for an update, so those that are gone are detected soon.
+// without waiting for an update, so those that are gone are detected soon. The polls ask for no table: several
+// answers with a large one would delay each other beyond the time limit, and so would all searches that follow.
 func (leaf *Leaf) pollAny(ctx context.Context, hubs []dogwoodhubs.Daemon) (hubAnswer, bool) {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
@@ -185,7 +189,7 @@
 	var group errgroup.Group
 	for _, hub := range hubs {
 		group.Go(func() error {
-			news, err := leaf.poll(ctx, hub, 0)
+			news, err := leaf.poll(ctx, hub, FollowRequest{})
 			if err != nil {
 				leaf.options.Logger.Debug("A hub does not answer.", "hub", hub.VM, "error", err)
 				return nil
@@ -237,10 +241,47 @@
 	}
 }
 
+// pollWithTimeout polls a hub for updates of the tables until it does not answer in time.
 func (leaf *Leaf) pollWithTimeout(ctx context.Context, hub dogwoodhubs.Daemon, version uint64) (News, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxHold+answerTimeout)
-	defer cancel()
-	return leaf.poll(ctx, hub, version)
+	ctx, cancel := context.WithCancelCause(ctx)
+	var group errgroup.Group
+	group.Go(func() error {
+		if leaf.awaitSilence(ctx, hub) {
+			cancel(errSilentHub)
+		}
+		return nil
+	})
+	news, err := leaf.poll(ctx, hub, FollowRequest{Tables: leaf.positions(), Fleet: version})
+	if err != nil && errors.Is(context.Cause(ctx), errSilentHub) {
+		err = Error.Wrap(errSilentHub)
+	}
+	cancel(nil)
+	_ = group.Wait() // the wait returns no error
+	return news, err
+}
+
+// awaitSilence waits until a hub that is polled has sent neither an answer in time nor a part of one. It returns
+// false if the context ends before.
+func (leaf *Leaf) awaitSilence(ctx context.Context, hub dogwoodhubs.Daemon) bool {
+	begun, received := time.Now(), leaf.options.Caller.Received(hub.Peer)
+	for limit := maxHold + answerTimeout; dogwoodkernel.Sleep(ctx, limit); limit = answerTimeout {
+		before := received
+		received = leaf.options.Caller.Received(hub.Peer)
+		if received < before+minTransferStep || time.Since(begun) > maxTransfer {
+			return true
+		}
+	}
+	return false
+}
+
+// positions returns the versions of the tables that this daemon has.
+func (leaf *Leaf) positions() []Position {
+	positions := make([]Position, 0, len(leaf.options.TableNames))
+	for _, name := range leaf.options.TableNames {
+		after, age := leaf.options.Feed.Position(name)
+		positions = append(positions, Position{Table: name, After: after, Age: age})
+	}
+	return positions
 }
 
 // recordFleet records the fleet that a hub reported, and that hub as the one followed. The hub's
@@ -260,21 +301,16 @@
 }
 
 // poll sends one poll to the hub and feeds the table updates of its answer.
-func (leaf *Leaf) poll(ctx context.Context, hub dogwoodhubs.Daemon, version uint64) (News, error) {
-	request := FollowRequest{Leaf: leaf.self(), Fleet: version}
-	sent, versions := leaf.options.Clock(), map[string]int64{}
-	for _, name := range leaf.options.TableNames {
-		after, age := leaf.options.Feed.Position(name)
-		versions[name] = after
-		request.Tables = append(request.Tables, Position{Table: name, After: after, Age: age})
-	}
+func (leaf *Leaf) poll(ctx context.Context, hub dogwoodhubs.Daemon, request FollowRequest) (News, error) {
+	request.Leaf, request.Compressed = leaf.self(), true
+	sent := leaf.options.Clock()
 	var news News
 	if err := leaf.options.Caller.Call(ctx, hub.Peer, Name+".Follow", request, &news); err != nil {
 		return news, Error.Wrap(err)
 	}
-	for _, table := range news.Tables {
-		if after, wanted := versions[table.Table]; wanted {
-			leaf.options.Feed.Apply(table.Table, table.ToLocalClock(sent, after))
+	for _, update := range news.Tables {
+		if err := leaf.feed(request.Tables, update, sent); err != nil {
+			return news, err
 		}
 	}
 	if leaf.options.SeeRefused != nil {
@@ -282,3 +318,17 @@
 	}
 	return news, nil
 }
+
+// feed feeds an update of a table that was requested at a time.
+func (leaf *Leaf) feed(requested []Position, update TableUpdate, sent time.Duration) error {
+	i := slices.IndexFunc(requested, func(position Position) bool { return position.Table == update.Table })
+	if i < 0 {
+		return nil
+	}
+	told, err := update.Decompress()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	leaf.options.Feed.Apply(update.Table, told.ToLocalClock(sent, requested[i].After))
+	return nil
+}
--- a/core/duty/dogwoodhub/leaf_test.go
+++ b/core/duty/dogwoodhub/leaf_test.go
@@ -41,6 +41,59 @@
 	return nil
 }
 
+func (caller *remoteOnlyCaller) Received(netip.AddrPort) uint64 { return 0 }
+
+// slowCaller answers a poll for tables after a while. Meanwhile a part of the answer arrives in each tenth of a second.
+type slowCaller struct {
+	fleet    Fleet
+	transfer time.Duration
+	begun    atomic.Int64 // when the answer began to arrive, in nanoseconds; 0 for not yet
+	polls    atomic.Int64
+}
+
+func (caller *slowCaller) Call(ctx context.Context, _ netip.AddrPort, _ string, args, reply any) error {
+	if len(args.(FollowRequest).Tables) == 0 {
+		*reply.(*News) = News{Fleet: &caller.fleet}
+		return nil
+	}
+	caller.polls.Add(1)
+	caller.begun.Store(time.Now().UnixNano())
+	select {
+	case <-time.After(caller.transfer):
+		*reply.(*News) = News{}
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (caller *slowCaller) Received(netip.AddrPort) uint64 {
+	if begun := caller.begun.Load(); begun > 0 {
+		return uint64(time.Since(time.Unix(0, begun))/(100*time.Millisecond)) * minTransferStep
+	}
+	return 0
+}
+
+// Guards against a large text that is transferred from the beginning again and again, because each transfer takes
+// longer than a poll without updates may take.
+func TestLeafAwaitsAnAnswerThatArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		caller := &slowCaller{transfer: 4 * time.Second, fleet: Fleet{Version: 1, Hubs: []dogwoodhubs.Daemon{daemonAt("near", "0", 1)}}}
+		tables := newTables()
+		leaf := NewLeaf(LeafOptions{
+			Self: func() dogwoodhubs.Daemon { return daemonAt("self", "0", 3) }, Caller: caller, Feed: tables, TableNames: tableNames, Clock: tables.clock, Logger: hclog.NewNullLogger(),
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		if err := leaf.Run(ctx, caller.fleet.Hubs); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("got %v, want a leaf that follows its hub", err)
+		}
+		if got, want := caller.polls.Load(), int64(3); got != want {
+			t.Errorf("got %d polls in 10 s, want %d: one for each answer", got, want)
+		}
+	})
+}
+
 // A leaf follows a remote hub that answers, while a local hub is listed but dead. The leaf must not
 // switch to the local hub, or it would end with the error that no hub answers.
 func TestALeafKeepsAHubThatAnswers(t *testing.T) {
--- a/core/duty/dogwoodhub/messages.go
+++ b/core/duty/dogwoodhub/messages.go
@@ -34,6 +34,12 @@
 	// because of the network and of busy small VMs. A leaf leaves a frozen hub after the sum of
 	// this and maxHold.
 	answerTimeout = 400 * time.Millisecond
+	// maxTransfer is how long an answer may take as long as a part of it arrives within each answerTimeout. A large
+	// text takes long on the link of a small VM, and a poll that starts anew transfers it from the beginning.
+	maxTransfer = 8 * time.Second
+	// minTransferStep is the number of bytes that must arrive within an answerTimeout to count as a part of an
+	// answer. It is more than the answers to pings and heartbeats.
+	minTransferStep = 4 << 10
 	// leafTTL is the time without a poll after which a hub drops a leaf: it covers two polls and
 	// the time in which the leaf would have found another hub.
 	leafTTL = 3 * time.Second
@@ -50,10 +56,13 @@
 
 // FollowRequest is a leaf's poll of its hub. It is also the leaf's heartbeat.
 type FollowRequest struct {
-	Leaf   dogwoodhubs.Daemon
+	Leaf dogwoodhubs.Daemon
+	// Tables are the tables whose updates the leaf wants; none while it searches for a hub.
 	Tables []Position
 	// Fleet is the version of the list of hubs that the leaf has, 0 for none.
 	Fleet uint64
+	// Compressed allows the answer to contain compressed values.
+	Compressed bool
 }
 
 // TableUpdate is an update of a table: the changes and the confirmation after the leaf's position.
@@ -84,4 +93,6 @@
 // Caller calls other daemons.
 type Caller interface {
 	Call(ctx context.Context, peer netip.AddrPort, method string, args, reply any) error
+	// Received returns how many bytes this daemon has received from another one.
+	Received(peer netip.AddrPort) uint64
 }
--- a/core/duty/dogwoodhub/receiver.go
+++ b/core/duty/dogwoodhub/receiver.go
@@ -65,7 +65,7 @@
 		}
 		advance := answer.Proven - (arrived - position.Age)
 		isUpdate = isUpdate || answer.Whole || len(answer.Rows) > 0 || i == 0 && advance > minConfirmationStep
-		update.Tables = append(update.Tables, TableUpdate{Table: position.Table, Told: dogwoodcopy.Tell(answer, arrived)})
+		update.Tables = append(update.Tables, TableUpdate{Table: position.Table, Told: dogwoodcopy.Tell(answer, arrived, request.Compressed)})
 	}
 	if hub.options.RefusedVersion != nil {
 		update.Refused = hub.options.RefusedVersion()
--- a/core/duty/dogwoodreader/reader.go
+++ b/core/duty/dogwoodreader/reader.go
@@ -313,13 +313,17 @@
 	defer cancel()
 	sentAt := reader.options.Clock()
 	var told Told
-	if err := reader.options.Caller.Call(ctx, peer.Address, Name+".Changes", Query{Table: table, After: after}, &told); err != nil {
+	if err := reader.options.Caller.Call(ctx, peer.Address, Name+".Changes", Query{Table: table, After: after, Compressed: true}, &told); err != nil {
 		return dogwoodcopy.Answer{}, Error.Wrap(err)
 	}
 	if told.Stale {
 		return dogwoodcopy.Answer{}, Error.Wrap(errStale)
 	}
-	return told.ToLocalClock(sentAt, after), nil
+	decompressed, err := told.Decompress()
+	if err != nil {
+		return dogwoodcopy.Answer{}, Error.Wrap(err)
+	}
+	return decompressed.ToLocalClock(sentAt, after), nil
 }
 
 // choosePeer returns the first peer that has not failed recently.
--- a/core/duty/dogwoodreader/receiver.go
+++ b/core/duty/dogwoodreader/receiver.go
@@ -10,6 +10,8 @@
 type Query struct {
 	Table string
 	After int64
+	// Compressed allows the answer to contain compressed values.
+	Compressed bool
 }
 
 // Told is a reader's answer.
@@ -45,7 +47,7 @@
 			return nil
 		}
 		if expired || answer.Whole || len(answer.Rows) > 0 || answer.Proven > first.Proven {
-			*told = Told{Told: dogwoodcopy.Tell(answer, arrived)}
+			*told = Told{Told: dogwoodcopy.Tell(answer, arrived, query.Compressed)}
 			return nil
 		}
 		select {
--- a/core/edge/dogwoodpeer/client.go
+++ b/core/edge/dogwoodpeer/client.go
@@ -31,6 +31,8 @@
 	mutex  sync.Mutex
 	closed bool
 	links  map[netip.AddrPort]*link
+	// received counts the bytes that arrived from each peer.
+	received map[netip.AddrPort]*atomic.Uint64
 }
 
 // NewClient returns a client that works until the context ends or Close is called.
@@ -43,6 +45,8 @@
 		done:   running.Done(),
 		cancel: cancel,
 		links:  map[netip.AddrPort]*link{},
+
+		received: map[netip.AddrPort]*atomic.Uint64{},
 	}
 	context.AfterFunc(running, client.closeLinks)
 	return client
@@ -66,6 +70,17 @@
 	}
 }
 
+// Received returns how many bytes have arrived on all connections to a peer.
+func (client *Client) Received(peer netip.AddrPort) uint64 {
+	client.mutex.Lock()
+	counter := client.received[peer]
+	client.mutex.Unlock()
+	if counter == nil {
+		return 0
+	}
+	return counter.Load()
+}
+
 // Call calls "Name.Method" at the peer and waits for its reply until the context ends. It
 // returns *UnreachableError when there is no answer and *RemoteError when the method
 // failed. If the context ends first, the method keeps running at the peer, its reply is
@@ -151,7 +166,10 @@
 	}
 	found := client.links[peer]
 	if found == nil || found.isClosed() {
-		found = newLink()
+		if client.received[peer] == nil {
+			client.received[peer] = &atomic.Uint64{}
+		}
+		found = newLink(client.received[peer])
 		client.links[peer] = found
 		client.group.Go(func() { client.connect(peer, found) }) //nolint:contextcheck,nolintlint // callers share the dial, so no caller's context may cancel it
 	}
@@ -215,6 +233,7 @@
 	rpc      *rpc.Client
 	pending  atomic.Int64
 	lastRead atomic.Int64 // time at which bytes last arrived, in nanoseconds since started
+	received *atomic.Uint64
 	started  time.Time
 
 	mutex sync.Mutex
@@ -222,8 +241,8 @@
 	err   error
 }
 
-func newLink() *link {
-	return &link{ready: make(chan struct{}), closed: make(chan struct{}), started: time.Now()}
+func newLink(received *atomic.Uint64) *link {
+	return &link{received: received, ready: make(chan struct{}), closed: make(chan struct{}), started: time.Now()}
 }
 
 func (link *link) open(conn net.Conn) {
@@ -322,6 +341,7 @@
 	count, err := conn.Conn.Read(buffer)
 	if count > 0 {
 		conn.link.lastRead.Store(int64(time.Since(conn.link.started)))
+		conn.link.received.Add(uint64(count))
 	}
 	return count, err
 }
--- a/core/edge/dogwoodpeer/peer_test.go
+++ b/core/edge/dogwoodpeer/peer_test.go
@@ -97,6 +97,11 @@
 	return errors.New("broken")
 }
 
+func (receiver *testReceiver) Large(size int, reply *[]byte) error {
+	*reply = make([]byte, size)
+	return nil
+}
+
 // runWithClient starts a server with the key "secret" and a client with the given key, and
 // runs the body inside a synctest bubble.
 func runWithClient(t *testing.T, clientKey string, body func(ctx context.Context, client *Client, receiver *testReceiver, network *pipeNetwork)) {
--- a/core/edge/dogwoodpeer/server.go
+++ b/core/edge/dogwoodpeer/server.go
@@ -17,6 +17,9 @@
 // descriptor is free.
 const acceptMinBackoff = 10 * time.Millisecond
 
+// maxWriteBytes is the size of the parts in which replies are written.
+const maxWriteBytes = 16 << 10
+
 // pingService is the name under which the receiver that answers pings is registered.
 const pingService = "Ping"
 
@@ -126,13 +129,22 @@
 	return conn.Conn.Read(buffer)
 }
 
-// Write sets a deadline for each write, so that a peer that stops reading can't block the
-// sending of replies forever.
+// Write sets a deadline for each part that it writes, so that a peer that stops reading can't block the
+// sending of replies forever, and a large reply may take as long as it advances.
 func (conn *idleConn) Write(data []byte) (int, error) {
-	if err := conn.SetWriteDeadline(time.Now().Add(silenceBeforePing + pingTimeout)); err != nil {
-		return 0, err
+	written := 0
+	for len(data) > 0 {
+		if err := conn.SetWriteDeadline(time.Now().Add(silenceBeforePing + pingTimeout)); err != nil {
+			return written, err
+		}
+		count, err := conn.Conn.Write(data[:min(len(data), maxWriteBytes)])
+		written += count
+		if err != nil {
+			return written, err
+		}
+		data = data[count:]
 	}
-	return conn.Conn.Write(data)
+	return written, nil
 }
 
 type pinger struct{}
--- a/core/state/dogwoodcopy/copy.go
+++ b/core/state/dogwoodcopy/copy.go
@@ -12,6 +12,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/klauspost/compress/s2"
 )
 
 // maxDeletedRows bounds the deleted rows that a copy holds. It is more than the number of
@@ -24,6 +26,10 @@
 	Value   []byte
 	Version int64
 	Deleted bool
+	// Compressed is the compressed value of a row that is on its way to another daemon; Value is then empty.
+	Compressed []byte
+	// compressed returns the compressed value, which is computed once; nil if the value is small.
+	compressed func() []byte
 }
 
 // Answer is the answer to a query for a table or its changes.
@@ -99,6 +105,9 @@
 	if row.Deleted {
 		table.deleted++
 	}
+	if value := row.Value; len(value) >= minCompressedBytes {
+		row.compressed = sync.OnceValue(func() []byte { return s2.Encode(nil, value) })
+	}
 	table.rows[row.Key] = row
 }
 
