--- a/core/duty/dogwoodhub/hub.go
+++ b/core/duty/dogwoodhub/hub.go
@@ -68,6 +68,8 @@
 	// Requests returns how many requests each hub sent to endpoints within the last second.
 	Requests    func(now time.Time) map[dogwoodfleet.InstanceID]int
 	DataCentres int
+	// StoreAway reports whether the store answers no daemon, as far as this one knows; nil for never.
+	StoreAway func() bool
 	// RefusedVersion returns the version of this daemon's list of refused requests; nil if it has none.
 	RefusedVersion func() uint64
 	Logger         hclog.Logger
--- a/core/duty/dogwoodhub/leaf.go
+++ b/core/duty/dogwoodhub/leaf.go
@@ -78,6 +78,9 @@
 	mutex sync.Mutex
 	fleet Fleet
 	hub   dogwoodhubs.Daemon // the hub that answered last
+	// storeAway is what that hub said of the store, answeredAt when it was asked.
+	storeAway  bool
+	answeredAt time.Duration
 	// ineligibleUntil is the time until which the leaf must not be promoted.
 	ineligibleUntil time.Time
 	// localHubsAsked is when the leaf, while following a remote hub, last asked the local ones, and
@@ -121,6 +124,13 @@
 	return leaf.hub, leaf.hub.Instance != ""
 }
 
+// StoreAway reports whether the store answers no daemon, as far as the hub knows that answered last.
+func (leaf *Leaf) StoreAway() bool {
+	leaf.mutex.Lock()
+	defer leaf.mutex.Unlock()
+	return leaf.storeAway && leaf.options.Clock()-leaf.answeredAt < leafTTL
+}
+
 // Run follows one hub after another, beginning with the listed ones. It returns
 // ErrPromoted, ErrNoHub or the context's error.
 func (leaf *Leaf) Run(ctx context.Context, listed []dogwoodhubs.Daemon) error {
@@ -156,7 +166,7 @@
 func (leaf *Leaf) reset() {
 	leaf.mutex.Lock()
 	defer leaf.mutex.Unlock()
-	leaf.fleet, leaf.hub = Fleet{}, dogwoodhubs.Daemon{}
+	leaf.fleet, leaf.hub, leaf.storeAway = Fleet{}, dogwoodhubs.Daemon{}, false
 }
 
 // findHub returns a hub that answers: a random one in the leaf's own data centre, or else one of
@@ -313,6 +323,9 @@
 			return news, err
 		}
 	}
+	leaf.mutex.Lock()
+	leaf.storeAway, leaf.answeredAt = news.StoreAway, sent
+	leaf.mutex.Unlock()
 	if leaf.options.SeeRefused != nil {
 		leaf.options.SeeRefused(hub, news.Refused, sent)
 	}
--- a/core/duty/dogwoodhub/messages.go
+++ b/core/duty/dogwoodhub/messages.go
@@ -86,6 +86,8 @@
 	Fleet *Fleet
 	// Refused is the version of the hub's list of refused requests.
 	Refused uint64
+	// StoreAway is true if the store answers no daemon, as far as the hub knows.
+	StoreAway bool
 	// Promoted asks the leaf to become a hub.
 	Promoted bool
 }
--- a/core/duty/dogwoodhub/receiver.go
+++ b/core/duty/dogwoodhub/receiver.go
@@ -67,6 +67,7 @@
 		isUpdate = isUpdate || answer.Whole || len(answer.Rows) > 0 || i == 0 && advance > minConfirmationStep
 		update.Tables = append(update.Tables, TableUpdate{Table: position.Table, Told: dogwoodcopy.Tell(answer, arrived, request.Compressed)})
 	}
+	update.StoreAway = hub.options.StoreAway != nil && hub.options.StoreAway()
 	if hub.options.RefusedVersion != nil {
 		update.Refused = hub.options.RefusedVersion()
 	}
--- a/core/duty/dogwoodreader/reader.go
+++ b/core/duty/dogwoodreader/reader.go
@@ -72,6 +72,12 @@
 	// storeBackoff is how long the store is not queried after it has failed, as long as another daemon answers
 	// instead.
 	storeBackoff = time.Second
+	// staleWait is how long a query waits for a change if the last confirmation is older than staleAfter, as after a
+	// suspension.
+	staleWait = 50 * time.Millisecond
+	// storeFailureTTL is how long a failed query shows that the store is away: it covers the longest time between
+	// two queries that go unanswered.
+	storeFailureTTL = 4 * time.Second
 )
 
 // Source answers queries for the tables of a store.
@@ -123,12 +129,14 @@
 	backoffUntil map[dogwoodfleet.InstanceID]time.Time // when readers that failed may be queried again
 	lastQueried  dogwoodfleet.InstanceID               // the reader queried last, for the log
 	storeFailed  time.Time                             // when a query to the store last failed; zero since it last answered
+	failedAt     map[string]time.Duration              // when the store last failed a query for a table that it has not answered since
 }
 
 // New returns a Reader without any table yet.
 func New(options Options) *Reader {
 	return &Reader{
 		options: options, copies: map[string]*dogwoodcopy.Copy{}, answeredAt: map[string]time.Duration{}, backoffUntil: map[dogwoodfleet.InstanceID]time.Time{},
+		failedAt: map[string]time.Duration{},
 	}
 }
 
@@ -155,9 +163,11 @@
 	if ok {
 		return answer, nil
 	}
+	// If the last confirmation is already old, this query must not wait for a change.
 	if queried {
-		// The last confirmation is already old, so this query must not wait for a change.
 		wait = 0
+	} else if _, age := reader.Position(table); age > staleAfter {
+		wait = min(wait, staleWait)
 	}
 	return reader.queryStore(ctx, table, after, func() (dogwoodcopy.Answer, error) {
 		return reader.options.Store.Changes(ctx, table, after, wait)
@@ -180,7 +190,7 @@
 	if ctx.Err() != nil {
 		return answer, err
 	}
-	reader.recordStoreFailure(time.Now())
+	reader.recordStoreFailure(time.Now(), table)
 	if told, ok := reader.queryFallbacks(ctx, table, after); ok {
 		return told, nil
 	}
@@ -193,10 +203,19 @@
 	return !reader.storeFailed.IsZero() && now.Sub(reader.storeFailed) < storeBackoff
 }
 
-func (reader *Reader) recordStoreFailure(now time.Time) {
+func (reader *Reader) recordStoreFailure(now time.Time, table string) {
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
-	reader.storeFailed = now
+	reader.storeFailed, reader.failedAt[table] = now, reader.options.Clock()
+}
+
+// StoreAway reports whether the store, as far as this daemon knows, answers no daemon's queries for a table: it
+// has failed this one's, and the others that this one queries have nothing newer.
+func (reader *Reader) StoreAway(table string) bool {
+	reader.mutex.Lock()
+	defer reader.mutex.Unlock()
+	failedAt, failed := reader.failedAt[table]
+	return failed && reader.options.Clock()-failedAt < storeFailureTTL
 }
 
 // queryFallbacks queries the fallbacks that have not failed recently until one answers.
@@ -218,6 +237,7 @@
 func (reader *Reader) applyStoreAnswer(table string, answer dogwoodcopy.Answer) {
 	reader.mutex.Lock()
 	reader.answeredAt[table], reader.storeFailed = reader.options.Clock(), time.Time{}
+	delete(reader.failedAt, table)
 	reader.mutex.Unlock()
 	reader.copyOf(table).Apply(answer, true)
 }
--- a/core/duty/dogwoodreader/reader_test.go
+++ b/core/duty/dogwoodreader/reader_test.go
@@ -327,3 +327,43 @@
 		}
 	})
 }
+
+// Guards against a daemon that takes its own loss of the store, or a pause of its own, for an outage of the store, and
+// one that doesn't see an outage.
+func TestStoreIsAwayOnlyWhileItFailsThisDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		daemons := newDaemons(store, 2)
+		alone := daemons[0]
+		steps := []struct {
+			name    string
+			cutOff  bool
+			pause   time.Duration
+			query   bool
+			want    bool
+			failing bool
+		}{
+			{name: "answered", query: true},
+			{name: "cut off", cutOff: true, query: true, want: true, failing: true},
+			{name: "shortly after", cutOff: true, pause: time.Second, want: true},
+			{name: "long after the last query", cutOff: true, pause: storeFailureTTL},
+			{name: "cut off again", cutOff: true, query: true, want: true, failing: true},
+			{name: "answered again", query: true},
+		}
+		for _, step := range steps {
+			alone.set(func(daemon *daemon) { daemon.cutOff = step.cutOff })
+			time.Sleep(step.pause)
+			if step.query {
+				if _, err := alone.Reader.Changes(t.Context(), "table", 1, time.Second); (err != nil) != step.failing {
+					t.Errorf("%s: got error %v, want one: %t", step.name, err, step.failing)
+				}
+			}
+			if got := alone.StoreAway("table"); got != step.want {
+				t.Errorf("%s: got store away %t, want %t", step.name, got, step.want)
+			}
+			if alone.StoreAway("other") {
+				t.Errorf("%s: got the store away for a table that was not queried", step.name)
+			}
+		}
+	})
+}
