--- /dev/null
+++ b/core/duty/dogwoodreach/reach.go
@@ -0,0 +1,173 @@
+// Package dogwoodreach detects that this daemon has lost its way to the endpoints, while callers, the store and
+// other daemons still reach it.
+//
+// A connection that can't be opened says little: its endpoint may have crashed, and so may all endpoints of a rack.
+// So the daemon then tries some endpoints chosen at random, of all services and data centres, all at once. If none
+// can be reached, it is cut off, and other daemons serve its callers. While it is cut off it tries again at intervals,
+// until it reaches at least half of the endpoints of a round. Endpoints are tried only after a failure.
+package dogwoodreach
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"dogwoodmux.example/core/decision/dogwoodpacking"
+	"dogwoodmux.example/core/dogwoodkernel"
+)
+
+const (
+	// roundSize is the number of endpoints that are tried at once.
+	roundSize = 4
+	// roundInterval is the shortest time from one round to the next.
+	roundInterval = 250 * time.Millisecond
+	// recheckInterval is the time between rounds while the daemon is cut off.
+	recheckInterval = 500 * time.Millisecond
+	// maxRoundTime is the longest time of a round that says anything. It exceeds the time limit for a connection; a
+	// daemon whose round takes longer stood still.
+	maxRoundTime = 600 * time.Millisecond
+	// recentlyReached is the age of the last connection that was opened up to which a failure starts no round.
+	recentlyReached = 100 * time.Millisecond
+)
+
+// Options configure a Duty.
+type Options struct {
+	// Dial opens a connection to an endpoint and closes it.
+	Dial   func(ctx context.Context, endpoint netip.AddrPort) error
+	Logger hclog.Logger
+}
+
+// Duty knows whether this daemon is cut off from the endpoints. It is safe for concurrent use.
+type Duty struct {
+	options Options
+	cutOff  atomic.Bool
+	// suspected receives a value when a connection could not be opened.
+	suspected chan struct{}
+	// reachedAt is when a connection was last opened, in nanoseconds since started.
+	reachedAt atomic.Int64
+	started   time.Time
+
+	mutex     sync.Mutex
+	endpoints []netip.AddrPort
+
+	round     sync.Mutex // held during a round
+	lastRound time.Time  // when the last round ended
+	// mostFailed is true if more than half of the endpoints of the last round were not reached.
+	mostFailed bool
+}
+
+// New returns a duty that is not cut off.
+func New(options Options) *Duty {
+	return &Duty{options: options, suspected: make(chan struct{}, 1), started: time.Now()}
+}
+
+// SetEndpoints replaces the endpoints that may be tried. Those that are not in force may be gone.
+func (duty *Duty) SetEndpoints(endpoints []dogwoodpacking.Endpoint) {
+	var addresses []netip.AddrPort
+	for i := range endpoints {
+		if endpoints[i].InForce {
+			addresses = append(addresses, endpoints[i].Address)
+		}
+	}
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	duty.endpoints = addresses
+}
+
+// IsCutOff reports whether this daemon reaches no endpoint.
+func (duty *Duty) IsCutOff() bool { return duty.cutOff.Load() }
+
+// RecordReached records that a connection to an endpoint was opened.
+func (duty *Duty) RecordReached() {
+	duty.reachedAt.Store(int64(time.Since(duty.started)))
+}
+
+// RecordUnreachable records that a connection to an endpoint could not be opened.
+func (duty *Duty) RecordUnreachable() {
+	select {
+	case duty.suspected <- struct{}{}:
+	default:
+	}
+}
+
+// Run tries endpoints when a connection could not be opened, and while this daemon is cut off, until the context ends.
+func (duty *Duty) Run(ctx context.Context) error {
+	ticker := time.NewTicker(recheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-duty.suspected:
+			if time.Since(duty.started)-time.Duration(duty.reachedAt.Load()) < recentlyReached {
+				continue
+			}
+		case <-ticker.C:
+			if !duty.IsCutOff() {
+				continue
+			}
+		}
+		duty.Check(ctx)
+	}
+}
+
+// Check tries some endpoints, unless a round ended a moment ago, and reports whether more than half of them can't be
+// reached. If so, a connection that fails says nothing of its endpoint.
+func (duty *Duty) Check(ctx context.Context) bool {
+	duty.round.Lock()
+	defer duty.round.Unlock()
+	if time.Since(duty.lastRound) < roundInterval {
+		return duty.mostFailed
+	}
+	begun, tried := time.Now(), duty.choose()
+	reached := duty.tryAll(ctx, tried)
+	duty.lastRound = time.Now()
+	if ctx.Err() != nil || duty.lastRound.Sub(begun) > maxRoundTime {
+		return duty.mostFailed
+	}
+	duty.mostFailed = 2*reached < len(tried)
+	switch {
+	case len(tried) == 0:
+	case reached == 0 && !duty.cutOff.Swap(true):
+		counters.Add("CutOff", 1)
+		duty.options.Logger.Warn("Cut off from the endpoints.", "tried", len(tried))
+	case !duty.mostFailed && duty.cutOff.Swap(false):
+		duty.options.Logger.Info("The endpoints are reached again.", "tried", len(tried), "reached", reached)
+	}
+	return duty.mostFailed
+}
+
+// choose returns the endpoints of a round.
+func (duty *Duty) choose() []netip.AddrPort {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	chosen := make([]netip.AddrPort, 0, roundSize)
+	for _, i := range rand.Perm(len(duty.endpoints))[:min(roundSize, len(duty.endpoints))] {
+		chosen = append(chosen, duty.endpoints[i])
+	}
+	return chosen
+}
+
+// tryAll returns how many of the endpoints are reached.
+func (duty *Duty) tryAll(ctx context.Context, endpoints []netip.AddrPort) int {
+	var reached atomic.Int64
+	var group errgroup.Group
+	for _, endpoint := range endpoints {
+		group.Go(func() error {
+			var err error
+			panicked := dogwoodkernel.LogPanic(duty.options.Logger, "reach", func() { err = duty.options.Dial(ctx, endpoint) })
+			if err == nil && !panicked {
+				reached.Add(1)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // failures are counted
+	return int(reached.Load())
+}
--- a/core/duty/dogwoodrelay/random_test.go
+++ b/core/duty/dogwoodrelay/random_test.go
@@ -353,7 +353,7 @@
 	t.Helper()
 	request := randomCase.request
 	most := request.Route.Attempts
-	if !request.repeatable() {
+	if !request.Repeatable() {
 		most = 1
 	}
 	if endpoints.possibleRuns > most {
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -62,8 +62,8 @@
 	Keyed bool
 }
 
-// repeatable reports whether the request can safely run more than once.
-func (request *Request) repeatable() bool {
+// Repeatable reports whether the request can safely run more than once.
+func (request *Request) Repeatable() bool {
 	switch request.Route.Repeat {
 	case dogwoodroute.Idempotent:
 		return true
@@ -203,7 +203,9 @@
 	// Fresh reports whether the keys were confirmed recently enough that none can have been
 	// withdrawn unnoticed for too long.
 	Fresh func() bool
-	Place dogwoodfleet.Place
+	// CutOff reports whether this daemon reaches no endpoint; nil for never.
+	CutOff func() bool
+	Place  dogwoodfleet.Place
 	// UnusedMemoryTimeout is how long reserved memory may stay unused; 0 for no limit.
 	UnusedMemoryTimeout time.Duration
 	// Metrics records latencies; nil for none.
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -162,7 +162,7 @@
 	case response.NotRun, response.OtherInstance, success && !response.Genuine:
 		return false
 	case request.isPlain():
-		return response.Status < http.StatusInternalServerError || !request.repeatable()
+		return response.Status < http.StatusInternalServerError || !request.Repeatable()
 	default:
 		return response.Status == http.StatusOK
 	}
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -133,7 +133,7 @@
 	switch {
 	case attempt.reachedTries >= maxTries || attempt.unsentTries >= maxUnsentTries:
 		return "it was tried too often"
-	case attempt.runState != dogwoodfleet.NotRun && !request.repeatable():
+	case attempt.runState != dogwoodfleet.NotRun && !request.Repeatable():
 		return "it may have run and may not be repeated"
 	case attempt.possibleRuns >= max(request.Route.Attempts, 1):
 		return "it was sent to as many endpoints as its route allows"
@@ -225,6 +225,9 @@
 			Detail: "the store has not confirmed the keys for too long",
 		}}
 	}
+	if relay.options.CutOff != nil && relay.options.CutOff() {
+		return nil, tryResult{err: attempt.newFailure(dogwoodfleet.ReasonNoEndpoint, dogwoodkernel.Jittered(noEndpointRetryAfter), "this daemon reaches no endpoint")}
+	}
 	waitStart := time.Now()
 	placementRequest, placement, err := attempt.awaitSettledPlacement(ctx)
 	relay.options.Metrics.Observe(metricPlaceWait, "", time.Since(waitStart))
--- a/core/duty/dogwoodsuspects/ends.go
+++ b/core/duty/dogwoodsuspects/ends.go
@@ -72,6 +72,8 @@
 	Ended
 	// Replaced means that another instance answers at its address.
 	Replaced
+	// Unreachable means that this daemon reaches few endpoints, which says nothing of this one.
+	Unreachable
 )
 
 // Run is a run of a request at an endpoint.
@@ -101,7 +103,7 @@
 	notified := make(chan struct{})
 	duty.mutex.Lock()
 	inForce := duty.inForce[run.lifetime()]
-	if inForce && condition == Unknown && !run.Trial {
+	if inForce && (condition == Unknown && !run.Trial || condition == Unreachable) {
 		duty.unresolved = append(duty.unresolved, unresolvedRun{run, time.Now()})
 		duty.unresolved = duty.unresolved[max(0, len(duty.unresolved)-maxUnresolved):]
 	}
