Log which parts of a prompt an endpoint ended under

The line of a run that ended its endpoint named a digest of the whole request. Requests that share a part and nothing else could not be told from strangers.

--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -53,6 +53,8 @@
 	// Prompt is the number of prompt tokens and Answer the maximum number of answer tokens;
 	// both are 0 for plain calls.
 	Prompt, Answer int
+	// Parts are the parts of the prompt, in order; nil if the caller names none.
+	Parts []dogwoodfleet.PromptPart
 	// LastEventID is the ID of the event after which a stream resumes; empty for the whole stream.
 	LastEventID string
 	// Rank orders waiting requests; 0 goes first.
--- a/core/duty/dogwoodrelay/stream.go
+++ b/core/duty/dogwoodrelay/stream.go
@@ -25,10 +25,10 @@
 	if pause, ok := run.pace.record(time.Now()); ok {
 		places.RecordPace(endpoint, pause)
 	}
-	if run.firstEventSeen {
+	if !run.firstEventAt.IsZero() {
 		return
 	}
-	run.firstEventSeen = true
+	run.firstEventAt = time.Now()
 	seen := time.Since(run.sentAt)
 	attempt.relay.options.Metrics.Observe(metricFirstEvent, lengthLabel(attempt.request.Prompt), seen)
 	places.Writes(run.id, run.placement.Predicted, seen)
--- a/core/duty/dogwoodsuspects/ends.go
+++ b/core/duty/dogwoodsuspects/ends.go
@@ -81,8 +81,12 @@
 	Digest   dogwoodfleet.Digest
 	Request  dogwoodfleet.RequestID
 	Endpoint dogwoodfleet.Endpoint
+	// Parts are the parts of the prompt.
+	Parts []dogwoodfleet.PromptPart
 	// Trial is true if the run has a permit.
 	Trial bool
+	// Begun is true if the answer had begun and the endpoint lived on after that.
+	Begun bool
 }
 
 func (run *Run) lifetime() dogwoodfleet.EndpointID {
@@ -131,7 +135,7 @@
 	duty.mutex.Unlock()
 	counters.Add("Strikes", 1)
 	duty.options.Logger.Info("An endpoint ended under a request.", "digest", run.Digest.String(), "request", run.Request,
-		"endpoint", run.lifetime(), "trial", run.Trial, "certain", certain)
+		"endpoint", run.lifetime(), "trial", run.Trial, "certain", certain, "begun", run.Begun, "parts", run.Parts)
 	return notices
 }
 
