--- /dev/null
+++ b/core/decision/dogwoodsuspect/partrefusal.go
@@ -0,0 +1,253 @@
+package dogwoodsuspect
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+const (
+	// minPartEnds is the number of independent ends from which a part is refused if other answers began meanwhile, and
+	// minLonePartEnds if none did: where no answer begins, one that does not shows little.
+	minPartEnds     = 3
+	minLonePartEnds = 4
+	// minOtherBegins is the number of other answers that must have begun since a part's first strike.
+	minOtherBegins = 3
+	// partMoment is the time between ends that count separately. Endpoints of one rack end within it.
+	partMoment = 200 * time.Millisecond
+	// minPartShare is the share of all ends between a part's first and last strike that it must explain, one in this many.
+	minPartShare = 4
+)
+
+// PartRefusal is the decision that prompts with a part are not run.
+type PartRefusal struct {
+	Part dogwoodfleet.PromptPart
+	// With are the parts that were in all prompts under which endpoints ended as well. Only prompts with all of them are
+	// refused: one that lacks some tells which part it is.
+	With []dogwoodfleet.PromptPart
+	// Customers are those whose requests ended endpoints if that is a single one; nil for all customers.
+	Customers []dogwoodfleet.Customer
+	// Cleared are the customers whose answers have begun since.
+	Cleared []dogwoodfleet.Customer
+	// Until is the end of the refusal. On probation one request at a time may run until then.
+	Until     time.Time
+	Probation bool
+	// Ends are the endpoints that ended, which says nothing of the other requests that they ran.
+	Ends []dogwoodfleet.EndpointID
+}
+
+// Standing returns the standing of a request whose prompt has the part.
+func (partRefusal *PartRefusal) Standing(now time.Time, subject *Subject) Standing {
+	hasAll := !slices.ContainsFunc(partRefusal.With, func(part dogwoodfleet.PromptPart) bool { return !slices.Contains(subject.Parts, part) })
+	switch {
+	case !now.Before(partRefusal.Until) || !hasAll || slices.Contains(partRefusal.Cleared, subject.Customer):
+		return Clear
+	case partRefusal.Probation:
+		return Suspect
+	case partRefusal.Customers == nil || slices.Contains(partRefusal.Customers, subject.Customer):
+		return Convicted
+	default:
+		return Suspect // another customer may use the name for something else
+	}
+}
+
+// Equal reports whether two refusals have the same effect.
+func (partRefusal *PartRefusal) Equal(other *PartRefusal) bool {
+	return partRefusal.Part == other.Part && partRefusal.Until.Equal(other.Until) && partRefusal.Probation == other.Probation &&
+		slices.Equal(partRefusal.With, other.With) && slices.Equal(partRefusal.Customers, other.Customers) &&
+		slices.Equal(partRefusal.Cleared, other.Cleared) && slices.Equal(partRefusal.Ends, other.Ends)
+}
+
+// partCandidate is a part with the ends that no refused part explains.
+type partCandidate struct {
+	part   dogwoodfleet.PromptPart
+	record *partRecord
+	ends   map[dogwoodfleet.EndpointID]time.Time
+	// independent is the number of ends under different requests at different moments.
+	independent int
+	examined    bool
+}
+
+// Refusals returns the parts whose prompts are not run.
+//
+// Of all parts the one that explains the most ends is refused first; its ends then count against no other part. So a part that
+// sound requests share with those that end endpoints is not refused beside the guilty one, and two guilty ones are found one
+// after the other.
+func (ledger *PartLedger) Refusals(now time.Time) []PartRefusal {
+	var refusals []PartRefusal
+	candidates, endTimes := ledger.candidates(now)
+	for {
+		best := strongest(candidates)
+		if best == nil {
+			return refusals
+		}
+		best.examined = true
+		if !ledger.isShown(best, endTimes) {
+			continue
+		}
+		group := inseparable(best, candidates)
+		ends := slices.Sorted(maps.Keys(best.ends))
+		for _, member := range group {
+			member.examined = true
+			if refusal := member.refusal(now, group, ends); now.Before(refusal.Until) {
+				refusals = append(refusals, refusal)
+			}
+		}
+		for _, endpoint := range ends {
+			delete(endTimes, endpoint)
+		}
+		for _, candidate := range candidates {
+			if !candidate.examined {
+				candidate.exclude(ends)
+			}
+		}
+	}
+}
+
+// candidates returns the parts with enough strikes, and when the endpoints with strikes ended.
+func (ledger *PartLedger) candidates(now time.Time) ([]*partCandidate, map[dogwoodfleet.EndpointID]time.Time) {
+	var candidates []*partCandidate
+	endTimes := map[dogwoodfleet.EndpointID]time.Time{}
+	for part, record := range ledger.records {
+		if now.After(record.expires) {
+			continue
+		}
+		for i := range record.strikes {
+			endTimes[record.strikes[i].endpoint] = record.strikes[i].at
+		}
+		if len(record.strikes) < minPartEnds {
+			continue
+		}
+		candidate := &partCandidate{part: part, record: record, ends: map[dogwoodfleet.EndpointID]time.Time{}}
+		for i := range record.strikes {
+			candidate.ends[record.strikes[i].endpoint] = record.strikes[i].at
+		}
+		candidate.independent = candidate.countIndependent()
+		candidates = append(candidates, candidate)
+	}
+	return candidates, endTimes
+}
+
+// strongest returns the candidate with the most ends that can be refused, nil if there is none.
+func strongest(candidates []*partCandidate) *partCandidate {
+	var best *partCandidate
+	for _, candidate := range candidates {
+		if candidate.examined || candidate.independent < minPartEnds {
+			continue
+		}
+		if best == nil || candidate.isBefore(best) {
+			best = candidate
+		}
+	}
+	return best
+}
+
+// isBefore orders candidates, at all daemons alike.
+func (candidate *partCandidate) isBefore(other *partCandidate) bool {
+	if candidate.independent != other.independent {
+		return candidate.independent > other.independent
+	}
+	if len(candidate.ends) != len(other.ends) {
+		return len(candidate.ends) > len(other.ends)
+	}
+	return candidate.part < other.part
+}
+
+// isShown reports whether a candidate's ends are more than chance: other answers began meanwhile, and it explains a good share of all ends.
+func (ledger *PartLedger) isShown(candidate *partCandidate, endTimes map[dogwoodfleet.EndpointID]time.Time) bool {
+	strikes := candidate.record.strikes
+	first, last := strikes[0].at, strikes[len(strikes)-1].at
+	meanwhile := 0
+	for _, at := range endTimes {
+		if !at.Before(first) && !at.After(last) {
+			meanwhile++
+		}
+	}
+	if len(candidate.ends)*minPartShare < meanwhile {
+		return false
+	}
+	if candidate.independent >= minLonePartEnds {
+		return true
+	}
+	return !slices.ContainsFunc(ledger.begins[:], func(begun time.Time) bool { return begun.Before(first) })
+}
+
+// inseparable returns the candidates with the same ends as one of them, that one included.
+func inseparable(best *partCandidate, candidates []*partCandidate) []*partCandidate {
+	var group []*partCandidate
+	for _, candidate := range candidates {
+		isSame := len(candidate.ends) == len(best.ends)
+		for endpoint := range candidate.ends {
+			_, shared := best.ends[endpoint]
+			isSame = isSame && shared
+		}
+		if candidate == best || isSame && !candidate.examined {
+			group = append(group, candidate)
+		}
+	}
+	return group
+}
+
+// exclude removes ends that another part explains.
+func (candidate *partCandidate) exclude(ends []dogwoodfleet.EndpointID) {
+	for _, endpoint := range ends {
+		delete(candidate.ends, endpoint)
+	}
+	candidate.independent = candidate.countIndependent()
+}
+
+// countIndependent counts the ends under different requests at different moments: neither the copies and retries of one
+// request nor the endpoints of one rack count twice.
+func (candidate *partCandidate) countIndependent() int {
+	count, last := 0, time.Time{}
+	counted := map[dogwoodfleet.Digest]bool{}
+	for i := range candidate.record.strikes {
+		strike := &candidate.record.strikes[i]
+		if _, ok := candidate.ends[strike.endpoint]; !ok || counted[strike.digest] || strike.at.Sub(last) < partMoment {
+			continue
+		}
+		counted[strike.digest], last = true, strike.at
+		count++
+	}
+	return count
+}
+
+// refusal returns the refusal of a candidate that ended endpoints, always together with the others of its group.
+func (candidate *partCandidate) refusal(now time.Time, group []*partCandidate, ends []dogwoodfleet.EndpointID) PartRefusal {
+	refusal := PartRefusal{Part: candidate.part, Ends: ends}
+	for _, member := range group {
+		if member != candidate {
+			refusal.With = append(refusal.With, member.part)
+		}
+	}
+	slices.Sort(refusal.With)
+	customers := map[dogwoodfleet.Customer]bool{}
+	confirmed := map[dogwoodfleet.EndpointID]bool{}
+	for i := range candidate.record.strikes {
+		strike := &candidate.record.strikes[i]
+		customers[strike.customer] = true
+		if strike.confirmed {
+			confirmed[strike.endpoint] = true
+		}
+	}
+	if len(customers) == 1 {
+		refusal.Customers = slices.Collect(maps.Keys(customers))
+	}
+	for customer := range candidate.record.cleared {
+		if !customers[customer] {
+			refusal.Cleared = append(refusal.Cleared, customer)
+		}
+	}
+	slices.Sort(refusal.Cleared)
+	last := candidate.record.strikes[len(candidate.record.strikes)-1].at
+	refusal.Until = last.Add(ProvisionalTTL)
+	if len(confirmed) >= minSharedEndpoints {
+		refusal.Until = last.Add(ConvictionTTL)
+		if refusal.Probation = !now.Before(refusal.Until); refusal.Probation {
+			refusal.Until = candidate.record.expires
+		}
+	}
+	return refusal
+}
--- /dev/null
+++ b/core/decision/dogwoodsuspect/parts.go
@@ -0,0 +1,309 @@
+package dogwoodsuspect
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+const (
+	// MaxPartRecords bounds the parts with strikes.
+	MaxPartRecords = 8192
+	// maxPartStrikes bounds the strikes of a part, and maxClearedCustomers the customers that a record exempts.
+	maxPartStrikes      = 64
+	maxClearedCustomers = 64
+	// maxRecentBegins is the size of each of the two generations of parts whose answers began.
+	maxRecentBegins = 8192
+	// probationTime is how long after a refusal a part runs as a suspect, one request at a time in the whole system.
+	probationTime = time.Hour
+)
+
+// Subject is what is known of a request whose run may end its endpoint.
+type Subject struct {
+	Request  dogwoodfleet.RequestID
+	Digest   dogwoodfleet.Digest
+	Customer dogwoodfleet.Customer
+	Parts    []dogwoodfleet.PromptPart
+}
+
+// PartStrikeNotice returns the notice that an endpoint ended before it had begun its answer to a request.
+func (subject *Subject) PartStrikeNotice(endpoint dogwoodfleet.EndpointID, age time.Duration, confirmed bool) Notice {
+	return Notice{
+		Kind: PartStrike, Digest: subject.Digest, Request: subject.Request, Customer: subject.Customer, Parts: subject.Parts,
+		Endpoint: endpoint, Age: age, Confirmed: confirmed,
+	}
+}
+
+// partStrike is the end of an endpoint that had not begun its answer to a prompt with the part.
+type partStrike struct {
+	digest    dogwoodfleet.Digest
+	request   dogwoodfleet.RequestID
+	customer  dogwoodfleet.Customer
+	endpoint  dogwoodfleet.EndpointID
+	at        time.Time
+	confirmed bool
+}
+
+// partRecord holds what is known of a part under which endpoints ended. An answer that begins to a customer's prompt removes
+// that customer's strikes.
+type partRecord struct {
+	strikes []partStrike // by time
+	// cleared holds the customers whose answers have begun since the first strike, and when the first one did.
+	cleared map[dogwoodfleet.Customer]time.Time
+	expires time.Time
+}
+
+// PartLedger holds one daemon's records of parts of prompts. It is not safe for concurrent use.
+//
+// Load pattern: requests of which no two are alike share one part of their prompts, and each endpoint ends as it begins an
+// answer to one of them. Each end names all parts of all prompts that had not begun there, of which one is the cause.
+type PartLedger struct {
+	records map[dogwoodfleet.PromptPart]*partRecord
+	// recent holds when answers to prompts with a part last began, by customer.
+	recent [2]map[uint64]time.Time
+	// begins are the times of the latest answers that began at this daemon, in a ring.
+	begins     [minOtherBegins]time.Time
+	beginIndex int
+	version    uint64
+}
+
+// NewPartLedger returns an empty ledger.
+func NewPartLedger() *PartLedger {
+	return &PartLedger{
+		records: map[dogwoodfleet.PromptPart]*partRecord{}, recent: [2]map[uint64]time.Time{{}, {}},
+	}
+}
+
+// Version increases whenever the strikes change.
+func (ledger *PartLedger) Version() uint64 { return ledger.version }
+
+// Learn applies notices of this daemon or of others, and passes over those of other kinds.
+func (ledger *PartLedger) Learn(now time.Time, notices []Notice) {
+	for i := range notices {
+		notice := &notices[i]
+		for _, part := range notice.Parts {
+			switch notice.Kind {
+			case PartStrike:
+				ledger.strike(now, part, notice)
+			case Begun:
+				ledger.clear(now.Add(-notice.Age), part, notice.Customer)
+			case Lift:
+				ledger.drop(part)
+			case Strike, Conviction, Acquittal: // they are about digests
+			}
+		}
+	}
+}
+
+func (ledger *PartLedger) strike(now time.Time, part dogwoodfleet.PromptPart, notice *Notice) {
+	at := now.Add(-notice.Age)
+	if at.Before(ledger.lastBegun(part, notice.Customer)) {
+		return
+	}
+	found := ledger.records[part]
+	if found == nil {
+		if found = ledger.add(now, part); found == nil {
+			return
+		}
+	}
+	known := slices.IndexFunc(found.strikes, func(strike partStrike) bool {
+		return strike.endpoint == notice.Endpoint && strike.digest == notice.Digest
+	})
+	if known >= 0 {
+		if notice.Confirmed && !found.strikes[known].confirmed {
+			found.strikes[known].confirmed = true
+			ledger.version++
+		}
+		return
+	}
+	if len(found.strikes) == maxPartStrikes {
+		// The first strikes tell the part from others, the last one how long it is refused.
+		found.strikes = found.strikes[:maxPartStrikes-1]
+	}
+	strike := partStrike{
+		digest: notice.Digest, request: notice.Request, customer: notice.Customer, endpoint: notice.Endpoint, at: at, confirmed: notice.Confirmed,
+	}
+	index, _ := slices.BinarySearchFunc(found.strikes, strike, func(a, b partStrike) int { return a.at.Compare(b.at) })
+	found.strikes = slices.Insert(found.strikes, index, strike)
+	found.expires = found.strikes[len(found.strikes)-1].at.Add(ConvictionTTL + probationTime)
+	ledger.version++
+}
+
+// clear removes a customer's strikes of a part from before an answer to it began.
+func (ledger *PartLedger) clear(begun time.Time, part dogwoodfleet.PromptPart, customer dogwoodfleet.Customer) {
+	ledger.recordRecent(part, customer, begun)
+	found := ledger.records[part]
+	if found == nil || len(found.strikes) == 0 || begun.Before(found.strikes[0].at) {
+		return
+	}
+	before := len(found.strikes)
+	found.strikes = slices.DeleteFunc(found.strikes, func(strike partStrike) bool {
+		return strike.customer == customer && strike.at.Before(begun)
+	})
+	if len(found.strikes) < before {
+		ledger.version++
+	}
+	if len(found.strikes) == 0 {
+		ledger.drop(part)
+		return
+	}
+	if _, known := found.cleared[customer]; !known && len(found.cleared) < maxClearedCustomers {
+		if found.cleared == nil {
+			found.cleared = map[dogwoodfleet.Customer]time.Time{}
+		}
+		found.cleared[customer] = begun
+		ledger.version++
+	}
+}
+
+// drop forgets the strikes of a part.
+func (ledger *PartLedger) drop(part dogwoodfleet.PromptPart) {
+	if _, known := ledger.records[part]; known {
+		delete(ledger.records, part)
+		ledger.version++
+	}
+}
+
+// add returns a new record, nil if there is no room.
+func (ledger *PartLedger) add(now time.Time, part dogwoodfleet.PromptPart) *partRecord {
+	if len(ledger.records) >= MaxPartRecords {
+		ledger.makeRoom(now)
+	}
+	if len(ledger.records) >= MaxPartRecords {
+		return nil
+	}
+	added := &partRecord{}
+	ledger.records[part] = added
+	return added
+}
+
+// makeRoom drops records that have expired and some of a single end, so that parts that never come again push out no part that
+// is refused.
+func (ledger *PartLedger) makeRoom(now time.Time) {
+	dropped := 0
+	for part, record := range ledger.records {
+		isSingle := len(record.strikes) == 1 && dropped < MaxPartRecords/8
+		if !isSingle && !now.After(record.expires) {
+			continue
+		}
+		delete(ledger.records, part)
+		dropped++
+	}
+}
+
+// Began records that an answer to a request began at this daemon, and returns the notices for the other daemons: those of
+// parts that have strikes, here or in refusals that are known.
+func (ledger *PartLedger) Began(now, begun time.Time, subject *Subject, refused func(dogwoodfleet.PromptPart) bool) []Notice {
+	ledger.begins[ledger.beginIndex] = begun
+	ledger.beginIndex = (ledger.beginIndex + 1) % len(ledger.begins)
+	var struck []dogwoodfleet.PromptPart
+	for _, part := range subject.Parts {
+		if ledger.records[part] != nil || refused(part) {
+			struck = append(struck, part)
+		}
+		ledger.clear(begun, part, subject.Customer)
+	}
+	if len(struck) == 0 {
+		return nil
+	}
+	return []Notice{{Kind: Begun, Request: subject.Request, Customer: subject.Customer, Parts: struck, Age: now.Sub(begun)}}
+}
+
+// RecentBegins returns the notices of the latest answers to a customer's prompts with the request's parts that are known here.
+// Other daemons need them to judge an end: an answer that began before it shows nothing of a part, one that began after earlier
+// ends does.
+func (ledger *PartLedger) RecentBegins(now time.Time, subject *Subject) []Notice {
+	var notices []Notice
+	for _, part := range subject.Parts {
+		begun := ledger.lastBegun(part, subject.Customer)
+		if age := now.Sub(begun); !begun.IsZero() && age < ConvictionTTL {
+			notices = append(notices, Notice{
+				Kind: Begun, Request: subject.Request, Customer: subject.Customer, Parts: []dogwoodfleet.PromptPart{part}, Age: age,
+			})
+		}
+	}
+	return notices
+}
+
+// Confirm records that the ends of endpoints are certain.
+func (ledger *PartLedger) Confirm(isListed func(dogwoodfleet.EndpointID) bool) {
+	for _, record := range ledger.records {
+		for i := range record.strikes {
+			if strike := &record.strikes[i]; !strike.confirmed && !isListed(strike.endpoint) {
+				strike.confirmed = true
+				ledger.version++
+			}
+		}
+	}
+}
+
+// Notices returns the strikes in force and the customers that are exempt, for a daemon that has just started.
+func (ledger *PartLedger) Notices(now time.Time) []Notice {
+	type run struct {
+		digest   dogwoodfleet.Digest
+		endpoint dogwoodfleet.EndpointID
+	}
+	byRun := map[run]*Notice{}
+	var notices []Notice
+	for part, record := range ledger.records {
+		if now.After(record.expires) {
+			continue
+		}
+		for customer, begun := range record.cleared {
+			notices = append(notices, Notice{Kind: Begun, Customer: customer, Parts: []dogwoodfleet.PromptPart{part}, Age: now.Sub(begun)})
+		}
+		for i := range record.strikes {
+			strike := &record.strikes[i]
+			notice := byRun[run{strike.digest, strike.endpoint}]
+			if notice == nil {
+				notice = &Notice{
+					Kind: PartStrike, Digest: strike.digest, Request: strike.request, Customer: strike.customer, Endpoint: strike.endpoint,
+					Age: now.Sub(strike.at), Confirmed: strike.confirmed,
+				}
+				byRun[run{strike.digest, strike.endpoint}] = notice
+			}
+			notice.Parts = append(notice.Parts, part)
+		}
+	}
+	for _, notice := range byRun {
+		notices = append(notices, *notice)
+	}
+	// A begin that is applied before the strikes of other customers would exempt nobody.
+	slices.SortStableFunc(notices, func(a, b Notice) int { return cmp.Compare(b.Kind, a.Kind) })
+	return notices
+}
+
+func recentKey(part dogwoodfleet.PromptPart, customer dogwoodfleet.Customer) uint64 {
+	var hash xxhash.Digest
+	hash.Reset()
+	_, _ = hash.WriteString(string(customer)) // a hash returns no error
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.WriteString(string(part))
+	return hash.Sum64()
+}
+
+func (ledger *PartLedger) recordRecent(part dogwoodfleet.PromptPart, customer dogwoodfleet.Customer, begun time.Time) {
+	key := recentKey(part, customer)
+	if begun.Before(ledger.recent[0][key]) {
+		return
+	}
+	if len(ledger.recent[0]) >= maxRecentBegins {
+		ledger.recent[0], ledger.recent[1] = ledger.recent[1], ledger.recent[0]
+		clear(ledger.recent[0])
+	}
+	ledger.recent[0][key] = begun
+}
+
+// lastBegun returns when an answer to a customer's prompt with the part last began, zero if that is not known.
+func (ledger *PartLedger) lastBegun(part dogwoodfleet.PromptPart, customer dogwoodfleet.Customer) time.Time {
+	key := recentKey(part, customer)
+	first, second := ledger.recent[0][key], ledger.recent[1][key]
+	if second.After(first) {
+		return second
+	}
+	return first
+}
--- /dev/null
+++ b/core/decision/dogwoodsuspect/parts_test.go
@@ -0,0 +1,297 @@
+package dogwoodsuspect
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+const (
+	guilty  = dogwoodfleet.PromptPart("s/m/bad")
+	popular = dogwoodfleet.PromptPart("s/m/f1")
+)
+
+// partHistory is what a ledger has seen, in steps of a second unless pause is set.
+type partHistory struct {
+	ledger *PartLedger
+	now    time.Time
+	number int
+}
+
+func newPartHistory() *partHistory {
+	return &partHistory{ledger: NewPartLedger(), now: start}
+}
+
+// ended records the end of another endpoint under another request of a customer, and returns the history.
+func (partHistory *partHistory) ended(customer dogwoodfleet.Customer, parts ...dogwoodfleet.PromptPart) *partHistory {
+	partHistory.now = partHistory.now.Add(time.Second)
+	partHistory.endedTogether(customer, parts...)
+	return partHistory
+}
+
+// endedTogether is ended without a pause before it.
+func (partHistory *partHistory) endedTogether(customer dogwoodfleet.Customer, parts ...dogwoodfleet.PromptPart) *partHistory {
+	partHistory.number++
+	return partHistory.endedUnder(dogwoodfleet.Digest{byte(partHistory.number)}, customer, parts...)
+}
+
+func (partHistory *partHistory) endedUnder(digest dogwoodfleet.Digest, customer dogwoodfleet.Customer, parts ...dogwoodfleet.PromptPart) *partHistory {
+	subject := Subject{Digest: digest, Customer: customer, Parts: parts}
+	endpoint := dogwoodfleet.EndpointID(fmt.Sprint("e", partHistory.number))
+	partHistory.ledger.Learn(partHistory.now, []Notice{subject.PartStrikeNotice(endpoint, 0, true)})
+	return partHistory
+}
+
+// beside records that the latest endpoint also ended under another request.
+func (partHistory *partHistory) beside(parts ...dogwoodfleet.PromptPart) *partHistory {
+	return partHistory.endedUnder(dogwoodfleet.Digest{byte(partHistory.number), 1}, "a", parts...)
+}
+
+// began records that an answer began.
+func (partHistory *partHistory) began(customer dogwoodfleet.Customer, parts ...dogwoodfleet.PromptPart) *partHistory {
+	partHistory.now = partHistory.now.Add(time.Millisecond)
+	subject := Subject{Customer: customer, Parts: parts}
+	partHistory.ledger.Began(partHistory.now, partHistory.now, &subject, func(dogwoodfleet.PromptPart) bool { return false })
+	return partHistory
+}
+
+// othersBegan records that answers to prompts with other parts began.
+func (partHistory *partHistory) othersBegan() *partHistory {
+	for number := range minOtherBegins {
+		partHistory.began("other", dogwoodfleet.PromptPart(fmt.Sprint("s/m/other", number)))
+	}
+	return partHistory
+}
+
+func (partHistory *partHistory) standing(customer dogwoodfleet.Customer, parts ...dogwoodfleet.PromptPart) Standing {
+	worst := Clear
+	for _, refusal := range partHistory.ledger.Refusals(partHistory.now) {
+		if slices.Contains(parts, refusal.Part) {
+			worst = max(worst, refusal.Standing(partHistory.now, &Subject{Customer: customer, Parts: parts}))
+		}
+	}
+	return worst
+}
+
+// Guards against a part that ends one endpoint after the other under requests of which no two are alike, and against refusing
+// prompts that only share parts with those.
+func TestPartStandings(t *testing.T) {
+	tests := []struct {
+		name    string
+		history *partHistory
+		// want is the standing of a prompt of customer a with the guilty part, harmless that of one with the popular part,
+		// and other that of a prompt of customer b with the guilty part.
+		want, harmless, other Standing
+	}{
+		{name: "two ends", history: newPartHistory().ended("a", guilty).ended("a", guilty).othersBegan()},
+		{
+			name:    "three ends while other answers begin",
+			history: newPartHistory().ended("a", popular, guilty).othersBegan().ended("a", "s/m/f2", guilty).ended("a", popular, guilty),
+			want:    Convicted, other: Suspect,
+		},
+		{name: "three ends, and no answer begins", history: newPartHistory().ended("a", guilty).ended("a", guilty).ended("a", guilty)},
+		{
+			name:    "four ends, and no answer begins",
+			history: newPartHistory().ended("a", guilty).ended("a", guilty).ended("a", guilty).ended("a", guilty),
+			want:    Convicted, other: Suspect,
+		},
+		{
+			name: "copies of one request",
+			history: newPartHistory().ended("a", guilty).ended("b", "s/m/f2").othersBegan().endedUnder(dogwoodfleet.Digest{1}, "a", guilty).
+				ended("b", "s/m/f3").endedUnder(dogwoodfleet.Digest{1}, "a", guilty),
+		},
+		{
+			name:    "a rack fails",
+			history: newPartHistory().ended("a", guilty).endedTogether("a", guilty).endedTogether("a", guilty).endedTogether("a", guilty).othersBegan(),
+		},
+		{
+			name:    "its answers begin in between",
+			history: newPartHistory().ended("a", guilty).ended("a", guilty).othersBegan().began("a", guilty).ended("a", guilty).ended("a", guilty),
+		},
+		{
+			name:    "it was answered before it ended endpoints",
+			history: newPartHistory().began("a", guilty).ended("a", guilty).ended("a", guilty).ended("a", guilty).othersBegan(),
+			want:    Convicted, other: Suspect,
+		},
+		{
+			name: "a part that all prompts with it share, and sound ones too",
+			history: newPartHistory().ended("a", popular, guilty).ended("a", popular, guilty).othersBegan().began("a", popular).
+				ended("a", popular, guilty).ended("a", popular, guilty),
+			want: Convicted, other: Suspect,
+		},
+		{
+			name: "sound prompts of three requests were beside it",
+			history: newPartHistory().ended("a", guilty).beside(popular).ended("a", guilty).beside(popular).ended("a", guilty).othersBegan().
+				ended("a", guilty).beside(popular),
+			want: Convicted, other: Suspect,
+		},
+		{
+			name: "two guilty parts in turn",
+			history: newPartHistory().othersBegan().ended("a", guilty).ended("a", popular).ended("a", guilty).ended("a", popular).
+				ended("a", guilty).ended("a", popular).ended("a", popular).ended("a", guilty),
+			want: Convicted, harmless: Convicted, other: Suspect,
+		},
+		{
+			name:    "prompts of two customers",
+			history: newPartHistory().ended("a", guilty).ended("c", guilty).ended("a", guilty).ended("c", guilty),
+			want:    Convicted, other: Convicted,
+		},
+		{
+			name: "another customer's answers begin",
+			history: newPartHistory().ended("a", guilty).ended("a", guilty).othersBegan().began("b", guilty).ended("a", guilty).
+				began("b", guilty).ended("a", guilty),
+			want: Convicted,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.history.standing("a", popular, guilty); got != max(test.want, test.harmless) {
+				t.Errorf("the guilty part: got %v, want %v", got, test.want)
+			}
+			if got := test.history.standing("a", popular, "s/m/f2"); got != test.harmless {
+				t.Errorf("the popular part: got %v, want %v", got, test.harmless)
+			}
+			if got := test.history.standing("b", guilty); got != test.other {
+				t.Errorf("another customer: got %v, want %v", got, test.other)
+			}
+		})
+	}
+}
+
+// Guards against refusing sound prompts with a part that came only together with the guilty one: a prompt with one of them
+// tells which it is.
+func TestPartsThatComeTogether(t *testing.T) {
+	together := func() *partHistory {
+		return newPartHistory().ended("a", guilty, popular).ended("a", guilty, popular).ended("a", guilty, popular).ended("a", guilty, popular)
+	}
+	tests := []struct {
+		name    string
+		history *partHistory
+		// both, alone and harmless are the standings of prompts with both parts, the guilty one and the other one.
+		both, alone, harmless Standing
+	}{
+		{name: "only together", history: together(), both: Convicted},
+		{name: "an end without the other", history: together().ended("a", guilty), both: Convicted, alone: Convicted},
+		{name: "an answer to the other alone", history: together().began("a", popular), both: Convicted, alone: Convicted},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for _, prompt := range []struct {
+				name  string
+				parts []dogwoodfleet.PromptPart
+				want  Standing
+			}{
+				{"both", []dogwoodfleet.PromptPart{popular, guilty}, test.both},
+				{"the guilty one", []dogwoodfleet.PromptPart{guilty}, test.alone},
+				{"the other one", []dogwoodfleet.PromptPart{popular}, test.harmless},
+			} {
+				if got := test.history.standing("a", prompt.parts...); got != prompt.want {
+					t.Errorf("%s: got %v, want %v", prompt.name, got, prompt.want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a refusal that never ends, and against one whose end costs as many endpoints as the part cost at first.
+func TestPartIsOnProbationAfterItsRefusal(t *testing.T) {
+	refused := func() *partHistory {
+		history := newPartHistory().ended("a", guilty).ended("a", guilty).ended("a", guilty).ended("a", guilty)
+		history.now = history.now.Add(ConvictionTTL)
+		return history
+	}
+	if got := refused().standing("a", guilty); got != Suspect {
+		t.Errorf("after the refusal: got %v, want one prompt at a time", got)
+	}
+	if got := refused().ended("a", guilty).standing("a", guilty); got != Convicted {
+		t.Errorf("after another end: got %v, want it refused again", got)
+	}
+	if got := refused().began("a", guilty).standing("a", guilty); got != Clear {
+		t.Errorf("after an answer: got %v, want it clear", got)
+	}
+	history := refused()
+	history.now = history.now.Add(probationTime)
+	if got := history.standing("a", guilty); got != Clear {
+		t.Errorf("after the probation: got %v, want it clear", got)
+	}
+}
+
+// Guards against refusing a part for long because one daemon can't reach endpoints: their ends are not confirmed.
+func TestUnconfirmedEndsRefuseAPartOnlyForAMoment(t *testing.T) {
+	history := newPartHistory()
+	for number := range minLonePartEnds {
+		history.now = history.now.Add(time.Second)
+		subject := Subject{Digest: dogwoodfleet.Digest{byte(number)}, Customer: "a", Parts: []dogwoodfleet.PromptPart{guilty}}
+		history.ledger.Learn(history.now, []Notice{subject.PartStrikeNotice(endpoint(number), 0, false)})
+	}
+	last := history.now
+	if got := history.standing("a", guilty); got != Convicted {
+		t.Errorf("got %v, want it refused", got)
+	}
+	history.now = last.Add(ProvisionalTTL)
+	if got := history.standing("a", guilty); got != Clear {
+		t.Errorf("got %v later, want it clear", got)
+	}
+	history.ledger.Confirm(func(endpoint dogwoodfleet.EndpointID) bool { return endpoint != "a" && endpoint != "b" })
+	if got := history.standing("a", guilty); got != Convicted {
+		t.Errorf("got %v after two ends are confirmed, want it refused", got)
+	}
+}
+
+// Guards against a hub that has just started and judges otherwise than the one whose ledger it has learnt, in any order.
+func TestPartNoticesCarryRefusals(t *testing.T) {
+	history := newPartHistory().ended("a", guilty, popular).ended("a", guilty, popular).othersBegan().began("b", guilty).began("a", popular).
+		ended("a", guilty).ended("a", guilty, "s/m/f2")
+	learner := &partHistory{ledger: NewPartLedger(), now: history.now}
+	notices := history.ledger.Notices(history.now)
+	learner.ledger.Learn(history.now, notices)
+	version := learner.ledger.Version()
+	learner.ledger.Learn(history.now, notices)
+	if got := learner.ledger.Version(); got != version {
+		t.Errorf("got version %d after the same notices again, want %d", got, version)
+	}
+	for _, customer := range []dogwoodfleet.Customer{"a", "b", "c"} {
+		for _, parts := range [][]dogwoodfleet.PromptPart{{guilty}, {popular}, {guilty, popular}, {"s/m/f2"}} {
+			if got, want := learner.standing(customer, parts...), history.standing(customer, parts...); got != want {
+				t.Errorf("customer %s, parts %v: got %v, want %v", customer, parts, got, want)
+			}
+		}
+	}
+}
+
+// Guards against an operator who can't lift the refusal of a part.
+func TestLiftedPartIsClear(t *testing.T) {
+	history := newPartHistory().ended("a", guilty).ended("a", guilty).ended("a", guilty).ended("a", guilty)
+	history.ledger.Learn(history.now, []Notice{{Kind: Lift, Parts: []dogwoodfleet.PromptPart{guilty}}})
+	if got := history.standing("a", guilty); got != Clear {
+		t.Errorf("got %v, want it clear", got)
+	}
+}
+
+// Guards against a ledger that grows without bound, and against parts that never come again and push out one that is refused.
+func TestPartRecordsAreBounded(t *testing.T) {
+	history := newPartHistory().ended("a", guilty).ended("a", guilty).ended("a", guilty).ended("a", guilty)
+	history.now = history.now.Add(time.Second)
+	for number := range 2 * MaxPartRecords / dogwoodfleet.MaxPromptParts {
+		var parts []dogwoodfleet.PromptPart
+		for index := range dogwoodfleet.MaxPromptParts {
+			parts = append(parts, dogwoodfleet.PromptPart(fmt.Sprintf("s/m/%d-%d", number, index)))
+		}
+		history.endedTogether("b", parts...)
+	}
+	if got := history.standing("a", guilty); got != Convicted {
+		t.Errorf("got %v, want the part still refused", got)
+	}
+	for range 3 * maxPartStrikes {
+		history.ended("a", guilty)
+	}
+	if got := len(history.ledger.records); got > MaxPartRecords {
+		t.Errorf("got %d records, want at most %d", got, MaxPartRecords)
+	}
+	if got := len(history.ledger.records[guilty].strikes); got > maxPartStrikes {
+		t.Errorf("got %d strikes, want at most %d", got, maxPartStrikes)
+	}
+}
--- a/core/decision/dogwoodsuspect/shared.go
+++ b/core/decision/dogwoodsuspect/shared.go
@@ -122,6 +122,20 @@
 	}
 }
 
+// Forget removes the strikes at an endpoint whose end is explained: it says nothing of the requests that ran there.
+func (ledger *Ledger) Forget(endpoint dogwoodfleet.EndpointID) {
+	ended := ledger.ended[endpoint]
+	if ended == nil {
+		return
+	}
+	delete(ledger.ended, endpoint)
+	for _, digest := range ended.digests {
+		found := ledger.records[digest]
+		found.shared = slices.DeleteFunc(found.shared, func(strike sharedStrike) bool { return strike.endpoint == endpoint })
+	}
+	ledger.version++
+}
+
 // Ended returns the endpoints that ended under requests beside others.
 func (ledger *Ledger) Ended() []dogwoodfleet.EndpointID {
 	endpoints := make([]dogwoodfleet.EndpointID, 0, len(ledger.ended))
--- a/core/decision/dogwoodsuspect/suspect.go
+++ b/core/decision/dogwoodsuspect/suspect.go
@@ -57,7 +57,10 @@
 	Strike     Kind = "Strike"
 	Conviction Kind = "Conviction"
 	Acquittal  Kind = "Acquittal" // a run of a suspect finished
-	Lift       Kind = "Lift"      // an operator cleared the digest
+	Lift       Kind = "Lift"      // an operator cleared the digest or the parts
+	// PartStrike and Begun are about the parts of a prompt: an endpoint ended before its answer began, or the answer began.
+	PartStrike Kind = "PartStrike"
+	Begun      Kind = "Begun"
 )
 
 // Notice reports an event about a digest to other owners. Applying a notice twice has no
@@ -68,6 +71,9 @@
 	// Request identifies the attempt that was running when the endpoint died, or the one that
 	// finished.
 	Request dogwoodfleet.RequestID
+	// Customer and Parts are the request's; they are empty in notices about its digest.
+	Customer dogwoodfleet.Customer
+	Parts    []dogwoodfleet.PromptPart
 	// Endpoint is the endpoint that died.
 	Endpoint dogwoodfleet.EndpointID
 	// Age is the time since the event. It is relative because the owners' clocks differ.
@@ -176,6 +182,8 @@
 		notice := &notices[i]
 		at := now.Add(-notice.Age)
 		switch {
+		case notice.Kind == PartStrike || notice.Kind == Begun || len(notice.Parts) > 0:
+			// PartLedger learns it.
 		case notice.Kind == Acquittal || notice.Kind == Lift:
 			ledger.clear(at, notice)
 		case notice.Shared:
--- a/core/duty/dogwoodrelay/forward.go
+++ b/core/duty/dogwoodrelay/forward.go
@@ -23,7 +23,7 @@
 		if attempt.request.isPlain() {
 			return attempt.forwardAnswer(ctx, run, event.raw), nil
 		}
-		attempt.recordEvent(run)
+		attempt.recordEvent(ctx, run)
 		if err := attempt.forwardEvent(run.response, event); err != nil {
 			return tryResult{err: err}, nil
 		}
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -23,6 +23,7 @@
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/decision/dogwoodretry"
 	"dogwoodmux.example/core/decision/dogwoodroute"
+	"dogwoodmux.example/core/decision/dogwoodsuspect"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
 	"dogwoodmux.example/core/duty/dogwoodsuspects"
@@ -172,14 +173,16 @@
 type Suspects interface {
 	// Admit waits until a request may run. It returns the permit of a suspect, nil for other requests, or a
 	// *dogwoodsuspects.Refused error.
-	Admit(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) (*dogwoodsuspects.Permit, error)
+	Admit(ctx context.Context, subject *dogwoodsuspect.Subject) (*dogwoodsuspects.Permit, error)
 	// StillAdmitted reports whether a request may still run after it waited for a slot.
-	StillAdmitted(permit *dogwoodsuspects.Permit, digest dogwoodfleet.Digest) bool
+	StillAdmitted(permit *dogwoodsuspects.Permit, subject *dogwoodsuspect.Subject) bool
 	// Broke records that a run broke off, with what is known of its endpoint. The channel is closed once the other daemons
 	// are notified, before which the caller must not learn of the failure.
 	Broke(ctx context.Context, run dogwoodsuspects.Run, condition dogwoodsuspects.Condition) <-chan struct{}
+	// Began records that an answer began at a time and its endpoint lived on.
+	Began(ctx context.Context, subject *dogwoodsuspect.Subject, begun time.Time)
 	// Finished records that a request has its answer.
-	Finished(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID)
+	Finished(ctx context.Context, subject *dogwoodsuspect.Subject)
 }
 
 // Metrics records latencies by name and label.
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -16,8 +16,8 @@
 // can't say whether it is. An engine that prefills uses that memory but sends no event in the meantime.
 const prefillFactor = 2
 
-// minBegunTime is how long after its first event an answer counts as begun. An endpoint that ends as it begins an answer may
-// still send its first event.
+// minBegunTime is how long after its first event a further one shows that the answer has begun. An endpoint that ends as it
+// begins an answer may still send some of it.
 const minBegunTime = 100 * time.Millisecond
 
 var (
@@ -45,6 +45,8 @@
 	pace     pace
 	// firstEventAt is when the first event arrived; zero before it.
 	firstEventAt time.Time
+	// begun is true once the endpoint has lived on after the answer began.
+	begun bool
 	// peeked is the event that peek read; nil for none.
 	peeked *peekedEvent
 	// unusedTimer ends a run whose helpers' memory stays unused; nil if no memory is reserved.
@@ -184,11 +186,6 @@
 		run.response.Status >= http.StatusMultipleChoices && run.response.Status < http.StatusInternalServerError
 }
 
-// hasBegun reports whether the endpoint has lived on after the answer began.
-func (run *run) hasBegun() bool {
-	return !run.firstEventAt.IsZero() && time.Since(run.firstEventAt) >= minBegunTime
-}
-
 // firstEventLimit returns how long the run may take to its first event before another endpoint is tried.
 func (run *run) firstEventLimit() time.Duration {
 	if request := run.attempt.request; request.isPlain() {
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodpacking"
+	"dogwoodmux.example/core/decision/dogwoodsuspect"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
 	"dogwoodmux.example/core/dogwoodlog"
@@ -40,6 +41,7 @@
 type attempt struct {
 	relay   *Relay
 	request *Request
+	subject dogwoodsuspect.Subject
 	answer  Answer
 	// possibleRuns counts the tries that may have run, reachedTries those that reached an
 	// endpoint, and unsentTries those that did not.
@@ -82,12 +84,14 @@
 	relay.options.Retries.First(time.Now(), request.Service)
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	attempt := &attempt{relay: relay, request: request, answer: answer, runState: dogwoodfleet.NotRun}
+	attempt := &attempt{relay: relay, request: request, answer: answer, runState: dogwoodfleet.NotRun, subject: dogwoodsuspect.Subject{
+		Request: dogwoodfleet.RequestID(request.ID), Digest: request.Digest, Customer: request.Customer, Parts: request.Parts,
+	}}
 	attempt.stream.lastEvent = request.LastEventID
 	for {
 		tryResult := attempt.try(ctx)
 		if tryResult.done {
-			relay.options.Suspects.Finished(ctx, request.Digest, dogwoodfleet.RequestID(request.ID))
+			relay.options.Suspects.Finished(ctx, &attempt.subject)
 		}
 		if tryResult.done || tryResult.err != nil {
 			return attempt.finish(tryResult.err)
@@ -173,6 +177,9 @@
 	for {
 		tryResult, replacement := attempt.forwardRun(ctx, run)
 		if replacement == nil {
+			if tryResult.done {
+				attempt.recordAnswered(ctx, run)
+			}
 			return tryResult
 		}
 		run.close()
@@ -194,7 +201,7 @@
 			permit.Return(ctx)
 			return nil, failed
 		}
-		if attempt.relay.options.Suspects.StillAdmitted(permit, attempt.request.Digest) {
+		if attempt.relay.options.Suspects.StillAdmitted(permit, &attempt.subject) {
 			attempt.triedEndpoints = append(attempt.triedEndpoints, prepared.placement.Endpoint.ID)
 			return prepared, tryResult{}
 		}
@@ -204,8 +211,7 @@
 
 // admit waits until the request may run.
 func (attempt *attempt) admit(ctx context.Context) (*dogwoodsuspects.Permit, error) {
-	request := attempt.request
-	permit, err := attempt.relay.options.Suspects.Admit(ctx, request.Digest, dogwoodfleet.RequestID(request.ID))
+	permit, err := attempt.relay.options.Suspects.Admit(ctx, &attempt.subject)
 	var refused *dogwoodsuspects.Refused
 	switch {
 	case errors.As(err, &refused):
--- a/core/duty/dogwoodrelay/stream.go
+++ b/core/duty/dogwoodrelay/stream.go
@@ -1,7 +1,9 @@
 package dogwoodrelay
 
 import (
+	"context"
 	"errors"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -18,7 +20,7 @@
 }
 
 // recordEvent updates the endpoint's liveness, pace and predictions from an event's arrival time.
-func (attempt *attempt) recordEvent(run *run) {
+func (attempt *attempt) recordEvent(ctx context.Context, run *run) {
 	places, endpoint := attempt.relay.options.Places, run.placement.Endpoint.ID
 	attempt.runState = dogwoodfleet.WasRun
 	attempt.relay.liveness.record(time.Now(), endpoint)
@@ -26,6 +28,7 @@
 		places.RecordPace(endpoint, pause)
 	}
 	if !run.firstEventAt.IsZero() {
+		attempt.recordBegun(ctx, run)
 		return
 	}
 	run.firstEventAt = time.Now()
@@ -36,6 +39,25 @@
 		"predicted", run.placement.Predicted, "seen", seen, "endpoint", endpoint)
 }
 
+// recordBegun records once that the endpoint has lived on after the answer began.
+func (attempt *attempt) recordBegun(ctx context.Context, run *run) {
+	if run.begun || time.Since(run.firstEventAt) < minBegunTime {
+		return
+	}
+	run.begun = true
+	attempt.relay.options.Suspects.Began(ctx, &attempt.subject, run.firstEventAt)
+}
+
+// recordAnswered records a whole answer that was too short to count as begun before.
+func (attempt *attempt) recordAnswered(ctx context.Context, run *run) {
+	hasContent := attempt.request.isPlain() || !run.firstEventAt.IsZero()
+	if run.begun || !hasContent || run.response.Status >= http.StatusMultipleChoices {
+		return
+	}
+	run.begun = true
+	attempt.relay.options.Suspects.Began(ctx, &attempt.subject, time.Now())
+}
+
 // finishStream ends a stream. It sends the headers even if there were no events.
 func (attempt *attempt) finishStream(response *Response) tryResult {
 	if err := attempt.beginStream(response); err != nil {
--- a/core/duty/dogwoodrelay/suspects_test.go
+++ b/core/duty/dogwoodrelay/suspects_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodroute"
+	"dogwoodmux.example/core/decision/dogwoodsuspect"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/duty/dogwoodsuspects"
 )
@@ -20,7 +21,7 @@
 // isSuspect reports whether a request with testDigest would run as a suspect.
 func (fixture *fixture) isSuspect(t *testing.T) bool {
 	t.Helper()
-	permit, err := fixture.suspects.Admit(t.Context(), testDigest, "probe")
+	permit, err := fixture.suspects.Admit(t.Context(), &dogwoodsuspect.Subject{Digest: testDigest, Request: "probe"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -126,7 +127,8 @@
 		time.Sleep(10 * time.Millisecond)
 		for i, endpoint := range []dogwoodfleet.EndpointID{"a", "b"} {
 			fixture.suspects.Broke(context.Background(), dogwoodsuspects.Run{
-				Digest: testDigest, Request: dogwoodfleet.RequestID(endpoint), Endpoint: dogwoodfleet.Endpoint{ID: endpoint}, Trial: i > 0,
+				Subject:  dogwoodsuspect.Subject{Digest: testDigest, Request: dogwoodfleet.RequestID(endpoint)},
+				Endpoint: dogwoodfleet.Endpoint{ID: endpoint}, Trial: i > 0,
 			}, dogwoodsuspects.Ended)
 		}
 		fixture.board.End("0")
--- a/core/duty/dogwoodrelay/tryresult.go
+++ b/core/duty/dogwoodrelay/tryresult.go
@@ -74,8 +74,7 @@
 	defer cancel()
 	condition := options.Endpoints.Condition(conditionContext, endpoint)
 	attempt.notified = options.Suspects.Broke(ctx, dogwoodsuspects.Run{
-		Digest: attempt.request.Digest, Request: dogwoodfleet.RequestID(attempt.request.ID), Parts: attempt.request.Parts,
-		Endpoint: endpoint, Trial: run.permit.IsTrial(), Begun: run.hasBegun(),
+		Subject: attempt.subject, Endpoint: endpoint, Trial: run.permit.IsTrial(), Begun: run.begun,
 	}, condition)
 }
 
--- a/core/duty/dogwoodsuspects/benchmark_test.go
+++ b/core/duty/dogwoodsuspects/benchmark_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"dogwoodmux.example/core/decision/dogwoodsuspect"
 	"dogwoodmux.example/core/dogwoodfleet"
 )
 
@@ -18,14 +19,15 @@
 	})
 	duty.knowledge.confirm(0)
 	b.ReportAllocs()
-	var digest dogwoodfleet.Digest
+	subject := &dogwoodsuspect.Subject{Request: "r", Customer: "c", Parts: []dogwoodfleet.PromptPart{"s/m/1", "s/m/2", "s/m/3"}}
 	for number := uint64(0); b.Loop(); number++ {
-		binary.BigEndian.PutUint64(digest[:], number)
-		permit, err := duty.Admit(b.Context(), digest, "r")
-		if err != nil || !duty.StillAdmitted(permit, digest) {
+		binary.BigEndian.PutUint64(subject.Digest[:], number)
+		permit, err := duty.Admit(b.Context(), subject)
+		if err != nil || !duty.StillAdmitted(permit, subject) {
 			b.Fatal("got a harmless request refused")
 		}
 		permit.Return(b.Context())
-		duty.Finished(b.Context(), digest, "r")
+		duty.Began(b.Context(), subject, time.Now())
+		duty.Finished(b.Context(), subject)
 	}
 }
--- a/core/duty/dogwoodsuspects/ends.go
+++ b/core/duty/dogwoodsuspects/ends.go
@@ -31,7 +31,7 @@
 			return !inForce || now.Sub(run.at) > dogwoodsuspect.ProvisionalTTL
 		}
 		select {
-		case duty.resolved <- run.Run:
+		case duty.resolved <- run:
 		default:
 			counters.Add("RunsDropped", 1)
 		}
@@ -52,11 +52,16 @@
 	if duty.inForce == nil {
 		return
 	}
+	isListed := func(endpoint dogwoodfleet.EndpointID) bool {
+		_, listed := duty.inForce[endpoint]
+		return listed
+	}
 	for _, endpoint := range duty.ledger.Ended() {
-		if _, listed := duty.inForce[endpoint]; !listed {
+		if !isListed(endpoint) {
 			duty.ledger.Confirm(endpoint)
 		}
 	}
+	duty.parts.Confirm(isListed)
 }
 
 // Condition is what is known of an endpoint after a run broke off.
@@ -78,11 +83,8 @@
 
 // Run is a run of a request at an endpoint.
 type Run struct {
-	Digest   dogwoodfleet.Digest
-	Request  dogwoodfleet.RequestID
+	dogwoodsuspect.Subject
 	Endpoint dogwoodfleet.Endpoint
-	// Parts are the parts of the prompt.
-	Parts []dogwoodfleet.PromptPart
 	// Trial is true if the run has a permit.
 	Trial bool
 	// Begun is true if the answer had begun and the endpoint lived on after that.
@@ -113,7 +115,7 @@
 	}
 	duty.mutex.Unlock()
 	if inForce && (condition == Ended || condition == Replaced || condition == Unknown && run.Trial) {
-		notices := duty.recordEnd(run, condition == Replaced)
+		notices := duty.recordEnd(run, time.Now(), condition == Replaced)
 		duty.background.Go(func() error {
 			defer close(notified)
 			duty.exchange.Notify(ctx, notices)
@@ -125,12 +127,18 @@
 	return notified
 }
 
-// recordEnd records that an endpoint ended during a run, and returns the notices for the hubs.
-func (duty *Duty) recordEnd(run Run, certain bool) []dogwoodsuspect.Notice {
+// recordEnd records that an endpoint ended during a run that broke off at a time, and returns the notices for the hubs.
+func (duty *Duty) recordEnd(run Run, at time.Time, certain bool) []dogwoodsuspect.Notice {
+	now := time.Now()
 	duty.mutex.Lock()
-	notices := duty.ledger.Died(time.Now(), run.lifetime(), []dogwoodsuspect.Run{{
+	notices := duty.ledger.Died(now, run.lifetime(), []dogwoodsuspect.Run{{
 		Digest: run.Digest, Request: run.Request, Shared: true, Trial: run.Trial, Confirmed: certain,
 	}})
+	if !run.Begun && len(run.Parts) > 0 {
+		partNotices := append(duty.parts.RecentBegins(now, &run.Subject), run.PartStrikeNotice(run.lifetime(), now.Sub(at), certain))
+		duty.parts.Learn(now, partNotices)
+		notices = append(notices, partNotices...)
+	}
 	duty.updateStandings(notices)
 	duty.mutex.Unlock()
 	counters.Add("Strikes", 1)
@@ -139,18 +147,37 @@
 	return notices
 }
 
-// Finished records that a request with the digest has an answer, and notifies the hubs if the digest was a suspect. It does
-// not wait for them, since the caller waits for the end of its answer.
-func (duty *Duty) Finished(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) {
+// Finished records that a request has an answer, and notifies the hubs if its digest was a suspect. It does not wait for them,
+// since the caller waits for the end of its answer.
+func (duty *Duty) Finished(ctx context.Context, subject *dogwoodsuspect.Subject) {
 	duty.mutex.Lock()
-	notices := duty.ledger.Finished(time.Now(), dogwoodsuspect.Run{Digest: digest, Request: request, Shared: true})
+	notices := duty.ledger.Finished(time.Now(), dogwoodsuspect.Run{Digest: subject.Digest, Request: subject.Request, Shared: true})
 	duty.updateStandings(notices)
 	duty.mutex.Unlock()
 	if len(notices) == 0 {
 		return
 	}
 	counters.Add("Cleared", 1)
-	duty.options.Logger.Info("A suspect finished.", "digest", digest.String(), "request", request)
+	duty.options.Logger.Info("A suspect finished.", "digest", subject.Digest.String(), "request", subject.Request)
+	duty.notifyInBackground(ctx, notices)
+}
+
+// Began records that the answer to a request began at a time and its endpoint lived on, and notifies the hubs if its prompt has
+// a part under which endpoints ended.
+func (duty *Duty) Began(ctx context.Context, subject *dogwoodsuspect.Subject, begun time.Time) {
+	if len(subject.Parts) == 0 {
+		return
+	}
+	duty.mutex.Lock()
+	notices := duty.parts.Began(time.Now(), begun, subject, duty.isPartRefused)
+	duty.updateStandings(notices)
+	duty.mutex.Unlock()
+	if len(notices) > 0 {
+		duty.notifyInBackground(ctx, notices)
+	}
+}
+
+func (duty *Duty) notifyInBackground(ctx context.Context, notices []dogwoodsuspect.Notice) {
 	duty.background.Go(func() error {
 		duty.exchange.Notify(ctx, notices)
 		return nil
--- a/core/duty/dogwoodsuspects/leaf.go
+++ b/core/duty/dogwoodsuspects/leaf.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"dogwoodmux.example/core/decision/dogwoodsuspect"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
 )
@@ -24,6 +25,7 @@
 	from    dogwoodfleet.InstanceID
 	version uint64
 	ends    map[dogwoodfleet.Digest]time.Time
+	parts   partRefusals
 }
 
 // until returns the end of a digest's refusal; zero if it is not refused.
@@ -44,7 +46,7 @@
 func (refusedList *refusedList) clear() {
 	refusedList.mutex.Lock()
 	defer refusedList.mutex.Unlock()
-	refusedList.from, refusedList.version, refusedList.ends = "", 0, nil
+	refusedList.from, refusedList.version, refusedList.ends, refusedList.parts = "", 0, nil, nil
 }
 
 // SeeRefused records the version of the list of the hub that this leaf follows, from the answer to a poll that was sent at asked.
@@ -98,10 +100,16 @@
 	for _, request := range refused.Requests {
 		ends[request.Digest] = now.Add(request.Left)
 	}
+	parts := make(partRefusals, len(refused.Parts))
+	for _, part := range refused.Parts {
+		part.Refusal.Until = now.Add(part.Left)
+		parts[part.Refusal.Part] = &part.Refusal
+		duty.forget(part.Refusal.Ends)
+	}
 	list := &duty.refused
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
-	list.from, list.version, list.ends = hub.Instance, refused.Version, ends
+	list.from, list.version, list.ends, list.parts = hub.Instance, refused.Version, ends, parts
 	if list.hub.Instance == hub.Instance {
 		list.seen = max(list.seen, refused.Version)
 		duty.knowledge.confirm(asked)
@@ -113,6 +121,7 @@
 type RefusedList struct {
 	Version  uint64
 	Requests []RefusedRequest
+	Parts    []RefusedPart
 }
 
 // RefusedRequest is a digest whose requests are refused, and for how much longer.
@@ -121,6 +130,12 @@
 	Left   time.Duration
 }
 
+// RefusedPart is a part whose prompts are refused, and for how much longer.
+type RefusedPart struct {
+	Refusal dogwoodsuspect.PartRefusal
+	Left    time.Duration
+}
+
 // Refused returns the list of refused requests to a leaf.
 func (receiver *Receiver) Refused(_ dogwoodfleet.InstanceID, list *RefusedList) error {
 	duty := receiver.duty
@@ -131,5 +146,8 @@
 	for _, conviction := range duty.ledger.Convictions(now) {
 		list.Requests = append(list.Requests, RefusedRequest{Digest: conviction.Digest, Left: conviction.Until.Sub(now)})
 	}
+	for _, refusal := range duty.refusedParts {
+		list.Parts = append(list.Parts, RefusedPart{Refusal: *refusal, Left: refusal.Until.Sub(now)})
+	}
 	return nil
 }
--- a/core/duty/dogwoodsuspects/permit.go
+++ b/core/duty/dogwoodsuspects/permit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodsuspect"
@@ -11,28 +12,38 @@
 	"dogwoodmux.example/core/dogwoodkernel"
 )
 
-// Refused means that a request may not run, since endpoints ended under its copies.
+// Refused means that a request may not run, since endpoints ended under its copies or under prompts with the same part.
 type Refused struct {
 	// RetryAfter is how long the request stays refused.
 	RetryAfter time.Duration
 	// Convicted is false for a suspect that got no permit in time.
 	Convicted bool
+	// Part is the part of the prompt that is refused; empty if it is the request.
+	Part dogwoodfleet.PromptPart
 }
 
 // Error says why the request is refused.
 func (refused *Refused) Error() string {
-	if refused.Convicted {
+	switch {
+	case refused.Convicted && refused.Part != "":
+		return fmt.Sprintf("endpoints ended under prompts with the part %s; they are refused for %s", refused.Part, refused.RetryAfter.Round(time.Second))
+	case refused.Convicted:
 		return fmt.Sprintf("endpoints ended under this request; it is refused for %s", refused.RetryAfter.Round(time.Second))
+	case refused.Part != "":
+		return fmt.Sprintf("endpoints ended under prompts with the part %s, and another one is being tried", refused.Part)
+	default:
+		return "an endpoint ended under this request, and another copy of it is being tried"
 	}
-	return "an endpoint ended under this request, and another copy of it is being tried"
 }
 
 // Permit allows one run of a request. A nil Permit is valid for a request that needs none.
 type Permit struct {
 	duty    *Duty
-	digest  dogwoodfleet.Digest
-	request dogwoodfleet.RequestID
-	// own is true if no hub gave the permit. unreachable are the hubs that did not answer when it was requested.
+	subject *dogwoodsuspect.Subject
+	// gates are the digests for which hubs gave permits: the request's, a part's or both.
+	gates []dogwoodfleet.Digest
+	// own is true if the request is a suspect by its own runs alone, which needs no hub. unreachable are the hubs that did not
+	// answer when a permit was requested.
 	own         bool
 	unreachable []dogwoodfleet.InstanceID
 }
@@ -42,78 +53,125 @@
 
 // Return returns the permit after the run, or if there is none. It does not wait for the hub.
 func (permit *Permit) Return(ctx context.Context) {
-	if permit == nil || permit.own {
+	if permit == nil {
 		return
 	}
-	request := dogwoodsuspect.PermitRequest{Digest: permit.digest, Request: permit.request, Ended: true}
-	permit.duty.background.Go(func() error {
-		if _, _, err := permit.duty.askForPermit(context.WithoutCancel(ctx), request, permit.unreachable); err != nil {
-			permit.duty.options.Logger.Debug("A permit could not be returned and will expire.", "digest", permit.digest.String(), "error", err)
+	for _, gate := range permit.gates {
+		request := dogwoodsuspect.PermitRequest{Digest: gate, Request: permit.subject.Request, Ended: true}
+		permit.duty.background.Go(func() error {
+			if _, _, err := permit.duty.askForPermit(context.WithoutCancel(ctx), request, permit.unreachable); err != nil {
+				permit.duty.options.Logger.Debug("A permit could not be returned and will expire.", "digest", gate.String(), "error", err)
+			}
+			return nil
+		})
+	}
+}
+
+// holds reports whether the permit is for a gate.
+func (permit *Permit) holds(gate dogwoodfleet.Digest) bool {
+	return slices.Contains(permit.gates, gate) || permit.own && gate == permit.subject.Digest
+}
+
+// verdict is what is known of a request before it runs.
+type verdict struct {
+	standing dogwoodsuspect.Standing
+	// gate is the digest for which a suspect needs a permit.
+	gate dogwoodfleet.Digest
+	// until is the end of a refusal, and part the one that is refused, empty if it is the request.
+	until time.Time
+	part  dogwoodfleet.PromptPart
+	// unsettled is how much longer a conviction may turn out to be wrong.
+	unsettled time.Duration
+}
+
+// judgeSubject returns what is known of a request, apart from the gates for which it holds a permit.
+func (duty *Duty) judgeSubject(subject *dogwoodsuspect.Subject, permit *Permit) verdict {
+	if refusal, standing := duty.partStanding(subject); standing != dogwoodsuspect.Clear {
+		gate := partGate(refusal.Part)
+		if standing == dogwoodsuspect.Convicted || !permit.holds(gate) {
+			return verdict{standing: standing, gate: gate, until: refusal.Until, part: refusal.Part}
 		}
-		return nil
-	})
+	}
+	standing, until := duty.digestStanding(subject.Digest)
+	switch {
+	case standing == dogwoodsuspect.Convicted:
+		return verdict{standing: standing, until: until, unsettled: duty.unsettled(subject.Digest)}
+	case standing == dogwoodsuspect.Suspect && !permit.holds(subject.Digest):
+		return verdict{standing: standing, gate: subject.Digest}
+	}
+	return verdict{}
 }
 
 // Admit waits until a request may run. It returns the permit of a suspect, nil for a request that needs none, or a
 // *Refused error. It returns the context's error if that ends first.
-func (duty *Duty) Admit(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) (*Permit, error) {
+func (duty *Duty) Admit(ctx context.Context, subject *dogwoodsuspect.Subject) (*Permit, error) {
 	if err := duty.knowledge.await(ctx); err != nil {
 		return nil, err
 	}
-	standing, _ := duty.standing(digest)
-	if standing == dogwoodsuspect.Clear {
+	permit := &Permit{duty: duty, subject: subject}
+	if duty.judgeSubject(subject, permit).standing == dogwoodsuspect.Clear {
 		return nil, nil
 	}
-	permit, err := duty.awaitPermit(ctx, digest, request)
+	err := duty.awaitPermit(ctx, permit)
 	var refused *Refused
 	switch {
 	case errors.As(err, &refused):
 		counters.Add("Refused", 1)
-	case permit != nil:
+	case err == nil && permit.isNeeded():
 		counters.Add("Trials", 1)
+		return permit, nil
 	}
-	return permit, err
+	if err != nil {
+		permit.Return(ctx)
+	}
+	return nil, err
 }
 
-// awaitPermit waits until a suspect gets a permit, is cleared or is refused. If a hub does not answer, it asks the one that
-// would be the digest's home without it, as all daemons do that can't reach it.
-func (duty *Duty) awaitPermit(ctx context.Context, digest dogwoodfleet.Digest, request dogwoodfleet.RequestID) (*Permit, error) {
-	permit := &Permit{duty: duty, digest: digest, request: request}
-	ask := dogwoodsuspect.PermitRequest{Digest: digest, Request: request, Lease: trialLease}
+// isNeeded reports whether the request still is a suspect.
+func (permit *Permit) isNeeded() bool { return permit.own || len(permit.gates) > 0 }
+
+// awaitPermit waits until a suspect has a permit, is cleared or is refused. If a hub does not answer, it asks the one that
+// would be the gate's home without it, as all daemons do that can't reach it.
+func (duty *Duty) awaitPermit(ctx context.Context, permit *Permit) error {
+	subject := permit.subject
 	for giveUp := time.Now().Add(maxSuspectWait); time.Now().Before(giveUp); {
-		switch standing, until := duty.standing(digest); {
-		case standing == dogwoodsuspect.Clear:
-			return nil, nil
-		case standing == dogwoodsuspect.Convicted && duty.unsettled(digest) > 0:
-			if !dogwoodkernel.Sleep(ctx, duty.unsettled(digest)) {
-				return nil, ctx.Err()
+		verdict := duty.judgeSubject(subject, permit)
+		switch {
+		case verdict.standing == dogwoodsuspect.Clear:
+			return nil
+		case verdict.standing == dogwoodsuspect.Convicted && verdict.unsettled > 0:
+			if !dogwoodkernel.Sleep(ctx, verdict.unsettled) {
+				return ctx.Err()
 			}
 			continue
-		case standing == dogwoodsuspect.Convicted:
-			return nil, &Refused{RetryAfter: time.Until(until), Convicted: true}
-		case duty.isOwnRetry(digest, request):
+		case verdict.standing == dogwoodsuspect.Convicted:
+			return &Refused{RetryAfter: time.Until(verdict.until), Convicted: true, Part: verdict.part}
+		case verdict.part == "" && duty.isOwnRetry(subject.Digest, subject.Request):
 			permit.own = true
-			return permit, nil
+			continue
 		}
+		ask := dogwoodsuspect.PermitRequest{Digest: verdict.gate, Request: subject.Request, Lease: trialLease}
 		home, response, err := duty.askForPermit(ctx, ask, permit.unreachable)
 		switch {
 		case ctx.Err() != nil:
-			return nil, ctx.Err()
+			return ctx.Err()
 		case err != nil:
-			duty.options.Logger.Debug("A hub gives no permits.", "peer", home, "digest", digest.String(), "error", err)
+			duty.options.Logger.Debug("A hub gives no permits.", "peer", home, "digest", verdict.gate.String(), "error", err)
 			permit.unreachable = append(permit.unreachable, home)
 			continue
 		case response.Allowed:
-			return permit, nil
+			permit.gates = append(permit.gates, verdict.gate)
+			continue
 		case response.Standing == dogwoodsuspect.Convicted:
-			return nil, &Refused{RetryAfter: dogwoodsuspect.ProvisionalTTL, Convicted: true}
+			return &Refused{RetryAfter: dogwoodsuspect.ProvisionalTTL, Convicted: true}
 		}
 		counters.Add("Waited", 1)
 		if !dogwoodkernel.Sleep(ctx, response.Again) {
-			return nil, ctx.Err()
+			return ctx.Err()
 		}
 	}
-	return nil, &Refused{RetryAfter: dogwoodkernel.Jittered(waitRetryAfter)}
+	verdict := duty.judgeSubject(subject, permit)
+	return &Refused{RetryAfter: dogwoodkernel.Jittered(waitRetryAfter), Part: verdict.part}
 }
 
 func (duty *Duty) askForPermit(ctx context.Context, ask dogwoodsuspect.PermitRequest, unreachable []dogwoodfleet.InstanceID) (dogwoodfleet.InstanceID, dogwoodsuspect.PermitResponse, error) {
@@ -133,9 +191,11 @@
 	return duty.ledger.StruckOnlyBy(digest, request)
 }
 
-// StillAdmitted reports whether a request that waited after Admit may run now: its digest may have become a suspect
-// meanwhile, or convicted.
-func (duty *Duty) StillAdmitted(permit *Permit, digest dogwoodfleet.Digest) bool {
-	standing, _ := duty.standing(digest)
-	return standing == dogwoodsuspect.Clear || standing == dogwoodsuspect.Suspect && permit != nil
+// StillAdmitted reports whether a request that waited after Admit may run now: it may have become a suspect meanwhile, or been
+// refused.
+func (duty *Duty) StillAdmitted(permit *Permit, subject *dogwoodsuspect.Subject) bool {
+	if permit == nil {
+		permit = &Permit{duty: duty, subject: subject}
+	}
+	return duty.judgeSubject(subject, permit).standing == dogwoodsuspect.Clear
 }
--- a/core/duty/dogwoodsuspects/refresh.go
+++ b/core/duty/dogwoodsuspects/refresh.go
@@ -33,7 +33,7 @@
 			case <-ctx.Done():
 				return nil
 			case run := <-duty.resolved:
-				duty.exchange.Notify(ctx, duty.recordEnd(run, true))
+				duty.exchange.Notify(ctx, duty.recordEnd(run.Run, run.at, true))
 			}
 		}
 	})
@@ -182,9 +182,9 @@
 	duty := receiver.duty
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
-	list.Version, list.Current = duty.ledger.Version(), duty.compared.Load() && duty.knowledge.isRecent()
+	list.Version, list.Current = duty.ledger.Version()+duty.parts.Version(), duty.compared.Load() && duty.knowledge.isRecent()
 	if known != list.Version {
-		list.Notices = duty.ledger.Notices(time.Now())
+		list.Notices = append(duty.ledger.Notices(time.Now()), duty.parts.Notices(time.Now())...)
 	}
 	return nil
 }
--- a/core/duty/dogwoodsuspects/suspects.go
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -73,25 +73,28 @@
 	// known holds the version of each hub's ledger at the last comparison.
 	known  map[dogwoodfleet.InstanceID]uint64
 	ledger *dogwoodsuspect.Ledger
+	parts  *dogwoodsuspect.PartLedger
 	// inForce holds the listed endpoints, each by the ID of its lifetime, and whether it is in force; nil before they
 	// are known.
 	inForce map[dogwoodfleet.EndpointID]bool
 	// unresolved are the runs that broke off at endpoints of unknown condition. resolved receives those whose endpoints
 	// turn out to have ended.
 	unresolved []unresolvedRun
-	resolved   chan Run
+	resolved   chan unresolvedRun
 	// convicted holds the digests that were convicted when their standing was last checked, and until when. refusedVersion
 	// increases whenever they change.
 	convicted      map[dogwoodfleet.Digest]time.Time
 	refusedVersion uint64
+	// refusedParts holds the refusals of parts at the last check.
+	refusedParts partRefusals
 }
 
 // New returns a Duty with an empty ledger.
 func New(options Options) *Duty {
 	duty := &Duty{
-		options: options, ledger: dogwoodsuspect.NewLedger(),
+		options: options, ledger: dogwoodsuspect.NewLedger(), parts: dogwoodsuspect.NewPartLedger(),
 		convicted: map[dogwoodfleet.Digest]time.Time{}, known: map[dogwoodfleet.InstanceID]uint64{},
-		refused: refusedList{fetch: make(chan struct{}, 1)}, resolved: make(chan Run, maxUnresolved),
+		refused: refusedList{fetch: make(chan struct{}, 1)}, resolved: make(chan unresolvedRun, maxUnresolved),
 		knowledge: newKnowledge(options.Clock, options.Logger),
 	}
 	duty.exchange = Exchange{
@@ -113,6 +116,7 @@
 		return
 	}
 	duty.confirm()
+	duty.updateParts()
 	for i := range notices {
 		duty.updateConviction(notices[i].Digest)
 	}
@@ -145,6 +149,7 @@
 func (duty *Duty) updateConvictions() {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
+	duty.updateParts()
 	duty.updateKnownConvictions()
 }
 
@@ -162,9 +167,9 @@
 	return duty.ledger.Convictions(time.Now())
 }
 
-// standing returns the digest's standing and its end. At a leaf, a digest that its hub refuses is convicted, also once the
+// digestStanding returns the digest's standing and its end. At a leaf, a digest that its hub refuses is convicted, also once the
 // leaf is promoted, until it has compared its ledger.
-func (duty *Duty) standing(digest dogwoodfleet.Digest) (dogwoodsuspect.Standing, time.Time) {
+func (duty *Duty) digestStanding(digest dogwoodfleet.Digest) (dogwoodsuspect.Standing, time.Time) {
 	if until := duty.refused.until(digest); time.Now().Before(until) {
 		return dogwoodsuspect.Convicted, until
 	}
@@ -177,6 +182,7 @@
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
 	duty.ledger.Learn(time.Now(), notices)
+	duty.parts.Learn(time.Now(), notices)
 	duty.updateStandings(notices)
 }
 
--- a/core/duty/dogwoodsuspects/suspects_test.go
+++ b/core/duty/dogwoodsuspects/suspects_test.go
@@ -30,6 +30,11 @@
 
 var crashing = dogwoodfleet.Digest{1}
 
+// subjectOf returns the subject of a copy of the crashing request.
+func subjectOf(request dogwoodfleet.RequestID) *dogwoodsuspect.Subject {
+	return &dogwoodsuspect.Subject{Digest: crashing, Request: request}
+}
+
 // fleet is a number of daemons in one process. The first hubs of them are hubs, the others leaves of the first.
 type fleet struct {
 	hubs    int
@@ -225,7 +230,7 @@
 // send sends the crashing request through a daemon to an endpoint that is still alive.
 func (fleet *fleet) send(ctx context.Context, index int, request string) error {
 	duty := fleet.duty(index)
-	permit, err := duty.Admit(ctx, crashing, dogwoodfleet.RequestID(request))
+	permit, err := duty.Admit(ctx, subjectOf(dogwoodfleet.RequestID(request)))
 	if err != nil {
 		return err
 	}
@@ -237,7 +242,7 @@
 	fleet.mutex.Lock()
 	fleet.crashes++
 	fleet.mutex.Unlock()
-	notified := duty.Broke(ctx, Run{Digest: crashing, Request: dogwoodfleet.RequestID(request), Endpoint: endpoint, Trial: permit.IsTrial()}, Replaced)
+	notified := duty.Broke(ctx, Run{Subject: *subjectOf(dogwoodfleet.RequestID(request)), Endpoint: endpoint, Trial: permit.IsTrial()}, Replaced)
 	permit.Return(ctx)
 	<-notified // only now may the caller learn of the failure
 	return nil
@@ -352,7 +357,7 @@
 				}
 				duty := test.prepare(t, fleet)
 				began := time.Now()
-				if _, err := duty.Admit(t.Context(), crashing, "late"); !isConvicted(err) {
+				if _, err := duty.Admit(t.Context(), subjectOf("late")); !isConvicted(err) {
 					t.Errorf("got %v, want the request refused", err)
 				}
 				if waited := time.Since(began); waited > time.Second {
@@ -393,7 +398,7 @@
 				test.prepare(t, fleet)
 				for number, want := range []time.Duration{test.want, 0} {
 					began := time.Now()
-					permit, err := fleet.duty(0).Admit(t.Context(), crashing, "harmless")
+					permit, err := fleet.duty(0).Admit(t.Context(), subjectOf("harmless"))
 					if permit != nil || err != nil {
 						t.Errorf("request %d: got permit %v and error %v, want the request admitted", number, permit, err)
 					}
@@ -440,9 +445,9 @@
 		home := dogwoodsuspect.Home(crashing, []dogwoodfleet.InstanceID{"0", "1", "2"})
 		duty := fleet.duty((home + 1) % 3)
 		fleet.setCut(home, true)
-		duty.Broke(t.Context(), Run{Digest: crashing, Request: "r", Endpoint: dogwoodfleet.Endpoint{ID: "e0"}}, Ended)
+		duty.Broke(t.Context(), Run{Subject: *subjectOf("r"), Endpoint: dogwoodfleet.Endpoint{ID: "e0"}}, Ended)
 		began := time.Now()
-		permit, err := duty.Admit(t.Context(), crashing, "r")
+		permit, err := duty.Admit(t.Context(), subjectOf("r"))
 		if err != nil || !permit.IsTrial() {
 			t.Errorf("got permit %v and error %v, want a trial", permit, err)
 		}
@@ -464,7 +469,7 @@
 		if err := fleet.send(t.Context(), leaf, "at a leaf"); err != nil {
 			t.Fatalf("got %v, want the request to run before the leaf has polled again", err)
 		}
-		if _, err := fleet.duty(leaf).Admit(t.Context(), crashing, "at a leaf"); !isConvicted(err) {
+		if _, err := fleet.duty(leaf).Admit(t.Context(), subjectOf("at a leaf")); !isConvicted(err) {
 			t.Errorf("its own retry: got %v, want it refused", err)
 		}
 	})
@@ -476,9 +481,9 @@
 		duty := fleet.duty(0)
 		duty.SetEndpoints([]dogwoodpacking.Endpoint{newEndpoint("draining", "", false), newEndpoint("again", "2", true)})
 		for _, endpoint := range []dogwoodfleet.Endpoint{{ID: "draining"}, {ID: "left"}, {ID: "again", Instance: "1"}} {
-			duty.Broke(t.Context(), Run{Digest: crashing, Request: "1", Endpoint: endpoint}, Replaced)
+			duty.Broke(t.Context(), Run{Subject: *subjectOf("1"), Endpoint: endpoint}, Replaced)
 		}
-		if got, _ := duty.standing(crashing); got != dogwoodsuspect.Clear {
+		if got, _ := duty.digestStanding(crashing); got != dogwoodsuspect.Clear {
 			t.Errorf("got standing %v, want it clear", got)
 		}
 	})
@@ -504,8 +509,8 @@
 			runFleetTest(t, 2, 0, func(t *testing.T, fleet *fleet) {
 				duty := fleet.duty(0)
 				duty.SetEndpoints([]dogwoodpacking.Endpoint{running})
-				duty.Broke(t.Context(), Run{Digest: crashing, Request: "1", Endpoint: dogwoodfleet.Endpoint{ID: "e", Instance: "1"}}, Unknown)
-				if got, _ := duty.standing(crashing); got != dogwoodsuspect.Clear {
+				duty.Broke(t.Context(), Run{Subject: *subjectOf("1"), Endpoint: dogwoodfleet.Endpoint{ID: "e", Instance: "1"}}, Unknown)
+				if got, _ := duty.digestStanding(crashing); got != dogwoodsuspect.Clear {
 					t.Errorf("before: got standing %v, want it clear", got)
 				}
 				for _, entries := range test.entries {
@@ -513,7 +518,7 @@
 					time.Sleep(time.Second)
 				}
 				for index := range 2 {
-					if got, _ := fleet.duty(index).standing(crashing); got != test.want {
+					if got, _ := fleet.duty(index).digestStanding(crashing); got != test.want {
 						t.Errorf("daemon %d: got standing %v, want %v", index, got, test.want)
 					}
 				}
@@ -527,7 +532,7 @@
 func TestTrialOnARackThatFailsIsNotRefused(t *testing.T) {
 	runFleetTest(t, 2, 0, func(t *testing.T, fleet *fleet) {
 		end := func(index int, digest dogwoodfleet.Digest, endpoint int, trial bool) {
-			run := Run{Digest: digest, Request: "1", Endpoint: dogwoodfleet.Endpoint{ID: endpointID(endpoint)}, Trial: trial}
+			run := Run{Subject: dogwoodsuspect.Subject{Digest: digest, Request: "1"}, Endpoint: dogwoodfleet.Endpoint{ID: endpointID(endpoint)}, Trial: trial}
 			fleet.duty(index).Broke(t.Context(), run, Replaced)
 		}
 		end(0, crashing, 0, false)
@@ -536,7 +541,7 @@
 		var group sync.WaitGroup
 		for index := range 2 {
 			group.Go(func() {
-				permit, err := fleet.duty(index).Admit(t.Context(), crashing, dogwoodfleet.RequestID(fmt.Sprint(index+1)))
+				permit, err := fleet.duty(index).Admit(t.Context(), subjectOf(dogwoodfleet.RequestID(fmt.Sprint(index+1))))
 				if err != nil || !permit.IsTrial() {
 					t.Errorf("daemon %d: got permit %v and error %v, want another trial", index, permit, err)
 				}
@@ -566,19 +571,19 @@
 		t.Run(test.name, func(t *testing.T) {
 			runFleetTest(t, 1, 0, func(t *testing.T, fleet *fleet) {
 				duty := fleet.duty(0)
-				duty.Broke(t.Context(), Run{Digest: crashing, Request: "1", Endpoint: dogwoodfleet.Endpoint{ID: "e0"}}, Ended)
-				permit, err := duty.Admit(t.Context(), crashing, "2")
+				duty.Broke(t.Context(), Run{Subject: *subjectOf("1"), Endpoint: dogwoodfleet.Endpoint{ID: "e0"}}, Ended)
+				permit, err := duty.Admit(t.Context(), subjectOf("2"))
 				if err != nil {
 					t.Fatal(err)
 				}
-				duty.Broke(t.Context(), Run{Digest: crashing, Request: "2", Endpoint: dogwoodfleet.Endpoint{ID: "e1"}, Trial: permit.IsTrial()}, Unknown)
+				duty.Broke(t.Context(), Run{Subject: *subjectOf("2"), Endpoint: dogwoodfleet.Endpoint{ID: "e1"}, Trial: permit.IsTrial()}, Unknown)
 				permit.Return(t.Context())
-				if _, err := duty.Admit(t.Context(), crashing, "3"); !isConvicted(err) {
+				if _, err := duty.Admit(t.Context(), subjectOf("3")); !isConvicted(err) {
 					t.Errorf("just after: got %v, want the request refused", err)
 				}
 				duty.SetEndpoints(test.entries)
 				time.Sleep(dogwoodsuspect.ProvisionalTTL)
-				if got, _ := duty.standing(crashing); got != test.want {
+				if got, _ := duty.digestStanding(crashing); got != test.want {
 					t.Errorf("later: got standing %v, want %v", got, test.want)
 				}
 			})
@@ -591,22 +596,22 @@
 func TestHarmlessSuspectIsClearedEverywhere(t *testing.T) {
 	runFleetTest(t, 3, 0, func(t *testing.T, fleet *fleet) {
 		duty := fleet.duty(0)
-		duty.Broke(t.Context(), Run{Digest: crashing, Request: "1", Endpoint: dogwoodfleet.Endpoint{ID: "e0"}}, Ended)
-		permit, err := duty.Admit(t.Context(), crashing, "2")
+		duty.Broke(t.Context(), Run{Subject: *subjectOf("1"), Endpoint: dogwoodfleet.Endpoint{ID: "e0"}}, Ended)
+		permit, err := duty.Admit(t.Context(), subjectOf("2"))
 		if err != nil || !permit.IsTrial() {
 			t.Fatalf("got permit %v and error %v, want a trial", permit, err)
 		}
 		var group sync.WaitGroup
 		for index := range 3 {
 			group.Go(func() {
-				permit, err := fleet.duty(index).Admit(t.Context(), crashing, dogwoodfleet.RequestID(fmt.Sprint("copy-", index)))
+				permit, err := fleet.duty(index).Admit(t.Context(), subjectOf(dogwoodfleet.RequestID(fmt.Sprint("copy-", index))))
 				if err != nil || permit.IsTrial() {
 					t.Errorf("daemon %d: got permit %v and error %v, want the request admitted without a permit", index, permit, err)
 				}
 			})
 		}
 		time.Sleep(300 * time.Millisecond)
-		duty.Finished(t.Context(), crashing, "2")
+		duty.Finished(t.Context(), subjectOf("2"))
 		permit.Return(t.Context())
 		group.Wait()
 	})
@@ -636,13 +641,13 @@
 	runFleetTest(t, 1, 1, func(t *testing.T, fleet *fleet) {
 		hub := fleet.duty(0)
 		for number := range 2 {
-			run := Run{Digest: crashing, Request: "1", Endpoint: dogwoodfleet.Endpoint{ID: endpointID(number)}, Trial: number > 0}
+			run := Run{Subject: *subjectOf("1"), Endpoint: dogwoodfleet.Endpoint{ID: endpointID(number)}, Trial: number > 0}
 			hub.Broke(t.Context(), run, Ended)
 		}
 		time.Sleep(2 * pollInterval)
 		hub.SetEndpoints([]dogwoodpacking.Endpoint{})
 		time.Sleep(dogwoodsuspect.ProvisionalTTL)
-		if got, _ := fleet.duty(leaf).standing(crashing); got != dogwoodsuspect.Convicted {
+		if got, _ := fleet.duty(leaf).digestStanding(crashing); got != dogwoodsuspect.Convicted {
 			t.Errorf("got standing %v, want it convicted", got)
 		}
 	})
@@ -656,12 +661,12 @@
 			_ = fleet.send(t.Context(), 0, fmt.Sprint(number))
 		}
 		time.Sleep(pollInterval + 10*latency)
-		if got, _ := fleet.duty(leaf).standing(crashing); got != dogwoodsuspect.Convicted {
+		if got, _ := fleet.duty(leaf).digestStanding(crashing); got != dogwoodsuspect.Convicted {
 			t.Errorf("got standing %v, want it convicted", got)
 		}
-		fleet.duty(0).Finished(t.Context(), crashing, "finished")
+		fleet.duty(0).Finished(t.Context(), subjectOf("finished"))
 		time.Sleep(pollInterval + 10*latency)
-		if got, _ := fleet.duty(leaf).standing(crashing); got != dogwoodsuspect.Clear {
+		if got, _ := fleet.duty(leaf).digestStanding(crashing); got != dogwoodsuspect.Clear {
 			t.Errorf("after it finished elsewhere: got standing %v, want it clear", got)
 		}
 	})
