Take a stream that ends inside an event for broken off, whatever its route

Callers saw: a success with half an event at its end. An answer without a length ends with its connection, and an endpoint that ends closes its connections. Prompts with token counts were read event by event and noticed it; a stream without them was held and passed on as a whole answer, late besides.

Routes for streams are read event by event whether or not the request has token counts, and an answer with the content type of an event stream on any other route is checked at its end, a large one too.

--- a/core/duty/dogwoodrelay/events.go
+++ b/core/duty/dogwoodrelay/events.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"mime"
 )
 
 // event is one event of a stream exactly as the endpoint sent it, including the final empty line.
@@ -50,6 +51,20 @@
 	}
 }
 
+// eventStream is the content type of a stream of events.
+const eventStream = "text/event-stream"
+
+// endsInsideEvent reports whether a body that ends with some data is a stream of events without the end of its last one. An
+// answer without a length ends with its connection, also that of an endpoint that has ended.
+func (response *Response) endsInsideEvent(end []byte) bool {
+	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if err != nil || mediaType != eventStream || len(end) == 0 {
+		return false
+	}
+	lastLine, found := bytes.CutSuffix(end, []byte("\n"))
+	return !found || !bytes.HasSuffix(bytes.TrimSuffix(lastLine, []byte("\r")), []byte("\n"))
+}
+
 // readLine returns a line including its line ending. The line is valid until the next call.
 func (eventReader *eventReader) readLine() ([]byte, error) {
 	line, err := eventReader.reader.ReadSlice('\n')
--- a/core/duty/dogwoodrelay/plain.go
+++ b/core/duty/dogwoodrelay/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 )
 
 // maxHeldBytes is the size of the largest answer that is held until it is complete, so that the
@@ -40,6 +41,7 @@
 		return tryResult{err: err}
 	}
 	attempt.stream.begun = true
+	end := lastBytes(start)
 	buffer := make([]byte, copyBufferSize)
 	for {
 		count, err := run.response.Body.Read(buffer)
@@ -47,8 +49,12 @@
 			if err := attempt.answer.Write(buffer[:count]); err != nil {
 				return tryResult{err: errors.Join(ErrCallerGone, err)}
 			}
+			end = lastBytes(append(end, buffer[:count]...))
 		}
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF) && run.response.endsInsideEvent(end):
+			err = io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF):
 			return tryResult{done: true}
 		}
 		if err != nil {
@@ -60,6 +66,14 @@
 	}
 }
 
+// lastBytes returns a copy of the last bytes of some data, which show whether an event ends there.
+func lastBytes(data []byte) []byte {
+	return slices.Clone(data[max(0, len(data)-eventEndBytes):])
+}
+
+// eventEndBytes is the length of the longest end of an event.
+const eventEndBytes = len("\r\n\r\n")
+
 // copyBufferSize is the size of the buffer for large answers.
 const copyBufferSize = 32 << 10
 
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -77,8 +77,10 @@
 	}
 }
 
-// isPlain reports whether the request is a call with a single whole answer, not a prompt.
-func (request *Request) isPlain() bool { return request.Prompt == 0 }
+// isPlain reports whether the request is a call with a single whole answer, neither a prompt nor on a route for streams.
+func (request *Request) isPlain() bool {
+	return request.Prompt == 0 && request.Route.Repeat != dogwoodroute.Stream
+}
 
 // Answer receives the response to the caller.
 type Answer interface {
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -127,6 +127,9 @@
 // readWhole reads a plain answer. Of an answer larger than maxHeldBytes it reads one byte more than that.
 func (run *run) readWhole() (event, error) {
 	data, err := io.ReadAll(io.LimitReader(run.response.Body, maxHeldBytes+1))
+	if err == nil && len(data) <= maxHeldBytes && run.response.endsInsideEvent(data) {
+		err = io.ErrUnexpectedEOF
+	}
 	return event{raw: data}, err
 }
 
