Let a leaf learn at once that a part is refused

A leaf learnt of it by its next poll, up to 1.2 s after the hubs.

A leaf whose request ended an endpoint fetches its hub's list once the hubs have the notice. 256 strikes of a part are kept, and those that were dropped do not count against its share.

--- a/core/decision/dogwoodsuspect/partrefusal.go
+++ b/core/decision/dogwoodsuspect/partrefusal.go
@@ -158,6 +158,9 @@
 // isShown reports whether a candidate's ends are more than chance: other answers began meanwhile, and it explains a good share of all ends.
 func (ledger *PartLedger) isShown(candidate *partCandidate, endTimes map[dogwoodfleet.EndpointID]time.Time) bool {
 	strikes := candidate.record.strikes
+	if len(strikes) == maxPartStrikes {
+		strikes = strikes[:maxPartStrikes-1] // others were dropped before the last one
+	}
 	first, last := strikes[0].at, strikes[len(strikes)-1].at
 	meanwhile := 0
 	for _, at := range endTimes {
--- a/core/decision/dogwoodsuspect/parts.go
+++ b/core/decision/dogwoodsuspect/parts.go
@@ -14,7 +14,7 @@
 	// MaxPartRecords bounds the parts with strikes.
 	MaxPartRecords = 8192
 	// maxPartStrikes bounds the strikes of a part, and maxClearedCustomers the customers that a record exempts.
-	maxPartStrikes      = 64
+	maxPartStrikes      = 256
 	maxClearedCustomers = 64
 	// maxRecentBegins is the size of each of the two generations of parts whose answers began.
 	maxRecentBegins = 8192
--- a/core/duty/dogwoodsuspects/ends.go
+++ b/core/duty/dogwoodsuspects/ends.go
@@ -119,6 +119,10 @@
 		duty.background.Go(func() error {
 			defer close(notified)
 			duty.exchange.Notify(ctx, notices)
+			select {
+			case duty.refused.ended <- struct{}{}:
+			default: // a fetch is due already
+			}
 			return nil
 		})
 		return notified
--- a/core/duty/dogwoodsuspects/leaf.go
+++ b/core/duty/dogwoodsuspects/leaf.go
@@ -16,6 +16,9 @@
 // refusedList is a leaf's copy of its hub's list of refused requests.
 type refusedList struct {
 	fetch chan struct{}
+	// ended receives a value when an endpoint has ended under a request of this daemon and the hubs know of it: they may refuse
+	// a part of its prompt since.
+	ended chan struct{}
 
 	mutex sync.Mutex
 	// hub is the hub that the leaf follows, and seen the latest version of its list.
@@ -78,6 +81,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-duty.refused.fetch:
+		case <-duty.refused.ended:
+			duty.fetchAfterEnd(ctx)
 		}
 		for hub, outdated := duty.refused.outdated(); outdated; hub, outdated = duty.refused.outdated() {
 			if !duty.fetchRefused(ctx, hub) && !dogwoodkernel.Sleep(ctx, fetchRetryInterval) {
@@ -87,6 +92,14 @@
 	}
 }
 
+// fetchAfterEnd fetches the hub's list at a leaf. Its next poll may come after many more ends.
+func (duty *Duty) fetchAfterEnd(ctx context.Context) {
+	isLeaf, _ := duty.options.Role()
+	if hub, _ := duty.refused.outdated(); isLeaf && hub.Address.IsValid() {
+		duty.fetchRefused(ctx, hub)
+	}
+}
+
 func (duty *Duty) fetchRefused(ctx context.Context, hub Peer) bool {
 	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
 	defer cancel()
--- /dev/null
+++ b/core/duty/dogwoodsuspects/parts_test.go
@@ -0,0 +1,213 @@
+package dogwoodsuspects
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dogwoodmux.example/core/decision/dogwoodsuspect"
+	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodkernel"
+)
+
+const (
+	guiltyPart  = dogwoodfleet.PromptPart("s/m/bad")
+	popularPart = dogwoodfleet.PromptPart("s/m/f1")
+	// beginDelay is the time from the start of a run to the begin of its answer, and answerTime that of the whole answer.
+	beginDelay = 60 * time.Millisecond
+	answerTime = time.Second
+	// bootTime is how long an endpoint that ended is away.
+	bootTime = 2 * time.Second
+	// crashGrace is how long after the fifth end daemons may still send prompts with the part, and maxLateSends how many after that.
+	crashGrace   = 3 * time.Second
+	maxLateSends = 3
+)
+
+// promptPool runs prompts of a fleet at endpoints that end as they begin an answer to one with the guilty part.
+type promptPool struct {
+	fleet *fleet
+	slots []*promptEndpoint
+
+	mutex  sync.Mutex
+	next   int
+	ends   []time.Time
+	guilty []time.Time // when prompts with the guilty part were sent
+}
+
+type promptEndpoint struct {
+	id     dogwoodfleet.EndpointID
+	ended  chan struct{}
+	backAt time.Time
+}
+
+func newPromptPool(fleet *fleet, endpoints int) *promptPool {
+	pool := &promptPool{fleet: fleet}
+	for index := range endpoints {
+		pool.slots = append(pool.slots, &promptEndpoint{id: endpointID(index), ended: make(chan struct{})})
+	}
+	return pool
+}
+
+// endpoint returns an endpoint that runs, nil if there is none.
+func (pool *promptPool) endpoint(isGuilty bool) *promptEndpoint {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	for range pool.slots {
+		pool.next = (pool.next + 1) % len(pool.slots)
+		if endpoint := pool.slots[pool.next]; !time.Now().Before(endpoint.backAt) {
+			if isGuilty {
+				pool.guilty = append(pool.guilty, time.Now())
+			}
+			return endpoint
+		}
+	}
+	return nil
+}
+
+// end ends an endpoint; another one replaces it.
+func (pool *promptPool) end(ended *promptEndpoint) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	for index, endpoint := range pool.slots {
+		if endpoint == ended {
+			close(ended.ended)
+			pool.ends = append(pool.ends, time.Now())
+			pool.slots[index] = &promptEndpoint{
+				id: endpointID(1000 + len(pool.ends)), ended: make(chan struct{}), backAt: time.Now().Add(bootTime),
+			}
+		}
+	}
+}
+
+// send sends a prompt through a daemon, once more if its endpoint ends, and reports whether its answer began.
+func (pool *promptPool) send(ctx context.Context, index int, subject *dogwoodsuspect.Subject, isGuilty bool) bool {
+	duty := pool.fleet.duty(index)
+	for range 2 {
+		permit, err := duty.Admit(ctx, subject)
+		if err != nil {
+			return false
+		}
+		endpoint := pool.endpoint(isGuilty)
+		if endpoint == nil {
+			permit.Return(ctx)
+			return false
+		}
+		begun := pool.run(ctx, duty, endpoint, subject, isGuilty, permit.IsTrial())
+		permit.Return(ctx)
+		if begun {
+			return true
+		}
+	}
+	return false
+}
+
+// run runs a prompt and reports whether its answer began and its endpoint lived on.
+func (pool *promptPool) run(ctx context.Context, duty *Duty, endpoint *promptEndpoint, subject *dogwoodsuspect.Subject, isGuilty, isTrial bool) bool {
+	began := time.Now().Add(beginDelay)
+	select {
+	case <-time.After(beginDelay):
+		if isGuilty {
+			pool.end(endpoint)
+		}
+	case <-endpoint.ended:
+	}
+	run := Run{Subject: *subject, Endpoint: dogwoodfleet.Endpoint{ID: endpoint.id}, Trial: isTrial}
+	select {
+	case <-endpoint.ended:
+		<-duty.Broke(ctx, run, Replaced)
+		return false
+	case <-time.After(100 * time.Millisecond):
+		duty.Began(ctx, subject, began)
+	}
+	select {
+	case <-endpoint.ended:
+		run.Begun = true
+		<-duty.Broke(ctx, run, Replaced)
+	case <-time.After(answerTime):
+		duty.Finished(ctx, subject)
+	}
+	return true
+}
+
+// prompts sends prompts of which no two are alike through the daemons in turn.
+func (pool *promptPool) prompts(ctx context.Context, pause time.Duration, isGuilty bool, parts func(number int) []dogwoodfleet.PromptPart) (sent, begun int64) {
+	var group sync.WaitGroup
+	var answered atomic.Int64
+	for number := 0; dogwoodkernel.Sleep(ctx, pause); number++ {
+		sent++
+		group.Go(func() {
+			name := fmt.Sprint("p-", isGuilty, number)
+			subject := &dogwoodsuspect.Subject{
+				Request: dogwoodfleet.RequestID(name), Customer: "a", Digest: dogwoodfleet.NewDigester("a", name).Digest(),
+				Parts: append(parts(number), dogwoodfleet.PromptPart("s/m/"+name)),
+			}
+			if pool.send(context.WithoutCancel(ctx), number%len(pool.fleet.duties), subject, isGuilty) {
+				answered.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	return sent, answered.Load()
+}
+
+// Guards against a part that ends endpoints through daemons that don't know what the others have seen, hubs and leaves, and against
+// refusing sound prompts with the same customer and first part there.
+func TestFleetRefusesPart(t *testing.T) {
+	tests := []struct {
+		name                    string
+		hubs, leaves, endpoints int
+		guiltyPause, soundPause time.Duration
+	}{
+		{"three hubs", 3, 0, 16, 80 * time.Millisecond, 40 * time.Millisecond},
+		{"eight hubs", 8, 0, 16, 400 * time.Millisecond, 25 * time.Millisecond},
+		{"leaves", 4, 28, 60, 25 * time.Millisecond, 10 * time.Millisecond},
+		{"most daemons are leaves", 8, 70, 135, 10 * time.Millisecond, 5 * time.Millisecond},
+		{"no sound prompts", 3, 0, 16, 300 * time.Millisecond, time.Hour},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runFleetTest(t, test.hubs, test.leaves, func(t *testing.T, fleet *fleet) {
+				pool := newPromptPool(fleet, test.endpoints)
+				for _, duty := range fleet.duties {
+					var listed []dogwoodfleet.EndpointID
+					for index := range 2000 {
+						listed = append(listed, endpointID(index))
+					}
+					duty.SetEndpoints(newEndpoints(listed))
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				var group sync.WaitGroup
+				var sent, begun int64
+				group.Go(func() {
+					sent, begun = pool.prompts(ctx, test.soundPause, false, func(number int) []dogwoodfleet.PromptPart {
+						return []dogwoodfleet.PromptPart{popularPart, dogwoodfleet.PromptPart(fmt.Sprint("s/m/c", number%20))}
+					})
+				})
+				pool.prompts(ctx, test.guiltyPause, true, func(int) []dogwoodfleet.PromptPart {
+					return []dogwoodfleet.PromptPart{popularPart, guiltyPart}
+				})
+				group.Wait()
+				if len(pool.ends) < 2 {
+					t.Fatalf("got %d ends, want the part to have run", len(pool.ends))
+				}
+				late := 0
+				for _, at := range pool.guilty {
+					if len(pool.ends) >= 5 && at.After(pool.ends[4].Add(crashGrace)) {
+						late++
+					}
+				}
+				if late > maxLateSends {
+					t.Errorf("got %d sends later than %s after the fifth end, want at most %d", late, crashGrace, maxLateSends)
+				}
+				if begun < sent/2 {
+					t.Errorf("got %d of %d sound prompts begun, want at least half", begun, sent)
+				}
+				t.Logf("%d endpoints ended under %d sends, %d late; %d of %d sound prompts begun", len(pool.ends), len(pool.guilty), late, begun, sent)
+			})
+		})
+	}
+}
--- a/core/duty/dogwoodsuspects/suspects.go
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -94,7 +94,7 @@
 	duty := &Duty{
 		options: options, ledger: dogwoodsuspect.NewLedger(), parts: dogwoodsuspect.NewPartLedger(),
 		convicted: map[dogwoodfleet.Digest]time.Time{}, known: map[dogwoodfleet.InstanceID]uint64{},
-		refused: refusedList{fetch: make(chan struct{}, 1)}, resolved: make(chan unresolvedRun, maxUnresolved),
+		refused: refusedList{fetch: make(chan struct{}, 1), ended: make(chan struct{}, 1)}, resolved: make(chan unresolvedRun, maxUnresolved),
 		knowledge: newKnowledge(options.Clock, options.Logger),
 	}
 	duty.exchange = Exchange{
--- a/core/duty/dogwoodsuspects/suspects_test.go
+++ b/core/duty/dogwoodsuspects/suspects_test.go
@@ -152,6 +152,15 @@
 	return endpoints
 }
 
+// newEndpoints returns endpoints that are in force.
+func newEndpoints(ids []dogwoodfleet.EndpointID) []dogwoodpacking.Endpoint {
+	endpoints := make([]dogwoodpacking.Endpoint, len(ids))
+	for i, id := range ids {
+		endpoints[i] = newEndpoint(id, "", true)
+	}
+	return endpoints
+}
+
 func newEndpoint(id dogwoodfleet.EndpointID, instance dogwoodfleet.InstanceID, inForce bool) dogwoodpacking.Endpoint {
 	return dogwoodpacking.Endpoint{Endpoint: dogwoodfleet.Endpoint{ID: id, Instance: instance, InForce: inForce}}
 }
