Crash engines by parts of prompts in the soak, and check that they are refused

Each second series of crashing calls are now prompts of which no two are alike and which share a part that crashes each engine as it begins an answer; all prompts name their parts and share the first. CrashRetries counts their arrivals later than 3 s after the fifth crash.

The check finds a careless daemon (CrashRetries-part) and, in histories, one prompt more than the bound allows.

--- a/dogwoodload/dogwoodsoak/careless_test.go
+++ b/dogwoodload/dogwoodsoak/careless_test.go
@@ -46,6 +46,7 @@
 	retryBudget      fault = "RetryBudget"
 	namedLimit       fault = "NamedLimit"
 	crashRetries     fault = "CrashRetries"
+	crashingParts    fault = "CrashRetries-part"
 	memoryHeld       fault = "MemoryHeld"
 	answeredLate     fault = "AnsweredLate"
 	processDied      fault = "ProcessDied"
--- a/dogwoodload/dogwoodsoak/crashes.go
+++ b/dogwoodload/dogwoodsoak/crashes.go
@@ -10,26 +10,32 @@
 	"golang.org/x/sync/errgroup"
 
 	"dogwoodmux.example/core/dogwoodkernel"
+	"dogwoodmux.example/dogwoodload/dogwoodsoakcheck"
 	"dogwoodmux.example/platform/dogwoodstandin"
 )
 
 // superviseInterval is how often the endpoints' processes are checked for crashes.
 const superviseInterval = 50 * time.Millisecond
 
-// crashing guards the request that crashes engines: there is one at a time.
+// crashing guards the request or part that crashes engines: there is one at a time.
 type crashing struct {
 	mutex  sync.Mutex
 	number int
 }
 
-// sendCrashing makes callers send copies of a request that crashes engines for a while. Each call uses another request.
+// sendCrashing makes callers send copies of a request that crashes engines for a while, and each second time prompts that only
+// share a part that does so. Each call uses another request or part.
 func (site *site) sendCrashing(ctx context.Context, duration time.Duration) error {
 	site.crashing.mutex.Lock()
 	defer site.crashing.mutex.Unlock()
 	site.crashing.number++
-	site.callers.SetCrashing(fmt.Sprintf("%s?number=%d", crashPath, site.crashing.number))
+	crashing := dogwoodsoakcheck.Crashing{Target: fmt.Sprintf("%s?number=%d", crashPath, site.crashing.number)}
+	if site.crashing.number%2 == 0 {
+		crashing = dogwoodsoakcheck.Crashing{Part: fmt.Sprintf("%s%d", crashPart, site.crashing.number)}
+	}
+	site.callers.SetCrashing(crashing)
 	dogwoodkernel.Sleep(ctx, duration)
-	site.callers.SetCrashing("")
+	site.callers.SetCrashing(dogwoodsoakcheck.Crashing{})
 	return nil
 }
 
--- a/dogwoodload/dogwoodsoak/endpoint.go
+++ b/dogwoodload/dogwoodsoak/endpoint.go
@@ -81,6 +81,7 @@
 		standinFlag{dogwoodstandinrun.FlagWork, work.String()},
 		standinFlag{dogwoodstandinrun.FlagCold, cold.String()},
 		standinFlag{dogwoodstandinrun.FlagCrashPath, crashPath},
+		standinFlag{dogwoodstandinrun.FlagCrashPart, crashPart},
 		standinFlag{dogwoodstandinrun.FlagDrain, (checkBounds.Drain + drainSlack).String()},
 	)
 	endpoint.process = process
--- a/dogwoodload/dogwoodsoak/parameters.go
+++ b/dogwoodload/dogwoodsoak/parameters.go
@@ -39,9 +39,11 @@
 	drainSlack = time.Second
 	// removalDelay is how long after an endpoint falls silent the platform removes its entry.
 	removalDelay = 1500 * time.Millisecond
-	// crashPath is the path of requests that crash an engine, restartDelay the time from a crash to the start of another
-	// endpoint at the address.
-	crashPath    = "/draft/crash"
+	// crashPath is the path of requests that crash an engine, and crashPart how the IDs of parts begin whose prompts do. No other
+	// ID begins so.
+	crashPath = "/draft/crash"
+	crashPart = "bad"
+	// restartDelay is the time from a crash to the start of another endpoint at the address.
 	restartDelay = time.Second
 )
 
@@ -61,7 +63,7 @@
 		Stability: 3 * time.Second, Revoke: daemonBounds.Revoke, Drain: 2 * time.Second, TakeOut: 5 * time.Second,
 		RetryRatio: daemonBounds.RetryRatio, RetryAllowance: daemonBounds.RetryAllowance, RetryWindow: daemonBounds.RetryWindow,
 		ColdPerSecond: coldPerSecond, ColdOvershoot: 1.5, ColdSlack: 5, LimitWindow: 4 * time.Second, LimitOvershoot: 1.5, LimitSlack: 5,
-		CrashesToLearn: 3, LateRetries: 3, AnswerSlack: time.Second,
+		CrashesToLearn: 3, PartCrashesToLearn: 5, LateRetries: 3, AnswerSlack: time.Second,
 		ChangeWindow: 2 * time.Second, TextSlack: time.Second,
 		StopSlack: 200 * time.Millisecond, AcceptsFor: 2 * time.Second,
 		Recovery: recovery, ServedShare: 0.25,
@@ -79,7 +81,7 @@
 
 // crashingKind is the kind of requests that crash engines.
 var crashingKind = dogwoodsoakcaller.Kind{
-	Kind: dogwoodsoakcheck.Prompt, Service: engineName, Wait: 10 * time.Second, Events: streamEvents, PromptTokens: []int{5_000},
+	Kind: dogwoodsoakcheck.Prompt, Service: engineName, Prefix: "/draft/", Wait: 10 * time.Second, Events: streamEvents, PromptTokens: []int{5_000},
 }
 
 var routes = []dogwoodstandin.Route{
--- a/dogwoodload/dogwoodsoak/soak_test.go
+++ b/dogwoodload/dogwoodsoak/soak_test.go
@@ -85,6 +85,9 @@
 		{retryBudget, nil},
 		{namedLimit, []dogwoodsoakplan.Step{step(dogwoodsoakplan.EndpointLimited, 0, 9*time.Second)}},
 		{crashRetries, []dogwoodsoakplan.Step{step(dogwoodsoakplan.CrashingCalls, 0, 9*time.Second)}},
+		{crashingParts, []dogwoodsoakplan.Step{
+			step(dogwoodsoakplan.CrashingCalls, 0, 100*time.Millisecond), step(dogwoodsoakplan.CrashingCalls, 0, 9*time.Second),
+		}},
 		{memoryHeld, nil},
 		{answeredLate, nil},
 		{processDied, nil},
--- a/dogwoodload/dogwoodsoakcaller/caller.go
+++ b/dogwoodload/dogwoodsoakcaller/caller.go
@@ -81,8 +81,8 @@
 
 	mutex sync.Mutex
 	calls []dogwoodsoakcheck.Call
-	// crashing is the target of a request that crashes endpoints, of which callers send copies now; empty for none.
-	crashing string
+	// crashing is what callers send now to crash endpoints; empty for nothing.
+	crashing dogwoodsoakcheck.Crashing
 }
 
 // New returns callers.
@@ -90,19 +90,20 @@
 	return &Callers{options: options}
 }
 
-// SetCrashing makes callers send copies of a request with a target that crashes endpoints. An empty target ends that.
-func (callers *Callers) SetCrashing(target string) {
+// SetCrashing makes callers send copies of a request that crashes endpoints, or prompts with a part that does so and of which no
+// two are alike. An empty value ends that.
+func (callers *Callers) SetCrashing(crashing dogwoodsoakcheck.Crashing) {
 	callers.mutex.Lock()
 	defer callers.mutex.Unlock()
-	callers.crashing = target
+	callers.crashing = crashing
 }
 
-// crashingTarget returns the target of the crashing request for some of the calls, and "" for the others.
-func (caller *caller) crashingTarget() string {
+// drawCrashing returns what crashes endpoints for some of the calls, and an empty value for the others.
+func (caller *caller) drawCrashing() dogwoodsoakcheck.Crashing {
 	caller.mutex.Lock()
 	defer caller.mutex.Unlock()
-	if caller.crashing == "" || caller.random.Float64() >= crashingShare {
-		return ""
+	if caller.crashing == (dogwoodsoakcheck.Crashing{}) || caller.random.Float64() >= crashingShare {
+		return dogwoodsoakcheck.Crashing{}
 	}
 	return caller.crashing
 }
@@ -229,10 +230,14 @@
 	}
 	target := fmt.Sprintf("%s%d?q=%d", kind.Prefix, caller.number, caller.sent)
 	body := strings.Repeat("x", 1+caller.random.IntN(200))
-	if crashing := caller.crashingTarget(); crashing != "" {
+	if crashing := caller.drawCrashing(); crashing != (dogwoodsoakcheck.Crashing{}) {
 		kind = &caller.options.Crashing
 		call.Kind, call.Service, call.Wait, call.Key, call.Crashing = kind.Kind, kind.Service, kind.Wait, caller.options.CrashingKey, crashing
-		target, body = crashing, crashingBody
+		if crashing.Part == "" {
+			target, body = crashing.Target, crashingBody
+		} else {
+			target = fmt.Sprintf("%s%d?q=%d", kind.Prefix, caller.number, caller.sent)
+		}
 	}
 	call.Sent = time.Now()
 	caller.exchange(ctx, &call, kind, daemon.ProxyAddress, target, body)
@@ -260,6 +265,7 @@
 	if len(kind.PromptTokens) > 0 {
 		sentCall.PromptTokens = kind.PromptTokens[caller.random.IntN(len(kind.PromptTokens))]
 		sentCall.AnswerTokens = kind.Events
+		sentCall.Parts = caller.parts(call.Crashing.Part)
 	}
 	request.Header = sentCall.Header()
 	request.Host = caller.options.Host
@@ -284,6 +290,18 @@
 	}
 }
 
+// parts returns the parts of a prompt: one that all share, one that some share or that crashes endpoints, and its own.
+func (caller *caller) parts(crashing string) []string {
+	middle := fmt.Sprintf("c%x", caller.number%sharedParts)
+	if crashing != "" {
+		middle = crashing
+	}
+	return []string{"f1", middle, fmt.Sprintf("e%x%08x", caller.number, caller.sent)}
+}
+
+// sharedParts is the number of parts of which each prompt has one.
+const sharedParts = 5
+
 // describeError describes the error in an answer that looks complete; it returns "" for a correct answer.
 func describeError(id string, kind *Kind, target, body, received string) string {
 	want := dogwoodstandin.PlainAnswer(id, target, body)
--- a/dogwoodload/dogwoodsoakcheck/check_test.go
+++ b/dogwoodload/dogwoodsoakcheck/check_test.go
@@ -19,7 +19,7 @@
 	Stability: 3 * time.Second, Revoke: 5 * time.Second, Drain: 2 * time.Second, TakeOut: 5 * time.Second,
 	RetryRatio: 0.2, RetryAllowance: 3, RetryWindow: 10 * time.Second,
 	ColdPerSecond: 2, ColdOvershoot: 1.5, ColdSlack: 1, LimitWindow: 4 * time.Second, LimitOvershoot: 1.5, LimitSlack: 5,
-	CrashesToLearn: 3, LateRetries: 3, AnswerSlack: time.Second,
+	CrashesToLearn: 3, PartCrashesToLearn: 5, LateRetries: 3, AnswerSlack: time.Second,
 	ChangeWindow: 2 * time.Second, TextSlack: time.Second,
 	AcceptsFor: 2 * time.Second, Recovery: 12 * time.Second, ServedShare: 0.25,
 }
@@ -63,12 +63,12 @@
 	history.Changes = append(history.Changes, Change{Daemon: daemon, From: after(from), To: after(from + 0.1)})
 }
 
-// crash makes the prompts of the first seconds copies of a request, each of which crashes its endpoint. The third one
-// crashes it at 2 s, so that the copies from 6 s on are late.
-func (history *History) crash(copies int) {
-	for second := range copies {
+// crash makes the prompts of the first seconds crash their endpoints. The third one crashes it at 2 s, so that copies from 6 s on
+// are late, and the fifth at 4 s, so that prompts with a part are from 8 s on.
+func (history *History) crash(crashing Crashing, count int) {
+	for second := range count {
 		call := history.call(fmt.Sprintf("Prompt-%d", second))
-		call.Crashing, call.Status, call.Sealed = "/crash", 502, false
+		call.Crashing, call.Status, call.Sealed = crashing, 502, false
 		history.Crashes = append(history.Crashes, Crash{Endpoint: "e", RequestID: call.ID, At: after(float64(second) + 0.05)})
 	}
 }
@@ -209,10 +209,12 @@
 			history.Limits = []Limit{{Endpoint: "e", PerSecond: 1, From: after(0), To: after(10)}}
 			history.fault(Fault{Daemon: AllDaemons}, 0, 11)
 		}, "NamedLimit"},
-		{"a request goes on crashing endpoints", func(history *History) { history.crash(10) }, "CrashRetries"},
-		{"a request reaches endpoints as often after the bound as is allowed", func(history *History) { history.crash(9) }, ""},
+		{"a request goes on crashing endpoints", func(history *History) { history.crash(Crashing{Target: "/crash"}, 10) }, "CrashRetries"},
+		{"prompts with a part go on crashing endpoints", func(history *History) { history.crash(Crashing{Part: "bad2"}, 12) }, "CrashRetries"},
+		{"prompts with a part crash endpoints until daemons must know", func(history *History) { history.crash(Crashing{Part: "bad2"}, 11) }, ""},
+		{"a request reaches endpoints as often after the bound as is allowed", func(history *History) { history.crash(Crashing{Target: "/crash"}, 9) }, ""},
 		{"a request goes on crashing endpoints through a daemon that was frozen", func(history *History) {
-			history.crash(12)
+			history.crash(Crashing{Target: "/crash"}, 12)
 			history.fault(Fault{Daemon: "d"}, 0, 40)
 		}, ""},
 		{"memory is never released", func(history *History) { history.Held = []Held{{Endpoint: "e", Tokens: 7}} }, "MemoryHeld"},
--- a/dogwoodload/dogwoodsoakcheck/history.go
+++ b/dogwoodload/dogwoodsoakcheck/history.go
@@ -22,8 +22,8 @@
 	LimitWindow                time.Duration
 	LimitOvershoot, LimitSlack float64
 	// LateRetries is how often a request that crashes endpoints may reach them later than Stability after it has
-	// crashed as many as CrashesToLearn.
-	CrashesToLearn, LateRetries int
+	// crashed as many as CrashesToLearn, and how often prompts with a part that does so may after PartCrashesToLearn.
+	CrashesToLearn, PartCrashesToLearn, LateRetries int
 	// AnswerSlack is how long after its time limit a request may end.
 	AnswerSlack time.Duration
 	// ChangeWindow is how long after a change a daemon may still be applying it. For the operators' rows,
@@ -72,9 +72,30 @@
 	Wrong string
 	// Error is the reason why there is no complete answer.
 	Error string
-	// Crashing is the target of a request that crashes each endpoint that runs it; empty for other requests. Calls with
-	// the same target are copies of one request.
-	Crashing string
+	// Crashing is what crashes each endpoint that runs the call; empty for other calls.
+	Crashing Crashing
+}
+
+// Crashing identifies a request or a part of prompts that crashes endpoints.
+type Crashing struct {
+	// Target is that of a request of which copies are sent, Part the ID of a part of prompts of which no two are alike. One of
+	// them is empty.
+	Target, Part string
+}
+
+// crashesToLearn returns how many endpoints may crash before daemons must know.
+func (crashing Crashing) crashesToLearn(bounds *Bounds) int {
+	if crashing.Part != "" {
+		return bounds.PartCrashesToLearn
+	}
+	return bounds.CrashesToLearn
+}
+
+func (crashing Crashing) String() string {
+	if crashing.Part != "" {
+		return "prompts with part " + crashing.Part
+	}
+	return "copies of " + crashing.Target
 }
 
 // Served reports whether an endpoint answered the call completely and correctly.
--- a/dogwoodload/dogwoodstandinrun/run.go
+++ b/dogwoodload/dogwoodstandinrun/run.go
@@ -40,6 +40,7 @@
 	FlagCold             = "cold"
 	FlagDrain            = "drain"
 	FlagCrashPath        = "crashpath"
+	FlagCrashPart        = "crashpart"
 )
 
 // crashExitCode is the exit code of an endpoint that a request crashed.
@@ -92,6 +93,7 @@
 	flags.IntVar(&options.Endpoint.Events, FlagEvents, 0, "`events` of a stream; 0 answers plainly")
 	flags.DurationVar(&options.Endpoint.Work, FlagWork, 0, "`time` of a plain answer, and between two events")
 	flags.DurationVar(&options.Endpoint.ColdFor, FlagCold, 0, "`time` for which it is cold")
+	flags.StringVar(&options.Endpoint.CrashPart, FlagCrashPart, "", "`prefix` of the IDs of parts whose prompts crash it; none if empty")
 	flags.StringVar(&options.Endpoint.CrashPath, FlagCrashPath, "", "`path` of requests that crash it; none if empty")
 	flags.DurationVar(&options.Drain, FlagDrain, 0, "`time` that it serves on when it leaves")
 }
