Tell hubs that start which parts others refuse, and compare ways to tell a guilty part

A hub that starts has seen no answer begin, so three ends that convict a part elsewhere did not at it: it ran the prompts, and its leaves did. Strikes of a refused part are marked in notices. TestPartNoticesCarryRefusals failed for three ends before.

--- a/core/decision/dogwoodsuspect/partrefusal.go
+++ b/core/decision/dogwoodsuspect/partrefusal.go
@@ -38,9 +38,10 @@
 	Ends []dogwoodfleet.EndpointID
 }
 
-// Standing returns the standing of a request whose prompt has the part.
+// Standing returns the standing that the refusal gives to a request.
 func (partRefusal *PartRefusal) Standing(now time.Time, subject *Subject) Standing {
-	hasAll := !slices.ContainsFunc(partRefusal.With, func(part dogwoodfleet.PromptPart) bool { return !slices.Contains(subject.Parts, part) })
+	lacks := func(part dogwoodfleet.PromptPart) bool { return !slices.Contains(subject.Parts, part) }
+	hasAll := !lacks(partRefusal.Part) && !slices.ContainsFunc(partRefusal.With, lacks)
 	switch {
 	case !now.Before(partRefusal.Until) || !hasAll || slices.Contains(partRefusal.Cleared, subject.Customer):
 		return Clear
@@ -91,6 +92,7 @@
 		ends := slices.Sorted(maps.Keys(best.ends))
 		for _, member := range group {
 			member.examined = true
+			ledger.markShown(member.record)
 			if refusal := member.refusal(now, group, ends); now.Before(refusal.Until) {
 				refusals = append(refusals, refusal)
 			}
@@ -171,10 +173,8 @@
 	if len(candidate.ends)*minPartShare < meanwhile {
 		return false
 	}
-	if candidate.independent >= minLonePartEnds {
-		return true
-	}
-	return !slices.ContainsFunc(ledger.begins[:], func(begun time.Time) bool { return begun.Before(first) })
+	othersBegan := !slices.ContainsFunc(ledger.begins[:], func(begun time.Time) bool { return begun.Before(first) })
+	return candidate.record.shown || candidate.independent >= minLonePartEnds || othersBegan
 }
 
 // inseparable returns the candidates with the same ends as one of them, that one included.
--- a/core/decision/dogwoodsuspect/parts.go
+++ b/core/decision/dogwoodsuspect/parts.go
@@ -55,6 +55,8 @@
 	// cleared holds the customers whose answers have begun since the first strike, and when the first one did.
 	cleared map[dogwoodfleet.Customer]time.Time
 	expires time.Time
+	// shown is true once this daemon or another one has refused the part: the ends were no chance.
+	shown bool
 }
 
 // PartLedger holds one daemon's records of parts of prompts. It is not safe for concurrent use.
@@ -110,6 +112,9 @@
 			return
 		}
 	}
+	if notice.Refused {
+		ledger.markShown(found)
+	}
 	known := slices.IndexFunc(found.strikes, func(strike partStrike) bool {
 		return strike.endpoint == notice.Endpoint && strike.digest == notice.Digest
 	})
@@ -133,6 +138,14 @@
 	ledger.version++
 }
 
+// markShown records that the part was refused.
+func (ledger *PartLedger) markShown(record *partRecord) {
+	if !record.shown {
+		record.shown = true
+		ledger.version++
+	}
+}
+
 // clear removes a customer's strikes of a part from before an answer to it began.
 func (ledger *PartLedger) clear(begun time.Time, part dogwoodfleet.PromptPart, customer dogwoodfleet.Customer) {
 	ledger.recordRecent(part, customer, begun)
@@ -246,6 +259,7 @@
 	type run struct {
 		digest   dogwoodfleet.Digest
 		endpoint dogwoodfleet.EndpointID
+		refused  bool
 	}
 	byRun := map[run]*Notice{}
 	var notices []Notice
@@ -258,13 +272,14 @@
 		}
 		for i := range record.strikes {
 			strike := &record.strikes[i]
-			notice := byRun[run{strike.digest, strike.endpoint}]
+			key := run{strike.digest, strike.endpoint, record.shown}
+			notice := byRun[key]
 			if notice == nil {
 				notice = &Notice{
 					Kind: PartStrike, Digest: strike.digest, Request: strike.request, Customer: strike.customer, Endpoint: strike.endpoint,
-					Age: now.Sub(strike.at), Confirmed: strike.confirmed,
+					Age: now.Sub(strike.at), Confirmed: strike.confirmed, Refused: record.shown,
 				}
-				byRun[run{strike.digest, strike.endpoint}] = notice
+				byRun[key] = notice
 			}
 			notice.Parts = append(notice.Parts, part)
 		}
--- a/core/decision/dogwoodsuspect/parts_test.go
+++ b/core/decision/dogwoodsuspect/parts_test.go
@@ -243,8 +243,28 @@
 
 // Guards against a hub that has just started and judges otherwise than the one whose ledger it has learnt, in any order.
 func TestPartNoticesCarryRefusals(t *testing.T) {
-	history := newPartHistory().ended("a", guilty, popular).ended("a", guilty, popular).othersBegan().began("b", guilty).began("a", popular).
-		ended("a", guilty).ended("a", guilty, "s/m/f2")
+	tests := []struct {
+		name    string
+		history *partHistory
+	}{
+		{
+			"four ends", newPartHistory().ended("a", guilty, popular).ended("a", guilty, popular).othersBegan().began("b", guilty).
+				began("a", popular).ended("a", guilty).ended("a", guilty, "s/m/f2"),
+		},
+		{"three ends while others began here", newPartHistory().ended("a", guilty).ended("a", guilty).othersBegan().ended("a", guilty)},
+		{"two ends", newPartHistory().ended("a", guilty).ended("a", guilty).othersBegan()},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { checkLearner(t, test.history) })
+	}
+}
+
+// checkLearner checks that a ledger that learns another one's notices gives the same standings.
+func checkLearner(t *testing.T, history *partHistory) {
+	t.Helper()
+	for _, customer := range []dogwoodfleet.Customer{"a", "b", "c"} {
+		history.standing(customer, guilty) // the ledger has judged its strikes before another one asks
+	}
 	learner := &partHistory{ledger: NewPartLedger(), now: history.now}
 	notices := history.ledger.Notices(history.now)
 	learner.ledger.Learn(history.now, notices)
--- /dev/null
+++ b/core/decision/dogwoodsuspect/partsim_test.go
@@ -0,0 +1,231 @@
+package dogwoodsuspect
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+// partPool simulates endpoints that end as they begin an answer to a prompt with the guilty part. Sound prompts have one of many
+// first parts, as those with the guilty part do.
+type partPool struct {
+	endpoints, slots int
+	// soundRate and guiltyRate are prompts a second.
+	soundRate, guiltyRate float64
+	// popularShare is the share of all prompts that have the same first part.
+	popularShare float64
+	// endRate is how many endpoints a second end of something else.
+	endRate float64
+}
+
+const (
+	poolStep  = 5 * time.Millisecond
+	poolTime  = 10 * time.Second
+	poolAway  = 4 * time.Second
+	firstPart = 60
+)
+
+// simulatedPrompt is a prompt at an endpoint.
+type simulatedPrompt struct {
+	subject         Subject
+	isGuilty        bool
+	beginsAt, endAt time.Time
+	begun           bool
+}
+
+// partPolicy decides which prompts are refused.
+type partPolicy interface {
+	refuses(now time.Time, subject *Subject) bool
+	began(now time.Time, subject *Subject)
+	ended(now time.Time, endpoint dogwoodfleet.EndpointID, pending []*simulatedPrompt)
+}
+
+// ledgerPolicy is the ledger's own.
+type ledgerPolicy struct{ ledger *PartLedger }
+
+func (policy *ledgerPolicy) refuses(now time.Time, subject *Subject) bool {
+	return slices.ContainsFunc(policy.ledger.Refusals(now), func(refusal PartRefusal) bool { return refusal.Standing(now, subject) == Convicted })
+}
+
+func (policy *ledgerPolicy) began(now time.Time, subject *Subject) {
+	policy.ledger.Began(now, now, subject, func(dogwoodfleet.PromptPart) bool { return false })
+}
+
+func (policy *ledgerPolicy) ended(now time.Time, endpoint dogwoodfleet.EndpointID, pending []*simulatedPrompt) {
+	for _, prompt := range pending {
+		policy.ledger.Learn(now, []Notice{prompt.subject.PartStrikeNotice(endpoint, 0, true)})
+	}
+}
+
+// commonPolicy refuses the parts that were pending at each of the latest ends, as a simpler way to judge.
+type commonPolicy struct {
+	ends    [][]dogwoodfleet.PromptPart
+	refused []dogwoodfleet.PromptPart
+}
+
+func (policy *commonPolicy) refuses(_ time.Time, subject *Subject) bool {
+	return slices.ContainsFunc(subject.Parts, func(part dogwoodfleet.PromptPart) bool { return slices.Contains(policy.refused, part) })
+}
+
+func (policy *commonPolicy) began(time.Time, *Subject) {}
+
+func (policy *commonPolicy) ended(_ time.Time, _ dogwoodfleet.EndpointID, pending []*simulatedPrompt) {
+	var parts []dogwoodfleet.PromptPart
+	for _, prompt := range pending {
+		parts = append(parts, prompt.subject.Parts...)
+	}
+	policy.ends = append(policy.ends, parts)
+	if len(policy.ends) < minPartEnds {
+		return
+	}
+	latest := policy.ends[len(policy.ends)-minPartEnds:]
+	for _, part := range latest[0] {
+		isCommon := !slices.ContainsFunc(latest, func(parts []dogwoodfleet.PromptPart) bool { return !slices.Contains(parts, part) })
+		if isCommon && !slices.Contains(policy.refused, part) {
+			policy.refused = append(policy.refused, part)
+		}
+	}
+}
+
+// partResult is what a simulation shows.
+type partResult struct {
+	ends, guiltySent, lateGuilty, sound, soundRefused int
+}
+
+// run simulates a pool with a policy.
+func (partPool *partPool) run(seed uint64, policy partPolicy) partResult {
+	random := rand.New(rand.NewPCG(seed, 1))
+	running := make([][]*simulatedPrompt, partPool.endpoints)
+	backAt := make([]time.Time, partPool.endpoints)
+	lifetime := make([]int, partPool.endpoints)
+	var result partResult
+	var fifth time.Time
+	number := 0
+	end := func(now time.Time, index int) {
+		pending := slices.DeleteFunc(slices.Clone(running[index]), func(prompt *simulatedPrompt) bool { return prompt.begun })
+		policy.ended(now, dogwoodfleet.EndpointID(fmt.Sprint(index, "-", lifetime[index])), pending)
+		running[index], backAt[index] = nil, now.Add(poolAway)
+		lifetime[index]++
+		if result.ends++; result.ends == 5 {
+			fifth = now
+		}
+	}
+	send := func(now time.Time, isGuilty bool) {
+		number++
+		first := dogwoodfleet.PromptPart(fmt.Sprint("first", random.IntN(firstPart)))
+		if random.Float64() < partPool.popularShare {
+			first = popular
+		}
+		parts := []dogwoodfleet.PromptPart{first, dogwoodfleet.PromptPart(fmt.Sprint("middle", random.IntN(firstPart))), dogwoodfleet.PromptPart(fmt.Sprint("own", number))}
+		if isGuilty {
+			parts[1] = guilty
+		}
+		prompt := &simulatedPrompt{
+			subject: Subject{Customer: "a", Digest: dogwoodfleet.NewDigester("", fmt.Sprint(number)).Digest(), Parts: parts}, isGuilty: isGuilty,
+			beginsAt: now.Add(time.Duration(50+random.IntN(300)) * time.Millisecond),
+		}
+		prompt.endAt = prompt.beginsAt.Add(time.Duration(500+random.IntN(2000)) * time.Millisecond)
+		refused := policy.refuses(now, &prompt.subject)
+		if !isGuilty {
+			result.sound++
+			if refused {
+				result.soundRefused++
+			}
+		}
+		start := random.IntN(partPool.endpoints)
+		for offset := range partPool.endpoints {
+			index := (start + offset) % partPool.endpoints
+			if refused || now.Before(backAt[index]) || len(running[index]) >= partPool.slots {
+				continue
+			}
+			running[index] = append(running[index], prompt)
+			if isGuilty {
+				result.guiltySent++
+				if !fifth.IsZero() && now.Sub(fifth) > 3*time.Second {
+					result.lateGuilty++
+				}
+			}
+			return
+		}
+	}
+	for now := start; now.Sub(start) < poolTime; now = now.Add(poolStep) {
+		if random.Float64() < partPool.soundRate*poolStep.Seconds() {
+			send(now, false)
+		}
+		if random.Float64() < partPool.guiltyRate*poolStep.Seconds() {
+			send(now, true)
+		}
+		if random.Float64() < partPool.endRate*poolStep.Seconds() {
+			end(now, random.IntN(partPool.endpoints))
+		}
+		for index := range running {
+			for _, prompt := range running[index] {
+				if prompt.begun || now.Before(prompt.beginsAt) {
+					continue
+				}
+				if prompt.isGuilty {
+					end(now, index)
+					break
+				}
+				prompt.begun = true
+				policy.began(now, &prompt.subject)
+			}
+			running[index] = slices.DeleteFunc(running[index], func(prompt *simulatedPrompt) bool { return prompt.begun && !now.Before(prompt.endAt) })
+		}
+	}
+	return result
+}
+
+// Guards against refusing sound prompts, or running guilty ones on and on, where each end of an endpoint names the parts of all
+// prompts that had not begun there, one of which is guilty or none.
+func TestLedgerTellsTheGuiltyPart(t *testing.T) {
+	const seeds = 6
+	tests := []struct {
+		name string
+		pool partPool
+	}{
+		{"16 endpoints, 4 slots", partPool{endpoints: 16, slots: 4, soundRate: 30, guiltyRate: 3}},
+		{"16 endpoints, 16 slots", partPool{endpoints: 16, slots: 16, soundRate: 60, guiltyRate: 3}},
+		{"16 endpoints, 64 slots", partPool{endpoints: 16, slots: 64, soundRate: 150, guiltyRate: 3}},
+		{"a popular first part", partPool{endpoints: 16, slots: 16, soundRate: 60, guiltyRate: 3, popularShare: 0.3}},
+		{"the guilty part comes seldom", partPool{endpoints: 54, slots: 12, soundRate: 150, guiltyRate: 1}},
+		{"the guilty part comes often", partPool{endpoints: 54, slots: 12, soundRate: 150, guiltyRate: 20}},
+		{"endpoints end of something else too", partPool{endpoints: 54, slots: 12, soundRate: 150, guiltyRate: 5, endRate: 2}},
+		{"endpoints end of something else", partPool{endpoints: 54, slots: 12, soundRate: 150, endRate: 6}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var ledger, common partResult
+			for seed := range uint64(seeds) {
+				result := test.pool.run(seed, &ledgerPolicy{ledger: NewPartLedger()})
+				if result.lateGuilty > 3 {
+					t.Errorf("seed %d: got %d guilty prompts later than 3s after the fifth end, want at most 3", seed, result.lateGuilty)
+				}
+				if result.soundRefused > result.sound/50 {
+					t.Errorf("seed %d: got %d of %d sound prompts refused, want at most one in fifty", seed, result.soundRefused, result.sound)
+				}
+				ledger.add(result)
+				common.add(test.pool.run(seed, &commonPolicy{}))
+			}
+			t.Logf("ledger: %s", ledger)
+			t.Logf("common: %s", common)
+		})
+	}
+}
+
+func (result *partResult) add(other partResult) {
+	result.ends += other.ends
+	result.guiltySent += other.guiltySent
+	result.lateGuilty += other.lateGuilty
+	result.sound += other.sound
+	result.soundRefused += other.soundRefused
+}
+
+// String returns the sums of all seeds.
+func (result partResult) String() string {
+	return fmt.Sprintf("%d ends, %d guilty prompts sent, %d late; %d of %d sound ones refused", result.ends, result.guiltySent, result.lateGuilty, result.soundRefused, result.sound)
+}
--- a/core/decision/dogwoodsuspect/suspect.go
+++ b/core/decision/dogwoodsuspect/suspect.go
@@ -81,6 +81,8 @@
 	// Shared is true for a strike at an endpoint that ran other requests too. Trial and Confirmed then have the
 	// same meaning as in Run.
 	Shared, Trial, Confirmed bool
+	// Refused is true for a strike of a part that the sender refuses.
+	Refused bool
 }
 
 // Run is a request that an endpoint ran until it finished or the endpoint died.
