--- a/core/duty/dogwoodsuspects/permit.go
+++ b/core/duty/dogwoodsuspects/permit.go
@@ -69,7 +69,7 @@
 
 // holds reports whether the permit is for a gate.
 func (permit *Permit) holds(gate dogwoodfleet.Digest) bool {
-	return slices.Contains(permit.gates, gate) || permit.own && gate == permit.subject.Digest
+	return permit != nil && (slices.Contains(permit.gates, gate) || permit.own && gate == permit.subject.Digest)
 }
 
 // verdict is what is known of a request before it runs.
@@ -108,10 +108,10 @@
 	if err := duty.knowledge.await(ctx); err != nil {
 		return nil, err
 	}
-	permit := &Permit{duty: duty, subject: subject}
-	if duty.judgeSubject(subject, permit).standing == dogwoodsuspect.Clear {
+	if duty.judgeSubject(subject, nil).standing == dogwoodsuspect.Clear {
 		return nil, nil
 	}
+	permit := &Permit{duty: duty, subject: subject}
 	err := duty.awaitPermit(ctx, permit)
 	var refused *Refused
 	switch {
@@ -194,8 +194,5 @@
 // StillAdmitted reports whether a request that waited after Admit may run now: it may have become a suspect meanwhile, or been
 // refused.
 func (duty *Duty) StillAdmitted(permit *Permit, subject *dogwoodsuspect.Subject) bool {
-	if permit == nil {
-		permit = &Permit{duty: duty, subject: subject}
-	}
 	return duty.judgeSubject(subject, permit).standing == dogwoodsuspect.Clear
 }
