--- a/core/decision/dogwoodsuspect/partrefusal.go
+++ b/core/decision/dogwoodsuspect/partrefusal.go
@@ -74,7 +74,7 @@
 // Refusals returns the parts whose prompts are not run.
 //
 // Of all parts the one that explains the most ends is refused first; its ends then count against no other part. So a part that
-// sound requests share with those that end endpoints is not refused beside the guilty one, and two guilty ones are found one
+// harmless requests share with those that end endpoints is not refused beside the crashing one, and two crashing ones are found one
 // after the other.
 func (ledger *PartLedger) Refusals(now time.Time) []PartRefusal {
 	var refusals []PartRefusal
--- a/core/decision/dogwoodsuspect/parts_test.go
+++ b/core/decision/dogwoodsuspect/parts_test.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	guilty  = dogwoodfleet.PromptPart("s/m/bad")
-	popular = dogwoodfleet.PromptPart("s/m/f1")
+	crashing = dogwoodfleet.PromptPart("s/m/bad")
+	popular  = dogwoodfleet.PromptPart("s/m/f1")
 )
 
 // partHistory is what a ledger has seen, in steps of a second unless pause is set.
@@ -82,99 +82,99 @@
 	tests := []struct {
 		name    string
 		history *partHistory
-		// want is the standing of a prompt of customer a with the guilty part, harmless that of one with the popular part,
-		// and other that of a prompt of customer b with the guilty part.
+		// want is the standing of a prompt of customer a with the crashing part, harmless that of one with the popular part,
+		// and other that of a prompt of customer b with the crashing part.
 		want, harmless, other Standing
 	}{
-		{name: "two ends", history: newPartHistory().ended("a", guilty).ended("a", guilty).othersBegan()},
+		{name: "two ends", history: newPartHistory().ended("a", crashing).ended("a", crashing).othersBegan()},
 		{
 			name:    "three ends while other answers begin",
-			history: newPartHistory().ended("a", popular, guilty).othersBegan().ended("a", "s/m/f2", guilty).ended("a", popular, guilty),
+			history: newPartHistory().ended("a", popular, crashing).othersBegan().ended("a", "s/m/f2", crashing).ended("a", popular, crashing),
 			want:    Convicted, other: Suspect,
 		},
-		{name: "three ends, and no answer begins", history: newPartHistory().ended("a", guilty).ended("a", guilty).ended("a", guilty)},
+		{name: "three ends, and no answer begins", history: newPartHistory().ended("a", crashing).ended("a", crashing).ended("a", crashing)},
 		{
 			name:    "four ends, and no answer begins",
-			history: newPartHistory().ended("a", guilty).ended("a", guilty).ended("a", guilty).ended("a", guilty),
+			history: newPartHistory().ended("a", crashing).ended("a", crashing).ended("a", crashing).ended("a", crashing),
 			want:    Convicted, other: Suspect,
 		},
 		{
 			name: "copies of one request",
-			history: newPartHistory().ended("a", guilty).ended("b", "s/m/f2").othersBegan().endedUnder(dogwoodfleet.Digest{1}, "a", guilty).
-				ended("b", "s/m/f3").endedUnder(dogwoodfleet.Digest{1}, "a", guilty),
+			history: newPartHistory().ended("a", crashing).ended("b", "s/m/f2").othersBegan().endedUnder(dogwoodfleet.Digest{1}, "a", crashing).
+				ended("b", "s/m/f3").endedUnder(dogwoodfleet.Digest{1}, "a", crashing),
 		},
 		{
 			name:    "a rack fails",
-			history: newPartHistory().ended("a", guilty).endedTogether("a", guilty).endedTogether("a", guilty).endedTogether("a", guilty).othersBegan(),
+			history: newPartHistory().ended("a", crashing).endedTogether("a", crashing).endedTogether("a", crashing).endedTogether("a", crashing).othersBegan(),
 		},
 		{
 			name:    "its answers begin in between",
-			history: newPartHistory().ended("a", guilty).ended("a", guilty).othersBegan().began("a", guilty).ended("a", guilty).ended("a", guilty),
+			history: newPartHistory().ended("a", crashing).ended("a", crashing).othersBegan().began("a", crashing).ended("a", crashing).ended("a", crashing),
 		},
 		{
 			name:    "it was answered before it ended endpoints",
-			history: newPartHistory().began("a", guilty).ended("a", guilty).ended("a", guilty).ended("a", guilty).othersBegan(),
+			history: newPartHistory().began("a", crashing).ended("a", crashing).ended("a", crashing).ended("a", crashing).othersBegan(),
 			want:    Convicted, other: Suspect,
 		},
 		{
-			name: "a part that all prompts with it share, and sound ones too",
-			history: newPartHistory().ended("a", popular, guilty).ended("a", popular, guilty).othersBegan().began("a", popular).
-				ended("a", popular, guilty).ended("a", popular, guilty),
+			name: "a part that all prompts with it share, and harmless ones too",
+			history: newPartHistory().ended("a", popular, crashing).ended("a", popular, crashing).othersBegan().began("a", popular).
+				ended("a", popular, crashing).ended("a", popular, crashing),
 			want: Convicted, other: Suspect,
 		},
 		{
-			name: "sound prompts of three requests were beside it",
-			history: newPartHistory().ended("a", guilty).beside(popular).ended("a", guilty).beside(popular).ended("a", guilty).othersBegan().
-				ended("a", guilty).beside(popular),
+			name: "harmless prompts of three requests were beside it",
+			history: newPartHistory().ended("a", crashing).beside(popular).ended("a", crashing).beside(popular).ended("a", crashing).othersBegan().
+				ended("a", crashing).beside(popular),
 			want: Convicted, other: Suspect,
 		},
 		{
-			name: "two guilty parts in turn",
-			history: newPartHistory().othersBegan().ended("a", guilty).ended("a", popular).ended("a", guilty).ended("a", popular).
-				ended("a", guilty).ended("a", popular).ended("a", popular).ended("a", guilty),
+			name: "two crashing parts in turn",
+			history: newPartHistory().othersBegan().ended("a", crashing).ended("a", popular).ended("a", crashing).ended("a", popular).
+				ended("a", crashing).ended("a", popular).ended("a", popular).ended("a", crashing),
 			want: Convicted, harmless: Convicted, other: Suspect,
 		},
 		{
 			name:    "prompts of two customers",
-			history: newPartHistory().ended("a", guilty).ended("c", guilty).ended("a", guilty).ended("c", guilty),
+			history: newPartHistory().ended("a", crashing).ended("c", crashing).ended("a", crashing).ended("c", crashing),
 			want:    Convicted, other: Convicted,
 		},
 		{
 			name: "another customer's answers begin",
-			history: newPartHistory().ended("a", guilty).ended("a", guilty).othersBegan().began("b", guilty).ended("a", guilty).
-				began("b", guilty).ended("a", guilty),
+			history: newPartHistory().ended("a", crashing).ended("a", crashing).othersBegan().began("b", crashing).ended("a", crashing).
+				began("b", crashing).ended("a", crashing),
 			want: Convicted,
 		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			if got := test.history.standing("a", popular, guilty); got != max(test.want, test.harmless) {
-				t.Errorf("the guilty part: got %v, want %v", got, test.want)
+			if got := test.history.standing("a", popular, crashing); got != max(test.want, test.harmless) {
+				t.Errorf("the crashing part: got %v, want %v", got, test.want)
 			}
 			if got := test.history.standing("a", popular, "s/m/f2"); got != test.harmless {
 				t.Errorf("the popular part: got %v, want %v", got, test.harmless)
 			}
-			if got := test.history.standing("b", guilty); got != test.other {
+			if got := test.history.standing("b", crashing); got != test.other {
 				t.Errorf("another customer: got %v, want %v", got, test.other)
 			}
 		})
 	}
 }
 
-// Guards against refusing sound prompts with a part that came only together with the guilty one: a prompt with one of them
+// Guards against refusing harmless prompts with a part that came only together with the crashing one: a prompt with one of them
 // tells which it is.
 func TestPartsThatComeTogether(t *testing.T) {
 	together := func() *partHistory {
-		return newPartHistory().ended("a", guilty, popular).ended("a", guilty, popular).ended("a", guilty, popular).ended("a", guilty, popular)
+		return newPartHistory().ended("a", crashing, popular).ended("a", crashing, popular).ended("a", crashing, popular).ended("a", crashing, popular)
 	}
 	tests := []struct {
 		name    string
 		history *partHistory
-		// both, alone and harmless are the standings of prompts with both parts, the guilty one and the other one.
+		// both, alone and harmless are the standings of prompts with both parts, the crashing one and the other one.
 		both, alone, harmless Standing
 	}{
 		{name: "only together", history: together(), both: Convicted},
-		{name: "an end without the other", history: together().ended("a", guilty), both: Convicted, alone: Convicted},
+		{name: "an end without the other", history: together().ended("a", crashing), both: Convicted, alone: Convicted},
 		{name: "an answer to the other alone", history: together().began("a", popular), both: Convicted, alone: Convicted},
 	}
 	for _, test := range tests {
@@ -184,8 +184,8 @@
 				parts []dogwoodfleet.PromptPart
 				want  Standing
 			}{
-				{"both", []dogwoodfleet.PromptPart{popular, guilty}, test.both},
-				{"the guilty one", []dogwoodfleet.PromptPart{guilty}, test.alone},
+				{"both", []dogwoodfleet.PromptPart{popular, crashing}, test.both},
+				{"the crashing one", []dogwoodfleet.PromptPart{crashing}, test.alone},
 				{"the other one", []dogwoodfleet.PromptPart{popular}, test.harmless},
 			} {
 				if got := test.history.standing("a", prompt.parts...); got != prompt.want {
@@ -199,22 +199,22 @@
 // Guards against a refusal that never ends, and against one whose end costs as many endpoints as the part cost at first.
 func TestPartIsOnProbationAfterItsRefusal(t *testing.T) {
 	refused := func() *partHistory {
-		history := newPartHistory().ended("a", guilty).ended("a", guilty).ended("a", guilty).ended("a", guilty)
+		history := newPartHistory().ended("a", crashing).ended("a", crashing).ended("a", crashing).ended("a", crashing)
 		history.now = history.now.Add(ConvictionTTL)
 		return history
 	}
-	if got := refused().standing("a", guilty); got != Suspect {
+	if got := refused().standing("a", crashing); got != Suspect {
 		t.Errorf("after the refusal: got %v, want one prompt at a time", got)
 	}
-	if got := refused().ended("a", guilty).standing("a", guilty); got != Convicted {
+	if got := refused().ended("a", crashing).standing("a", crashing); got != Convicted {
 		t.Errorf("after another end: got %v, want it refused again", got)
 	}
-	if got := refused().began("a", guilty).standing("a", guilty); got != Clear {
+	if got := refused().began("a", crashing).standing("a", crashing); got != Clear {
 		t.Errorf("after an answer: got %v, want it clear", got)
 	}
 	history := refused()
 	history.now = history.now.Add(probationTime)
-	if got := history.standing("a", guilty); got != Clear {
+	if got := history.standing("a", crashing); got != Clear {
 		t.Errorf("after the probation: got %v, want it clear", got)
 	}
 }
@@ -224,19 +224,19 @@
 	history := newPartHistory()
 	for number := range minLonePartEnds {
 		history.now = history.now.Add(time.Second)
-		subject := Subject{Digest: dogwoodfleet.Digest{byte(number)}, Customer: "a", Parts: []dogwoodfleet.PromptPart{guilty}}
+		subject := Subject{Digest: dogwoodfleet.Digest{byte(number)}, Customer: "a", Parts: []dogwoodfleet.PromptPart{crashing}}
 		history.ledger.Learn(history.now, []Notice{subject.PartStrikeNotice(endpoint(number), 0, false)})
 	}
 	last := history.now
-	if got := history.standing("a", guilty); got != Convicted {
+	if got := history.standing("a", crashing); got != Convicted {
 		t.Errorf("got %v, want it refused", got)
 	}
 	history.now = last.Add(ProvisionalTTL)
-	if got := history.standing("a", guilty); got != Clear {
+	if got := history.standing("a", crashing); got != Clear {
 		t.Errorf("got %v later, want it clear", got)
 	}
 	history.ledger.Confirm(func(endpoint dogwoodfleet.EndpointID) bool { return endpoint != "a" && endpoint != "b" })
-	if got := history.standing("a", guilty); got != Convicted {
+	if got := history.standing("a", crashing); got != Convicted {
 		t.Errorf("got %v after two ends are confirmed, want it refused", got)
 	}
 }
@@ -248,11 +248,11 @@
 		history *partHistory
 	}{
 		{
-			"four ends", newPartHistory().ended("a", guilty, popular).ended("a", guilty, popular).othersBegan().began("b", guilty).
-				began("a", popular).ended("a", guilty).ended("a", guilty, "s/m/f2"),
+			"four ends", newPartHistory().ended("a", crashing, popular).ended("a", crashing, popular).othersBegan().began("b", crashing).
+				began("a", popular).ended("a", crashing).ended("a", crashing, "s/m/f2"),
 		},
-		{"three ends while others began here", newPartHistory().ended("a", guilty).ended("a", guilty).othersBegan().ended("a", guilty)},
-		{"two ends", newPartHistory().ended("a", guilty).ended("a", guilty).othersBegan()},
+		{"three ends while others began here", newPartHistory().ended("a", crashing).ended("a", crashing).othersBegan().ended("a", crashing)},
+		{"two ends", newPartHistory().ended("a", crashing).ended("a", crashing).othersBegan()},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) { checkLearner(t, test.history) })
@@ -263,7 +263,7 @@
 func checkLearner(t *testing.T, history *partHistory) {
 	t.Helper()
 	for _, customer := range []dogwoodfleet.Customer{"a", "b", "c"} {
-		history.standing(customer, guilty) // the ledger has judged its strikes before another one asks
+		history.standing(customer, crashing) // the ledger has judged its strikes before another one asks
 	}
 	learner := &partHistory{ledger: NewPartLedger(), now: history.now}
 	notices := history.ledger.Notices(history.now)
@@ -274,7 +274,7 @@
 		t.Errorf("got version %d after the same notices again, want %d", got, version)
 	}
 	for _, customer := range []dogwoodfleet.Customer{"a", "b", "c"} {
-		for _, parts := range [][]dogwoodfleet.PromptPart{{guilty}, {popular}, {guilty, popular}, {"s/m/f2"}} {
+		for _, parts := range [][]dogwoodfleet.PromptPart{{crashing}, {popular}, {crashing, popular}, {"s/m/f2"}} {
 			if got, want := learner.standing(customer, parts...), history.standing(customer, parts...); got != want {
 				t.Errorf("customer %s, parts %v: got %v, want %v", customer, parts, got, want)
 			}
@@ -284,16 +284,16 @@
 
 // Guards against an operator who can't lift the refusal of a part.
 func TestLiftedPartIsClear(t *testing.T) {
-	history := newPartHistory().ended("a", guilty).ended("a", guilty).ended("a", guilty).ended("a", guilty)
-	history.ledger.Learn(history.now, []Notice{{Kind: Lift, Parts: []dogwoodfleet.PromptPart{guilty}}})
-	if got := history.standing("a", guilty); got != Clear {
+	history := newPartHistory().ended("a", crashing).ended("a", crashing).ended("a", crashing).ended("a", crashing)
+	history.ledger.Learn(history.now, []Notice{{Kind: Lift, Parts: []dogwoodfleet.PromptPart{crashing}}})
+	if got := history.standing("a", crashing); got != Clear {
 		t.Errorf("got %v, want it clear", got)
 	}
 }
 
 // Guards against a ledger that grows without bound, and against parts that never come again and push out one that is refused.
 func TestPartRecordsAreBounded(t *testing.T) {
-	history := newPartHistory().ended("a", guilty).ended("a", guilty).ended("a", guilty).ended("a", guilty)
+	history := newPartHistory().ended("a", crashing).ended("a", crashing).ended("a", crashing).ended("a", crashing)
 	history.now = history.now.Add(time.Second)
 	for number := range 2 * MaxPartRecords / dogwoodfleet.MaxPromptParts {
 		var parts []dogwoodfleet.PromptPart
@@ -302,16 +302,16 @@
 		}
 		history.endedTogether("b", parts...)
 	}
-	if got := history.standing("a", guilty); got != Convicted {
+	if got := history.standing("a", crashing); got != Convicted {
 		t.Errorf("got %v, want the part still refused", got)
 	}
 	for range 3 * maxPartStrikes {
-		history.ended("a", guilty)
+		history.ended("a", crashing)
 	}
 	if got := len(history.ledger.records); got > MaxPartRecords {
 		t.Errorf("got %d records, want at most %d", got, MaxPartRecords)
 	}
-	if got := len(history.ledger.records[guilty].strikes); got > maxPartStrikes {
+	if got := len(history.ledger.records[crashing].strikes); got > maxPartStrikes {
 		t.Errorf("got %d strikes, want at most %d", got, maxPartStrikes)
 	}
 }
--- a/core/decision/dogwoodsuspect/partsim_test.go
+++ b/core/decision/dogwoodsuspect/partsim_test.go
@@ -10,12 +10,12 @@
 	"dogwoodmux.example/core/dogwoodfleet"
 )
 
-// partPool simulates endpoints that end as they begin an answer to a prompt with the guilty part. Sound prompts have one of many
-// first parts, as those with the guilty part do.
+// partPool simulates endpoints that end as they begin an answer to a prompt with the crashing part. Harmless prompts have one of many
+// first parts, as those with the crashing part do.
 type partPool struct {
 	endpoints, slots int
-	// soundRate and guiltyRate are prompts a second.
-	soundRate, guiltyRate float64
+	// harmlessRate and crashingRate are prompts a second.
+	harmlessRate, crashingRate float64
 	// popularShare is the share of all prompts that have the same first part.
 	popularShare float64
 	// endRate is how many endpoints a second end of something else.
@@ -32,7 +32,7 @@
 // simulatedPrompt is a prompt at an endpoint.
 type simulatedPrompt struct {
 	subject         Subject
-	isGuilty        bool
+	isCrashing      bool
 	beginsAt, endAt time.Time
 	begun           bool
 }
@@ -93,7 +93,7 @@
 
 // partResult is what a simulation shows.
 type partResult struct {
-	ends, guiltySent, lateGuilty, sound, soundRefused int
+	ends, crashingSent, lateCrashing, harmless, harmlessRefused int
 }
 
 // run simulates a pool with a policy.
@@ -114,26 +114,26 @@
 			fifth = now
 		}
 	}
-	send := func(now time.Time, isGuilty bool) {
+	send := func(now time.Time, isCrashing bool) {
 		number++
 		first := dogwoodfleet.PromptPart(fmt.Sprint("first", random.IntN(firstPart)))
 		if random.Float64() < partPool.popularShare {
 			first = popular
 		}
 		parts := []dogwoodfleet.PromptPart{first, dogwoodfleet.PromptPart(fmt.Sprint("middle", random.IntN(firstPart))), dogwoodfleet.PromptPart(fmt.Sprint("own", number))}
-		if isGuilty {
-			parts[1] = guilty
+		if isCrashing {
+			parts[1] = crashing
 		}
 		prompt := &simulatedPrompt{
-			subject: Subject{Customer: "a", Digest: dogwoodfleet.NewDigester("", fmt.Sprint(number)).Digest(), Parts: parts}, isGuilty: isGuilty,
+			subject: Subject{Customer: "a", Digest: dogwoodfleet.NewDigester("", fmt.Sprint(number)).Digest(), Parts: parts}, isCrashing: isCrashing,
 			beginsAt: now.Add(time.Duration(50+random.IntN(300)) * time.Millisecond),
 		}
 		prompt.endAt = prompt.beginsAt.Add(time.Duration(500+random.IntN(2000)) * time.Millisecond)
 		refused := policy.refuses(now, &prompt.subject)
-		if !isGuilty {
-			result.sound++
+		if !isCrashing {
+			result.harmless++
 			if refused {
-				result.soundRefused++
+				result.harmlessRefused++
 			}
 		}
 		start := random.IntN(partPool.endpoints)
@@ -143,20 +143,20 @@
 				continue
 			}
 			running[index] = append(running[index], prompt)
-			if isGuilty {
-				result.guiltySent++
+			if isCrashing {
+				result.crashingSent++
 				if !fifth.IsZero() && now.Sub(fifth) > 3*time.Second {
-					result.lateGuilty++
+					result.lateCrashing++
 				}
 			}
 			return
 		}
 	}
 	for now := start; now.Sub(start) < poolTime; now = now.Add(poolStep) {
-		if random.Float64() < partPool.soundRate*poolStep.Seconds() {
+		if random.Float64() < partPool.harmlessRate*poolStep.Seconds() {
 			send(now, false)
 		}
-		if random.Float64() < partPool.guiltyRate*poolStep.Seconds() {
+		if random.Float64() < partPool.crashingRate*poolStep.Seconds() {
 			send(now, true)
 		}
 		if random.Float64() < partPool.endRate*poolStep.Seconds() {
@@ -167,7 +167,7 @@
 				if prompt.begun || now.Before(prompt.beginsAt) {
 					continue
 				}
-				if prompt.isGuilty {
+				if prompt.isCrashing {
 					end(now, index)
 					break
 				}
@@ -180,33 +180,33 @@
 	return result
 }
 
-// Guards against refusing sound prompts, or running guilty ones on and on, where each end of an endpoint names the parts of all
-// prompts that had not begun there, one of which is guilty or none.
-func TestLedgerTellsTheGuiltyPart(t *testing.T) {
+// Guards against refusing harmless prompts, or running crashing ones on and on, where each end of an endpoint names the parts of all
+// prompts that had not begun there, one of which is crashing or none.
+func TestLedgerTellsTheCrashingPart(t *testing.T) {
 	const seeds = 6
 	tests := []struct {
 		name string
 		pool partPool
 	}{
-		{"16 endpoints, 4 slots", partPool{endpoints: 16, slots: 4, soundRate: 30, guiltyRate: 3}},
-		{"16 endpoints, 16 slots", partPool{endpoints: 16, slots: 16, soundRate: 60, guiltyRate: 3}},
-		{"16 endpoints, 64 slots", partPool{endpoints: 16, slots: 64, soundRate: 150, guiltyRate: 3}},
-		{"a popular first part", partPool{endpoints: 16, slots: 16, soundRate: 60, guiltyRate: 3, popularShare: 0.3}},
-		{"the guilty part comes seldom", partPool{endpoints: 54, slots: 12, soundRate: 150, guiltyRate: 1}},
-		{"the guilty part comes often", partPool{endpoints: 54, slots: 12, soundRate: 150, guiltyRate: 20}},
-		{"endpoints end of something else too", partPool{endpoints: 54, slots: 12, soundRate: 150, guiltyRate: 5, endRate: 2}},
-		{"endpoints end of something else", partPool{endpoints: 54, slots: 12, soundRate: 150, endRate: 6}},
+		{"16 endpoints, 4 slots", partPool{endpoints: 16, slots: 4, harmlessRate: 30, crashingRate: 3}},
+		{"16 endpoints, 16 slots", partPool{endpoints: 16, slots: 16, harmlessRate: 60, crashingRate: 3}},
+		{"16 endpoints, 64 slots", partPool{endpoints: 16, slots: 64, harmlessRate: 150, crashingRate: 3}},
+		{"a popular first part", partPool{endpoints: 16, slots: 16, harmlessRate: 60, crashingRate: 3, popularShare: 0.3}},
+		{"the crashing part comes seldom", partPool{endpoints: 54, slots: 12, harmlessRate: 150, crashingRate: 1}},
+		{"the crashing part comes often", partPool{endpoints: 54, slots: 12, harmlessRate: 150, crashingRate: 20}},
+		{"endpoints end of something else too", partPool{endpoints: 54, slots: 12, harmlessRate: 150, crashingRate: 5, endRate: 2}},
+		{"endpoints end of something else", partPool{endpoints: 54, slots: 12, harmlessRate: 150, endRate: 6}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			var ledger, common partResult
 			for seed := range uint64(seeds) {
 				result := test.pool.run(seed, &ledgerPolicy{ledger: NewPartLedger()})
-				if result.lateGuilty > 3 {
-					t.Errorf("seed %d: got %d guilty prompts later than 3s after the fifth end, want at most 3", seed, result.lateGuilty)
+				if result.lateCrashing > 3 {
+					t.Errorf("seed %d: got %d crashing prompts later than 3s after the fifth end, want at most 3", seed, result.lateCrashing)
 				}
-				if result.soundRefused > result.sound/50 {
-					t.Errorf("seed %d: got %d of %d sound prompts refused, want at most one in fifty", seed, result.soundRefused, result.sound)
+				if result.harmlessRefused > result.harmless/50 {
+					t.Errorf("seed %d: got %d of %d harmless prompts refused, want at most one in fifty", seed, result.harmlessRefused, result.harmless)
 				}
 				ledger.add(result)
 				common.add(test.pool.run(seed, &commonPolicy{}))
@@ -219,13 +219,13 @@
 
 func (result *partResult) add(other partResult) {
 	result.ends += other.ends
-	result.guiltySent += other.guiltySent
-	result.lateGuilty += other.lateGuilty
-	result.sound += other.sound
-	result.soundRefused += other.soundRefused
+	result.crashingSent += other.crashingSent
+	result.lateCrashing += other.lateCrashing
+	result.harmless += other.harmless
+	result.harmlessRefused += other.harmlessRefused
 }
 
 // String returns the sums of all seeds.
 func (result partResult) String() string {
-	return fmt.Sprintf("%d ends, %d guilty prompts sent, %d late; %d of %d sound ones refused", result.ends, result.guiltySent, result.lateGuilty, result.soundRefused, result.sound)
+	return fmt.Sprintf("%d ends, %d crashing prompts sent, %d late; %d of %d harmless ones refused", result.ends, result.crashingSent, result.lateCrashing, result.harmlessRefused, result.harmless)
 }
--- a/core/duty/dogwoodsuspects/parts_test.go
+++ b/core/duty/dogwoodsuspects/parts_test.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	guiltyPart  = dogwoodfleet.PromptPart("s/m/bad")
-	popularPart = dogwoodfleet.PromptPart("s/m/f1")
+	crashingPart = dogwoodfleet.PromptPart("s/m/bad")
+	popularPart  = dogwoodfleet.PromptPart("s/m/f1")
 	// beginDelay is the time from the start of a run to the begin of its answer, and answerTime that of the whole answer.
 	beginDelay = 60 * time.Millisecond
 	answerTime = time.Second
@@ -26,15 +26,15 @@
 	maxLateSends = 3
 )
 
-// promptPool runs prompts of a fleet at endpoints that end as they begin an answer to one with the guilty part.
+// promptPool runs prompts of a fleet at endpoints that end as they begin an answer to one with the crashing part.
 type promptPool struct {
 	fleet *fleet
 	slots []*promptEndpoint
 
-	mutex  sync.Mutex
-	next   int
-	ends   []time.Time
-	guilty []time.Time // when prompts with the guilty part were sent
+	mutex    sync.Mutex
+	next     int
+	ends     []time.Time
+	crashing []time.Time // when prompts with the crashing part were sent
 }
 
 type promptEndpoint struct {
@@ -52,14 +52,14 @@
 }
 
 // endpoint returns an endpoint that runs, nil if there is none.
-func (pool *promptPool) endpoint(isGuilty bool) *promptEndpoint {
+func (pool *promptPool) endpoint(isCrashing bool) *promptEndpoint {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	for range pool.slots {
 		pool.next = (pool.next + 1) % len(pool.slots)
 		if endpoint := pool.slots[pool.next]; !time.Now().Before(endpoint.backAt) {
-			if isGuilty {
-				pool.guilty = append(pool.guilty, time.Now())
+			if isCrashing {
+				pool.crashing = append(pool.crashing, time.Now())
 			}
 			return endpoint
 		}
@@ -83,19 +83,19 @@
 }
 
 // send sends a prompt through a daemon, once more if its endpoint ends, and reports whether its answer began.
-func (pool *promptPool) send(ctx context.Context, index int, subject *dogwoodsuspect.Subject, isGuilty bool) bool {
+func (pool *promptPool) send(ctx context.Context, index int, subject *dogwoodsuspect.Subject, isCrashing bool) bool {
 	duty := pool.fleet.duty(index)
 	for range 2 {
 		permit, err := duty.Admit(ctx, subject)
 		if err != nil {
 			return false
 		}
-		endpoint := pool.endpoint(isGuilty)
+		endpoint := pool.endpoint(isCrashing)
 		if endpoint == nil {
 			permit.Return(ctx)
 			return false
 		}
-		begun := pool.run(ctx, duty, endpoint, subject, isGuilty, permit.IsTrial())
+		begun := pool.run(ctx, duty, endpoint, subject, isCrashing, permit.IsTrial())
 		permit.Return(ctx)
 		if begun {
 			return true
@@ -105,11 +105,11 @@
 }
 
 // run runs a prompt and reports whether its answer began and its endpoint lived on.
-func (pool *promptPool) run(ctx context.Context, duty *Duty, endpoint *promptEndpoint, subject *dogwoodsuspect.Subject, isGuilty, isTrial bool) bool {
+func (pool *promptPool) run(ctx context.Context, duty *Duty, endpoint *promptEndpoint, subject *dogwoodsuspect.Subject, isCrashing, isTrial bool) bool {
 	began := time.Now().Add(beginDelay)
 	select {
 	case <-time.After(beginDelay):
-		if isGuilty {
+		if isCrashing {
 			pool.end(endpoint)
 		}
 	case <-endpoint.ended:
@@ -133,18 +133,18 @@
 }
 
 // prompts sends prompts of which no two are alike through the daemons in turn.
-func (pool *promptPool) prompts(ctx context.Context, pause time.Duration, isGuilty bool, parts func(number int) []dogwoodfleet.PromptPart) (sent, begun int64) {
+func (pool *promptPool) prompts(ctx context.Context, pause time.Duration, isCrashing bool, parts func(number int) []dogwoodfleet.PromptPart) (sent, begun int64) {
 	var group sync.WaitGroup
 	var answered atomic.Int64
 	for number := 0; dogwoodkernel.Sleep(ctx, pause); number++ {
 		sent++
 		group.Go(func() {
-			name := fmt.Sprint("p-", isGuilty, number)
+			name := fmt.Sprint("p-", isCrashing, number)
 			subject := &dogwoodsuspect.Subject{
 				Request: dogwoodfleet.RequestID(name), Customer: "a", Digest: dogwoodfleet.NewDigester("a", name).Digest(),
 				Parts: append(parts(number), dogwoodfleet.PromptPart("s/m/"+name)),
 			}
-			if pool.send(context.WithoutCancel(ctx), number%len(pool.fleet.duties), subject, isGuilty) {
+			if pool.send(context.WithoutCancel(ctx), number%len(pool.fleet.duties), subject, isCrashing) {
 				answered.Add(1)
 			}
 		})
@@ -154,18 +154,18 @@
 }
 
 // Guards against a part that ends endpoints through daemons that don't know what the others have seen, hubs and leaves, and against
-// refusing sound prompts with the same customer and first part there.
+// refusing harmless prompts with the same customer and first part there.
 func TestFleetRefusesPart(t *testing.T) {
 	tests := []struct {
-		name                    string
-		hubs, leaves, endpoints int
-		guiltyPause, soundPause time.Duration
+		name                         string
+		hubs, leaves, endpoints      int
+		crashingPause, harmlessPause time.Duration
 	}{
 		{"three hubs", 3, 0, 16, 80 * time.Millisecond, 40 * time.Millisecond},
 		{"eight hubs", 8, 0, 16, 400 * time.Millisecond, 25 * time.Millisecond},
 		{"leaves", 4, 28, 60, 25 * time.Millisecond, 10 * time.Millisecond},
 		{"most daemons are leaves", 8, 70, 135, 10 * time.Millisecond, 5 * time.Millisecond},
-		{"no sound prompts", 3, 0, 16, 300 * time.Millisecond, time.Hour},
+		{"no harmless prompts", 3, 0, 16, 300 * time.Millisecond, time.Hour},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -183,19 +183,19 @@
 				var group sync.WaitGroup
 				var sent, begun int64
 				group.Go(func() {
-					sent, begun = pool.prompts(ctx, test.soundPause, false, func(number int) []dogwoodfleet.PromptPart {
+					sent, begun = pool.prompts(ctx, test.harmlessPause, false, func(number int) []dogwoodfleet.PromptPart {
 						return []dogwoodfleet.PromptPart{popularPart, dogwoodfleet.PromptPart(fmt.Sprint("s/m/c", number%20))}
 					})
 				})
-				pool.prompts(ctx, test.guiltyPause, true, func(int) []dogwoodfleet.PromptPart {
-					return []dogwoodfleet.PromptPart{popularPart, guiltyPart}
+				pool.prompts(ctx, test.crashingPause, true, func(int) []dogwoodfleet.PromptPart {
+					return []dogwoodfleet.PromptPart{popularPart, crashingPart}
 				})
 				group.Wait()
 				if len(pool.ends) < 2 {
 					t.Fatalf("got %d ends, want the part to have run", len(pool.ends))
 				}
 				late := 0
-				for _, at := range pool.guilty {
+				for _, at := range pool.crashing {
 					if len(pool.ends) >= 5 && at.After(pool.ends[4].Add(crashGrace)) {
 						late++
 					}
@@ -204,9 +204,9 @@
 					t.Errorf("got %d sends later than %s after the fifth end, want at most %d", late, crashGrace, maxLateSends)
 				}
 				if begun < sent/2 {
-					t.Errorf("got %d of %d sound prompts begun, want at least half", begun, sent)
+					t.Errorf("got %d of %d harmless prompts begun, want at least half", begun, sent)
 				}
-				t.Logf("%d endpoints ended under %d sends, %d late; %d of %d sound prompts begun", len(pool.ends), len(pool.guilty), late, begun, sent)
+				t.Logf("%d endpoints ended under %d sends, %d late; %d of %d harmless prompts begun", len(pool.ends), len(pool.crashing), late, begun, sent)
 			})
 		})
 	}
