Check that no part is refused for endpoints that end together

Racks, single endpoints and whole pools that end again and again for 30 s, beside a part that a quarter of all prompts share: none of 1,500 prompts refused. On a scratch copy in which answers that begin clear nothing, the test fails.

--- a/core/duty/dogwoodsuspects/parts_test.go
+++ b/core/duty/dogwoodsuspects/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,7 @@
 	next     int
 	ends     []time.Time
 	crashing []time.Time // when prompts with the crashing part were sent
+	refused  int         // prompts that were refused for a part
 }
 
 type promptEndpoint struct {
@@ -48,6 +50,13 @@
 	for index := range endpoints {
 		pool.slots = append(pool.slots, &promptEndpoint{id: endpointID(index), ended: make(chan struct{})})
 	}
+	listed := make([]dogwoodfleet.EndpointID, 3000) // also those that replace others
+	for index := range listed {
+		listed[index] = endpointID(index)
+	}
+	for _, duty := range fleet.duties {
+		duty.SetEndpoints(newEndpoints(listed))
+	}
 	return pool
 }
 
@@ -88,6 +97,7 @@
 	for range 2 {
 		permit, err := duty.Admit(ctx, subject)
 		if err != nil {
+			pool.countRefused(err)
 			return false
 		}
 		endpoint := pool.endpoint(isCrashing)
@@ -104,6 +114,31 @@
 	return false
 }
 
+// countRefused counts a refusal for a part.
+func (pool *promptPool) countRefused(err error) {
+	var refused *Refused
+	if errors.As(err, &refused) && refused.Part != "" {
+		pool.mutex.Lock()
+		defer pool.mutex.Unlock()
+		pool.refused++
+	}
+}
+
+// endTogether ends a number of endpoints that run, whatever they run.
+func (pool *promptPool) endTogether(count int) {
+	pool.mutex.Lock()
+	var ended []*promptEndpoint
+	for _, endpoint := range pool.slots {
+		if len(ended) < count && !time.Now().Before(endpoint.backAt) {
+			ended = append(ended, endpoint)
+		}
+	}
+	pool.mutex.Unlock()
+	for _, endpoint := range ended {
+		pool.end(endpoint)
+	}
+}
+
 // run runs a prompt and reports whether its answer began and its endpoint lived on.
 func (pool *promptPool) run(ctx context.Context, duty *Duty, endpoint *promptEndpoint, subject *dogwoodsuspect.Subject, isCrashing, isTrial bool) bool {
 	began := time.Now().Add(beginDelay)
@@ -171,13 +206,6 @@
 		t.Run(test.name, func(t *testing.T) {
 			runFleetTest(t, test.hubs, test.leaves, func(t *testing.T, fleet *fleet) {
 				pool := newPromptPool(fleet, test.endpoints)
-				for _, duty := range fleet.duties {
-					var listed []dogwoodfleet.EndpointID
-					for index := range 2000 {
-						listed = append(listed, endpointID(index))
-					}
-					duty.SetEndpoints(newEndpoints(listed))
-				}
 				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 				defer cancel()
 				var group sync.WaitGroup
@@ -211,3 +239,45 @@
 		})
 	}
 }
+
+// Guards against refusing a part because endpoints end for another reason: a rack or the whole pool ends again and again, and a
+// popular part is pending at nearly all endpoints.
+func TestFleetRefusesNoPartOfEndpointsThatEndTogether(t *testing.T) {
+	tests := []struct {
+		name                         string
+		hubs, leaves, endpoints, end int
+		pause                        time.Duration
+	}{
+		{"a rack", 3, 0, 16, 5, 1500 * time.Millisecond},
+		{"one after the other", 3, 0, 16, 1, 300 * time.Millisecond},
+		{"the whole pool", 3, 0, 16, 16, 2500 * time.Millisecond},
+		{"a rack, and most daemons are leaves", 4, 28, 60, 20, 1500 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runFleetTest(t, test.hubs, test.leaves, func(t *testing.T, fleet *fleet) {
+				pool := newPromptPool(fleet, test.endpoints)
+				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+				defer cancel()
+				var group sync.WaitGroup
+				group.Go(func() {
+					for dogwoodkernel.Sleep(ctx, test.pause) {
+						pool.endTogether(test.end)
+					}
+				})
+				sent, begun := pool.prompts(ctx, 20*time.Millisecond, false, func(number int) []dogwoodfleet.PromptPart {
+					first := dogwoodfleet.PromptPart(fmt.Sprint("s/m/f", number%40))
+					if number%4 == 0 {
+						first = popularPart
+					}
+					return []dogwoodfleet.PromptPart{first, dogwoodfleet.PromptPart(fmt.Sprint("s/m/c", number%60))}
+				})
+				group.Wait()
+				if pool.refused > 0 {
+					t.Errorf("got %d of %d prompts refused for a part, want none", pool.refused, sent)
+				}
+				t.Logf("%d endpoints ended; %d of %d prompts begun", len(pool.ends), begun, sent)
+			})
+		})
+	}
+}
