Try a part once in the whole system when its refusal is over

Between the end of a refusal and the next look at it a part counted as clear, and a leaf asked for a permit by a list from before the last trial's end: six daemons that got prompts with it at the same moment ended 4 endpoints, not one. A leaf that started beside its hub took the hub's ledger for known before the hub had asked the others, and ended another.

A refusal has the end of its probation with it, the hub that gives permits judges the request's parts too, and a hub that has not compared its ledger gives no list. TestPartIsTriedOnceAfterItsRefusal and TestStartedDaemonsRefuseAPart failed before.

--- a/core/decision/dogwoodsuspect/partrefusal.go
+++ b/core/decision/dogwoodsuspect/partrefusal.go
@@ -31,9 +31,8 @@
 	Customers []dogwoodfleet.Customer
 	// Cleared are the customers whose answers have begun since.
 	Cleared []dogwoodfleet.Customer
-	// Until is the end of the refusal. On probation one request at a time may run until then.
-	Until     time.Time
-	Probation bool
+	// Until is the end of the refusal. One request at a time may run from then until ProbationUntil.
+	Until, ProbationUntil time.Time
 	// Ends are the endpoints that ended, which says nothing of the other requests that they ran.
 	Ends []dogwoodfleet.EndpointID
 }
@@ -43,9 +42,9 @@
 	lacks := func(part dogwoodfleet.PromptPart) bool { return !slices.Contains(subject.Parts, part) }
 	hasAll := !lacks(partRefusal.Part) && !slices.ContainsFunc(partRefusal.With, lacks)
 	switch {
-	case !now.Before(partRefusal.Until) || !hasAll || slices.Contains(partRefusal.Cleared, subject.Customer):
+	case partRefusal.IsOver(now) || !hasAll || slices.Contains(partRefusal.Cleared, subject.Customer):
 		return Clear
-	case partRefusal.Probation:
+	case !now.Before(partRefusal.Until):
 		return Suspect
 	case partRefusal.Customers == nil || slices.Contains(partRefusal.Customers, subject.Customer):
 		return Convicted
@@ -54,9 +53,14 @@
 	}
 }
 
+// IsOver reports whether the refusal and the probation after it have ended.
+func (partRefusal *PartRefusal) IsOver(now time.Time) bool {
+	return !now.Before(partRefusal.Until) && !now.Before(partRefusal.ProbationUntil)
+}
+
 // Equal reports whether two refusals have the same effect.
 func (partRefusal *PartRefusal) Equal(other *PartRefusal) bool {
-	return partRefusal.Part == other.Part && partRefusal.Until.Equal(other.Until) && partRefusal.Probation == other.Probation &&
+	return partRefusal.Part == other.Part && partRefusal.Until.Equal(other.Until) && partRefusal.ProbationUntil.Equal(other.ProbationUntil) &&
 		slices.Equal(partRefusal.With, other.With) && slices.Equal(partRefusal.Customers, other.Customers) &&
 		slices.Equal(partRefusal.Cleared, other.Cleared) && slices.Equal(partRefusal.Ends, other.Ends)
 }
@@ -93,7 +97,7 @@
 		for _, member := range group {
 			member.examined = true
 			ledger.markShown(member.record)
-			if refusal := member.refusal(now, group, ends); now.Before(refusal.Until) {
+			if refusal := member.refusal(group, ends); !refusal.IsOver(now) {
 				refusals = append(refusals, refusal)
 			}
 		}
@@ -218,7 +222,7 @@
 }
 
 // refusal returns the refusal of a candidate that ended endpoints, always together with the others of its group.
-func (candidate *partCandidate) refusal(now time.Time, group []*partCandidate, ends []dogwoodfleet.EndpointID) PartRefusal {
+func (candidate *partCandidate) refusal(group []*partCandidate, ends []dogwoodfleet.EndpointID) PartRefusal {
 	refusal := PartRefusal{Part: candidate.part, Ends: ends}
 	for _, member := range group {
 		if member != candidate {
@@ -247,10 +251,7 @@
 	last := candidate.record.strikes[len(candidate.record.strikes)-1].at
 	refusal.Until = last.Add(ProvisionalTTL)
 	if len(confirmed) >= minSharedEndpoints {
-		refusal.Until = last.Add(ConvictionTTL)
-		if refusal.Probation = !now.Before(refusal.Until); refusal.Probation {
-			refusal.Until = candidate.record.expires
-		}
+		refusal.Until, refusal.ProbationUntil = last.Add(ConvictionTTL), candidate.record.expires
 	}
 	return refusal
 }
--- a/core/decision/dogwoodsuspect/permit.go
+++ b/core/decision/dogwoodsuspect/permit.go
@@ -12,6 +12,9 @@
 type PermitRequest struct {
 	Digest  dogwoodfleet.Digest
 	Request dogwoodfleet.RequestID
+	// Customer and Parts are the request's if the permit is for a trial of a part of its prompt.
+	Customer dogwoodfleet.Customer
+	Parts    []dogwoodfleet.PromptPart
 	// Lease is the time for which the permit is valid. A further PermitRequest for the same request
 	// renews it.
 	Lease time.Duration
--- a/core/duty/dogwoodsuspects/leaf.go
+++ b/core/duty/dogwoodsuspects/leaf.go
@@ -115,7 +115,7 @@
 	}
 	parts := make(partRefusals, len(refused.Parts))
 	for _, part := range refused.Parts {
-		part.Refusal.Until = now.Add(part.Left)
+		part.Refusal.Until, part.Refusal.ProbationUntil = now.Add(part.Left), now.Add(part.ProbationLeft)
 		parts[part.Refusal.Part] = &part.Refusal
 		duty.forget(part.Refusal.Ends)
 	}
@@ -143,15 +143,18 @@
 	Left   time.Duration
 }
 
-// RefusedPart is a part whose prompts are refused, and for how much longer.
+// RefusedPart is a part whose prompts are refused, and for how much longer. The refusal's own times are those of the hub's clock.
 type RefusedPart struct {
-	Refusal dogwoodsuspect.PartRefusal
-	Left    time.Duration
+	Refusal             dogwoodsuspect.PartRefusal
+	Left, ProbationLeft time.Duration
 }
 
 // Refused returns the list of refused requests to a leaf.
 func (receiver *Receiver) Refused(_ dogwoodfleet.InstanceID, list *RefusedList) error {
 	duty := receiver.duty
+	if !duty.compared.Load() {
+		return Error.New("this daemon does not know yet what the hubs refuse")
+	}
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
 	now := time.Now()
@@ -160,7 +163,9 @@
 		list.Requests = append(list.Requests, RefusedRequest{Digest: conviction.Digest, Left: conviction.Until.Sub(now)})
 	}
 	for _, refusal := range duty.refusedParts {
-		list.Parts = append(list.Parts, RefusedPart{Refusal: *refusal, Left: refusal.Until.Sub(now)})
+		list.Parts = append(list.Parts, RefusedPart{
+			Refusal: *refusal, Left: refusal.Until.Sub(now), ProbationLeft: refusal.ProbationUntil.Sub(now),
+		})
 	}
 	return nil
 }
--- a/core/duty/dogwoodsuspects/parts.go
+++ b/core/duty/dogwoodsuspects/parts.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		changed = true
-		if known == nil || known.Probation != refusal.Probation {
+		if known == nil {
 			duty.logPartRefused(refusal, now)
 		}
 	}
@@ -64,10 +64,6 @@
 }
 
 func (duty *Duty) logPartRefused(refusal *dogwoodsuspect.PartRefusal, now time.Time) {
-	if refusal.Probation {
-		duty.options.Logger.Info("Prompts with a part run one at a time, since endpoints ended under them.", "part", refusal.Part, "with", refusal.With, "for", refusal.Until.Sub(now))
-		return
-	}
 	counters.Add("PartConvictions", 1)
 	duty.options.Logger.Warn("Prompts with a part are refused, since endpoints ended under them.", "part", refusal.Part, "with", refusal.With,
 		"customers", refusal.Customers, "for", refusal.Until.Sub(now), "endpoints", refusal.Ends)
--- a/core/duty/dogwoodsuspects/parts_test.go
+++ b/core/duty/dogwoodsuspects/parts_test.go
@@ -281,3 +281,65 @@
 		})
 	}
 }
+
+// convict sends prompts with the crashing part until they are refused.
+func (pool *promptPool) convict(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var group sync.WaitGroup
+	group.Go(func() {
+		pool.prompts(ctx, 50*time.Millisecond, false, func(int) []dogwoodfleet.PromptPart { return []dogwoodfleet.PromptPart{popularPart} })
+	})
+	pool.prompts(ctx, 200*time.Millisecond, true, func(int) []dogwoodfleet.PromptPart { return []dogwoodfleet.PromptPart{popularPart, crashingPart} })
+	group.Wait()
+	if pool.refused == 0 {
+		t.Fatal("got no prompt refused, want the part refused")
+	}
+}
+
+// sendThroughAll sends prompts with the crashing part through daemons at the same moment, and returns how many endpoints end.
+func (pool *promptPool) sendThroughAll(ctx context.Context, name string, daemons ...int) int {
+	before := len(pool.ends)
+	var group sync.WaitGroup
+	for _, index := range daemons {
+		group.Go(func() {
+			own := fmt.Sprint(name, index)
+			pool.send(ctx, index, &dogwoodsuspect.Subject{
+				Request: dogwoodfleet.RequestID(own), Customer: "a", Digest: dogwoodfleet.NewDigester("a", own).Digest(),
+				Parts: []dogwoodfleet.PromptPart{popularPart, crashingPart, dogwoodfleet.PromptPart(own)},
+			}, true)
+		})
+	}
+	group.Wait()
+	return len(pool.ends) - before
+}
+
+// Guards against daemons that end endpoints to learn what the others know: they have just started, as hubs or leaves.
+func TestStartedDaemonsRefuseAPart(t *testing.T) {
+	runFleetTest(t, 3, 3, func(t *testing.T, fleet *fleet) {
+		pool := newPromptPool(fleet, 16)
+		pool.convict(t)
+		for _, index := range []int{0, 2, 4} {
+			fleet.restart(t, index)
+		}
+		if got := pool.sendThroughAll(t.Context(), "started", 0, 2, 4); got > 0 {
+			t.Errorf("got %d endpoints ended, want none", got)
+		}
+	})
+}
+
+// Guards against one endpoint for each daemon when a refusal is over.
+func TestPartIsTriedOnceAfterItsRefusal(t *testing.T) {
+	runFleetTest(t, 3, 3, func(t *testing.T, fleet *fleet) {
+		pool := newPromptPool(fleet, 16)
+		pool.convict(t)
+		time.Sleep(dogwoodsuspect.ConvictionTTL)
+		if got := pool.sendThroughAll(t.Context(), "first", 0, 1, 2, 3, 4, 5); got != 1 {
+			t.Errorf("got %d endpoints ended by the next prompts, want one", got)
+		}
+		if got := pool.sendThroughAll(t.Context(), "again", 0, 1, 2, 3, 4, 5); got != 0 {
+			t.Errorf("got %d endpoints ended after that, want none", got)
+		}
+	})
+}
--- a/core/duty/dogwoodsuspects/permit.go
+++ b/core/duty/dogwoodsuspects/permit.go
@@ -151,6 +151,9 @@
 			continue
 		}
 		ask := dogwoodsuspect.PermitRequest{Digest: verdict.gate, Request: subject.Request, Lease: trialLease}
+		if verdict.part != "" {
+			ask.Customer, ask.Parts = subject.Customer, subject.Parts
+		}
 		home, response, err := duty.askForPermit(ctx, ask, permit.unreachable)
 		switch {
 		case ctx.Err() != nil:
@@ -163,7 +166,7 @@
 			permit.gates = append(permit.gates, verdict.gate)
 			continue
 		case response.Standing == dogwoodsuspect.Convicted:
-			return &Refused{RetryAfter: dogwoodsuspect.ProvisionalTTL, Convicted: true}
+			return &Refused{RetryAfter: dogwoodsuspect.ProvisionalTTL, Convicted: true, Part: verdict.part}
 		}
 		counters.Add("Waited", 1)
 		if !dogwoodkernel.Sleep(ctx, response.Again) {
