--- a/core/duty/dogwoodsuspects/parts_test.go
+++ b/core/duty/dogwoodsuspects/parts_test.go
@@ -174,10 +174,11 @@
 	for number := 0; dogwoodkernel.Sleep(ctx, pause); number++ {
 		sent++
 		group.Go(func() {
-			name := fmt.Sprint("p-", isCrashing, number)
+			shared := parts(number)
+			name := fmt.Sprint("p-", shared[len(shared)-1], number)
 			subject := &dogwoodsuspect.Subject{
 				Request: dogwoodfleet.RequestID(name), Customer: "a", Digest: dogwoodfleet.NewDigester("a", name).Digest(),
-				Parts: append(parts(number), dogwoodfleet.PromptPart("s/m/"+name)),
+				Parts: append(shared, dogwoodfleet.PromptPart("own "+name)),
 			}
 			if pool.send(context.WithoutCancel(ctx), number%len(pool.fleet.duties), subject, isCrashing) {
 				answered.Add(1)
@@ -343,3 +344,64 @@
 		}
 	})
 }
+
+// Guards against a part and a whole request that crash endpoints at the same time and hide each other, and against two such parts.
+func TestFleetRefusesAllCausesAtATime(t *testing.T) {
+	tests := []struct {
+		name  string
+		other func(ctx context.Context, pool *promptPool)
+	}{
+		{"a whole request", func(ctx context.Context, pool *promptPool) {
+			var group sync.WaitGroup
+			for number := 0; dogwoodkernel.Sleep(ctx, 100*time.Millisecond); number++ {
+				group.Go(func() {
+					pool.send(context.WithoutCancel(ctx), number%len(pool.fleet.duties), &dogwoodsuspect.Subject{
+						Request: dogwoodfleet.RequestID(fmt.Sprint("copy-", number)), Customer: "a", Digest: crashing,
+						Parts: []dogwoodfleet.PromptPart{popularPart, "s/m/c1", "s/m/copy"},
+					}, true)
+				})
+			}
+			group.Wait()
+		}},
+		{"another part", func(ctx context.Context, pool *promptPool) {
+			pool.prompts(ctx, 210*time.Millisecond, true, func(number int) []dogwoodfleet.PromptPart {
+				return []dogwoodfleet.PromptPart{"s/m/bad2", dogwoodfleet.PromptPart(fmt.Sprint("s/m/c", number%20))}
+			})
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runFleetTest(t, 3, 2, func(t *testing.T, fleet *fleet) {
+				pool := newPromptPool(fleet, 16)
+				ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
+				defer cancel()
+				lastSeconds := time.Now().Add(10 * time.Second)
+				var group sync.WaitGroup
+				var sent, begun int64
+				group.Go(func() { test.other(ctx, pool) })
+				group.Go(func() {
+					sent, begun = pool.prompts(ctx, 25*time.Millisecond, false, func(number int) []dogwoodfleet.PromptPart {
+						return []dogwoodfleet.PromptPart{popularPart, dogwoodfleet.PromptPart(fmt.Sprint("s/m/c", number%20))}
+					})
+				})
+				pool.prompts(ctx, 200*time.Millisecond, true, func(int) []dogwoodfleet.PromptPart {
+					return []dogwoodfleet.PromptPart{popularPart, crashingPart}
+				})
+				group.Wait()
+				late := 0
+				for _, at := range pool.crashing {
+					if at.After(lastSeconds) {
+						late++
+					}
+				}
+				if late > 2*maxLateSends {
+					t.Errorf("got %d sends in the last seconds, want at most %d", late, 2*maxLateSends)
+				}
+				if begun < sent/2 {
+					t.Errorf("got %d of %d harmless prompts begun, want at least half", begun, sent)
+				}
+				t.Logf("%d endpoints ended, %d sends in the last seconds; %d of %d harmless prompts begun", len(pool.ends), late, begun, sent)
+			})
+		})
+	}
+}
