Record the rank and the customer of placed work

Cause: rank is known only to requests that wait for a slot at one daemon, and the customer to none. Placement can't tell whose requests a long prompt delays.

Change: placed work has the rank and the customer of its request, and the boards announce them. Nothing acts on them yet.

--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -44,6 +44,9 @@
 	Service  dogwoodfleet.Service
 	Endpoint dogwoodfleet.EndpointID
 	Helpers  []Part
+	// Rank is the operators' rank of the request; 0 goes first. Customer is empty for requests without a key.
+	Rank     int
+	Customer dogwoodfleet.Customer
 	// Tokens counts the prompt and the longest possible answer; Prompt counts the prompt alone.
 	Tokens, Prompt int
 	// Reading is the predicted prefill time on each engine that prefills; 0 for plain calls.
--- a/core/decision/dogwoodpacking/choose.go
+++ b/core/decision/dogwoodpacking/choose.go
@@ -31,6 +31,9 @@
 	ID      WorkID
 	Holder  dogwoodfleet.InstanceID
 	Service dogwoodfleet.Service
+	// Rank is the operators' rank of the request; 0 goes first. Customer is empty for requests without a key.
+	Rank     int
+	Customer dogwoodfleet.Customer
 	// Prompt and Answer are token counts; 0 for plain calls.
 	Prompt, Answer int
 	// Aim is the target time to the first token, Pause the longest acceptable pause between two
@@ -110,6 +113,7 @@
 func newWork(now time.Time, request *PlacementRequest, placement *Placement) Work {
 	work := Work{
 		ID: request.ID, Holder: request.Holder, Service: request.Service, Endpoint: placement.Endpoint.ID,
+		Rank: request.Rank, Customer: request.Customer,
 		Tokens: request.Prompt + request.Answer, Prompt: request.Prompt, Begun: now, Until: request.Until,
 	}
 	if engine := placement.Endpoint.Engine; engine != nil {
--- a/core/duty/dogwoodrelay/place.go
+++ b/core/duty/dogwoodrelay/place.go
@@ -17,7 +17,7 @@
 	request, options := attempt.request, &attempt.relay.options
 	placementRequest := &dogwoodpacking.PlacementRequest{
 		ID:      dogwoodpacking.WorkID(fmt.Sprintf("%s.%d", request.ID, tryNumber.Add(1))),
-		Service: request.Service, Prompt: request.Prompt, Answer: request.Answer,
+		Service: request.Service, Rank: request.Rank, Customer: request.Customer, Prompt: request.Prompt, Answer: request.Answer,
 		Aim: request.Route.Aim, Pause: request.Route.Pause,
 		Arrived: request.Arrived, Until: request.Deadline, CanWait: true,
 		Avoid: attempt.triedEndpoints, Origin: options.Place,
