Keep engines for more urgent ranks while they are short

Cause: placement knew no ranks. A long prompt weighs as much as twenty short ones, so when a data centre was lost, long prompts of a low rank were placed on engines that decode urgent answers, and took the idle ones.

Change: a long prompt of a less urgent rank takes only engines that more urgent requests don't need (their recent peak), with a minimum of a tenth for each rank; it uses gaps beside urgent answers only without making one late, waits for engines up to half of its time limit, and is refused when it can't end any more. Requests are ordered by the customer's rank, then by the route's. Engines that were not reached get one request at a time until they answer, and no parts. Rounds of reach cover all data centres. In a storm of placements each daemon fills its own group of engines. Streams that are late are logged and counted by rank.

--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -44,7 +44,7 @@
 	Service  dogwoodfleet.Service
 	Endpoint dogwoodfleet.EndpointID
 	Helpers  []Part
-	// Rank is the operators' rank of the request; 0 goes first. Customer is empty for requests without a key.
+	// Rank orders requests by urgency; lower goes first. Customer is empty for requests without a key.
 	Rank     int
 	Customer dogwoodfleet.Customer
 	// Tokens counts the prompt and the longest possible answer; Prompt counts the prompt alone.
@@ -100,7 +100,9 @@
 	endpoints map[dogwoodfleet.EndpointID]*endpointState
 	ranked    []*endpointState // endpoints sorted by rank
 	workByID  map[WorkID]*Work
-	limited   int // the number of endpoints that name limits
+	// rankCounts counts the requests of each rank.
+	rankCounts map[serviceRank]*rankCount
+	limited    int // the number of endpoints that name limits
 	// absentLimits holds the limits of endpoints whose entries are missing.
 	absentLimits map[dogwoodfleet.EndpointID]*absentLimit
 	// backoffs holds until when endpoints have asked this daemon for no requests.
@@ -113,8 +115,8 @@
 	seenShare float64
 	senders   Senders
 	// promptSends holds the times of the prompts sent within the last second by all daemons,
-	// ownSends those of all requests sent by this daemon.
-	promptSends, ownSends timestamps
+	// ownPromptSends those of the prompts and ownSends those of all requests sent by this daemon.
+	promptSends, ownPromptSends, ownSends timestamps
 	// scratch is reused by each decision while the mutex is held.
 	scratch scratch
 }
@@ -133,7 +135,7 @@
 // so that daemons that do not see each other's work do not all start with the same endpoint.
 func NewBoard(owner dogwoodfleet.InstanceID) *Board {
 	return &Board{
-		endpoints: map[dogwoodfleet.EndpointID]*endpointState{}, workByID: map[WorkID]*Work{},
+		endpoints: map[dogwoodfleet.EndpointID]*endpointState{}, workByID: map[WorkID]*Work{}, rankCounts: map[serviceRank]*rankCount{},
 		absentLimits: map[dogwoodfleet.EndpointID]*absentLimit{}, backoffs: map[endpointInstance]time.Time{}, leaving: map[endpointInstance]time.Time{}, changed: make(chan struct{}), owner: string(owner), seenShare: 1, senders: Senders{Count: 1},
 	}
 }
@@ -204,6 +206,7 @@
 	}
 	board.detach(work.ID)
 	board.workByID[work.ID] = &work
+	board.rankCount(&work).add(now)
 	board.attach(&work)
 	if state := board.endpoints[work.Endpoint]; state != nil && !known {
 		own := string(work.Holder) == board.owner
@@ -216,6 +219,10 @@
 			board.promptSends = append(board.promptSends, now)
 			board.promptSends.countRecent(now)
 		}
+		if work.Prompt > 0 && own {
+			board.ownPromptSends = append(board.ownPromptSends, now)
+			board.ownPromptSends.countRecent(now)
+		}
 	}
 }
 
@@ -298,6 +305,7 @@
 func (board *Board) recordPrefill(now time.Time, work *Work) {
 	if state := board.endpoints[work.Endpoint]; state != nil {
 		state.lastPrefillAt = now
+		state.health.unreachable = false
 	}
 	for _, part := range work.Helpers {
 		if state := board.endpoints[part.Endpoint]; state != nil {
@@ -354,6 +362,7 @@
 		return
 	}
 	delete(board.workByID, id)
+	board.rankCount(work).count--
 	if state := board.endpoints[work.Endpoint]; state != nil {
 		state.work.remove(id)
 	}
--- a/core/decision/dogwoodpacking/choose.go
+++ b/core/decision/dogwoodpacking/choose.go
@@ -31,7 +31,7 @@
 	ID      WorkID
 	Holder  dogwoodfleet.InstanceID
 	Service dogwoodfleet.Service
-	// Rank is the operators' rank of the request; 0 goes first. Customer is empty for requests without a key.
+	// Rank orders requests by urgency; lower goes first. Customer is empty for requests without a key.
 	Rank     int
 	Customer dogwoodfleet.Customer
 	// Prompt and Answer are token counts; 0 for plain calls.
@@ -41,6 +41,8 @@
 	Aim, Pause time.Duration
 	// Arrived is when the caller sent the request; zero means now.
 	Arrived time.Time
+	// Resumed is true for the rest of an answer that its caller has begun to receive.
+	Resumed bool
 	// CanWait lets the request wait for a better placement instead of taking one that makes it
 	// late.
 	CanWait bool
@@ -63,6 +65,10 @@
 	NoEndpoint Refusal = "NoEndpoint"
 	// Full means that no endpoint can take more requests now, or that the request should wait.
 	Full Refusal = "Full"
+	// Yields means that the endpoints that could take the prompt are needed for more urgent ones. It may wait.
+	Yields Refusal = "Yields"
+	// TooLate means that the prompt has waited for more urgent ones and can't be answered until its deadline any more.
+	TooLate Refusal = "TooLate"
 	// TooLarge means that the prompt does not fit into the combined memory of as many engines as
 	// may share it.
 	TooLarge Refusal = "TooLarge"
@@ -157,10 +163,11 @@
 			continue
 		}
 		available = append(available, state)
-		if !now.Before(state.health.avoidUntil) {
+		if state.isProven() && !now.Before(state.health.avoidUntil) {
 			healthy = append(healthy, state)
 		}
 	}
+	healthy = board.addProbe(now, request, available, healthy)
 	board.scratch.available, board.scratch.healthy, board.scratch.requestCount = available, healthy, requestCount
 	switch {
 	case !found:
--- a/core/decision/dogwoodpacking/engines.go
+++ b/core/decision/dogwoodpacking/engines.go
@@ -57,9 +57,12 @@
 	// packed is true once the engine has as many requests as this daemon packs on one engine.
 	// inOwnGroup is true if the engine belongs to this daemon's group.
 	packed, inOwnGroup bool
+	// taken is true if a part that is prefilled here takes the engine from more urgent ranks, hasUrgent if the engine holds more
+	// urgent requests. Both are false for a prompt that yields to none.
+	taken, hasUrgent bool
 }
 
-func (board *Board) survey(now time.Time, candidates []*endpointState) []engine {
+func (board *Board) survey(now time.Time, request *PlacementRequest, candidates []*endpointState, allowance int) []engine {
 	engines, groups := board.scratch.engines[:0], board.groupCount(now, board.scratch.requestCount, candidates[0].Slots)
 	for _, state := range candidates {
 		load := state.load(now)
@@ -68,6 +71,10 @@
 			pauseLimit: state.pauseLimit(), slack: state.slack(now, load.Queued), slowness: state.health.slowness(), failing: state.health.recentFailures(now) >= 1,
 			hasWaiting: state.hasWaiting(), inOwnGroup: board.inOwnGroup(state, groups), packed: float64(len(state.work)) >= board.seenShare*packShare*float64(state.Slots),
 		})
+		if allowance != unlimitedEngines {
+			last := &engines[len(engines)-1]
+			last.taken, last.hasUrgent = state.isTakenBy(request.Rank), state.hasMoreUrgent(request.Rank)
+		}
 	}
 	board.scratch.engines = engines
 	return engines
@@ -137,7 +144,9 @@
 	// waiting prompts that would be delayed, then those that are free soonest.
 	helpers []*engine
 	// minEngines is the number of engines needed to hold the prompt and its answer in memory.
-	minEngines   int
+	minEngines int
+	// allowance is the number of engines that the prompt may take from more urgent ranks.
+	allowance    int
 	prefillLimit time.Duration
 }
 
@@ -154,21 +163,29 @@
 	if search.minEngines > 1+maxHelpers {
 		return Placement{}, TooLarge
 	}
+	if !search.canEnd() {
+		return Placement{}, TooLate
+	}
 	for _, primary := range search.primaries {
 		if found, ok := search.fewestHelpers(primary); ok {
 			return search.placement(found), Placed
 		}
 	}
 	found, ok := search.leastBad()
-	if !ok {
+	switch {
+	case ok:
+		return search.placement(found), Placed
+	case search.allowance != unlimitedEngines:
+		return Placement{}, Yields
+	default:
 		return Placement{}, Full
 	}
-	return search.placement(found), Placed
 }
 
 func (board *Board) newSearch(now time.Time, request *PlacementRequest, candidates []*endpointState) *search {
+	allowance := board.engineAllowance(now, request)
 	search := &search{
-		now: now, request: request, engines: board.survey(now, candidates), prefillLimit: time.Duration(aimShare * float64(request.Aim)),
+		now: now, request: request, engines: board.survey(now, request, candidates, allowance), allowance: allowance, prefillLimit: time.Duration(aimShare * float64(request.Aim)),
 		primaries: board.scratch.primaries[:0], helpers: board.scratch.helpers[:0],
 	}
 	if !request.Arrived.IsZero() {
@@ -181,17 +198,17 @@
 		if !engine.failing {
 			search.primaries = append(search.primaries, engine)
 		}
-		if !engine.state.limit.Named { // a part is a request that the limit does not count
+		if !engine.state.limit.Named && engine.state.isProven() { // a part is a request that the limit does not count
 			search.helpers = append(search.helpers, engine)
 		}
 	}
 	board.scratch.primaries, board.scratch.helpers = search.primaries, search.helpers
 	slices.SortStableFunc(search.primaries, func(a, b *engine) int {
-		return cmp.Or(compareBool(a.packed, b.packed), compareBool(b.inOwnGroup, a.inOwnGroup), cmp.Compare(b.requestCount, a.requestCount))
+		return cmp.Or(compareBool(a.hasUrgent, b.hasUrgent), compareBool(a.packed, b.packed), compareBool(b.inOwnGroup, a.inOwnGroup), cmp.Compare(b.requestCount, a.requestCount))
 	})
 	slices.SortStableFunc(search.helpers, func(a, b *engine) int {
 		return cmp.Or(
-			compareBool(a.failing, b.failing), compareBool(a.load.DecodingRequests > 0, b.load.DecodingRequests > 0),
+			compareBool(a.failing, b.failing), compareBool(a.hasUrgent, b.hasUrgent), compareBool(a.load.DecodingRequests > 0, b.load.DecodingRequests > 0),
 			compareBool(a.hasWaiting, b.hasWaiting), cmp.Compare(a.load.Queued, b.load.Queued),
 		)
 	})
@@ -235,9 +252,13 @@
 // returns false if there are too few helpers or the engines have too little memory.
 func (search *search) assign(primary *engine, parts int, suits func(helper *engine) bool) (choice, bool) {
 	share := search.memoryPerEngine()
-	if primary.usedTokens+share > usableMemory(primary.state) {
+	allowance := search.allowance
+	if primary.usedTokens+share > usableMemory(primary.state) || primary.taken && allowance == 0 {
 		return choice{}, false
 	}
+	if primary.taken {
+		allowance--
+	}
 	prefill := primary.state.Engine.PrefillTime(search.request.Prompt, parts)
 	found := choice{primary: primary, predicted: primary.predictOwnPart(search.request.Prompt/parts, prefill)}
 	for _, helper := range search.helpers {
@@ -245,9 +266,12 @@
 			break
 		}
 		holds := len(found.helpers) < search.minEngines-1
-		if helper == primary || holds && helper.usedTokens+share > usableMemory(helper.state) || !suits(helper) {
+		if helper == primary || holds && helper.usedTokens+share > usableMemory(helper.state) || !suits(helper) || helper.taken && allowance == 0 {
 			continue
 		}
+		if helper.taken {
+			allowance--
+		}
 		found.helpers = append(found.helpers, helper)
 		found.predicted = max(found.predicted, helper.predictHelperPart(search.request.Prompt/parts, prefill))
 	}
--- a/core/decision/dogwoodpacking/groups.go
+++ b/core/decision/dogwoodpacking/groups.go
@@ -17,14 +17,28 @@
 // is ten times the delay of an announcement, so that about one prompt in ten collides with another.
 const collisionWindow = 20 * time.Millisecond
 
+// stormFactor is how many times the usual number of prompts in collisionWindow make a storm. When a data centre is lost, each daemon
+// places all answers that broke off there within some milliseconds. Counted over a second they looked like ordinary
+// traffic, and all daemons filled the same few engines.
+const stormFactor = 3
+
 // groupCount returns the number of groups for engines that hold the given number of requests.
 func (board *Board) groupCount(now time.Time, requestCount, slots int) int {
 	packed := max(packShare*float64(slots), 1)
 	engines := int(math.Ceil(float64(requestCount+1) / packed))
 	prompts := int(float64(board.promptSends.countRecent(now)) * collisionWindow.Seconds() / rateWindow.Seconds())
+	if storm := board.recentPrompts(now); storm > stormFactor*(prompts+1) {
+		prompts = storm
+	}
 	return max(min(engines, prompts, board.senders.Count), 1)
 }
 
+// recentPrompts estimates the number of prompts within collisionWindow. The other daemons' announcements may not have arrived: these are
+// taken to place as many as this one.
+func (board *Board) recentPrompts(now time.Time) int {
+	return max(board.promptSends.countWithin(now, collisionWindow), board.ownPromptSends.countWithin(now, collisionWindow)*board.senders.Count)
+}
+
 // inOwnGroup reports whether an engine belongs to this daemon's group. When the number of groups
 // changes by one, few engines move to another group.
 func (board *Board) inOwnGroup(state *endpointState, groups int) bool {
--- a/core/decision/dogwoodpacking/health.go
+++ b/core/decision/dogwoodpacking/health.go
@@ -27,6 +27,8 @@
 	failuresAt      time.Time
 	learnedSlowness float64 // observed time over predicted time; 0 before the first observation
 	avoidUntil      time.Time
+	// unreachable is true from a failure to reach an engine to its next answer.
+	unreachable bool
 }
 
 func (health *health) recentFailures(now time.Time) float64 {
@@ -118,6 +120,7 @@
 	defer board.mutex.Unlock()
 	if state := board.endpoints[id]; state != nil {
 		state.health.recordFailure(now)
+		state.health.unreachable = state.Engine != nil
 		if until := now.Add(duration); until.After(state.health.avoidUntil) {
 			state.health.avoidUntil = until
 		}
--- a/core/decision/dogwoodpacking/leastbad.go
+++ b/core/decision/dogwoodpacking/leastbad.go
@@ -40,9 +40,9 @@
 		for parts := search.minEngines; parts <= 1+maxHelpers; parts++ {
 			prefill := primary.state.Engine.PrefillTime(search.request.Prompt, parts)
 			found, ok := search.assign(primary, parts, func(helper *engine) bool {
-				return helper.mayHelpLate() || helper.keepsPauses(prefill, 0)
+				return helper.keepsPauses(prefill, 0) || helper.mayHelpLate() && !helper.hasUrgent
 			})
-			if !ok {
+			if !ok || primary.hasUrgent && !primary.keepsPauses(prefill, search.request.Pause) {
 				continue // with more parts, each is smaller and more helpers may be suitable
 			}
 			loss := search.loss(&found, prefill)
@@ -106,13 +106,13 @@
 		switch left := work.Aim - search.now.Sub(work.Begun) - load.Queued; {
 		case work.Writing && work.Pause > 0 && pause > work.Pause,
 			!work.Writing && left > 0 && prefill > left:
-			loss += lateLoss * weight(work.Prompt)
+			loss += lateLoss * weight(work.Prompt) * search.rankWeight(work)
 		}
 	}
 	for _, work := range engine.state.helpedWork {
 		left := work.Aim - search.now.Sub(work.Begun) - load.Queued
 		if !work.Writing && left > 0 && prefill > left {
-			loss += lateLoss * weight(work.Prompt)
+			loss += lateLoss * weight(work.Prompt) * search.rankWeight(work)
 		}
 	}
 	return loss
--- a/core/decision/dogwoodpacking/limit.go
+++ b/core/decision/dogwoodpacking/limit.go
@@ -184,6 +184,9 @@
 	if !limit.IsValid() {
 		return EndpointLimit{}, false
 	}
+	if answering := board.endpoints[id]; answering != nil {
+		answering.health.unreachable = false
+	}
 	state := board.limitOf(id, limit)
 	switch {
 	case state == nil:
--- /dev/null
+++ b/core/decision/dogwoodpacking/rank.go
@@ -0,0 +1,182 @@
+package dogwoodpacking
+
+import (
+	"math"
+	"time"
+
+	"dogwoodmux.example/core/decision/dogwoodenginetime"
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+// Load pattern: engines are lost for some seconds, while prompts of a less urgent rank need half of all engine time. An
+// engine that prefills such a prompt is of no use to short prompts for seconds. Each long prompt weighs as much as twenty short
+// ones, so that without ranks it is placed on engines that decode short prompts' answers, or takes the engines that these need next.
+//
+// Therefore a rank may take engines only beyond those that the requests of more urgent ranks need now, wherever these were
+// placed from. Gaps at engines that hold more urgent requests are free to use, as long as no pause and no first token there
+// becomes late. Each rank may take a minimum, so that none starves. A rank without a more urgent one is placed without regard to ranks.
+
+const (
+	// rankHeadroom is the factor by which the engines kept for more urgent ranks exceed those that their requests fill. Those
+	// requests last two seconds and long prompts longer, so an engine must be kept for requests that arrive later.
+	rankHeadroom = 1.1
+	// minRankShare is the share of the engines in force, and at least one engine, that a rank may prefill on whatever more urgent
+	// ranks need.
+	minRankShare = 0.1
+	// peakHalfLife is the half-life of a peak of the requests of a rank, about as long as a short prompt's answer takes.
+	peakHalfLife = 2 * time.Second
+	// rankDiscount is the factor for harm to less urgent requests.
+	rankDiscount = 0.25
+	// unlimitedEngines is the allowance of a rank without a more urgent one.
+	unlimitedEngines = math.MaxInt
+)
+
+// serviceRank is a rank of one service's requests.
+type serviceRank struct {
+	service dogwoodfleet.Service
+	rank    int
+}
+
+// rankCount counts the requests of a rank that are assigned to endpoints.
+type rankCount struct {
+	count int
+	// peak is the count, or an earlier and larger one that decays. When endpoints are lost, their requests are assigned again within
+	// some milliseconds, in which the count falls.
+	peak   float64
+	peakAt time.Time
+}
+
+// add counts one more request.
+func (rankCount *rankCount) add(now time.Time) {
+	rankCount.count++
+	rankCount.peak = max(float64(rankCount.count), rankCount.recentPeak(now))
+	rankCount.peakAt = now
+}
+
+// recentPeak returns the peak as it has decayed.
+func (rankCount *rankCount) recentPeak(now time.Time) float64 {
+	if rankCount.peak == 0 {
+		return 0
+	}
+	return rankCount.peak * math.Exp2(-float64(now.Sub(rankCount.peakAt))/float64(peakHalfLife))
+}
+
+// rankCount returns the count of a request's rank. The caller holds the mutex.
+func (board *Board) rankCount(work *Work) *rankCount {
+	key := serviceRank{service: work.Service, rank: work.Rank}
+	counted := board.rankCounts[key]
+	if counted == nil {
+		counted = &rankCount{}
+		board.rankCounts[key] = counted
+	}
+	return counted
+}
+
+// urgentRequests returns the number of requests of more urgent ranks. The caller holds the mutex.
+func (board *Board) urgentRequests(now time.Time, request *PlacementRequest) float64 {
+	requests := 0.0
+	for key, counted := range board.rankCounts {
+		if key.service == request.Service && key.rank < request.Rank {
+			requests += max(counted.recentPeak(now), float64(counted.count))
+		}
+	}
+	return requests
+}
+
+// yields reports whether a prompt has to leave engines to more urgent ones. Short prompts, which take an engine some milliseconds, do
+// not, and neither does the rest of an answer that its caller has begun to receive. The caller holds the mutex.
+func (board *Board) yields(now time.Time, request *PlacementRequest) bool {
+	if request.Resumed || request.Prompt < dogwoodenginetime.LongPrompt {
+		return false
+	}
+	return board.urgentRequests(now, request) >= 1
+}
+
+// engineAllowance returns on how many more engines without more urgent requests a prompt may be prefilled. The caller holds the mutex.
+func (board *Board) engineAllowance(now time.Time, request *PlacementRequest) int {
+	if !board.yields(now, request) {
+		return unlimitedEngines
+	}
+	engines, slots, prefillingRank, prefillingRest, prefill := 0, 1, 0, 0, 0.0
+	for _, state := range board.ranked {
+		if state.Service != request.Service || !state.takesRequests() || !state.isProven() {
+			continue
+		}
+		engines++
+		slots = max(slots, state.Slots)
+		prefill += state.urgentPrefill(request.Rank)
+		switch own, rest := state.prefillsFor(request.Rank); {
+		case own:
+			prefillingRank++
+		case rest:
+			prefillingRest++
+		}
+	}
+	needed := board.urgentRequests(now, request)/(packShare*float64(slots)) + prefill
+	left := float64(engines) - rankHeadroom*needed - float64(prefillingRank+prefillingRest)
+	least := max(minRankShare*float64(engines), 1) - float64(prefillingRank)
+	return max(int(left), int(least), 0)
+}
+
+// urgentPrefill returns the number of engines that prefill in time the prompts without a first token that are more urgent than a rank.
+func (state *endpointState) urgentPrefill(rank int) float64 {
+	engines := 0.0
+	for _, work := range state.work {
+		if work.Rank < rank && !work.Writing && work.Aim > 0 {
+			engines += float64(work.Reading) * float64(1+len(work.Helpers)) / (aimShare * float64(work.Aim))
+		}
+	}
+	return engines
+}
+
+// prefillsFor reports whether an engine without more urgent requests prefills for a rank, or for less urgent ones.
+func (state *endpointState) prefillsFor(rank int) (own, rest bool) {
+	if state.hasMoreUrgent(rank) {
+		return false, false
+	}
+	for _, list := range []workList{state.work, state.helpedWork} {
+		for _, work := range list {
+			own = own || !work.Writing && work.Rank == rank
+			rest = rest || !work.Writing && work.Rank > rank
+		}
+	}
+	return own, rest
+}
+
+// isTakenBy reports whether a part for a rank takes the engine from more urgent ranks: it holds none of their requests and prefills
+// neither for this rank nor for less urgent ones.
+func (state *endpointState) isTakenBy(rank int) bool {
+	own, rest := state.prefillsFor(rank)
+	return !own && !rest && !state.hasMoreUrgent(rank)
+}
+
+// hasMoreUrgent reports whether an engine holds requests that are more urgent than a rank.
+func (state *endpointState) hasMoreUrgent(rank int) bool {
+	for _, work := range state.work {
+		if work.Rank < rank {
+			return true
+		}
+	}
+	return false
+}
+
+// rankWeight returns the factor for harm to a request by the one that is placed, which is smaller for less urgent requests.
+func (search *search) rankWeight(harmed *Work) float64 {
+	if harmed.Rank > search.request.Rank {
+		return rankDiscount
+	}
+	return 1
+}
+
+// canEnd reports whether a prompt can be answered until its deadline if it is prefilled by the fewest engines of its rank. Prompts
+// that wait for more urgent ones and can't end are refused while their callers can still do something else.
+func (search *search) canEnd() bool {
+	if search.allowance == unlimitedEngines || search.request.Until.IsZero() {
+		return true
+	}
+	engine := search.engines[0].state.Engine
+	parts := min(max(int(minRankShare*float64(len(search.engines))), search.minEngines), 1+maxHelpers)
+	passes := search.request.Answer / max(engine.Stride, 1)
+	decode := time.Duration(passes) * engine.PassTime(1, search.request.Prompt)
+	return search.now.Add(engine.PrefillTime(search.request.Prompt, parts) + decode).Before(search.request.Until)
+}
--- /dev/null
+++ b/core/decision/dogwoodpacking/rank_test.go
@@ -0,0 +1,163 @@
+package dogwoodpacking
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+// urgentPool returns a board with engines, of which the first ones hold the given number of urgent answers each.
+func urgentPool(t *testing.T, now time.Time, engines, busy, answersEach int) *Board {
+	t.Helper()
+	board := pool(engines)
+	for i := range busy * answersEach {
+		work := Work{
+			ID: WorkID(fmt.Sprint("urgent", i)), Holder: "me", Service: "models", Endpoint: engineEndpoint(i / answersEach).ID, Tokens: 6000, Prompt: 5000,
+			Aim: 300 * time.Millisecond, Pause: 250 * time.Millisecond, Begun: now, Writing: true, Until: now.Add(time.Minute),
+		}
+		board.Put(now, work)
+	}
+	return board
+}
+
+// lessUrgent returns a long prompt of a less urgent rank that may wait.
+func lessUrgent(now time.Time, prompt int) *PlacementRequest {
+	request := long(now, prompt)
+	request.Rank, request.Aim, request.CanWait = 2, 8*time.Second, true
+	return request
+}
+
+// Guards against long prompts of low rank that take engines from urgent ones when engines are lost, and against their starvation.
+func TestLongPromptsYieldWhileEnginesAreShort(t *testing.T) {
+	tests := []struct {
+		name                       string
+		engines, busy, answersEach int
+		rank                       int
+		resumed                    bool
+		wantPlaced                 int
+	}{
+		{name: "most engines idle", engines: 20, busy: 4, answersEach: 8, rank: 2, wantPlaced: 10},
+		{name: "urgent requests need nearly all engines", engines: 20, busy: 20, answersEach: 12, rank: 2, wantPlaced: 0},
+		{name: "urgent requests need most engines: the minimum is left", engines: 20, busy: 18, answersEach: 13, rank: 2, wantPlaced: 2},
+		{name: "equal ranks", engines: 20, busy: 18, answersEach: 13, rank: 0, wantPlaced: 10},
+		{name: "the rest of an answer that has begun", engines: 20, busy: 18, answersEach: 13, rank: 2, resumed: true, wantPlaced: 10},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Now()
+			board := urgentPool(t, now, test.engines, test.busy, test.answersEach)
+			placed, used := 0, map[dogwoodfleet.EndpointID]bool{}
+			for range 10 {
+				request := lessUrgent(now, 200_000)
+				request.Rank, request.Resumed = test.rank, test.resumed
+				request.CanWait = !test.resumed && test.rank > 0
+				placement, refusal := board.Place(now, request)
+				if refusal != Placed {
+					continue
+				}
+				placed++
+				used[placement.Endpoint.ID] = true
+				for _, helper := range placement.Helpers {
+					used[helper.Endpoint.ID] = true
+				}
+			}
+			if test.rank > 0 && !test.resumed && test.wantPlaced <= 2 {
+				if got := len(used); got > max(test.wantPlaced, 2) {
+					t.Errorf("got %d engines used by less urgent prompts, want at most %d", got, test.wantPlaced)
+				}
+				if test.wantPlaced > 0 && placed == 0 {
+					t.Error("got no less urgent prompt placed, want the minimum kept")
+				}
+				return
+			}
+			if placed < test.wantPlaced {
+				t.Errorf("got %d of 10 prompts placed, want at least %d", placed, test.wantPlaced)
+			}
+		})
+	}
+}
+
+// Guards against a long prompt that is placed beside urgent answers whose pauses it stretches, since it weighs more than they do.
+func TestLongPromptDelaysNoUrgentAnswer(t *testing.T) {
+	now := time.Now()
+	board := urgentPool(t, now, 4, 4, 5)
+	for _, canWait := range []bool{true, false} {
+		request := lessUrgent(now, 300_000)
+		request.CanWait, request.Until = canWait, now.Add(time.Minute)
+		if placement, refusal := board.Place(now, request); refusal != Yields {
+			t.Errorf("may wait %t: got a placement at %s with refusal %q, want it to yield", canWait, placement.Endpoint.ID, refusal)
+		}
+	}
+}
+
+// Guards against engines that look free for the moment in which the urgent requests of lost engines are assigned again.
+func TestDemandOutlastsLostEngines(t *testing.T) {
+	now := time.Now()
+	board := urgentPool(t, now, 20, 18, 12)
+	for i := range 18 * 12 {
+		board.End(WorkID(fmt.Sprint("urgent", i)))
+	}
+	tests := []struct {
+		after time.Duration
+		want  bool // the allowance is at its minimum
+	}{
+		{20 * time.Millisecond, true},
+		{20 * time.Second, false},
+	}
+	for _, test := range tests {
+		at := now.Add(test.after)
+		board.Put(at, Work{ID: "latest", Service: "models", Prompt: 5000, Begun: at, Until: at.Add(time.Minute), Endpoint: engineEndpoint(0).ID, Writing: true})
+		got := board.engineAllowance(at, lessUrgent(at, 200_000))
+		if (got <= 2) != test.want {
+			t.Errorf("after %s: got an allowance of %d engines, want the minimum %t", test.after, got, test.want)
+		}
+	}
+}
+
+// Guards against a prompt that waits for more urgent ones until its deadline although it can't be answered any more.
+func TestPromptThatYieldsTooLongIsRefused(t *testing.T) {
+	now := time.Now()
+	board := urgentPool(t, now, 20, 20, 13)
+	tests := []struct {
+		left time.Duration
+		want Refusal
+	}{
+		{15 * time.Second, Yields},
+		{2 * time.Second, TooLate},
+	}
+	for _, test := range tests {
+		request := lessUrgent(now, 200_000)
+		request.Until = now.Add(test.left)
+		if _, got := board.Place(now, request); got != test.want {
+			t.Errorf("%s left: got %q, want %q", test.left, got, test.want)
+		}
+	}
+}
+
+// Guards against placements that change where no rank is more urgent than another one.
+func TestEqualRanksArePlacedAlike(t *testing.T) {
+	now := time.Now()
+	boards := []*Board{pool(12), pool(12)}
+	for i := range 200 {
+		at := now.Add(time.Duration(i) * 10 * time.Millisecond)
+		var placements [2]Placement
+		var refusals [2]Refusal
+		for k, board := range boards {
+			request := short(at, 3000+i*37%9000)
+			if i%9 == 0 {
+				request = long(at, 40_000+i*977%160_000)
+			}
+			request.ID, request.Rank, request.CanWait = WorkID(fmt.Sprint("request", i)), k*7, true
+			placements[k], refusals[k] = board.Place(at, request)
+			if i >= 30 {
+				board.End(WorkID(fmt.Sprint("request", i-30)))
+			}
+		}
+		if placements[0].Endpoint.ID != placements[1].Endpoint.ID || refusals[0] != refusals[1] || len(placements[0].Helpers) != len(placements[1].Helpers) {
+			t.Fatalf("request %d: got %s (%q) and %s (%q), want the same placement for each rank", i,
+				placements[0].Endpoint.ID, refusals[0], placements[1].Endpoint.ID, refusals[1])
+		}
+	}
+}
--- /dev/null
+++ b/core/decision/dogwoodpacking/unproven_test.go
@@ -0,0 +1,75 @@
+package dogwoodpacking
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+// Guards against storms of tries at the engines of a lost data centre, whose entries are still there, each time that they are no longer avoided.
+func TestUnreachableEnginesAreTriedByOneRequest(t *testing.T) {
+	const lost, engines = 6, 12
+	board, now := pool(engines), time.Now()
+	isLost := func(id dogwoodfleet.EndpointID) bool { return id < engineEndpoint(lost).ID }
+	for i := range lost {
+		board.Avoid(now, engineEndpoint(i).ID, time.Second)
+	}
+	now = now.Add(1100 * time.Millisecond)
+	tried := 0
+	for range 20 {
+		if placement := mustPlace(t, board, now, long(now, 60_000)); isLost(placement.Endpoint.ID) {
+			tried++
+		}
+	}
+	if tried > 1 {
+		t.Errorf("got %d requests at engines that have not answered yet, want at most 1", tried)
+	}
+}
+
+// Guards against a part of a joint prompt at a dead engine, which blocks the other engines until they give up.
+func TestUnreachableEnginesGetNoParts(t *testing.T) {
+	board, now := pool(6), time.Now()
+	dead := engineEndpoint(0).ID
+	board.Avoid(now, dead, time.Second)
+	now = now.Add(1100 * time.Millisecond)
+	helps := func() bool {
+		request := long(now, 380_000)
+		request.Avoid = []dogwoodfleet.EndpointID{dead}
+		placement := mustPlace(t, board, now, request)
+		board.End(request.ID)
+		return slices.ContainsFunc(placement.Helpers, func(helper Helper) bool { return helper.Endpoint.ID == dead })
+	}
+	if helps() {
+		t.Error("got a part at an engine that has not answered since it could not be reached, want none")
+	}
+	board.SetLimit(now, now, dead, NamedLimit{})
+	if board.endpoints[dead].health.unreachable {
+		t.Error("got an engine still taken for unreachable after its answer, want it in use")
+	}
+}
+
+// Guards against daemons that fill the same few engines at the same moment when all place the answers of a lost data centre again.
+func TestStormOfPlacementsIsDividedAmongDaemons(t *testing.T) {
+	const hubs, each = 6, 12
+	now := time.Now()
+	used := map[dogwoodfleet.EndpointID]int{}
+	const engines, answersEach = 26, 3
+	for hub := range hubs {
+		board := urgentPool(t, now, engines, engines, answersEach)
+		board.owner = fmt.Sprint("hub", hub)
+		board.SetSenders(Senders{Count: hubs, Index: hub})
+		for range each {
+			used[mustPlace(t, board, now, short(now, 3000)).Endpoint.ID]++
+		}
+	}
+	most := 0
+	for _, count := range used {
+		most = max(most, count)
+	}
+	if most > testEngine.Slots-answersEach {
+		t.Errorf("got %d requests at one engine by daemons that did not see each other, want at most the %d free slots", most, testEngine.Slots-answersEach)
+	}
+}
--- a/core/decision/dogwoodroute/route.go
+++ b/core/decision/dogwoodroute/route.go
@@ -111,6 +111,16 @@
 	Rank *int
 }
 
+// routeRanks is the number of ranks of routes that are told apart among requests of one rank. Larger ones count as the last.
+const routeRanks = 100
+
+// Urgency returns a number that orders requests for this route with the given rank among those for all routes; lower goes first. The rank
+// decides, which is the customer's if it has one. Among equal ones the route's own rank does: most customers have the same rank, and
+// their long prompts for a route of low rank must not delay their short ones.
+func (route *Route) Urgency(rank int) int {
+	return rank*routeRanks + min(max(route.Rank, 0), routeRanks-1)
+}
+
 // NewTable returns a Table of the given routes, services and customers. Keys are required if
 // there is at least one customer.
 func NewTable(version int64, limits Limits, routes []Route, services []Service, customers []Customer) *Table {
--- a/core/decision/dogwoodwaiting/waiting.go
+++ b/core/decision/dogwoodwaiting/waiting.go
@@ -39,6 +39,9 @@
 	// toleranceShare is the fraction of the caller's tolerance for which a request waits for
 	// a slot, so that it is rejected or its prefill begins before the caller gives up.
 	toleranceShare = 0.55
+	// yieldShare is the fraction of its time limit for which a prompt waits for engines that more urgent ones need. Longer
+	// waits leave too little time for another attempt or for a long prefill.
+	yieldShare = 0.5
 )
 
 // Request is a waiting request.
@@ -105,6 +108,11 @@
 	return max(toleratedAims*request.Aim, toleratedPauses*request.Pause, minTolerance)
 }
 
+// MaxYield returns how much longer a request may wait for endpoints that more urgent ones need.
+func MaxYield(now time.Time, request *Request) time.Duration {
+	return request.Arrived.Add(time.Duration(yieldShare * float64(request.Deadline.Sub(request.Arrived)))).Sub(now)
+}
+
 // MaxWait returns how much longer the request may wait for a slot.
 func MaxWait(now time.Time, request *Request) time.Duration {
 	maxWait := time.Duration(deadlineShare * float64(request.Deadline.Sub(now)))
--- a/core/dogwoodlog/messages.go
+++ b/core/dogwoodlog/messages.go
@@ -10,6 +10,10 @@
 	Placed = "Placed."
 	// FirstEvent means that the first event of a stream arrived.
 	FirstEvent = "First event."
+	// Late means that a stream was answered later than its route allows.
+	Late = "A stream was late."
+	// Yields means that a request waits for engines that more urgent requests need.
+	Yields = "Waits for more urgent requests."
 	// Silent means that an endpoint sent nothing for longer than a stream's silence limit.
 	Silent = "An endpoint is silent."
 	// TryingAgain means that another try follows.
--- a/core/duty/dogwoodreach/reach.go
+++ b/core/duty/dogwoodreach/reach.go
@@ -2,7 +2,7 @@
 // other daemons still reach it.
 //
 // A connection that can't be opened, or over which no answer comes, says little: its endpoint may have crashed, and so may
-// all endpoints of a rack. So the daemon then tries some endpoints chosen at random, of all services and data centres, all at once. If none
+// all endpoints of a rack. So the daemon then tries some endpoints chosen at random, of all data centres, all at once. If none
 // can be reached, it is cut off, and other daemons serve its callers. While it is cut off it tries again at intervals,
 // until it reaches at least half of the endpoints of a round. Endpoints are tried only after a failure.
 package dogwoodreach
@@ -11,6 +11,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dogwoodmux.example/core/decision/dogwoodpacking"
+	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
 )
 
@@ -53,8 +55,9 @@
 	reachedAt atomic.Int64
 	started   time.Time
 
-	mutex     sync.Mutex
-	endpoints []netip.AddrPort
+	mutex sync.Mutex
+	// endpoints holds the addresses of the endpoints in force, by data centre.
+	endpoints map[dogwoodfleet.DataCentre][]netip.AddrPort
 
 	round     sync.Mutex // held during a round
 	lastRound time.Time  // when the last round ended
@@ -69,10 +72,11 @@
 
 // SetEndpoints replaces the endpoints that may be tried. Those that are not in force may be gone.
 func (duty *Duty) SetEndpoints(endpoints []dogwoodpacking.Endpoint) {
-	var addresses []netip.AddrPort
+	addresses := map[dogwoodfleet.DataCentre][]netip.AddrPort{}
 	for i := range endpoints {
 		if endpoints[i].InForce {
-			addresses = append(addresses, endpoints[i].Address)
+			dataCentre := endpoints[i].Place.DataCentre
+			addresses[dataCentre] = append(addresses[dataCentre], endpoints[i].Address)
 		}
 	}
 	duty.mutex.Lock()
@@ -143,13 +147,26 @@
 	return duty.mostFailed
 }
 
-// choose returns the endpoints of a round.
+// choose returns the endpoints of a round, in equal numbers from all data centres. When a data centre is lost while another one is
+// emptied, half of the endpoints in force are gone, and a round of four without regard to data centres finds only such ones
+// one time in sixteen.
 func (duty *Duty) choose() []netip.AddrPort {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
+	left := make([][]netip.AddrPort, 0, len(duty.endpoints))
+	for _, addresses := range duty.endpoints {
+		left = append(left, slices.Clone(addresses))
+	}
+	rand.Shuffle(len(left), func(i, j int) { left[i], left[j] = left[j], left[i] })
 	chosen := make([]netip.AddrPort, 0, roundSize)
-	for _, i := range rand.Perm(len(duty.endpoints))[:min(roundSize, len(duty.endpoints))] {
-		chosen = append(chosen, duty.endpoints[i])
+	for len(chosen) < roundSize && len(left) > 0 {
+		addresses := left[0]
+		i := rand.IntN(len(addresses))
+		chosen = append(chosen, addresses[i])
+		left = left[1:]
+		if addresses = slices.Delete(addresses, i, i+1); len(addresses) > 0 {
+			left = append(left, addresses)
+		}
 	}
 	return chosen
 }
--- a/core/duty/dogwoodreach/reach_test.go
+++ b/core/duty/dogwoodreach/reach_test.go
@@ -171,3 +171,30 @@
 		}
 	})
 }
+
+// Guards against a daemon that takes itself for cut off when one data centre's endpoints end while another's are taken out, so that half
+// of those in force are dead.
+func TestRoundCoversAllDataCentres(t *testing.T) {
+	duty := New(Options{})
+	var endpoints []dogwoodpacking.Endpoint
+	for i := range 40 {
+		endpoint := dogwoodpacking.Endpoint{Endpoint: dogwoodfleet.Endpoint{InForce: true, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)}}
+		endpoint.Place.DataCentre = "a"
+		if i >= 20 {
+			endpoint.Place.DataCentre = "b"
+		}
+		endpoints = append(endpoints, endpoint)
+	}
+	duty.SetEndpoints(endpoints)
+	for range 100 {
+		inB := 0
+		for _, address := range duty.choose() {
+			if address.Addr().As4()[3] >= 20 {
+				inB++
+			}
+		}
+		if inB != roundSize/2 {
+			t.Fatalf("got %d of %d endpoints of a round in one of two data centres, want half", inB, roundSize)
+		}
+	}
+}
--- a/core/duty/dogwoodrelay/place.go
+++ b/core/duty/dogwoodrelay/place.go
@@ -17,9 +17,9 @@
 	request, options := attempt.request, &attempt.relay.options
 	placementRequest := &dogwoodpacking.PlacementRequest{
 		ID:      dogwoodpacking.WorkID(fmt.Sprintf("%s.%d", request.ID, tryNumber.Add(1))),
-		Service: request.Service, Rank: request.Rank, Customer: request.Customer, Prompt: request.Prompt, Answer: request.Answer,
+		Service: request.Service, Rank: request.Route.Urgency(request.Rank), Customer: request.Customer, Prompt: request.Prompt, Answer: request.Answer,
 		Aim: request.Route.Aim, Pause: request.Route.Pause,
-		Arrived: request.Arrived, Until: request.Deadline, CanWait: true,
+		Arrived: request.Arrived, Until: request.Deadline, CanWait: true, Resumed: attempt.stream.begun,
 		Avoid: attempt.triedEndpoints, Origin: options.Place,
 	}
 	if len(attempt.triedEndpoints) > 0 && !options.Places.HasOtherEndpoint(time.Now(), placementRequest) {
@@ -60,7 +60,7 @@
 	request := attempt.request
 	return dogwoodwaiting.Request{
 		Arrived: request.Arrived, Deadline: request.Deadline, Aim: request.Route.Aim, Pause: request.Route.Pause,
-		Prompt: request.Prompt, Rank: request.Rank, Begun: attempt.stream.begun,
+		Prompt: request.Prompt, Rank: request.Route.Urgency(request.Rank), Begun: attempt.stream.begun,
 	}
 }
 
@@ -78,20 +78,25 @@
 	}
 	maxWait := time.NewTimer(time.Until(waitUntil))
 	defer maxWait.Stop()
-	var err error
-	select {
-	case placementResult := <-waiter.result:
-		waiter.repeatPanic()
-		return placementResult.placement, attempt.resultError(&placementResult)
-	case <-maxWait.C:
-		return attempt.placeWithoutWaiting(queue, waiter)
-	case <-ctx.Done():
-		err = contextError(ctx, attempt.runState)
-	}
-	if queue.remove(waiter) {
-		return dogwoodpacking.Placement{}, err
+	for {
+		select {
+		case placementResult := <-waiter.result:
+			waiter.repeatPanic()
+			return placementResult.placement, attempt.resultError(&placementResult)
+		case <-maxWait.C:
+			if left := dogwoodwaiting.MaxYield(time.Now(), &waiter.request); left > 0 && queue.yields(waiter) {
+				attempt.reportYield(placementRequest)
+				maxWait.Reset(left)
+				continue
+			}
+			return attempt.placeWithoutWaiting(queue, waiter)
+		case <-ctx.Done():
+		}
+		if queue.remove(waiter) {
+			return dogwoodpacking.Placement{}, contextError(ctx, attempt.runState)
+		}
+		return attempt.takeResult(waiter)
 	}
-	return attempt.takeResult(waiter)
 }
 
 // placeWithoutWaiting accepts any placement for a try that can wait no longer, provided that the
@@ -138,6 +143,10 @@
 		return attempt.newFailure(dogwoodfleet.ReasonTooLarge, 0, "the prompt fits no engines")
 	case dogwoodpacking.NoEndpoint:
 		return attempt.newFailure(dogwoodfleet.ReasonNoEndpoint, noEndpointRetryAfter, "no endpoint of the service is in force")
+	case dogwoodpacking.TooLate:
+		return attempt.newFailure(dogwoodfleet.ReasonLimit, dogwoodkernel.Jittered(fullRetryAfter), "it can't be answered in time after more urgent requests")
+	case dogwoodpacking.Yields:
+		return attempt.newFailure(dogwoodfleet.ReasonLimit, dogwoodkernel.Jittered(fullRetryAfter), "the engines are needed for more urgent requests")
 	case dogwoodpacking.Full:
 	}
 	return attempt.newFailure(dogwoodfleet.ReasonLimit, dogwoodkernel.Jittered(fullRetryAfter), "all endpoints are full")
--- a/core/duty/dogwoodrelay/queue.go
+++ b/core/duty/dogwoodrelay/queue.go
@@ -32,6 +32,8 @@
 	// waitUntil is the latest time at which it is to be placed.
 	waitUntil time.Time
 	result    chan placementResult
+	// yields is true if more urgent requests needed the endpoints at the last try to place it.
+	yields bool
 	// panicked is the value of a panic of its placement; nil for none.
 	panicked any
 }
@@ -61,6 +63,13 @@
 	}
 }
 
+// yields reports whether more urgent requests needed the endpoints at the last try to place a waiter.
+func (queue *queue) yields(waiter *waiter) bool {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	return waiter.yields
+}
+
 // remove removes a waiter. It returns false if the waiter already has its result.
 func (queue *queue) remove(waiter *waiter) bool {
 	queue.mutex.Lock()
@@ -84,6 +93,7 @@
 			return false
 		}
 		result := queue.place(now, waiter)
+		waiter.yields = result.refusal == dogwoodpacking.Yields
 		if waiter.panicked == nil && result.refusal == dogwoodpacking.Full {
 			result.backoffsUntil = queue.backoffsTooLong(now, waiter)
 		}
@@ -93,7 +103,7 @@
 			// A prompt that needs the memory of several engines may not fit although others do.
 			full[waiter.placementRequest.Service] = waiter.placementRequest.Prompt == 0
 			return false
-		case result.refusal == dogwoodpacking.NoEndpoint:
+		case result.refusal == dogwoodpacking.NoEndpoint, result.refusal == dogwoodpacking.Yields:
 			return false
 		}
 		waiter.result <- result
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -57,6 +57,10 @@
 	notified <-chan struct{}
 	// stream tracks what the caller has received of a stream.
 	stream progress
+	// lateness tracks the delays of a stream.
+	lateness lateness
+	// yielded is true once the request had to wait for engines that more urgent ones need.
+	yielded bool
 }
 
 // tryResult is the result of a try.
@@ -98,6 +102,7 @@
 		tryResult := attempt.try(ctx)
 		if tryResult.done {
 			relay.options.Suspects.Finished(ctx, &attempt.subject)
+			attempt.reportLateness()
 		}
 		if tryResult.done || tryResult.err != nil {
 			return attempt.finish(tryResult.err)
--- a/core/duty/dogwoodrelay/stream.go
+++ b/core/duty/dogwoodrelay/stream.go
@@ -24,6 +24,7 @@
 	places, endpoint := attempt.relay.options.Places, run.placement.Endpoint.ID
 	attempt.runState = dogwoodfleet.WasRun
 	attempt.relay.liveness.record(time.Now(), endpoint)
+	attempt.lateness.record(time.Now(), attempt.request.Arrived, endpoint)
 	if pause, ok := run.pace.record(time.Now()); ok {
 		places.RecordPace(endpoint, pause)
 	}
