Keep a refused request from being explained by a part

Cause: a popular part that is beside the copies of a crashing request at each of three ends was refused as their cause, the ends were forgotten, and the request, which was refused already, ran again.

Change: PartLedger.Refusals asks the ledger of digests and passes over a part whose ends all lie within those of a refused digest. The runs of an endpoint are reported one after the other, so a part is also held back for 0.2 s after an end at which a suspect with all its earlier ends may have been, and decided then.

--- a/core/decision/dogwoodsuspect/partrefusal.go
+++ b/core/decision/dogwoodsuspect/partrefusal.go
@@ -83,7 +83,11 @@
 // Of all parts the one that explains the most ends is refused first; its ends then count against no other part. So a part that
 // harmless requests share with those that end endpoints is not refused beside the crashing one, and two crashing ones are found one
 // after the other.
-func (ledger *PartLedger) Refusals(now time.Time) []PartRefusal {
+//
+// A part whose ends all lie within those of a request that digests refuses already says nothing new: it is not refused, and its
+// ends stay that request's. Otherwise a popular part that is beside the copies of a crashing request at each end would be taken
+// for the cause, and the request would run again. What is not known for SettleTime after the last end is decided after it.
+func (ledger *PartLedger) Refusals(now time.Time, digests *Ledger) []PartRefusal {
 	var refusals []PartRefusal
 	candidates, endTimes := ledger.candidates(now)
 	for {
@@ -96,6 +100,9 @@
 		if !best.explains(endTimes) || !isShown && best.independent < minLonePartEnds {
 			continue
 		}
+		if digests.mayExplain(now, best.ends) {
+			continue
+		}
 		group := inseparable(best, candidates)
 		ends := slices.Sorted(maps.Keys(best.ends))
 		for _, member := range group {
--- a/core/decision/dogwoodsuspect/parts_test.go
+++ b/core/decision/dogwoodsuspect/parts_test.go
@@ -16,13 +16,14 @@
 
 // partHistory is what a ledger has seen, in steps of a second unless pause is set.
 type partHistory struct {
-	ledger *PartLedger
-	now    time.Time
-	number int
+	ledger  *PartLedger
+	digests *Ledger
+	now     time.Time
+	number  int
 }
 
 func newPartHistory() *partHistory {
-	return &partHistory{ledger: NewPartLedger(), now: start}
+	return &partHistory{ledger: NewPartLedger(), digests: NewLedger(), now: start}
 }
 
 // ended records the end of another endpoint under another request of a customer, and returns the history.
@@ -78,7 +79,7 @@
 
 func (partHistory *partHistory) standing(customer dogwoodfleet.Customer, parts ...dogwoodfleet.PromptPart) Standing {
 	worst := Clear
-	for _, refusal := range partHistory.ledger.Refusals(partHistory.now) {
+	for _, refusal := range partHistory.ledger.Refusals(partHistory.now, partHistory.digests) {
 		if slices.Contains(parts, refusal.Part) {
 			worst = max(worst, refusal.Standing(partHistory.now, &Subject{Customer: customer, Parts: parts}))
 		}
@@ -217,6 +218,73 @@
 	}
 }
 
+// copyEnded records that the latest endpoint also ended under a copy of one request.
+func (partHistory *partHistory) copyEnded(trial bool) *partHistory {
+	notice := sharedEnd(digest, dogwoodfleet.EndpointID(fmt.Sprint("e", partHistory.number)), trial, true)
+	partHistory.digests.Learn(partHistory.now, []Notice{notice})
+	return partHistory
+}
+
+// Guards against a popular part that is taken for the cause of the ends under a request that is refused already, which then runs
+// again, and against a crashing part that such a request hides for longer than until its next end.
+func TestPartBesideARequest(t *testing.T) {
+	tests := []struct {
+		name    string
+		history *partHistory
+		// wantSoon is the part's standing at the last end, want that once all runs are reported.
+		wantSoon, want Standing
+		// wantShown is true if the ledger has marked the part as one that was refused.
+		wantShown bool
+	}{
+		{
+			"the request is refused and ended all endpoints",
+			newPartHistory().ended("a", popular).copyEnded(false).othersBegan().ended("a", popular).copyEnded(true).ended("a", popular).copyEnded(true),
+			Clear, Clear, false,
+		},
+		{
+			"a fourth end, without the request",
+			newPartHistory().ended("a", popular).copyEnded(false).othersBegan().ended("a", popular).copyEnded(true).ended("a", popular).copyEnded(true).
+				ended("a", popular),
+			Clear, Convicted, true,
+		},
+		{
+			"the request is not refused",
+			newPartHistory().ended("a", popular).copyEnded(false).othersBegan().ended("a", popular).copyEnded(false).ended("a", popular).copyEnded(false),
+			Convicted, Convicted, true,
+		},
+		{
+			"the request was not at the first end",
+			newPartHistory().ended("a", popular).othersBegan().ended("a", popular).copyEnded(false).ended("a", popular).copyEnded(true),
+			Convicted, Convicted, true,
+		},
+		{
+			"no answer begins, and the request ended all endpoints",
+			newPartHistory().ended("a", popular).copyEnded(false).ended("a", popular).copyEnded(true).ended("a", popular).copyEnded(true).
+				ended("a", popular).copyEnded(true),
+			Clear, Clear, false,
+		},
+		{
+			"the request is not refused, and may have been at the last end",
+			newPartHistory().ended("a", popular).copyEnded(false).othersBegan().ended("a", popular).copyEnded(false).ended("a", popular),
+			Clear, Convicted, true,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.history.standing("a", popular); got != test.wantSoon {
+				t.Errorf("got %v at the last end, want %v", got, test.wantSoon)
+			}
+			test.history.now = test.history.now.Add(SettleTime)
+			if got := test.history.standing("a", popular); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+			if got := test.history.ledger.records[popular].shown; got != test.wantShown {
+				t.Errorf("got the part marked %t, want %t", got, test.wantShown)
+			}
+		})
+	}
+}
+
 // Guards against a refusal that never ends, and against one whose end costs as many endpoints as the part cost at first.
 func TestPartIsOnProbationAfterItsRefusal(t *testing.T) {
 	refused := func() *partHistory {
@@ -294,7 +362,8 @@
 	for _, customer := range []dogwoodfleet.Customer{"a", "b", "c"} {
 		history.standing(customer, crashing) // the ledger has judged its strikes before another one asks
 	}
-	learner := &partHistory{ledger: NewPartLedger(), now: history.now}
+	learner := newPartHistory()
+	learner.now = history.now
 	notices := history.ledger.Notices(history.now)
 	learner.ledger.Learn(history.now, notices)
 	version := learner.ledger.Version()
--- a/core/decision/dogwoodsuspect/shared.go
+++ b/core/decision/dogwoodsuspect/shared.go
@@ -28,8 +28,8 @@
 	// endpoints convict all the same: several crashing requests at a time must not hide each other.
 	rackWindow    = 500 * time.Millisecond
 	maxRackTrials = 3
-	// settleTime is how long after the end of a trial's endpoint the ends of a rack are still being reported.
-	settleTime = 200 * time.Millisecond
+	// SettleTime is how long after the end of an endpoint its other runs, and the ends of its rack, are still being reported.
+	SettleTime = 200 * time.Millisecond
 )
 
 // sharedStrike is the end of an endpoint that ran a request beside others.
@@ -256,7 +256,7 @@
 	if found := ledger.records[digest]; found != nil {
 		for i := range found.shared {
 			if strike := &found.shared[i]; strike.trial {
-				remaining = max(remaining, strike.at.Add(settleTime).Sub(now))
+				remaining = max(remaining, strike.at.Add(SettleTime).Sub(now))
 			}
 		}
 	}
@@ -281,6 +281,31 @@
 	return false
 }
 
+// mayExplain reports whether a request explains the ends of endpoints: all of them ended under a digest that is convicted. The
+// other runs of an endpoint that has just ended are still being reported, so a suspect may be found to have been there too.
+func (ledger *Ledger) mayExplain(now time.Time, ends map[dogwoodfleet.EndpointID]time.Time) bool {
+	var settled, recent []dogwoodfleet.EndpointID
+	for endpoint, at := range ends {
+		if now.Sub(at) < SettleTime {
+			recent = append(recent, endpoint)
+		} else {
+			settled = append(settled, endpoint)
+		}
+	}
+	if len(settled) == 0 || ledger.ended[settled[0]] == nil {
+		return false
+	}
+	return slices.ContainsFunc(ledger.ended[settled[0]].digests, func(digest dogwoodfleet.Digest) bool {
+		found := ledger.records[digest]
+		lacks := func(endpoint dogwoodfleet.EndpointID) bool { return !found.ranAt(endpoint) }
+		if slices.ContainsFunc(settled, lacks) {
+			return false
+		}
+		standing, _ := ledger.Standing(now, digest)
+		return standing == Convicted || standing == Suspect && slices.ContainsFunc(recent, lacks)
+	})
+}
+
 // sharedNotices returns the notices of a record's shared strikes.
 func sharedNotices(now time.Time, digest dogwoodfleet.Digest, found *record) []Notice {
 	notices := make([]Notice, 0, len(found.shared))
--- a/core/duty/dogwoodsuspects/parts.go
+++ b/core/duty/dogwoodsuspects/parts.go
@@ -35,7 +35,7 @@
 	}
 	now := time.Now()
 	refused := partRefusals{}
-	for _, refusal := range duty.parts.Refusals(now) {
+	for _, refusal := range duty.parts.Refusals(now, duty.ledger) {
 		refused[refusal.Part] = &refusal
 		for _, endpoint := range refusal.Ends {
 			duty.ledger.Forget(endpoint)
--- a/core/duty/dogwoodsuspects/parts_test.go
+++ b/core/duty/dogwoodsuspects/parts_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -448,28 +449,86 @@
 const minOutageEnds = 8
 
 // Guards against a request that ends one endpoint after the other and runs again, since a popular part of the prompts beside it
-// is taken for the cause: all that this part explains are ends under the request, which is refused already.
+// is taken for the cause: all that this part explains are ends under the request, which is refused already, whichever of the two
+// runs of an endpoint is reported first.
 func TestRefusedRequestIsNotExplainedByAPart(t *testing.T) {
 	const popular = dogwoodfleet.PromptPart("s/m/popular")
-	runFleetTest(t, 1, 0, func(t *testing.T, fleet *fleet) {
+	tests := []struct {
+		name string
+		// trials are the copies that run with a permit.
+		trials        []bool
+		isBesideFirst bool
+	}{
+		{"the request is reported first", []bool{false, true, true}, false},
+		{"the prompt beside it is reported first", []bool{false, true, true}, true},
+		{"the third end is that of its first trial", []bool{false, false, true}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runFleetTest(t, 1, 0, func(t *testing.T, fleet *fleet) {
+				duty := fleet.duty(0)
+				for number, isTrial := range test.trials {
+					endpoint := dogwoodfleet.Endpoint{ID: endpointID(number)}
+					subject := *subjectOf(dogwoodfleet.RequestID(fmt.Sprint("copy ", number)))
+					subject.Parts = []dogwoodfleet.PromptPart{dogwoodfleet.PromptPart(fmt.Sprint("s/m/", number))}
+					beside := dogwoodsuspect.Subject{
+						Digest: dogwoodfleet.Digest{2, byte(number)}, Request: dogwoodfleet.RequestID(fmt.Sprint("beside ", number)),
+						Customer: "c", Parts: []dogwoodfleet.PromptPart{popular},
+					}
+					runs := []Run{{Subject: subject, Endpoint: endpoint, Trial: isTrial}, {Subject: beside, Endpoint: endpoint}}
+					if test.isBesideFirst {
+						slices.Reverse(runs)
+					}
+					for _, run := range runs {
+						<-duty.Broke(t.Context(), run, Replaced)
+						time.Sleep(reportDelay)
+					}
+					time.Sleep(time.Second)
+					for other := range 3 {
+						duty.Began(t.Context(), &dogwoodsuspect.Subject{Customer: "c", Parts: []dogwoodfleet.PromptPart{dogwoodfleet.PromptPart(fmt.Sprint("s/m/other", other))}}, time.Now())
+					}
+				}
+				if got, _ := duty.digestStanding(crashing); got != dogwoodsuspect.Convicted {
+					t.Errorf("got standing %v of the request after three ends under it, want it refused", got)
+				}
+			})
+		})
+	}
+}
+
+// reportDelay is the time between the reports of two runs of an endpoint that ended.
+const reportDelay = 20 * time.Millisecond
+
+// Guards against a crashing part that is refused only when something else happens, since a refused request was at all of its ends but
+// the last one: that is known soon after that end.
+func TestPartIsRefusedSoonAfterAnEndWithoutTheRequest(t *testing.T) {
+	runFleetTest(t, 3, 0, func(t *testing.T, fleet *fleet) {
 		duty := fleet.duty(0)
-		for number, isTrial := range []bool{false, true, true} {
+		for number := range 4 {
 			endpoint := dogwoodfleet.Endpoint{ID: endpointID(number)}
-			subject := *subjectOf(dogwoodfleet.RequestID(fmt.Sprint("copy ", number)))
-			subject.Parts = []dogwoodfleet.PromptPart{dogwoodfleet.PromptPart(fmt.Sprint("s/m/", number))}
-			<-duty.Broke(t.Context(), Run{Subject: subject, Endpoint: endpoint, Trial: isTrial}, Replaced)
-			beside := dogwoodsuspect.Subject{
-				Digest: dogwoodfleet.Digest{2, byte(number)}, Request: dogwoodfleet.RequestID(fmt.Sprint("beside ", number)),
-				Customer: "c", Parts: []dogwoodfleet.PromptPart{popular},
+			if number < 3 {
+				copied := Run{Subject: *subjectOf(dogwoodfleet.RequestID(fmt.Sprint("copy ", number))), Endpoint: endpoint, Trial: number > 0}
+				<-duty.Broke(t.Context(), copied, Replaced)
+			}
+			<-duty.Broke(t.Context(), Run{Subject: dogwoodsuspect.Subject{
+				Digest: dogwoodfleet.Digest{2, byte(number)}, Request: dogwoodfleet.RequestID(fmt.Sprint("prompt ", number)),
+				Customer: "c", Parts: []dogwoodfleet.PromptPart{crashingPart},
+			}, Endpoint: endpoint}, Replaced)
+			if number == 3 {
+				break
 			}
-			<-duty.Broke(t.Context(), Run{Subject: beside, Endpoint: endpoint}, Replaced)
 			time.Sleep(time.Second)
 			for other := range 3 {
 				duty.Began(t.Context(), &dogwoodsuspect.Subject{Customer: "c", Parts: []dogwoodfleet.PromptPart{dogwoodfleet.PromptPart(fmt.Sprint("s/m/other", other))}}, time.Now())
 			}
 		}
-		if got, _ := duty.digestStanding(crashing); got != dogwoodsuspect.Convicted {
-			t.Errorf("got standing %v of the request after three ends under it, want it refused", got)
+		time.Sleep(250 * time.Millisecond)
+		prompt := &dogwoodsuspect.Subject{Customer: "c", Parts: []dogwoodfleet.PromptPart{crashingPart}}
+		if _, got := duty.partStanding(prompt); got != dogwoodsuspect.Convicted {
+			t.Errorf("got standing %v of the part, want it refused", got)
+		}
+		if got, _ := duty.digestStanding(crashing); got == dogwoodsuspect.Convicted {
+			t.Errorf("got standing %v of the request beside it, want it not refused any more", got)
 		}
 	})
 }
--- a/core/duty/dogwoodsuspects/refresh.go
+++ b/core/duty/dogwoodsuspects/refresh.go
@@ -27,6 +27,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return duty.runComparisons(ctx) })
 	group.Go(func() error { return duty.runFetches(ctx) })
+	group.Go(func() error { return duty.runSettling(ctx) })
 	group.Go(func() error {
 		for {
 			select {
@@ -40,6 +41,21 @@
 	return group.Wait()
 }
 
+// runSettling updates the refusals whenever all runs of an endpoint that ended are reported.
+func (duty *Duty) runSettling(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case settled := <-duty.settling:
+			if !dogwoodkernel.Sleep(ctx, time.Until(settled)) {
+				return nil
+			}
+			duty.updateConvictions()
+		}
+	}
+}
+
 // Wait waits until the hubs are notified of all that requests have shown. No request may run any more.
 func (duty *Duty) Wait() {
 	_ = duty.background.Wait() // its functions return no errors
--- a/core/duty/dogwoodsuspects/suspects.go
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -35,6 +35,8 @@
 	maxSuspectWait = 2 * time.Second
 	// maxUnresolved bounds the runs that broke off at endpoints of unknown condition.
 	maxUnresolved = 256
+	// maxSettling bounds the updates of refusals that are due.
+	maxSettling = 64
 	// waitRetryAfter is sent to the caller of a suspect that got no permit.
 	waitRetryAfter = time.Second
 )
@@ -66,6 +68,9 @@
 	background errgroup.Group
 	refused    refusedList
 	knowledge  *knowledge
+	// settling receives the times at which all runs of endpoints are reported whose ends are strikes of parts of prompts: which
+	// parts are refused may change then without a notice.
+	settling chan time.Time
 	// compared is true on a hub that has asked the others for their ledgers since it became one.
 	compared atomic.Bool
 
@@ -95,6 +100,7 @@
 		options: options, ledger: dogwoodsuspect.NewLedger(), parts: dogwoodsuspect.NewPartLedger(),
 		convicted: map[dogwoodfleet.Digest]time.Time{}, known: map[dogwoodfleet.InstanceID]uint64{},
 		refused: refusedList{fetch: make(chan struct{}, 1), ended: make(chan struct{}, 1)}, resolved: make(chan unresolvedRun, maxUnresolved),
+		settling:  make(chan time.Time, maxSettling),
 		knowledge: newKnowledge(options.Clock, options.Logger),
 	}
 	duty.exchange = Exchange{
@@ -121,6 +127,12 @@
 		duty.updateConviction(notices[i].Digest)
 	}
 	duty.updateKnownConvictions()
+	if slices.ContainsFunc(notices, func(notice dogwoodsuspect.Notice) bool { return notice.Kind == dogwoodsuspect.PartStrike }) {
+		select {
+		case duty.settling <- time.Now().Add(dogwoodsuspect.SettleTime):
+		default: // the next comparison updates the refusals
+		}
+	}
 }
 
 // updateConviction updates whether a digest is convicted, and until when. The caller holds the mutex.
