Refuse at once what gets none of the first slots after back-offs

Cause: while all endpoints of a service have asked for a back-off, a request that could wait a little longer than the first of them waited, and was refused when its time was over, though too many requests were before it. A plain call behind another one that could wait was not checked at all.

The queue asks it for each line whenever it places waiters. Board.Reopenings takes the place of BackoffsUntil. The relay's fake sets the holder of placed work, as the board's duty does; without it the ramp after a back-off had no effect in tests.

Result: of 40 calls at three endpoints, back-offs of 1.1 s, 3 are answered as before, and 37 are refused at once instead of after 1.2 s.

--- a/core/decision/dogwoodpacking/backoff.go
+++ b/core/decision/dogwoodpacking/backoff.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dogwoodmux.example/core/decision/dogwoodwaiting"
 	"dogwoodmux.example/core/dogwoodfleet"
 )
 
@@ -92,27 +93,26 @@
 	return count
 }
 
-// BackoffsUntil returns when the first of a service's endpoints in force takes requests again, and true if all of them have
-// asked for none.
-func (board *Board) BackoffsUntil(now time.Time, service dogwoodfleet.Service) (first time.Time, all bool) {
+// Reopenings returns how each of a service's endpoints in force takes requests again if all of them have asked for none now; else
+// nil.
+func (board *Board) Reopenings(now time.Time, service dogwoodfleet.Service) []dogwoodwaiting.Reopening {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	if len(board.backoffs) == 0 {
-		return time.Time{}, false
+		return nil
 	}
+	var reopenings []dogwoodwaiting.Reopening
 	for _, state := range board.endpoints {
 		if state.Service != service || !state.takesRequests() {
 			continue
 		}
 		until := board.backoffs[instanceOf(&state.Endpoint.Endpoint)]
 		if !until.After(now) {
-			return time.Time{}, false
-		}
-		if first.IsZero() || until.Before(first) {
-			first = until
+			return nil
 		}
+		reopenings = append(reopenings, dogwoodwaiting.Reopening{At: until, Slots: max(state.capacity(), 1), Ramp: backoffRamp})
 	}
-	return first, !first.IsZero()
+	return reopenings
 }
 
 // CountBackedOff returns the number of known endpoints that have asked this daemon for no requests now.
--- a/core/decision/dogwoodpacking/backoff_test.go
+++ b/core/decision/dogwoodpacking/backoff_test.go
@@ -74,7 +74,7 @@
 			if got := len(placeAll(board, later, "r")) == 0; got != test.want {
 				t.Errorf("got backed off %t, want %t", got, test.want)
 			}
-			if _, got := board.BackoffsUntil(later, "plain"); got != test.want {
+			if got := len(board.Reopenings(later, "plain")) > 0; got != test.want {
 				t.Errorf("got all backed off %t, want %t", got, test.want)
 			}
 		})
@@ -98,6 +98,32 @@
 	}
 }
 
+// Guards against refusing requests that would get slots after a back-off, or keeping others: what is reported of the slots that open
+// then differs from those that do.
+func TestReopeningsAreTheSlotsThatOpen(t *testing.T) {
+	board, now := NewBoard("me"), time.Now()
+	endpoint := backoffEndpoint("a", "a.1")
+	board.SetEndpoints([]Endpoint{endpoint})
+	end := now.Add(3 * time.Second)
+	board.Backoff(now, &endpoint.Endpoint, end)
+	reopenings := board.Reopenings(now, "plain")
+	if len(reopenings) != 1 || !reopenings[0].At.Equal(end) || reopenings[0].Slots != 12 {
+		t.Fatalf("got %+v, want 12 slots from the end of the back-off on", reopenings)
+	}
+	placed := 0
+	for slot := range reopenings[0].Slots {
+		opens := reopenings[0].At.Add(reopenings[0].Ramp * time.Duration(slot) / time.Duration(reopenings[0].Slots))
+		placed += placeAll(board, opens.Add(-time.Millisecond), fmt.Sprint(slot, "-before-"))["a"]
+		if placed != slot {
+			t.Errorf("got %d requests just before slot %d opens, want %d", placed, slot, slot)
+		}
+		placed += placeAll(board, opens.Add(time.Millisecond), fmt.Sprint(slot, "-after-"))["a"]
+	}
+	if placed != reopenings[0].Slots {
+		t.Errorf("got %d requests after the last slot has opened, want %d", placed, reopenings[0].Slots)
+	}
+}
+
 // Guards against a sound endpoint that is refused work, or a retry that waits, since another endpoint has asked for a back-off.
 func TestBackoffConcernsOneEndpoint(t *testing.T) {
 	board, now := NewBoard("me"), time.Now()
@@ -111,7 +137,7 @@
 	if placed := placeAll(board, now, "r"); placed["a"] != 0 || placed["b"] != 12 {
 		t.Errorf("got %v, want all requests at the other endpoint", placed)
 	}
-	if _, all := board.BackoffsUntil(now, "plain"); all {
+	if all := len(board.Reopenings(now, "plain")) > 0; all {
 		t.Error("got all backed off, want one")
 	}
 	if got := board.CountBackedOff(now); got != 1 {
--- a/core/decision/dogwoodpacking/leaving_test.go
+++ b/core/decision/dogwoodpacking/leaving_test.go
@@ -69,7 +69,7 @@
 		t.Error("got another endpoint, want none")
 	}
 	board.Backoff(now, &other.Endpoint, now.Add(time.Second))
-	if _, all := board.BackoffsUntil(now, "plain"); !all {
+	if all := len(board.Reopenings(now, "plain")) > 0; !all {
 		t.Error("got one that is not backed off, want all: the leaving one does not count")
 	}
 }
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dogwoodmux.example/core/decision/dogwoodpacking"
+	"dogwoodmux.example/core/decision/dogwoodwaiting"
 	"dogwoodmux.example/core/dogwoodfleet"
 )
 
@@ -387,9 +388,9 @@
 	return duty.options.Board.IsOpen(now, endpoint)
 }
 
-// BackoffsUntil returns when the first of a service's endpoints takes requests again, and true if all have asked for none.
-func (duty *Duty) BackoffsUntil(now time.Time, service dogwoodfleet.Service) (first time.Time, all bool) {
-	return duty.options.Board.BackoffsUntil(now, service)
+// Reopenings returns how a service's endpoints take requests again if all have asked for none; else nil.
+func (duty *Duty) Reopenings(now time.Time, service dogwoodfleet.Service) []dogwoodwaiting.Reopening {
+	return duty.options.Board.Reopenings(now, service)
 }
 
 // Serves reports whether a peer recently announced that it serves callers.
--- a/core/duty/dogwoodrelay/backoff_test.go
+++ b/core/duty/dogwoodrelay/backoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -87,6 +88,124 @@
 	})
 }
 
+// backoffLoad is a burst of calls at a pool of which all endpoints have asked for a back-off.
+type backoffLoad struct {
+	calls   int
+	pause   time.Duration // between two calls
+	backoff time.Duration
+	// warm is the number of calls that were answered before.
+	warm int
+	// rank returns the rank of a call; nil for 0.
+	rank func(number int) int
+}
+
+// callResult is how a call ended, and when.
+type callResult struct {
+	err  error
+	took time.Duration
+	at   time.Time
+}
+
+// run sends the calls and returns their results by number, and when the back-off ends.
+func (load *backoffLoad) run(t *testing.T, fixture *fixture) (results []callResult, until time.Time) {
+	t.Helper()
+	for range load.warm {
+		if err := fixture.relay.Serve(t.Context(), plainRequest(dogwoodroute.Idempotent), &recorder{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until = time.Now().Add(load.backoff)
+	for _, id := range []dogwoodfleet.EndpointID{"a", "b", "c"} {
+		fixture.board.Backoff(time.Now(), &dogwoodfleet.Endpoint{ID: id}, until)
+	}
+	results = make([]callResult, load.calls)
+	var group sync.WaitGroup
+	for number := range load.calls {
+		group.Go(func() {
+			request := plainRequest(dogwoodroute.Idempotent)
+			request.ID = fmt.Sprint("call-", number)
+			if load.rank != nil {
+				request.Rank = load.rank(number)
+			}
+			began := time.Now()
+			err := fixture.relay.Serve(t.Context(), request, &recorder{})
+			results[number] = callResult{err: err, took: time.Since(began), at: time.Now()}
+		})
+		time.Sleep(load.pause)
+	}
+	group.Wait()
+	return results, until
+}
+
+// Load: calls that wait for 1.2 s, and three endpoints that take one call each at the end of a back-off and another one 167 ms
+// later; a call runs for 400 ms. Guards against calls that wait for the back-off and are refused after it, since the calls before them
+// get all slots that open in their time, and against refusing a call that would have got one.
+func TestCallsBehindTheFirstSlotsAfterBackoffsAreRefusedAtOnce(t *testing.T) {
+	const runTime, refusalTime = 400 * time.Millisecond, 50 * time.Millisecond
+	tests := []struct {
+		name string
+		load backoffLoad
+		// isTurnedAway is true if an endpoint turns the first try away, whose run shows nothing of how long others hold their slots.
+		isTurnedAway bool
+		// wantAnswered is the number of calls that get slots, and wantLater that of calls that are refused later than at once,
+		// since others overtake them.
+		wantAnswered, wantLater int
+	}{
+		{"the first slots", backoffLoad{calls: 40, pause: time.Millisecond, backoff: 1100 * time.Millisecond, warm: 1}, false, 3, 0},
+		{"a try was turned away before", backoffLoad{calls: 40, pause: time.Millisecond, backoff: 1100 * time.Millisecond, warm: 1}, true, 3, 0},
+		{"the second slots too", backoffLoad{calls: 40, pause: time.Millisecond, backoff: 960 * time.Millisecond, warm: 1}, false, 6, 0},
+		{"more urgent calls come", backoffLoad{calls: 40, pause: time.Millisecond, backoff: 1100 * time.Millisecond, warm: 1, rank: func(number int) int {
+			return max(0, 10-number/2)
+		}}, false, 3, 20},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			script := []step{delayed(runTime, responds(http.StatusOK, "x"))}
+			served := map[int]bool{}
+			unknown := test.load
+			unknown.warm = 0 // without a run that has ended, nothing is known of slots that are used again
+			runRelayTest(t, nil, script, func(t *testing.T, fixture *fixture) {
+				results, _ := unknown.run(t, fixture)
+				for number, result := range results {
+					served[number] = result.err == nil
+				}
+			})
+			if test.isTurnedAway {
+				script = append([]step{notRun(http.StatusServiceUnavailable)}, script...)
+			}
+			runRelayTest(t, nil, script, func(t *testing.T, fixture *fixture) {
+				results, until := test.load.run(t, fixture)
+				answered, later := 0, 0
+				for number, result := range results {
+					if result.err == nil {
+						answered++
+						continue
+					}
+					if served[number] {
+						t.Errorf("call %d: got %v, want an answer as without the refusals", number, result.err)
+					}
+					failure := failureOf(t, result.err)
+					if failure.Reason != dogwoodfleet.ReasonLimit || failure.Run != dogwoodfleet.NotRun {
+						t.Errorf("call %d: got %+v, want it not run", number, failure)
+					}
+					if left := until.Sub(result.at); failure.RetryAfter < left || failure.RetryAfter > left+2*backoffSpread {
+						t.Errorf("call %d: got a wait of %s, want one until after the back-off, which ends in %s", number, failure.RetryAfter, left)
+					}
+					if result.took > 0 {
+						later++
+					}
+					if result.took > refusalTime {
+						t.Errorf("call %d: got a refusal after %s, want one within %s", number, result.took, refusalTime)
+					}
+				}
+				if answered != test.wantAnswered || later != test.wantLater {
+					t.Errorf("got %d calls answered and %d refused later than at once, want %d and %d", answered, later, test.wantAnswered, test.wantLater)
+				}
+			})
+		})
+	}
+}
+
 // backoffAfterPlacement lets an endpoint ask for a back-off as soon as a request was placed there for the first time.
 type backoffAfterPlacement struct {
 	places
--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -141,6 +141,11 @@
 	*dogwoodpacking.Board
 }
 
+func (places places) Place(now time.Time, request *dogwoodpacking.PlacementRequest) (dogwoodpacking.Placement, dogwoodpacking.Refusal) {
+	request.Holder = "me" // after a back-off, an endpoint's slots are opened by the number of its daemon's own requests
+	return places.Board.Place(now, request)
+}
+
 func (places places) Writes(id dogwoodpacking.WorkID, predicted, seen time.Duration) {
 	places.Board.Writes(time.Now(), id, predicted, seen)
 }
--- a/core/duty/dogwoodrelay/queue.go
+++ b/core/duty/dogwoodrelay/queue.go
@@ -23,6 +23,8 @@
 
 	mutex   sync.Mutex
 	waiters []*waiter
+	// shortestRuns are those of tries that were answered.
+	shortestRuns dogwoodwaiting.ShortestRuns
 }
 
 // waiter is a try that waits. Its result is sent once.
@@ -39,8 +41,8 @@
 type placementResult struct {
 	placement dogwoodpacking.Placement
 	refusal   dogwoodpacking.Refusal
-	// backoffsUntil is when the first endpoint takes requests again, if the try was refused since all have asked for none until
-	// it can wait no longer; else zero.
+	// backoffsUntil is when the first endpoint takes requests again, if the try was refused since all have asked for none and it
+	// would get no slot in time after that; else zero.
 	backoffsUntil time.Time
 }
 
@@ -75,6 +77,7 @@
 
 // placeWaiters places waiters in order of urgency. The caller holds the mutex.
 func (queue *queue) placeWaiters(now time.Time) {
+	queue.refuseTooLate(now)
 	slices.SortStableFunc(queue.waiters, func(a, b *waiter) int {
 		return dogwoodwaiting.Compare(now, &a.request, &b.request)
 	})
@@ -84,11 +87,8 @@
 			return false
 		}
 		result := queue.place(now, waiter)
-		if waiter.panicked == nil && result.refusal == dogwoodpacking.Full {
-			result.backoffsUntil = queue.backoffsTooLong(now, waiter)
-		}
 		switch {
-		case waiter.panicked != nil, !result.backoffsUntil.IsZero():
+		case waiter.panicked != nil:
 		case result.refusal == dogwoodpacking.Full:
 			// A prompt that needs the memory of several engines may not fit although others do.
 			full[waiter.placementRequest.Service] = waiter.placementRequest.Prompt == 0
@@ -109,14 +109,50 @@
 	return result
 }
 
-// backoffsTooLong returns when the first endpoint takes requests again if all have asked for none and the waiter can't wait for
-// it; else the zero time.
-func (queue *queue) backoffsTooLong(now time.Time, waiter *waiter) time.Time {
-	first, all := queue.places.BackoffsUntil(now, waiter.placementRequest.Service)
-	if !all || first.Before(waiter.waitUntil) {
-		return time.Time{}
+// refuseTooLate refuses the waiters that will get no slot in time after the back-offs for which all endpoints of their services
+// have asked. The caller holds the mutex.
+func (queue *queue) refuseTooLate(now time.Time) {
+	asked := map[dogwoodfleet.Service]bool{}
+	for _, waiter := range slices.Clone(queue.waiters) {
+		service := waiter.placementRequest.Service
+		if asked[service] {
+			continue
+		}
+		asked[service] = true
+		if reopenings := queue.places.Reopenings(now, service); len(reopenings) > 0 {
+			queue.refuseTooLateAfter(service, reopenings)
+		}
+	}
+}
+
+// refuseTooLateAfter is refuseTooLate for one service.
+func (queue *queue) refuseTooLateAfter(service dogwoodfleet.Service, reopenings []dogwoodwaiting.Reopening) {
+	first := slices.MinFunc(reopenings, func(a, b dogwoodwaiting.Reopening) int { return a.At.Compare(b.At) }).At
+	var line []dogwoodwaiting.Waiter
+	for _, waiter := range queue.waiters {
+		if waiter.placementRequest.Service == service {
+			line = append(line, dogwoodwaiting.Waiter{Request: &waiter.request, Until: waiter.waitUntil})
+		}
 	}
-	return first
+	tooLate := dogwoodwaiting.TooLate(line, reopenings, queue.shortestRuns.Of(service))
+	queue.waiters = slices.DeleteFunc(queue.waiters, func(waiter *waiter) bool {
+		if waiter.placementRequest.Service != service {
+			return false
+		}
+		isTooLate := tooLate[0]
+		tooLate = tooLate[1:]
+		if isTooLate {
+			waiter.result <- placementResult{refusal: dogwoodpacking.Full, backoffsUntil: first}
+		}
+		return isTooLate
+	})
+}
+
+// recordRun records how long a run of a service held its slot.
+func (queue *queue) recordRun(service dogwoodfleet.Service, held time.Duration) {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	queue.shortestRuns.Record(service, held)
 }
 
 // run places waiters whenever a slot may have become free, until the context ends.
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -24,6 +24,7 @@
 	"dogwoodmux.example/core/decision/dogwoodretry"
 	"dogwoodmux.example/core/decision/dogwoodroute"
 	"dogwoodmux.example/core/decision/dogwoodsuspect"
+	"dogwoodmux.example/core/decision/dogwoodwaiting"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
 	"dogwoodmux.example/core/duty/dogwoodsuspects"
@@ -183,8 +184,8 @@
 	Leave(now time.Time, endpoint *dogwoodfleet.Endpoint)
 	// IsOpen reports whether a request may be sent to an endpoint now: it has neither said that it leaves nor asked for a back-off.
 	IsOpen(now time.Time, endpoint *dogwoodfleet.Endpoint) bool
-	// BackoffsUntil returns when the first of a service's endpoints takes requests again, and true if all have asked for none.
-	BackoffsUntil(now time.Time, service dogwoodfleet.Service) (first time.Time, all bool)
+	// Reopenings returns how a service's endpoints take requests again if all have asked for none; else nil.
+	Reopenings(now time.Time, service dogwoodfleet.Service) []dogwoodwaiting.Reopening
 }
 
 // Suspects keeps requests that crash endpoints from running again.
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -45,6 +45,8 @@
 	pace     pace
 	// firstEventAt is when the first event arrived; zero before it.
 	firstEventAt time.Time
+	// answered is true once the endpoint has answered.
+	answered bool
 	// begun is true once the endpoint has lived on after the answer began.
 	begun bool
 	// peeked is the event that peek read; nil for none.
@@ -82,6 +84,10 @@
 	}
 	run.cancel(nil)
 	run.retry.Return()
+	if run.answered {
+		attempt := run.attempt
+		attempt.relay.queue.recordRun(attempt.request.Service, time.Since(run.sentAt))
+	}
 	run.free()
 }
 
@@ -152,6 +158,7 @@
 	if !run.isAnswer() {
 		return errUnusable
 	}
+	run.answered = true
 	return nil
 }
 
