Count only several own prompts as a storm of placements

Cause: one prompt of a daemon within 20 ms, times twelve daemons, counted as a storm, so that nearly all prompts went to the daemon's own group and engines were packed less.

Change: at least four own prompts are needed.

--- a/core/decision/dogwoodpacking/groups.go
+++ b/core/decision/dogwoodpacking/groups.go
@@ -22,6 +22,10 @@
 // traffic, and all daemons filled the same few engines.
 const stormFactor = 3
 
+// minStorm is the number of own prompts in collisionWindow from which the other daemons are taken to place as many. Fewer come together
+// by chance.
+const minStorm = 4
+
 // groupCount returns the number of groups for engines that hold the given number of requests.
 func (board *Board) groupCount(now time.Time, requestCount, slots int) int {
 	packed := max(packShare*float64(slots), 1)
@@ -33,10 +37,14 @@
 	return max(min(engines, prompts, board.senders.Count), 1)
 }
 
-// recentPrompts estimates the number of prompts within collisionWindow. The other daemons' announcements may not have arrived: these are
-// taken to place as many as this one.
+// recentPrompts estimates the number of prompts within collisionWindow. The other daemons' announcements may not have arrived: in a storm
+// these are taken to place as many as this one.
 func (board *Board) recentPrompts(now time.Time) int {
-	return max(board.promptSends.countWithin(now, collisionWindow), board.ownPromptSends.countWithin(now, collisionWindow)*board.senders.Count)
+	own := board.ownPromptSends.countWithin(now, collisionWindow)
+	if own < minStorm {
+		own = 0
+	}
+	return max(board.promptSends.countWithin(now, collisionWindow), own*board.senders.Count)
 }
 
 // inOwnGroup reports whether an engine belongs to this daemon's group. When the number of groups
