Check the retry budget again when a retry is sent

Cause: a retry that was taken was paid by what requests had earned by then, and was sent without a further check. While it waited for a slot, what had been earned for it fell out of the windows that count. With three daemons, ratio 0.2, slack 10 and requests that cease one second after all endpoints fail, 41 retries that waited for 12 s were sent in a window that allowed 10. The bucket and the rollover each counted what is pending, and a retry was paid in parts by both.

Change: one ledger of time slots replaces them. It counts first tries, retries sent and retries pending, and checks each window that holds the present. Retry.Send checks the budget again and returns false when the retry can't be sent any more; the relay counts a try's retry as it is prepared, refuses the request in that case, and returns the retry. Unsend after Return does nothing. A window below MinWindow is taken for that: 10 ns divided by the number of slots was zero, and the rollover panicked.

--- a/core/decision/dogwoodretry/sharedbudget.go
+++ b/core/decision/dogwoodretry/sharedbudget.go
@@ -8,26 +8,27 @@
 )
 
 const (
-	// burstPart is the part of a daemon's share of the allowance that its bucket may hold.
+	// burstPart is the part of a daemon's share of the allowance that may be spent at once.
 	burstPart = 0.65
-	// refillPart is the part that refills the bucket in the course of a window, so that daemons with few requests, and those
+	// refillPart is the part that is added in the course of a window, so that daemons with few requests, and those
 	// that have just started, get retries too. The rest is for retries that are delayed on their way to endpoints, and
 	// arrive together with later ones.
 	refillPart = 0.2
-	// rolloverPart is the part of what first tries earn that can be spent later, when endpoints fail.
-	rolloverPart = 0.5
+	// laterPart is the part of what first tries earn that can be spent later, when endpoints fail.
+	laterPart = 0.5
 	// shareInterval is how often the daemon's share is determined again at most.
 	shareInterval = 250 * time.Millisecond
+	// whole is a whole retry, less what sums of fractions may lose.
+	whole = 1 - 1e-9
 )
 
 // SharedBudget is one daemon's part of a retry budget that covers all daemons of a fleet: in any window a service may get
 // Ratio retries for each first try, and an allowance in addition.
 //
-// The daemon keeps a token bucket and a rollover for each service. A first try adds a part of Ratio to either, and time adds
-// refillPart of the daemon's share of the allowance in a window to the bucket. Tokens that were taken for retries that are not
-// sent yet count against what the bucket may hold. Therefore a process sends in any window at most its share and the retries that
+// The daemon keeps a ledger for each service. A process sends in any window at most its share of the allowance and the retries that
 // its own first tries have earned, those of that window by one part and those of the window that began half a window earlier by the
-// other. Since both start empty, this holds for the processes of a VM together
+// other. This is checked as a retry is taken and again as it is sent, since what was earned for it may lie too far back by then.
+// Since a process begins with nothing, this holds for the processes of a VM together
 // whenever they end and start: what a process had spent needs to be known to none after it. The budget is kept as long as
 // the shares of the processes that run at the same time add up to no more than the allowance.
 type SharedBudget struct {
@@ -39,167 +40,140 @@
 	// share is the daemon's share of the allowance, as determined at sharedAt.
 	share    float64
 	sharedAt time.Time
-	buckets  map[dogwoodfleet.Service]*sharedBucket
-	// idle is the bucket of a service without requests.
-	idle sharedBucket
-}
-
-// sharedBucket holds the tokens of one service.
-type sharedBucket struct {
-	tokens float64
-	// pending is the number of tokens taken for retries that are not sent yet.
-	pending  float64
-	updated  time.Time
-	rollover rollover
-}
-
-// available returns how many retries can be made now.
-func (bucket *sharedBucket) available() float64 {
-	return bucket.tokens + bucket.rollover.left()
+	ledgers  map[dogwoodfleet.Service]*ledger
+	// idle is the ledger of a service without requests.
+	idle ledger
 }
 
 // NewSharedBudget returns the budget of a process that starts now. Share returns this daemon's share of the allowance, in
-// retries per window.
+// retries per window. A window shorter than MinWindow is taken for that.
 func NewSharedBudget(now time.Time, ratio float64, window time.Duration, share func() float64) *SharedBudget {
-	return &SharedBudget{
-		ratio: ratio, window: window, getShare: share,
-		buckets: map[dogwoodfleet.Service]*sharedBucket{}, idle: sharedBucket{updated: now, rollover: newRollover(now, window)},
-	}
+	window = max(window, MinWindow)
+	return &SharedBudget{ratio: ratio, window: window, getShare: share, ledgers: map[dogwoodfleet.Service]*ledger{}, idle: newLedger(now, window)}
 }
 
 // First records the first try of a request.
 func (shared *SharedBudget) First(now time.Time, service dogwoodfleet.Service) {
 	shared.mutex.Lock()
 	defer shared.mutex.Unlock()
-	bucket := shared.bucket(now, service)
-	shared.add(bucket, (1-rolloverPart)*shared.ratio)
-	bucket.rollover.earn(rolloverPart * shared.ratio)
+	ledger, limits := shared.ledger(now, service)
+	ledger.earn(&limits)
 }
 
 // Take takes one retry from this daemon's part, or returns nil if that is used up.
 func (shared *SharedBudget) Take(now time.Time, service dogwoodfleet.Service) *Retry {
 	shared.mutex.Lock()
 	defer shared.mutex.Unlock()
-	bucket := shared.bucket(now, service)
-	if bucket.available() < 1 {
+	ledger, limits := shared.ledger(now, service)
+	if ledger.available(&limits) < whole {
 		return nil
 	}
-	retry := &Retry{budget: shared, bucket: bucket, tokens: min(bucket.tokens, 1)}
-	bucket.tokens -= retry.tokens
-	bucket.pending += retry.tokens
-	bucket.rollover.pending += 1 - retry.tokens
-	return retry
+	ledger.pending++
+	return &Retry{budget: shared, ledger: ledger}
 }
 
 // Allows reports whether Take would succeed now.
 func (shared *SharedBudget) Allows(now time.Time, service dogwoodfleet.Service) bool {
 	shared.mutex.Lock()
 	defer shared.mutex.Unlock()
-	return shared.bucket(now, service).available() >= 1
+	ledger, limits := shared.ledger(now, service)
+	return ledger.available(&limits) >= whole
 }
 
 // Left returns the number of retries left to the service that has the fewest left.
 func (shared *SharedBudget) Left(now time.Time) float64 {
 	shared.mutex.Lock()
 	defer shared.mutex.Unlock()
-	shared.refill(now, &shared.idle)
-	least := shared.idle.tokens
-	for _, bucket := range shared.buckets {
-		shared.refill(now, bucket)
-		least = min(least, bucket.available())
+	limits := shared.limits(now)
+	shared.idle.advance(now, &limits)
+	least := shared.idle.available(&limits)
+	for _, ledger := range shared.ledgers {
+		ledger.advance(now, &limits)
+		least = min(least, ledger.available(&limits))
 	}
 	return least
 }
 
-// bucket returns the bucket of a service with its present content. The caller holds the mutex.
-func (shared *SharedBudget) bucket(now time.Time, service dogwoodfleet.Service) *sharedBucket {
-	bucket := shared.buckets[service]
-	if bucket == nil {
+// ledger returns the ledger of a service as it is now, and its limits. The caller holds the mutex.
+func (shared *SharedBudget) ledger(now time.Time, service dogwoodfleet.Service) (*ledger, limits) {
+	limits := shared.limits(now)
+	ledger := shared.ledgers[service]
+	if ledger == nil {
 		idle := shared.idle
-		bucket = &idle
-		shared.buckets[service] = bucket
+		ledger = &idle
+		shared.ledgers[service] = ledger
 	}
-	shared.refill(now, bucket)
-	return bucket
-}
-
-// burst returns how many tokens a bucket may hold. With a share of at least one retry it must be possible to make one.
-func (shared *SharedBudget) burst() float64 {
-	return max(burstPart*shared.share, min(shared.share, 1))
-}
-
-// refillPerWindow returns how many tokens time adds in a window. Together with what a bucket may hold they are no more than
-// the share.
-func (shared *SharedBudget) refillPerWindow() float64 {
-	return min(refillPart*shared.share, shared.share-shared.burst())
+	ledger.advance(now, &limits)
+	return ledger, limits
 }
 
-// refill adds what the time since the last update has earned.
-func (shared *SharedBudget) refill(now time.Time, bucket *sharedBucket) {
-	bucket.rollover.advance(now)
+// limits returns the present limits. With a share of at least one retry it must be possible to make one. The burst and what time adds
+// in a window are together no more than the share.
+func (shared *SharedBudget) limits(now time.Time) limits {
 	if now.Sub(shared.sharedAt) >= shareInterval {
 		shared.share, shared.sharedAt = shared.getShare(), now
 	}
-	elapsed := now.Sub(bucket.updated)
-	if elapsed <= 0 {
-		return
-	}
-	bucket.updated = now
-	shared.add(bucket, shared.refillPerWindow()*elapsed.Seconds()/shared.window.Seconds())
+	burst := max(burstPart*shared.share, min(shared.share, 1))
+	return limits{ratio: shared.ratio, burst: burst, perSlot: min(refillPart*shared.share, shared.share-burst) / slotsPerWindow}
 }
 
-// add adds tokens, as far as the bucket may hold them.
-func (shared *SharedBudget) add(bucket *sharedBucket, tokens float64) {
-	bucket.tokens = min(bucket.tokens+tokens, max(shared.burst()-bucket.pending, 0))
-}
+// retryState is what has become of a retry that was taken.
+type retryState int
+
+const (
+	retryPending retryState = iota
+	retrySent
+	retryReturned
+)
 
 // Retry is a retry that was taken from a budget. It is sent or returned once; a nil Retry needs neither. It is not safe for
 // concurrent use.
 type Retry struct {
 	budget *SharedBudget
-	bucket *sharedBucket
-	// tokens is the part of the retry that the bucket pays. The rollover pays the rest.
-	tokens float64
-	sent   bool
-	// sentIn is the slot of the rollover in which it was sent.
+	ledger *ledger
+	state  retryState
+	// sentIn is the slot in which it was sent.
 	sentIn int
 }
 
-// Send records that the retry is being sent.
-func (retry *Retry) Send(now time.Time) {
-	if retry == nil || retry.sent {
-		return
+// Send records that the retry is being sent. It returns false if that would exceed the budget by now, because what was earned
+// for the retry lies too far back; the retry stays pending then. A nil Retry stands for a first try, which can always be sent.
+func (retry *Retry) Send(now time.Time) bool {
+	if retry == nil {
+		return true
+	}
+	if retry.state != retryPending {
+		return retry.state == retrySent
 	}
 	retry.budget.mutex.Lock()
 	defer retry.budget.mutex.Unlock()
-	retry.sent = true
-	retry.bucket.pending -= retry.tokens
-	retry.bucket.rollover.advance(now)
-	retry.sentIn = retry.bucket.rollover.spend(1 - retry.tokens)
+	limits := retry.budget.limits(now)
+	retry.ledger.advance(now, &limits)
+	if retry.ledger.left(&limits) < whole {
+		return false
+	}
+	retry.state, retry.sentIn = retrySent, retry.ledger.send()
+	return true
 }
 
 // Unsend records that the retry reached no endpoint after all and is to be sent again.
 func (retry *Retry) Unsend() {
-	if retry == nil || !retry.sent {
+	if retry == nil || retry.state != retrySent {
 		return
 	}
 	retry.budget.mutex.Lock()
 	defer retry.budget.mutex.Unlock()
-	retry.sent = false
-	retry.bucket.pending += retry.tokens
-	retry.budget.add(retry.bucket, 0)
-	retry.bucket.rollover.unspend(retry.sentIn, 1-retry.tokens)
+	retry.state = retryPending
+	retry.ledger.unsend(retry.sentIn)
 }
 
 // Return gives the retry back if it was not sent.
 func (retry *Retry) Return() {
-	if retry == nil || retry.sent {
+	if retry == nil || retry.state != retryPending {
 		return
 	}
 	retry.budget.mutex.Lock()
 	defer retry.budget.mutex.Unlock()
-	retry.sent = true
-	retry.bucket.pending -= retry.tokens
-	retry.budget.add(retry.bucket, retry.tokens)
-	retry.bucket.rollover.pending -= 1 - retry.tokens
+	retry.state = retryReturned
+	retry.ledger.pending--
 }
--- a/core/decision/dogwoodretry/sharedbudget_test.go
+++ b/core/decision/dogwoodretry/sharedbudget_test.go
@@ -62,7 +62,7 @@
 		for _, from := range []time.Time{at, at.Add(-testWindow + 1)} {
 			got := countWithin(retries, from)
 			during, earlier := countWithin(first, from), countWithin(first, from.Add(-testWindow/2))
-			earned := ratio * ((1-rolloverPart)*float64(during) + rolloverPart*float64(earlier))
+			earned := ratio * ((1-laterPart)*float64(during) + laterPart*float64(earlier))
 			if allowed := earned + allowance; float64(got) > allowed+1e-6 {
 				t.Fatalf("got %d retries in a window with %d first tries, %d in the one half a window earlier, want at most %.1f", got, during, earlier, allowed)
 			}
@@ -80,8 +80,12 @@
 
 // processes simulates the processes of a fleet, which end, freeze and hold retries for a while before they send them.
 type processes struct {
-	random         *rand.Rand
-	ratio, share   float64
+	random       *rand.Rand
+	ratio, share float64
+	// maxWait is how long retries wait at most.
+	maxWait time.Duration
+	// quiet is true while no requests come.
+	quiet          bool
 	budgets        []*SharedBudget
 	frozenUntil    []time.Time
 	held           []heldRetry
@@ -124,7 +128,11 @@
 }
 
 func (processes *processes) serve(now time.Time, process int, failing bool) {
-	for range processes.random.IntN(3) {
+	requests := processes.random.IntN(3)
+	if processes.quiet {
+		requests = 0
+	}
+	for range requests {
 		processes.budgets[process].First(now, "s")
 		processes.first = append(processes.first, now)
 	}
@@ -133,7 +141,7 @@
 		if retry == nil {
 			return
 		}
-		wait := time.Duration(processes.random.Int64N(int64(4 * time.Second)))
+		wait := time.Duration(processes.random.Int64N(int64(processes.maxWait)))
 		processes.held = append(processes.held, heldRetry{retry: retry, process: process, due: now.Add(wait)})
 	}
 }
@@ -146,50 +154,70 @@
 			held = append(held, retry)
 			continue
 		}
-		switch processes.random.IntN(10) {
-		case 0:
+		action := processes.random.IntN(10)
+		if action == 0 || !retry.retry.Send(now) {
 			retry.retry.Return()
-		case 1:
-			retry.retry.Send(now)
+			continue
+		}
+		if action == 1 {
 			retry.retry.Unsend()
 			held = append(held, retry)
-		default:
-			retry.retry.Send(now)
-			processes.retries = append(processes.retries, now)
+			continue
 		}
+		processes.retries = append(processes.retries, now)
 	}
 	processes.held = held
 }
 
 // Guards against a budget that is exceeded when processes end, since those that start in their place have spent nothing; when
-// retries wait after they were taken, and are then sent together; and when processes freeze.
+// retries wait after they were taken, and are then sent together; when requests cease while they wait, so that nothing is earned in the
+// windows in which they are sent; and when processes freeze.
 func TestBudgetHoldsWhateverHappensToProcesses(t *testing.T) {
-	const seeds, step, length = 300, 50 * time.Millisecond, 40 * time.Second
-	for seed := range uint64(seeds) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			random := rand.New(rand.NewPCG(seed, 0))
-			daemons := 1 + random.IntN(12)
-			processes := &processes{random: random, ratio: 0.1 + 0.2*random.Float64(), share: 1 + 10*random.Float64()*random.Float64()}
-			processes.budgets, processes.frozenUntil = make([]*SharedBudget, daemons), make([]time.Time, daemons)
-			start := time.Now()
+	tests := []struct {
+		name    string
+		seeds   uint64
+		maxWait time.Duration
+		pauses  bool
+	}{
+		{"steady load", 300, 4 * time.Second, false},
+		{"load with pauses, long waits", 300, 14 * time.Second, true},
+	}
+	for _, test := range tests {
+		for seed := range test.seeds {
+			t.Run(fmt.Sprintf("%s, seed %d", test.name, seed), func(t *testing.T) {
+				playProcesses(t, rand.New(rand.NewPCG(seed, 0)), test.maxWait, test.pauses)
+			})
+		}
+	}
+}
+
+// playProcesses plays a fleet whose endpoints fail at times, and whose load pauses if it is to.
+func playProcesses(t *testing.T, random *rand.Rand, maxWait time.Duration, pauses bool) {
+	t.Helper()
+	const step, length = 50 * time.Millisecond, 40 * time.Second
+	daemons := 1 + random.IntN(12)
+	processes := &processes{random: random, maxWait: maxWait, ratio: 0.1 + 0.2*random.Float64(), share: 1 + 10*random.Float64()*random.Float64()}
+	processes.budgets, processes.frozenUntil = make([]*SharedBudget, daemons), make([]time.Time, daemons)
+	start := time.Now()
+	for i := range daemons {
+		processes.budgets[i] = newOldBudget(start, processes.ratio, processes.share)
+	}
+	failing := false
+	for now := start; now.Before(start.Add(length)); now = now.Add(step) {
+		if random.IntN(100) == 0 {
+			failing = !failing
+		}
+		if pauses && random.IntN(150) == 0 {
+			processes.quiet = !processes.quiet
+		}
+		if random.IntN(400) == 0 { // all are killed at once
 			for i := range daemons {
-				processes.budgets[i] = newOldBudget(start, processes.ratio, processes.share)
-			}
-			failing := false
-			for now := start; now.Before(start.Add(length)); now = now.Add(step) {
-				if random.IntN(100) == 0 {
-					failing = !failing
-				}
-				if random.IntN(400) == 0 { // all are killed at once
-					for i := range daemons {
-						processes.kill(now, i)
-					}
-				}
-				processes.step(now, failing)
+				processes.kill(now, i)
 			}
-			checkWindows(t, processes.first, processes.retries, processes.ratio, processes.share*float64(daemons))
-		})
+		}
+		processes.step(now, failing)
 	}
+	checkWindows(t, processes.first, processes.retries, processes.ratio, processes.share*float64(daemons))
 }
 
 // Guards against shares that add up to more than the allowance in a fleet with about as many daemons as retries: a bucket
@@ -328,6 +356,54 @@
 	}
 }
 
+// Guards against retries that wait and are not counted: a daemon takes as many as its requests ask for, and sends them together.
+func TestWaitingRetriesAreCounted(t *testing.T) {
+	const most = 20
+	share := 12.0
+	want := int(share * burstPart)
+	tests := []struct {
+		name string
+		// settle is what happens to the retries that were taken first.
+		settle func(now time.Time, retry *Retry)
+		want   int
+	}{
+		{"they wait", func(time.Time, *Retry) {}, 0},
+		{"they are sent", func(now time.Time, retry *Retry) { retry.Send(now) }, 0},
+		{"they are sent twice", func(now time.Time, retry *Retry) { retry.Send(now); retry.Send(now) }, 0},
+		{"they reach no endpoint and wait again", func(now time.Time, retry *Retry) { retry.Send(now); retry.Unsend() }, 0},
+		{"they reach no endpoint and are sent again", func(now time.Time, retry *Retry) { retry.Send(now); retry.Unsend(); retry.Send(now) }, 0},
+		{"they are sent and returned", func(now time.Time, retry *Retry) { retry.Send(now); retry.Return() }, 0},
+		{"they are returned", func(_ time.Time, retry *Retry) { retry.Return() }, want},
+		{"they are returned twice", func(_ time.Time, retry *Retry) { retry.Return(); retry.Return() }, want},
+		{"they are returned and said to have reached no endpoint", func(_ time.Time, retry *Retry) { retry.Return(); retry.Unsend() }, want},
+		{"they reach no endpoint and are returned", func(now time.Time, retry *Retry) { retry.Send(now); retry.Unsend(); retry.Return() }, want},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Now()
+			shared := newOldBudget(now, 0.2, share)
+			take := func() (taken []*Retry) {
+				for range most {
+					if retry := shared.Take(now, "s"); retry != nil {
+						taken = append(taken, retry)
+					}
+				}
+				return taken
+			}
+			first := take()
+			if got := len(first); got != want {
+				t.Fatalf("got %d retries, want %d", got, want)
+			}
+			for _, retry := range first {
+				test.settle(now, retry)
+			}
+			if got := len(take()); got != test.want {
+				t.Errorf("got %d further retries, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against a budget that shrinks by retries that were taken but not made, or grows when one is returned twice.
 func TestReturnedRetryCanBeTakenAgain(t *testing.T) {
 	now := time.Now()
@@ -344,3 +420,22 @@
 		retry.Return()
 	}
 }
+
+// Guards against a daemon that ends or hangs on a window that can't be divided into slots: the length of a slot was rounded
+// to zero.
+func TestWindowsThatCannotBeDivided(t *testing.T) {
+	for _, window := range []time.Duration{-time.Second, 0, 1, slotsPerWindow - 1, slotsPerWindow + 1, MinWindow - 1, MinWindow} {
+		now := time.Now()
+		shared := NewSharedBudget(now.Add(-time.Hour), 0.2, window, func() float64 { return 12 })
+		shared.First(now, "s")
+		got := 0
+		for range 20 {
+			if retry := shared.Take(now, "s"); retry != nil && retry.Send(now) {
+				got++
+			}
+		}
+		if want := 7; got != want {
+			t.Errorf("window of %s: got %d retries, want %d", window, got, want)
+		}
+	}
+}
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -267,8 +267,11 @@
 // TakeRetry takes a retry for a request that another daemon is about to send again, and reports whether there was one.
 func (relay *Relay) TakeRetry(request *Request) bool {
 	retry := relay.options.Retries.Take(time.Now(), request.Service)
-	retry.Send(time.Now())
-	return retry != nil
+	if retry == nil {
+		return false
+	}
+	defer retry.Return() // unless it is sent
+	return retry.Send(time.Now())
 }
 
 // Waiting returns the number of tries that wait for a slot.
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -136,7 +136,6 @@
 
 // open sends the request. It returns errUnusable if the response is not an answer.
 func (run *run) open() error {
-	run.retry.Send(time.Now())
 	response, err := run.send()
 	var unsent *NotSent
 	if errors.As(err, &unsent) {
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -218,8 +218,8 @@
 	}
 }
 
-// prepare gets a permit if the request is a suspect, a placement and the memory that a try needs. If it can't, it
-// returns nil and the result of the try.
+// prepare gets a permit if the request is a suspect, a placement and the memory that a try needs, and counts the try's retry as
+// sent, as nothing waits from then on. If it can't, it returns nil and the result of the try.
 func (attempt *attempt) prepare(ctx context.Context) (*preparedTry, tryResult) {
 	attempt.tries++
 	for {
@@ -233,6 +233,10 @@
 			return nil, failed
 		}
 		if attempt.relay.options.Suspects.StillAdmitted(permit, &attempt.subject) && attempt.isStillOpen(prepared.placement) {
+			if !attempt.retry.Send(time.Now()) {
+				prepared.close(ctx)
+				return nil, tryResult{err: attempt.refuseLateRetry()}
+			}
 			attempt.triedEndpoints = append(attempt.triedEndpoints, prepared.placement.Endpoint.ID)
 			prepared.retry, attempt.retry = attempt.retry, nil
 			return prepared, tryResult{}
@@ -241,6 +245,14 @@
 	}
 }
 
+// refuseLateRetry returns the failure of a try whose retry has waited for so long that the budget does not cover it any more.
+func (attempt *attempt) refuseLateRetry() error {
+	const why = "the retry budget does not cover the retry any more"
+	counters.Add("RetriesForbidden", 1)
+	attempt.relay.options.Logger.Info(dogwoodlog.NoFurtherTry, "request", attempt.request.ID, "why", why, "after", "a wait")
+	return attempt.newFailure(dogwoodfleet.ReasonLimit, dogwoodkernel.Jittered(fullRetryAfter), why)
+}
+
 // isStillOpen reports whether no endpoint of a placement has asked for a back-off or said that it leaves since.
 func (attempt *attempt) isStillOpen(placement dogwoodpacking.Placement) bool {
 	places, now := attempt.relay.options.Places, time.Now()
