--- a/core/duty/dogwoodrelay/retry_test.go
+++ b/core/duty/dogwoodrelay/retry_test.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
+	"dogwoodmux.example/core/decision/dogwoodpacking"
+	"dogwoodmux.example/core/decision/dogwoodretry"
 	"dogwoodmux.example/core/decision/dogwoodroute"
 )
 
@@ -40,3 +44,41 @@
 		})
 	}
 }
+
+// Guards against retries that exceed the budget because they wait for a slot: what was earned for them lies too far back when
+// they are sent, and others have been earned and sent since.
+func TestRetryThatWaitsTooLongIsNotSent(t *testing.T) {
+	const ratio, window = 10, 400 * time.Millisecond
+	tests := []struct {
+		name string
+		// slots is the number of slots that are taken for two windows.
+		slots, wantSends int
+	}{
+		{"a slot is free", 0, 2},
+		{"all slots are taken for longer than a window", 3*testEngine.Slots - 1, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var script [2]step
+			runRelayTest(t, testEngine, script[:], func(t *testing.T, fixture *fixture) {
+				fixture.relay.options.Retries = dogwoodretry.NewSharedBudget(time.Now().Add(-time.Hour), ratio, window, func() float64 { return 0 })
+				fixture.endpoints.script[0] = delayed(50*time.Millisecond, func(context.Context) (*Response, error) {
+					fixture.takeSlots(t, test.slots)
+					time.AfterFunc(2*window, func() {
+						for slot := range test.slots {
+							fixture.board.End(dogwoodpacking.WorkID(fmt.Sprint(slot)))
+						}
+					})
+					return nil, &Broken{Cause: errors.New("reset")}
+				})
+				fixture.endpoints.script[1] = responds(http.StatusOK, "second")
+				request := plainRequest(dogwoodroute.Idempotent)
+				request.Route.Aim = 3 * time.Second                           // it may wait for so long
+				_ = fixture.relay.Serve(t.Context(), request, fixture.answer) // one of them fails
+				if got := len(fixture.endpoints.sends); got != test.wantSends {
+					t.Errorf("got %d sends, want %d", got, test.wantSends)
+				}
+			})
+		})
+	}
+}
