Name the tests that guard each part of the retry ledger

Cause: trials that took one part out at a time found that no test failed without the check of what time adds beyond a share of one retry, the slow return of a share that was spent, the order of events in a slot whose retry is not sent, and the count of a retry for another daemon. A budget without a count of what waits ran the randomized test into its time-out.

--- a/core/decision/dogwoodretry/sharedbudget_test.go
+++ b/core/decision/dogwoodretry/sharedbudget_test.go
@@ -12,6 +12,10 @@
 
 const testWindow = 10 * time.Second
 
+// maxTakes bounds the retries that a test takes at once, far above what a budget gives, so that a budget without an end fails the test
+// at once.
+const maxTakes = 200
+
 // newOldBudget returns the budget of a process that has run for long, with a constant share.
 func newOldBudget(now time.Time, ratio, share float64) *SharedBudget {
 	return NewSharedBudget(now.Add(-time.Hour), ratio, testWindow, func() float64 { return share })
@@ -19,12 +23,13 @@
 
 // takeAll takes and sends all retries that the budget allows, and returns their number.
 func takeAll(shared *SharedBudget, now time.Time, service dogwoodfleet.Service) int {
-	count := 0
-	for retry := shared.Take(now, service); retry != nil; retry = shared.Take(now, service) {
-		retry.Send(now)
-		count++
+	for count := range maxTakes {
+		retry := shared.Take(now, service)
+		if retry == nil || !retry.Send(now) {
+			return count
+		}
 	}
-	return count
+	return maxTakes
 }
 
 // Guards against daemons exceeding a service's retry budget together. All of them retry
@@ -54,6 +59,9 @@
 	}
 }
 
+// maxWaiting bounds the retries that wait in a fleet whose budget counts them.
+const maxWaiting = 1000
+
 // checkWindows fails the test if in any window there are more retries than the allowance and the first tries pay for: one part
 // of what they earn by those of that very window, the other by those of the window that began half a window earlier.
 func checkWindows(t *testing.T, first, retries []time.Time, ratio, allowance float64) {
@@ -136,7 +144,10 @@
 		processes.budgets[process].First(now, "s")
 		processes.first = append(processes.first, now)
 	}
-	for failing {
+	for range maxTakes {
+		if !failing {
+			return
+		}
 		retry := processes.budgets[process].Take(now, "s")
 		if retry == nil {
 			return
@@ -216,6 +227,9 @@
 			}
 		}
 		processes.step(now, failing)
+		if got := len(processes.held); got > maxWaiting {
+			t.Fatalf("got %d retries that wait, want at most %d", got, maxWaiting)
+		}
 	}
 	checkWindows(t, processes.first, processes.retries, processes.ratio, processes.share*float64(daemons))
 }
@@ -223,15 +237,28 @@
 // Guards against shares that add up to more than the allowance in a fleet with about as many daemons as retries: a bucket
 // must hold a whole retry there, which leaves nothing of the share to refill it.
 func TestSharesOfOneRetryAddUp(t *testing.T) {
-	const daemons, ratio = 50, 0.21
-	for _, share := range []float64{1, 1.1, 1.25, 1.6} {
+	const daemons = 50
+	odd := []int{1, 3, 5, 7}
+	tests := []struct {
+		ratio, share float64
+		// first are the seconds in which each daemon gets a first try.
+		first []int
+	}{
+		{0.21, 1, odd},
+		{0.21, 1.1, odd},
+		{0.21, 1.25, odd},
+		{0.21, 1.6, odd},
+		{0.85, 1, []int{5, 7}}, // with what time would add beyond the share, they would earn a whole retry
+	}
+	for _, test := range tests {
+		ratio, share := test.ratio, test.share
 		start := time.Now()
 		var first, retries []time.Time
 		for range daemons {
 			shared := newOldBudget(start, ratio, share)
 			for second := range 10 {
 				now := start.Add(time.Duration(second) * testWindow / 10)
-				if second%2 == 1 && second < 8 {
+				if slices.Contains(test.first, second) {
 					shared.First(now, "s")
 					first = append(first, now)
 				}
@@ -254,6 +281,11 @@
 	if got, want := takeAll(newOldBudget(now, 0.2, share), now, "s"), int(share*burstPart); got != want {
 		t.Errorf("got %d retries at once, want %d", got, want)
 	}
+	spent := newOldBudget(now, 0.2, share)
+	takeAll(spent, now, "s")
+	if got, want := takeAll(spent, now.Add(testWindow+time.Second), "s"), int(share*(burstPart+1.1*refillPart))-int(share*burstPart); got != want {
+		t.Errorf("got %d retries of an idle daemon more than a window after it had used its share, want %d, since it returns slowly", got, want)
+	}
 	started := NewSharedBudget(now, 0.2, testWindow, func() float64 { return share })
 	if got := takeAll(started, now, "s"); got != 0 {
 		t.Errorf("got %d retries of a daemon that has just started, want none", got)
@@ -421,6 +453,26 @@
 	}
 }
 
+// Guards against first tries that are counted for a window which began after them: a retry before them reached no endpoint, and one
+// after them is taken for it.
+func TestRetryAfterFirstTriesStaysCounted(t *testing.T) {
+	now := time.Now()
+	shared := newOldBudget(now, 1, 1.25)
+	before := shared.Take(now, "s")
+	before.Send(now)
+	for range 2 { // they earn one retry for the windows that hold them
+		shared.First(now, "s")
+	}
+	if got := takeAll(shared, now, "s"); got != 1 {
+		t.Fatalf("got %d retries after the first tries, want 1", got)
+	}
+	before.Unsend()
+	before.Return()
+	if got := takeAll(shared, now, "s"); got != 0 {
+		t.Errorf("got %d further retries, want none: a window may have begun after the first tries", got)
+	}
+}
+
 // Guards against a daemon that ends or hangs on a window that can't be divided into slots: the length of a slot was rounded
 // to zero.
 func TestWindowsThatCannotBeDivided(t *testing.T) {
--- a/core/duty/dogwoodrelay/retry_test.go
+++ b/core/duty/dogwoodrelay/retry_test.go
@@ -82,3 +82,16 @@
 		})
 	}
 }
+
+// Guards against forwarded requests that are sent again without an end: a retry for another daemon was not counted.
+func TestRetriesOfOtherDaemonsAreCounted(t *testing.T) {
+	runRelayTest(t, nil, nil, func(t *testing.T, fixture *fixture) {
+		fixture.relay.options.Retries = newRetryBudget(0, 1.25)
+		request := plainRequest(dogwoodroute.Idempotent)
+		for number, want := range []bool{true, false, false} {
+			if got := fixture.relay.TakeRetry(request); got != want {
+				t.Errorf("retry %d: got %t, want %t", number+1, got, want)
+			}
+		}
+	})
+}
