Order waiting requests by their customers' use of engine time

Cause: requests wait in an order that does not know whose they are.

Change: dogwoodshare.Ledger counts each customer's engine time over the last 5 s and compares it with an equal share. dogwoodwaiting.Compare puts requests of customers over their share after the others of their rank and length class. dogwoodshare.Refusals names the waiting requests that are to be refused. Nothing calls it yet.

--- /dev/null
+++ b/core/decision/dogwoodshare/ledger_test.go
@@ -0,0 +1,215 @@
+package dogwoodshare
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+// use is engine time of a customer that began some time ago.
+type use struct {
+	customer dogwoodfleet.Customer
+	rank     int
+	took     time.Duration
+	ago      time.Duration
+}
+
+func ledgerOf(now time.Time, uses ...use) *Ledger {
+	ledger := &Ledger{}
+	for _, use := range uses {
+		at := now.Add(-use.ago)
+		ledger.Record(now, Use{Customer: use.customer, Rank: use.rank, Time: use.took, At: at})
+	}
+	return ledger
+}
+
+// Guards against an excess that counts other customers' ranks, work older than the window, requests instead of engine time,
+// or requests without a customer.
+func TestExcess(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name     string
+		uses     []use
+		customer dogwoodfleet.Customer
+		want     float64
+	}{
+		{"no customers", []use{{"", 0, time.Second, 0}}, "", 0},
+		{"nobody was active", nil, "a", 0},
+		{"one customer only", []use{{"a", 0, 3 * time.Second, 0}}, "a", 1},
+		{"equal customers", []use{{"a", 0, 33 * time.Millisecond, 0}, {"b", 0, 33 * time.Millisecond, 0}, {"c", 0, 33 * time.Millisecond, 0}}, "c", 1},
+		{"three times as much as the other", []use{{"a", 0, 3 * time.Second, 0}, {"b", 0, time.Second, 0}}, "a", 1.5},
+		{"a third of the other", []use{{"a", 0, 3 * time.Second, 0}, {"b", 0, time.Second, 0}}, "b", 0.5},
+		{"a customer that becomes active only now", []use{{"a", 0, 3 * time.Second, 0}}, "b", 0},
+		{"a customer that was idle and comes back", []use{{"a", 0, 3 * time.Second, 6 * time.Second}, {"b", 0, time.Second, 0}}, "a", 0},
+		{"the other was active before the window", []use{{"a", 0, 3 * time.Second, 0}, {"b", 0, time.Second, 6 * time.Second}}, "a", 1},
+		{"learnt late, counted when it began", []use{{"b", 0, time.Second, 0}, {"a", 0, 3 * time.Second, 4 * time.Second}}, "a", 1.5},
+		{"the other is in another rank", []use{{"a", 0, 3 * time.Second, 0}, {"b", 1, time.Second, 0}}, "a", 1},
+		{"many small requests and one large one", []use{{"a", 0, 5700 * time.Millisecond, 0}, {"b", 0, 30 * time.Millisecond, 0}, {"b", 0, 30 * time.Millisecond, 0}}, "b", 2 * 0.06 / 5.76},
+		{"unknown times count alike", []use{{"a", 0, 0, 0}, {"a", 0, 0, 0}, {"a", 0, 0, 0}, {"b", 0, 0, 0}}, "a", 1.5},
+	}
+	for _, test := range tests {
+		if got := ledgerOf(now, test.uses...).Excess(now, test.customer, 0); math.Abs(got-test.want) > 1e-9 {
+			t.Errorf("%s: got %g, want %g", test.name, got, test.want)
+		}
+	}
+}
+
+// Guards against a customer whose key was withdrawn, and that therefore sends nothing more, but lowers the others' shares
+// for ever, and against one that is punished for longer than the window.
+func TestUseIsForgotten(t *testing.T) {
+	now := time.Now()
+	ledger := ledgerOf(now, use{"withdrawn", 0, time.Second, 0})
+	for i := range 100 {
+		now = now.Add(Window / 100)
+		ledger.Record(now, Use{Customer: "a", Time: 20 * time.Millisecond, At: now})
+		if i%2 == 0 {
+			ledger.Record(now, Use{Customer: "b", Time: 20 * time.Millisecond, At: now})
+		}
+	}
+	if got, want := ledger.Excess(now, "a", 0), 4.0/3; math.Abs(got-want) > 0.02 {
+		t.Errorf("got an excess of %g, want %g among the two that remain", got, want)
+	}
+	if got := ledger.Excess(now, "withdrawn", 0); got != 0 {
+		t.Errorf("got an excess of %g for the withdrawn customer, want 0", got)
+	}
+	if !ledger.IsEmpty(now.Add(Window)) {
+		t.Error("got use after the window, want none")
+	}
+	ledger.Record(now.Add(time.Hour), Use{Customer: "c", At: now.Add(time.Hour)})
+	if got, want := ledger.Excess(now.Add(time.Hour), "c", 0), 1.0; got != want {
+		t.Errorf("got an excess of %g after an idle hour, want %g", got, want)
+	}
+}
+
+// Guards against a Retry-After at which the customer would be refused again, or that is longer than the window.
+func TestUntilFair(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name     string
+		uses     []use
+		min, max time.Duration
+	}{
+		{"one customer only", []use{{"a", 0, time.Second, 0}}, 0, 0},
+		{"within its share", []use{{"a", 0, time.Second, 0}, {"b", 0, 2 * time.Second, 0}}, 0, 0},
+		{"one large request just now", []use{{"a", 0, 5 * time.Second, 0}, {"b", 0, time.Second, 0}}, Window - slotLength, Window},
+		{"one large request three seconds ago", []use{{"a", 0, 5 * time.Second, 3 * time.Second}, {"b", 0, time.Second, 0}}, 2*time.Second - slotLength, 2 * time.Second},
+		{"two, one of which is enough to forget", []use{{"a", 0, 5 * time.Second, 3 * time.Second}, {"a", 0, time.Second, 0}, {"b", 0, time.Second, 0}}, 2*time.Second - slotLength, 2 * time.Second},
+		{"unknown customer", nil, 0, 0},
+	}
+	for _, test := range tests {
+		ledger := ledgerOf(now, test.uses...)
+		got := ledger.UntilFair(now, "a", 0)
+		if got < test.min || got > test.max {
+			t.Errorf("%s: got %s, want %s to %s", test.name, got, test.min, test.max)
+			continue
+		}
+		later := now.Add(got)
+		if excess := ledger.Excess(later, "a", 0); excess > 1 && len(ledger.ranks[0].accounts) > 1 {
+			t.Errorf("%s: got an excess of %g at the end of the wait, want at most 1", test.name, excess)
+		}
+	}
+}
+
+// Guards against a ledger that grows with the number of customers and then no longer knows the one that uses the most.
+func TestAccountsAreBounded(t *testing.T) {
+	now := time.Now()
+	ledger := ledgerOf(now, use{"hot", 0, time.Second, 0})
+	for i := range 2 * maxAccounts {
+		ledger.Record(now, Use{Customer: dogwoodfleet.Customer(fmt.Sprint(i)), Rank: i % 3, Time: time.Millisecond, At: now})
+	}
+	if ledger.accounts > maxAccounts {
+		t.Errorf("got %d accounts, want at most %d", ledger.accounts, maxAccounts)
+	}
+	if got := ledger.Excess(now, "hot", 0); got < 100 {
+		t.Errorf("got an excess of %g for the hot customer, want hundreds", got)
+	}
+}
+
+// Guards against a customer that waits behind the one that has used everything, since that one is within its share as long
+// as nobody else was served; and against refusing that one for it.
+func TestNewcomerGoesFirst(t *testing.T) {
+	now := time.Now()
+	ledger := &Ledger{}
+	for range 100 {
+		ledger.Record(now, Use{Customer: "a", Time: 30 * time.Millisecond, At: now})
+	}
+	standings := ledger.Standings(now, []Claim{{Customer: "a"}, {Customer: "b"}, {Customer: "b"}, {Customer: ""}})
+	if got, want := standings[0].QueueExcess, 2.0; got != want {
+		t.Errorf("got a queue excess of %g for the one that used everything, want %g", got, want)
+	}
+	if got, want := standings[0].Excess, 1.0; got != want {
+		t.Errorf("got an excess of %g, want %g: it may use what is left", got, want)
+	}
+	if standings[1] != (Standing{}) || standings[3] != (Standing{}) {
+		t.Errorf("got %+v, want no use for the newcomer and for requests without a customer", standings)
+	}
+}
+
+// Guards against requests that are refused without need, and against a waiting line of which nothing is left for the next free slot.
+func TestRefusals(t *testing.T) {
+	now := time.Now()
+	waits := func(customer dogwoodfleet.Customer, rank int, excess float64, wait time.Duration) Waiting {
+		return Waiting{
+			Claim: Claim{Service: "s", Rank: rank, Customer: customer}, Standing: Standing{Excess: excess, QueueExcess: excess}, Since: now.Add(-wait),
+		}
+	}
+	chance := waits("hot", 0, 3, time.Second)
+	chance.QueueExcess = 1
+	elsewhere := waits("other", 0, 0.5, time.Second)
+	elsewhere.Service = "t"
+	tests := []struct {
+		name    string
+		waiting []Waiting
+		want    []bool
+	}{
+		{"another customer waits", []Waiting{waits("hot", 0, 2, 0), waits("other", 0, 0.5, standingWait)}, []bool{true, false}},
+		{"its own request has waited", []Waiting{waits("hot", 0, 2, standingWait), waits("other", 0, 0.5, 0)}, []bool{true, false}},
+		{"nothing has waited for long", []Waiting{waits("hot", 0, 2, 0), waits("other", 0, 0.5, standingWait/2)}, []bool{false, false}},
+		{"nobody else waits", []Waiting{waits("hot", 0, 9, time.Second), waits("hot", 0, 9, time.Second)}, []bool{false, false}},
+		{"another rank waits", []Waiting{waits("hot", 0, 9, time.Second), waits("other", 1, 0.5, time.Second)}, []bool{false, false}},
+		{"another service waits", []Waiting{waits("hot", 0, 9, time.Second), elsewhere}, []bool{false, false}},
+		{"requests without a customer wait", []Waiting{waits("hot", 0, 9, time.Second), waits("", 0, 0, time.Second)}, []bool{false, false}},
+		{"an excess below two", []Waiting{waits("hot", 0, 1.9, time.Second), waits("other", 0, 0.1, time.Second)}, []bool{false, false}},
+		{"an excess that chance explains", []Waiting{chance, waits("other", 0, 0.1, time.Second)}, []bool{false, false}},
+		{"two hot customers", []Waiting{waits("hot", 0, 4, time.Second), waits("other", 0, 3, time.Second)}, []bool{true, false}},
+		{"two equally hot customers", []Waiting{waits("hot", 0, 4, time.Second), waits("other", 0, 4, time.Second)}, []bool{false, false}},
+		{"two hot customers and a third", []Waiting{waits("hot", 0, 4, time.Second), waits("other", 0, 3, time.Second), waits("third", 0, 0, 0)}, []bool{true, true, false}},
+	}
+	for _, test := range tests {
+		if got := Refusals(now, test.waiting); fmt.Sprint(got) != fmt.Sprint(test.want) {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+// BenchmarkStandings measures the standings of a hundred waiting requests in a ledger of a thousand customers.
+func BenchmarkStandings(b *testing.B) {
+	now := time.Now()
+	ledger, claims := &Ledger{}, make([]Claim, 100)
+	for i := range 1000 {
+		customer := dogwoodfleet.Customer(fmt.Sprint("customer-", i))
+		ledger.Record(now, Use{Customer: customer, Time: 30 * time.Millisecond, At: now})
+		claims[i%100] = Claim{Service: "s", Customer: customer}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		ledger.Standings(now, claims)
+	}
+}
+
+// BenchmarkRecord measures one record, with the use of a thousand customers forgotten as time passes at a thousand records a second.
+func BenchmarkRecord(b *testing.B) {
+	now := time.Now()
+	ledger, customers := &Ledger{}, make([]dogwoodfleet.Customer, 1000)
+	for i := range customers {
+		customers[i] = dogwoodfleet.Customer(fmt.Sprint("customer-", i))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		ledger.Record(now, Use{Customer: customers[i%1000], Time: 30 * time.Millisecond, At: now})
+	}
+}
--- a/core/decision/dogwoodwaiting/waiting.go
+++ b/core/decision/dogwoodwaiting/waiting.go
@@ -11,7 +11,10 @@
 // other request, but in a burst of short prompts, whose latest start always comes sooner,
 // they would never get a slot.
 //
-// Both hold among requests of one rank. The operators' ranks go first: a request waits behind all
+// Among requests of one length class, those of customers that have used more than their share go after the others, the
+// smallest excess first (dogwoodshare). All of them would otherwise wait behind the customer that sends the most.
+//
+// All this holds among requests of one rank. The operators' ranks go first: a request waits behind all
 // of a more urgent rank.
 package dogwoodwaiting
 
@@ -50,6 +53,8 @@
 	Prompt int
 	// Rank is the operators' rank of the request; 0 goes first.
 	Rank int
+	// Excess is the recent engine time of the request's customer as a multiple of its share; at most 1 within the share.
+	Excess float64
 	// Begun is true if the caller has received part of the answer already.
 	Begun bool
 }
@@ -77,6 +82,9 @@
 		}
 		return 1
 	}
+	if aExcess, bExcess := max(a.Excess, 1), max(b.Excess, 1); aExcess != bExcess && !a.Begun {
+		return cmp.Compare(aExcess, bExcess)
+	}
 	aLate, bLate := now.After(a.latestStart()), now.After(b.latestStart())
 	switch {
 	case aLate != bLate && bLate:
--- a/core/decision/dogwoodwaiting/waiting_test.go
+++ b/core/decision/dogwoodwaiting/waiting_test.go
@@ -1,6 +1,7 @@
 package dogwoodwaiting
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -52,6 +53,60 @@
 	}
 }
 
+// Guards against the requests of a customer over its share that go before those of others, and against shares that go
+// before ranks, before an answer that has begun, or before the length of prompts.
+func TestExcessGoesLast(t *testing.T) {
+	now := time.Now()
+	request := func(excess float64, ago time.Duration) Request {
+		return Request{Arrived: now.Add(-ago), Deadline: now.Add(10 * time.Second), Aim: 300 * time.Millisecond, Pause: 250 * time.Millisecond, Prompt: 1000, Excess: excess}
+	}
+	within, idle, late := request(1, 20*time.Millisecond), request(0, 10*time.Millisecond), request(0.5, time.Second)
+	some, most := request(1.5, 0), request(3, 100*time.Millisecond)
+	long := request(9, 0)
+	long.Prompt = 182_000
+	lessUrgent := request(0, 0)
+	lessUrgent.Rank = 1
+	begun := request(9, 0)
+	begun.Begun = true
+	begunEarlier := request(10, 0)
+	begunEarlier.Begun = true
+	queue := []*Request{&most, &some, &late, &idle, &lessUrgent, &within, &long, &begunEarlier, &begun}
+	slices.SortStableFunc(queue, func(a, b *Request) int { return Compare(now, a, b) })
+	want := []*Request{&begunEarlier, &begun, &long, &within, &idle, &late, &some, &most, &lessUrgent}
+	if !slices.Equal(queue, want) {
+		t.Errorf("got %v, want %v", queue, want)
+	}
+}
+
+// Guards against shares that change the order of requests where no customer is over its share.
+func TestOrderIsAsBeforeWithinShares(t *testing.T) {
+	now := time.Now()
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		var without, with []Request
+		for range 30 {
+			request := Request{
+				Arrived: now.Add(-time.Duration(random.IntN(500)) * time.Millisecond), Aim: time.Duration(random.IntN(1000)) * time.Millisecond,
+				Prompt: random.IntN(2) * 182_000, Rank: random.IntN(3), Begun: random.IntN(10) == 0,
+			}
+			without = append(without, request)
+			request.Excess = random.Float64()
+			with = append(with, request)
+		}
+		sort := func(requests []Request) {
+			slices.SortStableFunc(requests, func(a, b Request) int { return Compare(now, &a, &b) })
+		}
+		sort(without)
+		sort(with)
+		for i := range with {
+			with[i].Excess = 0
+		}
+		if !slices.Equal(with, without) {
+			t.Fatalf("seed %d: got %v, want %v", seed, with, without)
+		}
+	}
+}
+
 func TestPatience(t *testing.T) {
 	now := time.Now()
 	tests := []struct {
