Let customers over their share wait or be refused

Cause: a customer that sends more than others while engines are short takes engine time from them.

Change: the board records the engine time of each work when it is first put, of all daemons, and compares a customer's use with its share. dogwoodrelay refreshes the excess of waiting requests when it places its queue, and refuses those of customers with an excess of 2 or more while another customer waits, with the time until its use falls to its share. Nothing is computed while fewer than two customers wait. The gauge CustomerUse and the counter Relay{OverShare} are new, with a log line for each refusal.

--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -115,6 +115,7 @@
 	// promptSends holds the times of the prompts sent within the last second by all daemons,
 	// ownSends those of all requests sent by this daemon.
 	promptSends, ownSends timestamps
+	shares                shares
 	// scratch is reused by each decision while the mutex is held.
 	scratch scratch
 }
@@ -205,6 +206,9 @@
 	board.detach(work.ID)
 	board.workByID[work.ID] = &work
 	board.attach(&work)
+	if !known {
+		board.shares.record(now, &work)
+	}
 	if state := board.endpoints[work.Endpoint]; state != nil && !known {
 		own := string(work.Holder) == board.owner
 		state.recordSend(now, own)
@@ -241,6 +245,7 @@
 	var dropped []WorkID
 	for id, work := range board.workByID {
 		if work.Holder == holder && !except[id] {
+			board.shares.recordDropped(work)
 			board.detach(id)
 			dropped = append(dropped, id)
 		}
@@ -274,6 +279,7 @@
 	}
 	for id, work := range board.workByID {
 		if string(work.Holder) != board.owner && !listed[id] {
+			board.shares.recordDropped(work)
 			board.detach(id)
 		}
 	}
@@ -285,6 +291,7 @@
 func (board *Board) Expire(now time.Time) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
+	board.shares.forgetDropped(now)
 	for id, work := range board.workByID {
 		if now.After(work.Until) {
 			board.detach(id)
--- a/core/dogwoodmetrics/metrics.go
+++ b/core/dogwoodmetrics/metrics.go
@@ -28,11 +28,13 @@
 	mutex      sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram
 	gauges     map[string]func() float64
+	// labelledGauges returns the gauges' values by label.
+	labelledGauges map[string]func() map[string]float64
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{histograms: map[string]*hdrhistogram.Histogram{}, gauges: map[string]func() float64{}}
+	return &Registry{histograms: map[string]*hdrhistogram.Histogram{}, gauges: map[string]func() float64{}, labelledGauges: map[string]func() map[string]float64{}}
 }
 
 // Observe adds a duration to the histogram with the name and the label.
@@ -55,6 +57,14 @@
 	registry.gauges[name] = read
 }
 
+// LabelledGauge registers a function that returns the gauge's values by label each time the metrics are read. It returns few
+// labels.
+func (registry *Registry) LabelledGauge(name string, read func() map[string]float64) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	registry.labelledGauges[name] = read
+}
+
 func labelled(name, label string) string {
 	if label == "" {
 		return name
@@ -85,6 +95,12 @@
 	for _, name := range slices.Sorted(maps.Keys(registry.gauges)) {
 		writeLine(name, registry.gauges[name]())
 	}
+	for _, name := range slices.Sorted(maps.Keys(registry.labelledGauges)) {
+		values := registry.labelledGauges[name]()
+		for _, label := range slices.Sorted(maps.Keys(values)) {
+			writeLine(labelled(name, label), values[label])
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(registry.histograms)) {
 		histogram := registry.histograms[name]
 		writeLine(name+" count", histogram.TotalCount())
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dogwoodmux.example/core/decision/dogwoodpacking"
+	"dogwoodmux.example/core/decision/dogwoodshare"
 	"dogwoodmux.example/core/dogwoodfleet"
 )
 
@@ -392,6 +393,16 @@
 	return duty.options.Board.BackoffsUntil(now, service)
 }
 
+// Standings compares the recent use of engine time of the requests' customers with their shares, for requests that wait.
+func (duty *Duty) Standings(now time.Time, claims []dogwoodshare.Claim) []dogwoodshare.Standing {
+	return duty.options.Board.Standings(now, claims)
+}
+
+// UntilFair returns the time until a customer's use of engine time falls to its share.
+func (duty *Duty) UntilFair(now time.Time, claim dogwoodshare.Claim) time.Duration {
+	return duty.options.Board.UntilFair(now, claim)
+}
+
 // Serves reports whether a peer recently announced that it serves callers.
 func (duty *Duty) Serves(instance dogwoodfleet.InstanceID) bool {
 	duty.mutex.Lock()
--- a/core/duty/dogwoodrelay/place.go
+++ b/core/duty/dogwoodrelay/place.go
@@ -68,6 +68,7 @@
 func (attempt *attempt) awaitPlacement(ctx context.Context, placementRequest *dogwoodpacking.PlacementRequest, waitUntil time.Time) (dogwoodpacking.Placement, error) {
 	waiter := &waiter{
 		placementRequest: placementRequest, result: make(chan placementResult, 1), request: attempt.waitingRequest(), waitUntil: waitUntil,
+		mayHaveRun: attempt.runState != dogwoodfleet.NotRun || attempt.stream.begun,
 	}
 	queue := &attempt.relay.queue
 	queue.add(waiter)
@@ -122,6 +123,9 @@
 
 // resultError returns the failure for the result of a waiter, nil if it was placed.
 func (attempt *attempt) resultError(result *placementResult) error {
+	if result.overShare != nil {
+		return attempt.overShareError(result.overShare)
+	}
 	if !result.backoffsUntil.IsZero() {
 		wait := time.Until(result.backoffsUntil) + dogwoodkernel.Jittered(backoffSpread)
 		return attempt.newFailure(dogwoodfleet.ReasonLimit, wait, "all endpoints have asked for a back-off")
--- a/core/duty/dogwoodrelay/queue.go
+++ b/core/duty/dogwoodrelay/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodpacking"
+	"dogwoodmux.example/core/decision/dogwoodshare"
 	"dogwoodmux.example/core/decision/dogwoodwaiting"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
@@ -32,6 +33,12 @@
 	// waitUntil is the latest time at which it is to be placed.
 	waitUntil time.Time
 	result    chan placementResult
+	// since is when it began to wait.
+	since time.Time
+	// standing is its customer's when the queue was last placed.
+	standing dogwoodshare.Standing
+	// mayHaveRun is true if the request has run, may have run, or has sent a part of its answer.
+	mayHaveRun bool
 	// panicked is the value of a panic of its placement; nil for none.
 	panicked any
 }
@@ -42,14 +49,17 @@
 	// backoffsUntil is when the first endpoint takes requests again, if the try was refused since all have asked for none until
 	// it can wait no longer; else zero.
 	backoffsUntil time.Time
+	// overShare is set if the try was refused since its customer has used more than its share.
+	overShare *overShare
 }
 
 // add adds a waiter and places as many waiters as possible. It panics if the placement of this waiter does.
 func (queue *queue) add(waiter *waiter) {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
+	waiter.since = time.Now()
 	queue.waiters = append(queue.waiters, waiter)
-	queue.placeWaiters(time.Now())
+	queue.placeWaiters(waiter.since)
 	waiter.repeatPanic()
 }
 
@@ -75,6 +85,7 @@
 
 // placeWaiters places waiters in order of urgency. The caller holds the mutex.
 func (queue *queue) placeWaiters(now time.Time) {
+	queue.refreshExcess(now)
 	slices.SortStableFunc(queue.waiters, func(a, b *waiter) int {
 		return dogwoodwaiting.Compare(now, &a.request, &b.request)
 	})
@@ -99,6 +110,7 @@
 		waiter.result <- result
 		return true
 	})
+	queue.refuseOverShare(now)
 }
 
 // place places a waiter. It keeps a panic with the waiter, which would otherwise stay in the queue and panic
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -23,6 +23,7 @@
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/decision/dogwoodretry"
 	"dogwoodmux.example/core/decision/dogwoodroute"
+	"dogwoodmux.example/core/decision/dogwoodshare"
 	"dogwoodmux.example/core/decision/dogwoodsuspect"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
@@ -185,6 +186,10 @@
 	IsOpen(now time.Time, endpoint *dogwoodfleet.Endpoint) bool
 	// BackoffsUntil returns when the first of a service's endpoints takes requests again, and true if all have asked for none.
 	BackoffsUntil(now time.Time, service dogwoodfleet.Service) (first time.Time, all bool)
+	// Standings compares the customers' recent use of engine time with their shares, for requests that wait.
+	Standings(now time.Time, claims []dogwoodshare.Claim) []dogwoodshare.Standing
+	// UntilFair returns the time until a customer's use of engine time falls to its share.
+	UntilFair(now time.Time, claim dogwoodshare.Claim) time.Duration
 }
 
 // Suspects keeps requests that crash endpoints from running again.
--- a/dogwoodctl/dogwoodexplain/explain_test.go
+++ b/dogwoodctl/dogwoodexplain/explain_test.go
@@ -16,6 +16,7 @@
 {"@level":"warn","@message":"Not answered.","@module":"front","@timestamp":"2026-01-31T16:19:45.00Z","closed":true,"error":"the answer was cut: EndpointDied (Unknown): broke off: reset","request":"r1"}
 {"@level":"warn","@message":"Not answered.","@module":"front","@timestamp":"2026-01-31T16:19:45.00Z","closed":true,"error":"the answer was cut: Deadline (Run): the time limit passed","request":"late"}
 {"@level":"warn","@message":"Not answered.","@module":"front","@timestamp":"2026-01-31T16:19:45.00Z","closed":false,"error":"Limit (NotRun): all endpoints are full","request":"full"}
+{"@level":"warn","@message":"Not answered.","@module":"front","@timestamp":"2026-01-31T16:19:46.00Z","closed":false,"error":"Limit (NotRun): the customer has used 2s of engine time within 5s, and an equal share is 575ms","request":"share"}
 {"@level":"info","@message":"Refused.","@module":"front","@timestamp":"2026-01-31T16:19:42.00Z","why":"no known key","request":"r2","status":401}
 `
 
@@ -44,7 +45,8 @@
 	}{
 		{"r1", []string{"Its stream broke off", "placed at i-1, then i-2", "fell silent", "closed its connection"}},
 		{"late", []string{"cut at its time limit", "closed its connection"}},
-		{"full", []string{"It was refused, not run"}},
+		{"full", []string{"It was refused, not run", "endpoints of its service were full"}},
+		{"share", []string{"It was refused, not run", "its share of engine time"}},
 		{"r2", []string{"It was answered", "no known key"}},
 		{"failed", []string{"It failed: the endpoint itself answered 500", "taken=101.87ms"}},
 		{"slow", []string{"It was answered", "8.97s after it was sent to i-3, predicted were 630ms", "took 3.61s together"}},
--- a/dogwoodctl/dogwoodexplain/outcome.go
+++ b/dogwoodctl/dogwoodexplain/outcome.go
@@ -22,6 +22,7 @@
 	{dogwoodlog.Refused, "leaving", "It was refused, not run: the daemon was shutting down."},
 	{dogwoodlog.Refused, "", "It was refused, not run."},
 	{dogwoodlog.NotAnswered, "confirmed the keys", "It was refused, not run: the store had not confirmed the keys for too long, and a withdrawn key must not be used."},
+	{dogwoodlog.NotAnswered, "Limit (NotRun): the customer has used", "It was refused, not run: its customer has used at least twice its share of engine time, while requests of other customers waited."},
 	{dogwoodlog.NotAnswered, "Limit (NotRun)", "It was refused, not run: all endpoints of its service were full for as long as it could wait."},
 	{dogwoodlog.NotAnswered, "NoEndpoint", "It was refused: no endpoint of its service was in force."},
 	{dogwoodlog.NotAnswered, "TooLarge", "It was refused, not run: its prompt fits no number of engines."},
