--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -117,6 +117,7 @@
 	// promptSends holds the times of the prompts sent within the last second by all daemons,
 	// ownPromptSends those of the prompts and ownSends those of all requests sent by this daemon.
 	promptSends, ownPromptSends, ownSends timestamps
+	shares                                shares
 	// scratch is reused by each decision while the mutex is held.
 	scratch scratch
 }
@@ -208,6 +209,9 @@
 	board.workByID[work.ID] = &work
 	board.rankCount(&work).add(now)
 	board.attach(&work)
+	if !known {
+		board.shares.record(now, &work)
+	}
 	if state := board.endpoints[work.Endpoint]; state != nil && !known {
 		own := string(work.Holder) == board.owner
 		state.recordSend(now, own)
@@ -248,6 +252,7 @@
 	var dropped []WorkID
 	for id, work := range board.workByID {
 		if work.Holder == holder && !except[id] {
+			board.shares.recordDropped(work)
 			board.detach(id)
 			dropped = append(dropped, id)
 		}
@@ -281,6 +286,7 @@
 	}
 	for id, work := range board.workByID {
 		if string(work.Holder) != board.owner && !listed[id] {
+			board.shares.recordDropped(work)
 			board.detach(id)
 		}
 	}
@@ -292,6 +298,7 @@
 func (board *Board) Expire(now time.Time) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
+	board.shares.forgetDropped(now)
 	for id, work := range board.workByID {
 		if now.After(work.Until) {
 			board.detach(id)
--- a/core/duty/dogwoodrelay/queue.go
+++ b/core/duty/dogwoodrelay/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodpacking"
+	"dogwoodmux.example/core/decision/dogwoodshare"
 	"dogwoodmux.example/core/decision/dogwoodwaiting"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
@@ -36,6 +37,12 @@
 	result    chan placementResult
 	// yields is true if more urgent requests needed the endpoints at the last try to place it.
 	yields bool
+	// since is when it began to wait.
+	since time.Time
+	// standing is its customer's when the queue was last placed.
+	standing dogwoodshare.Standing
+	// mayHaveRun is true if the request has run, may have run, or has sent a part of its answer.
+	mayHaveRun bool
 	// panicked is the value of a panic of its placement; nil for none.
 	panicked any
 }
@@ -46,14 +53,17 @@
 	// backoffsUntil is when the first endpoint takes requests again, if the try was refused since all have asked for none and it
 	// would get no slot in time after that; else zero.
 	backoffsUntil time.Time
+	// overShare is set if the try was refused since its customer has used more than its share.
+	overShare *overShare
 }
 
 // add adds a waiter and places as many waiters as possible. It panics if the placement of this waiter does.
 func (queue *queue) add(waiter *waiter) {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
+	waiter.since = time.Now()
 	queue.waiters = append(queue.waiters, waiter)
-	queue.placeWaiters(time.Now())
+	queue.placeWaiters(waiter.since)
 	waiter.repeatPanic()
 }
 
@@ -87,6 +97,7 @@
 // placeWaiters places waiters in order of urgency. The caller holds the mutex.
 func (queue *queue) placeWaiters(now time.Time) {
 	queue.refuseTooLate(now)
+	queue.refreshExcess(now)
 	slices.SortStableFunc(queue.waiters, func(a, b *waiter) int {
 		return dogwoodwaiting.Compare(now, &a.request, &b.request)
 	})
@@ -109,6 +120,7 @@
 		waiter.result <- result
 		return true
 	})
+	queue.refuseOverShare(now)
 }
 
 // place places a waiter. It keeps a panic with the waiter, which would otherwise stay in the queue and panic
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -23,6 +23,7 @@
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/decision/dogwoodretry"
 	"dogwoodmux.example/core/decision/dogwoodroute"
+	"dogwoodmux.example/core/decision/dogwoodshare"
 	"dogwoodmux.example/core/decision/dogwoodsuspect"
 	"dogwoodmux.example/core/decision/dogwoodwaiting"
 	"dogwoodmux.example/core/dogwoodfleet"
@@ -186,6 +187,10 @@
 	IsOpen(now time.Time, endpoint *dogwoodfleet.Endpoint) bool
 	// Reopenings returns how a service's endpoints take requests again if all have asked for none; else nil.
 	Reopenings(now time.Time, service dogwoodfleet.Service) []dogwoodwaiting.Reopening
+	// Standings compares the customers' recent use of engine time with their shares, for requests that wait.
+	Standings(now time.Time, claims []dogwoodshare.Claim) []dogwoodshare.Standing
+	// UntilFair returns the time until a customer's use of engine time falls to its share.
+	UntilFair(now time.Time, claim dogwoodshare.Claim) time.Duration
 }
 
 // Suspects keeps requests that crash endpoints from running again.
