Let stand-in endpoints cut off unread answers and run out of memory

The soak could not meet a daemon that holds endpoints up: answers were a few hundred bytes, bodies two hundred, and an endpoint bore any number of tokens.

--- a/dogwoodload/dogwoodstandinrun/run.go
+++ b/dogwoodload/dogwoodstandinrun/run.go
@@ -41,11 +41,16 @@
 	FlagDrain            = "drain"
 	FlagCrashPath        = "crashpath"
 	FlagCrashPart        = "crashpart"
+	FlagUnread           = "unread"
+	FlagMemory           = "memory"
 )
 
 // crashExitCode is the exit code of an endpoint that a request crashed.
 const crashExitCode = 3
 
+// memoryExitCode is the exit code of an endpoint that held more than its memory.
+const memoryExitCode = 4
+
 // headerTimeout bounds how long a daemon may take to send the headers of a request.
 const headerTimeout = 8 * time.Second
 
@@ -95,6 +100,8 @@
 	flags.DurationVar(&options.Endpoint.ColdFor, FlagCold, 0, "`time` for which it is cold")
 	flags.StringVar(&options.Endpoint.CrashPart, FlagCrashPart, "", "`prefix` of the IDs of parts whose prompts crash it; none if empty")
 	flags.StringVar(&options.Endpoint.CrashPath, FlagCrashPath, "", "`path` of requests that crash it; none if empty")
+	flags.DurationVar(&options.Endpoint.UnreadTimeout, FlagUnread, 0, "`time` for which an answer may stay unread; 0 for any")
+	flags.IntVar(&options.Endpoint.MemoryBytes, FlagMemory, 0, "`bytes` that the requests it holds may take; 0 for any")
 	flags.DurationVar(&options.Drain, FlagDrain, 0, "`time` that it serves on when it leaves")
 }
 
@@ -123,6 +130,11 @@
 		running.record(dogwoodstandin.Record{Crash: &crash})
 		os.Exit(crashExitCode)
 	}
+	options.Endpoint.OutOfMemory = func(outOfMemory dogwoodstandin.OutOfMemory) {
+		running.record(dogwoodstandin.Record{OutOfMemory: &outOfMemory})
+		os.Exit(memoryExitCode)
+	}
+	options.Endpoint.Written = func(written dogwoodstandin.Written) { running.record(dogwoodstandin.Record{Written: &written}) }
 	running.endpoint = dogwoodstandin.NewEndpoint(options.Endpoint)
 	signal.Notify(running.signals, syscall.SIGTERM, syscall.SIGHUP)
 	defer signal.Stop(running.signals)
@@ -137,7 +149,7 @@
 	if err != nil {
 		return dogwoodverb.Error.Wrap(err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ConnContext: dogwoodstandin.LimitSendBuffer}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
