Play slow readers, a hot customer and ranks in the soak

Nothing checked what a daemon holds for callers that read slowly, or whether a customer or a rank gets anything while another one takes all.

Further callers read large answers slowly or send with one customer's key without a pause, endpoints read bodies slowly and the text has ranks that differ. New checks: DaemonMemory, EndpointMemory, SlowAnswer and Starved. Each finds a planted fault in a history and a careless daemon. AnsweredLate allows slow callers what the kernel may hold for them.

--- a/dogwoodload/dogwoodsoak/careless_test.go
+++ b/dogwoodload/dogwoodsoak/careless_test.go
@@ -1,6 +1,7 @@
 package dogwoodsoak
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -55,6 +56,11 @@
 	cutByChange      fault = "CutByChange"
 	cutByReload      fault = "CutByChange-reload"
 	cutWithoutCause  fault = "CutWithoutCause"
+	daemonMemory     fault = "DaemonMemory"
+	endpointMemory   fault = "EndpointMemory"
+	slowAnswer       fault = "SlowAnswer"
+	slowAnswerCut    fault = "SlowAnswer-cut"
+	starved          fault = "Starved"
 )
 
 // cutDuration is how long after a change a careless daemon cuts requests.
@@ -78,6 +84,7 @@
 	received  int                              // number of the latest request
 	version   int64                            // of the operators' text
 	changedAt time.Time                        // time of the latest change that makes it cut requests
+	held      []byte                           // what it holds needlessly
 }
 
 // runCareless runs a careless daemon with the settings that the subcommand "serve" of the platform would read.
@@ -268,6 +275,11 @@
 		os.Exit(1)
 	case careless.triggers(cutWithoutCause, number), careless.recentlyChanged() && careless.triggers(careless.fault, number):
 		panic(http.ErrAbortHandler)
+	case careless.triggers(daemonMemory, number):
+		careless.hold()
+	case careless.refusesPrompt(received, customer):
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case careless.triggers(memoryHeld, number):
 		careless.reserve(received.Context())
 	}
@@ -313,8 +325,12 @@
 	for name, values := range response.Header {
 		writer.Header()[name] = values
 	}
+	large := response.Request.URL.Query().Has("bytes")
+	if large && careless.fault == slowAnswer {
+		time.Sleep(unreadTimeout + time.Second)
+	}
 	body, err := io.ReadAll(response.Body)
-	if err != nil {
+	if err != nil || large && careless.fault == slowAnswerCut {
 		panic(http.ErrAbortHandler)
 	}
 	if careless.triggers(wrongAnswer, number) && len(body) > 0 {
@@ -324,6 +340,21 @@
 	_, _ = writer.Write(body)
 }
 
+// hold takes more memory than the settings allow. Each page is written, so that it is resident.
+func (careless *careless) hold() {
+	careless.mutex.Lock()
+	defer careless.mutex.Unlock()
+	careless.held = bytes.Repeat([]byte{1}, 2*daemonMemoryMB*megabyte)
+}
+
+// refusesPrompt reports whether a prompt is refused: one customer's if that is the fault, and long ones, which end engines if
+// several meet there, unless that is the fault.
+func (careless *careless) refusesPrompt(received *http.Request, customer dogwoodfleet.Customer) bool {
+	const longTokens = 100_000
+	prompt, _ := dogwoodwire.Tokens(received.Header)
+	return careless.fault == starved && prompt > 0 && customer == "customer-of-key-1" || careless.fault != endpointMemory && prompt > longTokens
+}
+
 // reserve reserves memory at a random engine and never releases it.
 func (careless *careless) reserve(ctx context.Context) {
 	server, err := careless.pickServer(engineName)
--- a/dogwoodload/dogwoodsoak/daemon.go
+++ b/dogwoodload/dogwoodsoak/daemon.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +30,8 @@
 
 	processMutex sync.Mutex // held while a step acts on the process; guards process
 	process      *dogwoodsoakprocess.Process
+	// sampled is the process too, for sampling its memory while a step holds processMutex.
+	sampled      atomic.Pointer[dogwoodsoakprocess.Process]
 	storeMutex   sync.Mutex // held while its connection to the store is broken
 	callersMutex sync.Mutex // held while its callers' connections are broken
 }
@@ -46,7 +49,7 @@
 	daemon := &daemon{name: name, file: site.path(name + ".toml"), storeProxy: store}
 	daemon.settings = dogwoodstandin.DaemonSettings{
 		VM: name, DataCentre: dataCentres[number%len(dataCentres)], DataCentres: dataCentres, Address: address,
-		Store: store.Address(), FirstStart: true, Bounds: daemonBounds,
+		Store: store.Address(), FirstStart: true, Bounds: daemonBounds, MemoryMB: daemonMemoryMB,
 	}
 	if daemon.callersProxy, err = site.startProxy(ctx, daemon.settings.CallersAddress()); err != nil {
 		return err
@@ -80,6 +83,7 @@
 		Environment: []string{dogwoodstandin.SettingsVariable + "=" + daemon.file}, Log: site.path(daemon.name + ".log"),
 	})
 	daemon.process = process
+	daemon.sampled.Store(process)
 	return err
 }
 
--- a/dogwoodload/dogwoodsoak/endpoint.go
+++ b/dogwoodload/dogwoodsoak/endpoint.go
@@ -34,6 +34,7 @@
 	generation   int
 	limitMutex   sync.Mutex // held while it names limits
 	stateMutex   sync.Mutex // held while it has a state that a step has set
+	bodyMutex    sync.Mutex // held while it reads bodies slowly
 	linkMutex    sync.Mutex // held while the connections to it are broken
 
 	// ids are all ids that were used at the address; they are guarded by the site's mutex.
@@ -66,10 +67,11 @@
 		endpoint.ids = append(endpoint.ids, endpoint.id)
 		site.mutex.Unlock()
 	}
-	slots, events, work := deskSlots, 0, deskAnswerTime
+	slots, events, work, tokens := deskSlots, 0, deskAnswerTime, 0
 	if endpoint.service == engineName {
-		slots, events, work = engineSlots, streamEvents, eventInterval
+		slots, events, work, tokens = engineSlots, streamEvents, eventInterval, dogwoodstandin.EngineMemoryTokens
 	}
+	memory := tokens*dogwoodstandin.TokenBytes + bodiesPerSlot*slots*dogwoodstandin.MaxBodyBytes
 	process, err := site.startStandin(ctx, endpoint.id, endpoint.address,
 		standinFlag{dogwoodstandinrun.FlagStore, site.store.address.String()},
 		standinFlag{dogwoodstandinrun.FlagRecord, site.path(endpoint.id + ".records")},
@@ -83,6 +85,8 @@
 		standinFlag{dogwoodstandinrun.FlagCold, cold.String()},
 		standinFlag{dogwoodstandinrun.FlagCrashPath, crashPath},
 		standinFlag{dogwoodstandinrun.FlagCrashPart, crashPart},
+		standinFlag{dogwoodstandinrun.FlagUnread, unreadTimeout.String()},
+		standinFlag{dogwoodstandinrun.FlagMemory, fmt.Sprint(memory)},
 		standinFlag{dogwoodstandinrun.FlagDrain, (checkBounds.Drain + drainSlack).String()},
 	)
 	endpoint.process = process
--- a/dogwoodload/dogwoodsoak/history.go
+++ b/dogwoodload/dogwoodsoak/history.go
@@ -86,6 +86,15 @@
 			// A step that acts on the process may end the endpoint's time before its crash is seen.
 			history.Faults = append(history.Faults, dogwoodsoakcheck.Fault{Endpoint: id, From: crash.At, To: crash.At.Add(restartDelay)})
 		}
+		if written := record.Written; written != nil {
+			history.Written = append(history.Written, dogwoodsoakcheck.Written{Endpoint: id, RequestID: written.RequestID, At: written.At, Unread: written.Unread})
+		}
+		if ended := record.OutOfMemory; ended != nil {
+			history.OutOfMemory = append(history.OutOfMemory, dogwoodsoakcheck.OutOfMemory{
+				Endpoint: id, RequestID: ended.RequestID, Held: ended.Held, Bound: ended.Bound, At: ended.At,
+			})
+			history.Faults = append(history.Faults, dogwoodsoakcheck.Fault{Endpoint: id, From: ended.At, To: ended.At.Add(restartDelay)})
+		}
 		if arrival := record.Arrival; arrival != nil {
 			history.Arrivals = append(history.Arrivals, dogwoodsoakcheck.Arrival{
 				Endpoint: id, DataCentre: arrival.DataCentre, Service: arrival.Service, RequestID: arrival.RequestID,
--- a/dogwoodload/dogwoodsoak/parameters.go
+++ b/dogwoodload/dogwoodsoak/parameters.go
@@ -45,6 +45,25 @@
 	crashPart = "bad"
 	// restartDelay is the time from a crash to the start of another endpoint at the address.
 	restartDelay = time.Second
+	// unreadTimeout is how long an answer may stay unread until its endpoint cuts it off.
+	unreadTimeout = 2 * time.Second
+	// bodiesPerSlot is how many bodies of the largest size an endpoint has memory for, for each of its slots: that of the request
+	// in the slot and that of one which it is about to reject.
+	bodiesPerSlot = 2
+	// slowBodyRate is how many bytes a second of a body an endpoint reads that reads slowly.
+	slowBodyRate = 160 << 10
+	// daemonMemoryMB is the memory of the smallest of the users' daemons.
+	daemonMemoryMB = 136
+	megabyte       = 1 << 20
+)
+
+const (
+	// slowCallerCount is the number of callers that read slowly.
+	slowCallerCount = 6
+	// maxHotCallers bounds the callers of the hot customer. There is one for each slot of the engines, so that they take all.
+	maxHotCallers = 96
+	// routeRank is the rank of the prompts' route while ranks differ. It holds for the customers that have none.
+	routeRank = 2
 )
 
 // recovery is the time after the last fault by which requests must be served again.
@@ -64,10 +83,12 @@
 		RetryRatio: daemonBounds.RetryRatio, RetryAllowance: daemonBounds.RetryAllowance, RetryWindow: daemonBounds.RetryWindow,
 		ColdPerSecond: coldPerSecond, ColdOvershoot: 1.5, ColdSlack: 5, LimitWindow: 4 * time.Second, LimitOvershoot: 1.5, LimitSlack: 5,
 		Backoff: 2 * time.Second, BackoffDelay: 500 * time.Millisecond, BackoffLimit: 2,
-		CrashesToLearn: 3, PartCrashesToLearn: 5, LateRetries: 3, AnswerSlack: time.Second,
+		CrashesToLearn: 3, PartCrashesToLearn: 5, LateRetries: 3, AnswerSlack: time.Second, DeliverySlack: 2 * time.Second,
 		ChangeWindow: 2 * time.Second, TextSlack: time.Second,
 		StopSlack: 200 * time.Millisecond, AcceptsFor: 2 * time.Second,
 		Recovery: recovery, ServedShare: 0.25,
+		DaemonMemory: daemonMemoryMB * megabyte, AnswerBuffer: daemonMemoryMB * megabyte / 8 / 16,
+		StarvationWindow: 5 * time.Second, StarvationCalls: 10, StarvationServed: 4, StarvationShare: 0.1,
 	}
 )
 
@@ -98,11 +119,19 @@
 
 var keys = []string{"key-0", "key-1", "key-2", "key-3"}
 
-// customers returns one customer for each key. A customer whose key is withdrawn has no key.
-func customers(withdrawn map[string]bool) []dogwoodstandin.Customer {
+// slowBytes are the sizes of the answers that slow callers ask for. The last two are larger than the buffer of an answer, and the
+// last one is larger than what the kernel holds beside.
+var slowBytes = []int{128 << 10, 512 << 10, 4 * megabyte, 16 * megabyte}
+
+// customers returns one customer for each key. A customer whose key is withdrawn has no key. Customers have the ranks of their keys,
+// if these have any.
+func customers(withdrawn map[string]bool, ranks map[string]int) []dogwoodstandin.Customer {
 	result := make([]dogwoodstandin.Customer, 0, len(keys))
 	for _, key := range keys {
 		customer := dogwoodstandin.Customer{Name: "customer-of-" + key, Keys: []string{}}
+		if rank, ok := ranks[key]; ok && rank != routeRank {
+			customer.Rank = &rank
+		}
 		if !withdrawn[key] {
 			customer.Keys = append(customer.Keys, key)
 		}
--- a/dogwoodload/dogwoodsoak/site.go
+++ b/dogwoodload/dogwoodsoak/site.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,11 +42,13 @@
 	storeMutex sync.Mutex   // held while the store has a fault for all daemons
 	takenOut   []sync.Mutex // by data centre; held while it is out of service
 
-	publishing sync.Mutex // held while a text is published; guards version and withdrawn
+	publishing sync.Mutex // held while a text is published; guards version, ranks and withdrawn
 	version    int64
+	ranks      map[string]int // by key; nil while ranks do not differ
 	withdrawn  map[string]bool
 
 	crashing crashing
+	loads    loads
 
 	mutex    sync.Mutex // guards recorded, and the endpoints' ids
 	recorded dogwoodsoakcheck.History
@@ -119,6 +122,7 @@
 	site.callers = dogwoodsoakcaller.New(dogwoodsoakcaller.Options{
 		Host: host, DataCentres: dataCentres, Daemons: daemonAddresses, Kinds: callKinds, Keys: keys, MeanInterval: callInterval,
 		Crashing: crashingKind, CrashingKey: keys[len(keys)-1], // this key is never withdrawn
+		SlowBytes: slowBytes,
 	})
 	return nil
 }
@@ -166,7 +170,10 @@
 		change()
 	}
 	site.version++
-	text := dogwoodstandin.Text{Version: site.version, Routes: routes, Services: services, Customers: customers(site.withdrawn)}
+	text := dogwoodstandin.Text{Version: site.version, Routes: slices.Clone(routes), Services: services, Customers: customers(site.withdrawn, site.ranks)}
+	if site.ranks != nil {
+		text.Routes[len(routes)-1].Rank = routeRank // the prompts'
+	}
 	return site.recordChange(dogwoodsoakcheck.AllDaemons, func() error { return text.Publish(ctx, site.control) })
 }
 
--- a/dogwoodload/dogwoodsoak/soak.go
+++ b/dogwoodload/dogwoodsoak/soak.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -43,6 +44,8 @@
 
 	// steps replace the steps that are drawn from the seed, in tests of single faults.
 	steps []dogwoodsoakplan.Step
+	// steadyLoad leaves out the changes of the load that are drawn from the seed.
+	steadyLoad bool
 }
 
 const (
@@ -183,28 +186,30 @@
 	if steps == nil {
 		steps = dogwoodsoakplan.Draw(options.Seed, site.shape(), warmUp, options.For-tail)
 	}
+	var loads []dogwoodsoakplan.Step
+	if options.steps == nil && !options.steadyLoad {
+		loads = dogwoodsoakplan.DrawLoads(options.Seed, site.shape(), warmUp, lastEnd(steps), lastEnd(steps)+recovery-time.Second)
+	}
 	bar := options.newProgressBar(len(steps))
 	started := time.Now()
-	if err := writeSteps(filepath.Join(directory, "steps"), started, steps); err != nil {
+	if err := writeSteps(filepath.Join(directory, "steps"), started, slices.Concat(steps, loads)); err != nil {
 		return nil, err
 	}
 	supervisorContext, stopSupervising := context.WithCancel(ctx)
 	defer stopSupervising()
 	var supervisor errgroup.Group
 	supervisor.Go(func() error { return site.superviseEndpoints(supervisorContext) })
+	supervisor.Go(func() error { return site.sampleMemory(supervisorContext) })
 	callersContext, stopSending := context.WithCancel(ctx)
 	defer stopSending()
-	var callers errgroup.Group
-	for number := range callerCount {
-		callers.Go(func() error {
-			site.callers.Run(callersContext, number, options.Seed)
-			return nil
-		})
-	}
+	callers := site.runCallers(callersContext, options.Seed)
+	var changes errgroup.Group
+	changes.Go(func() error { return site.runSteps(ctx, started, loads, func() {}) })
 	stepsErr := site.runSteps(ctx, started, steps, func() { _ = bar.Add(1) }) // a progress bar that can't be drawn doesn't stop the soak
 	calm := time.Now()
 	// Steps that waited for others end later than drawn; time to recover must remain after them.
 	dogwoodkernel.Sleep(ctx, max(time.Until(started.Add(options.For)), options.tail()))
+	stepsErr = errors.Join(stepsErr, changes.Wait())
 	stopSending()
 	_ = callers.Wait() // callers return no error
 	stopSupervising()
@@ -225,6 +230,15 @@
 	return report, nil
 }
 
+// lastEnd returns the time at which the last of the steps ends.
+func lastEnd(steps []dogwoodsoakplan.Step) time.Duration {
+	last := warmUp
+	for _, step := range steps {
+		last = max(last, step.At+step.For)
+	}
+	return last
+}
+
 // tail returns how long callers keep sending after the last fault; tests of single faults need no recovery.
 func (options *Options) tail() time.Duration {
 	if options.steps != nil {
--- a/dogwoodload/dogwoodsoak/soak_test.go
+++ b/dogwoodload/dogwoodsoak/soak_test.go
@@ -98,6 +98,11 @@
 		{cutWithoutCause, nil},
 		{withdrawnKeyRan, []dogwoodsoakplan.Step{step(dogwoodsoakplan.KeyWithdrawn, 0, 8*time.Second)}},
 		{sentAfterLeaving, []dogwoodsoakplan.Step{step(dogwoodsoakplan.EndpointReplaced, 0, 0)}},
+		{daemonMemory, nil},
+		{endpointMemory, nil},
+		{slowAnswer, []dogwoodsoakplan.Step{step(dogwoodsoakplan.SlowCallers, time.Second, 14*time.Second)}},
+		{slowAnswerCut, []dogwoodsoakplan.Step{step(dogwoodsoakplan.SlowCallers, time.Second, 14*time.Second)}},
+		{starved, []dogwoodsoakplan.Step{step(dogwoodsoakplan.RanksDiffer, time.Second, 14*time.Second)}},
 		{sentAfterTakeOut, []dogwoodsoakplan.Step{step(dogwoodsoakplan.TakenOut, 0, 8*time.Second)}},
 	}
 	for _, test := range tests {
@@ -122,7 +127,15 @@
 }
 
 // The real daemon keeps its promises under a seed whose steps kill and freeze processes and break connections.
-func TestDaemonKeepsPromises(t *testing.T) {
+func TestDaemonKeepsPromises(t *testing.T) { soakDaemon(t, true) }
+
+// The real daemon keeps its promises under the same faults while the load changes: callers read slowly, a customer sends too much
+// and ranks differ.
+func TestDaemonServesChangingLoad(t *testing.T) { soakDaemon(t, false) }
+
+// soakDaemon runs a soak of the real daemon, with a steady load or one that changes, and reports each finding.
+func soakDaemon(t *testing.T, steadyLoad bool) {
+	t.Helper()
 	if testing.Short() {
 		t.Skip("starts nine processes for half a minute")
 	}
@@ -132,7 +145,9 @@
 	if output, err := exec.CommandContext(t.Context(), "go", "build", "-o", daemon, "dogwoodmux.example/platform").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, output)
 	}
-	report, err := soak(t.Context(), newOptions(daemon, 45*time.Second), directory)
+	options := newOptions(daemon, 45*time.Second)
+	options.steadyLoad = steadyLoad
+	report, err := soak(t.Context(), options, directory)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/dogwoodload/dogwoodsoak/steps.go
+++ b/dogwoodload/dogwoodsoak/steps.go
@@ -32,6 +32,34 @@
 }
 
 func (site *site) runStep(ctx context.Context, step dogwoodsoakplan.Step) error {
+	switch step.Kind {
+	case dogwoodsoakplan.SlowCallers:
+		return site.slowCallers(ctx, step.For)
+	case dogwoodsoakplan.HotCustomer:
+		return site.hotCustomer(ctx, keys[step.Target], step.For)
+	case dogwoodsoakplan.RanksDiffer:
+		return site.differRanks(ctx, step.Target, step.For)
+	default:
+		return site.recordWrong(ctx, step)
+	}
+}
+
+// recordWrong runs a step that keeps the site from serving all that it could, and records its period.
+func (site *site) recordWrong(ctx context.Context, step dogwoodsoakplan.Step) error {
+	wrong := dogwoodsoakcheck.Span{From: time.Now()}
+	err := site.breakSomething(ctx, step)
+	wrong.To = time.Now()
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	site.recorded.Wrong = append(site.recorded.Wrong, wrong)
+	return err
+}
+
+// breakSomething runs a step that does not only change the load.
+func (site *site) breakSomething(ctx context.Context, step dogwoodsoakplan.Step) error {
+	if step.Kind == dogwoodsoakplan.SlowBodies {
+		return site.readBodiesSlowly(ctx, site.endpoints[step.Target], step.For)
+	}
 	switch dogwoodsoakplan.SubjectOf(step.Kind) {
 	case dogwoodsoakplan.Daemon:
 		return site.daemonStep(ctx, step, site.daemons[step.Target])
--- a/dogwoodload/dogwoodsoakcaller/caller.go
+++ b/dogwoodload/dogwoodsoakcaller/caller.go
@@ -58,6 +58,8 @@
 	// Crashing is the kind of requests that crash endpoints, and CrashingKey their key.
 	Crashing    Kind
 	CrashingKey string
+	// SlowBytes are the sizes of the answers that slow callers ask for; each is equally likely.
+	SlowBytes []int
 }
 
 const (
@@ -83,6 +85,9 @@
 	calls []dogwoodsoakcheck.Call
 	// crashing is what callers send now to crash endpoints; empty for nothing.
 	crashing dogwoodsoakcheck.Crashing
+	// slow is true while further callers read slowly, and hotKey the key of the hot customer; empty for none.
+	slow   bool
+	hotKey string
 }
 
 // New returns callers.
@@ -128,16 +133,20 @@
 	refreshedAt time.Time
 }
 
+// newCaller returns a caller with connections of its own.
+func (callers *Callers) newCaller(number int, random *rand.Rand, transport *http.Transport) *caller {
+	return &caller{
+		Callers: callers, number: number, random: random, client: &http.Client{Transport: transport},
+		dataCentre: callers.options.DataCentres[number%len(callers.options.DataCentres)],
+	}
+}
+
 // Run runs one caller until the context ends. A request that is in transit then is not cancelled; Run waits for its
 // end.
 func (callers *Callers) Run(ctx context.Context, number int, seed uint64) {
 	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}
 	defer transport.CloseIdleConnections()
-	caller := &caller{
-		Callers: callers, number: number, random: rand.New(rand.NewPCG(seed, uint64(number))),
-		dataCentre: callers.options.DataCentres[number%len(callers.options.DataCentres)],
-		client:     &http.Client{Transport: transport},
-	}
+	caller := callers.newCaller(number, rand.New(rand.NewPCG(seed, uint64(number))), transport)
 	for {
 		wait := time.Duration(caller.random.ExpFloat64() * float64(callers.options.MeanInterval))
 		select {
@@ -239,12 +248,17 @@
 			target = fmt.Sprintf("%s%d?q=%d", kind.Prefix, caller.number, caller.sent)
 		}
 	}
+	caller.send(ctx, &call, kind, daemon.ProxyAddress, target, body)
+}
+
+// send sends a request and records its result.
+func (caller *caller) send(ctx context.Context, call *dogwoodsoakcheck.Call, kind *Kind, address netip.AddrPort, target, body string) {
 	call.Sent = time.Now()
-	caller.exchange(ctx, &call, kind, daemon.ProxyAddress, target, body)
+	caller.exchange(ctx, call, kind, address, target, body)
 	call.Ended = time.Now()
 	caller.mutex.Lock()
 	defer caller.mutex.Unlock()
-	caller.calls = append(caller.calls, call)
+	caller.calls = append(caller.calls, *call)
 }
 
 // unrepeatableBody is a request body that net/http can't resend, so that each request is one attempt.
@@ -279,7 +293,7 @@
 	defer func() { _ = response.Body.Close() }() // the body was read completely, or reading it failed
 	call.Status, call.Sealed = response.StatusCode, dogwoodstandin.HasSeal(response.Header)
 	call.NotRun = dogwoodstandin.PromisesNotRun(response.StatusCode)
-	received, err := io.ReadAll(response.Body)
+	received, err := io.ReadAll(caller.reader(ctx, call, response.Body))
 	if err != nil {
 		call.Error = err.Error()
 		return
@@ -304,10 +318,7 @@
 
 // describeError describes the error in an answer that looks complete; it returns "" for a correct answer.
 func describeError(id string, kind *Kind, target, body, received string) string {
-	want := dogwoodstandin.PlainAnswer(id, target, body)
-	if kind.Events > 0 {
-		want = dogwoodstandin.StreamAnswer(id, kind.Events)
-	}
+	want := dogwoodstandin.Answer(id, target, body, kind.Events)
 	switch {
 	case received == want:
 		return ""
--- a/dogwoodload/dogwoodsoakcheck/check_test.go
+++ b/dogwoodload/dogwoodsoakcheck/check_test.go
@@ -23,6 +23,8 @@
 	CrashesToLearn: 3, PartCrashesToLearn: 5, LateRetries: 3, AnswerSlack: time.Second,
 	ChangeWindow: 2 * time.Second, TextSlack: time.Second,
 	AcceptsFor: 2 * time.Second, Recovery: 12 * time.Second, ServedShare: 0.25,
+	DeliverySlack: 2 * time.Second, DaemonMemory: 1000, AnswerBuffer: 500,
+	StarvationWindow: 5 * time.Second, StarvationCalls: 5, StarvationServed: 3, StarvationShare: 0.2,
 }
 
 // newCleanHistory returns a history that breaks no promise: one request of each kind a second, served at once.
@@ -90,6 +92,33 @@
 	})
 }
 
+// slowCall is the call that the tests of slow callers change.
+const slowCall = "Lookup-20"
+
+// readSlowly makes the caller of slowCall read a large answer slowly.
+func (history *History) readSlowly(bytes int) {
+	call := history.call(slowCall)
+	call.Slow, call.LargeBytes = true, bytes
+}
+
+// write adds the end of the large answer to slowCall at its endpoint.
+func (history *History) write(unread bool) {
+	history.Written = append(history.Written, Written{Endpoint: "e", RequestID: slowCall, At: after(20.05), Unread: unread})
+}
+
+// refusePrompts makes the prompts of the seconds from 20 on those of the key "other", of which all but some of five are refused, and the
+// lookups another key's prompts, which are served.
+func (history *History) refusePrompts(served int) {
+	for second := 20; second < 40; second++ {
+		history.call(fmt.Sprintf("Lookup-%d", second)).Kind = Prompt
+		call, arrival := history.call(fmt.Sprintf("Prompt-%d", second)), history.arrival(fmt.Sprintf("Prompt-%d", second))
+		call.Key = "other"
+		if (second-20)%5 >= served {
+			call.Status, call.Sealed, call.NotRun, arrival.Ran = 503, false, true, false
+		}
+	}
+}
+
 // cut makes a request end without an answer.
 func (history *History) cut(id string) {
 	call := history.call(id)
@@ -265,6 +294,82 @@
 			history.call("Once-20").Ended = after(25.1)
 			history.fault(Fault{Daemon: "d"}, 21, 24)
 		}, ""},
+		{"a daemon takes more than its memory", func(history *History) {
+			history.Memory = []Memory{{Daemon: "d", Bytes: 1001, At: after(7)}}
+		}, "DaemonMemory"},
+		{"a daemon takes all of its memory", func(history *History) { history.Memory = []Memory{{Daemon: "d", Bytes: 1000, At: after(7)}} }, ""},
+		{"requests end an endpoint", func(history *History) {
+			history.OutOfMemory = []OutOfMemory{{Endpoint: "e", At: after(20)}}
+			history.fault(Fault{Endpoint: "e"}, 19.9, 21)
+		}, "EndpointMemory"},
+		{"requests that were delayed on the way end an endpoint", func(history *History) {
+			history.OutOfMemory = []OutOfMemory{{Endpoint: "e", At: after(20)}}
+			history.fault(Fault{Endpoint: "e"}, 17, 19)
+		}, ""},
+		{"a daemon does not read an answer", func(history *History) { history.write(true) }, "SlowAnswer"},
+		{"a daemon that is frozen does not read an answer", func(history *History) {
+			history.write(true)
+			history.fault(Fault{Daemon: "d"}, 18, 20.1)
+		}, ""},
+		{"an answer that is not passed on by the way stays unread", func(history *History) {
+			history.write(true)
+			history.fault(Fault{Endpoint: "e"}, 18, 19)
+		}, ""},
+		{"a whole answer reaches a slow caller cut", func(history *History) {
+			history.readSlowly(500)
+			history.write(false)
+			history.cut(slowCall)
+		}, "SlowAnswer"},
+		{"a whole answer that no daemon holds reaches a slow caller visibly cut", func(history *History) {
+			history.readSlowly(501)
+			history.write(false)
+			history.cut(slowCall)
+		}, ""},
+		{"a large answer to a slow caller is cut and looks whole", func(history *History) {
+			history.readSlowly(501)
+			history.write(false)
+			history.call(slowCall).Wrong = "too short"
+		}, "WrongAnswer"},
+		{"a small answer to a slow caller is cut before it is whole", func(history *History) {
+			history.readSlowly(500)
+			history.cut(slowCall)
+		}, "CutWithoutCause"},
+		{"a slow caller gets an answer until 2 s after its time limit", func(history *History) {
+			history.readSlowly(500)
+			history.call(slowCall).Ended = after(26.9)
+		}, ""},
+		{"a slow caller gets an answer for longer", func(history *History) {
+			history.readSlowly(500)
+			history.call(slowCall).Ended = after(27.1)
+		}, "AnsweredLate"},
+		{"a slow caller sees the end of its answer after a pause", func(history *History) {
+			history.readSlowly(500)
+			call := history.call(slowCall)
+			call.Ended, call.Paused = after(27.1), time.Second
+		}, ""},
+		{"a customer gets nothing", func(history *History) { history.refusePrompts(0) }, "Starved"},
+		{"a customer gets the minimum", func(history *History) { history.refusePrompts(1) }, ""},
+		{"a customer gets nothing while something is wrong", func(history *History) {
+			history.refusePrompts(0)
+			history.Wrong = []Span{{From: after(15), To: after(40)}}
+		}, ""},
+		{"a customer gets nothing during faults", func(history *History) {
+			history.refusePrompts(0)
+			history.fault(Fault{Endpoint: "other"}, 15, 40)
+		}, ""},
+		{"a rank gets nothing, of which each customer sends little", func(history *History) {
+			history.refusePrompts(0)
+			history.Ranks = []Ranks{{Span: Span{From: after(19), To: after(40)}, OfKey: map[string]int{"other": 1, "another": 1, "k": 0}}}
+			for second := 21; second < 40; second += 2 {
+				history.call(fmt.Sprintf("Prompt-%d", second)).Key = "another"
+			}
+		}, "Starved"},
+		{"customers that send little get nothing", func(history *History) {
+			history.refusePrompts(0)
+			for second := 21; second < 40; second += 2 {
+				history.call(fmt.Sprintf("Prompt-%d", second)).Key = "another"
+			}
+		}, ""},
 		{"a shutdown cuts a request", func(history *History) {
 			history.Stops = []Stop{{Daemon: "d", From: after(20.05), To: after(24)}}
 			history.fault(Fault{Daemon: "d", Planned: true}, 20.05, 25)
--- a/dogwoodload/dogwoodsoakcheck/history.go
+++ b/dogwoodload/dogwoodsoakcheck/history.go
@@ -29,6 +29,8 @@
 	CrashesToLearn, PartCrashesToLearn, LateRetries int
 	// AnswerSlack is how long after its time limit a request may end.
 	AnswerSlack time.Duration
+	// DeliverySlack is how long after its time limit an answer that was ready may still be delivered to a caller that reads slowly.
+	DeliverySlack time.Duration
 	// ChangeWindow is how long after a change a daemon may still be applying it. For the operators' rows,
 	// TextSlack is added.
 	ChangeWindow, TextSlack time.Duration
@@ -39,6 +41,15 @@
 	// minimum share of them.
 	Recovery    time.Duration
 	ServedShare float64
+	// DaemonMemory bounds the resident set of a daemon's process, in bytes.
+	DaemonMemory int
+	// AnswerBuffer is the size of answers up to which a caller that reads slowly must not be cut; a larger one may visibly be.
+	AnswerBuffer int
+	// Within each StarvationWindow in which nothing is wrong, each customer and each rank that sends StarvationCalls prompts or
+	// more gets StarvationShare of them served, or StarvationServed prompts.
+	StarvationWindow                  time.Duration
+	StarvationCalls, StarvationServed int
+	StarvationShare                   float64
 }
 
 // CallKind is the kind of a call; it determines whether the call may run more than once.
@@ -77,6 +88,12 @@
 	Error string
 	// Crashing is what crashes each endpoint that runs the call; empty for other calls.
 	Crashing Crashing
+	// Slow is true if the caller read the answer slowly. Paused is the sum of the times for which it did not read: the kernel may
+	// hold what the daemon has written long before, so that the end is seen later by this time. LargeBytes is the least size of
+	// the answer that it asked for.
+	Slow       bool
+	Paused     time.Duration
+	LargeBytes int
 }
 
 // Crashing identifies a request or a part of prompts that crashes endpoints.
@@ -129,6 +146,37 @@
 	From, To  time.Time
 }
 
+// Written is the end of a large answer at its endpoint.
+type Written struct {
+	Endpoint, RequestID string
+	At                  time.Time
+	// Unread is true if the endpoint cut the answer off because it stayed unread; otherwise it wrote the answer completely.
+	Unread bool
+}
+
+// OutOfMemory is the end of an endpoint by the requests that it held.
+type OutOfMemory struct {
+	Endpoint, RequestID string
+	Held, Bound         int
+	At                  time.Time
+}
+
+// Memory is the largest resident set of a daemon's process that was seen.
+type Memory struct {
+	Daemon string
+	Bytes  int
+	At     time.Time
+}
+
+// Span is a period in which something was wrong, whether the checks count it as a fault or not.
+type Span struct{ From, To time.Time }
+
+// Ranks are the ranks of the customers of some keys while a text that gives them was in force everywhere.
+type Ranks struct {
+	Span
+	OfKey map[string]int
+}
+
 // Fault is a period in which one or all daemons lacked something that they depend on, or in which requests
 // to an endpoint, or its answers, were delayed.
 type Fault struct {
@@ -205,6 +253,11 @@
 	Stops       []Stop
 	Held        []Held
 	Deaths      []Death
+	Written     []Written
+	OutOfMemory []OutOfMemory
+	Memory      []Memory
+	Wrong       []Span
+	Ranks       []Ranks
 	// Calm is the time when the last fault ended.
 	Calm time.Time
 }
--- a/dogwoodload/dogwoodsoakcheck/requests.go
+++ b/dogwoodload/dogwoodsoakcheck/requests.go
@@ -61,11 +61,14 @@
 
 func answeredLate(analysis *analysis) []Finding {
 	return analysis.checkCalls(func(call *Call) string {
-		excess := call.Ended.Sub(call.Sent) - call.Wait - analysis.bounds.AnswerSlack
-		if excess <= 0 || !analysis.daemonUnaffected(call.Daemon, call.Sent, call.Ended, analysis.bounds.Stability) {
+		late, allowed := call.Ended.Sub(call.Sent)-call.Wait, analysis.bounds.AnswerSlack
+		if call.Slow {
+			allowed += call.Paused + analysis.bounds.DeliverySlack
+		}
+		if late <= allowed || !analysis.daemonUnaffected(call.Daemon, call.Sent, call.Ended, analysis.bounds.Stability) {
 			return ""
 		}
-		return fmt.Sprintf("had neither an answer nor an end %s after its time limit of %s", (excess + analysis.bounds.AnswerSlack).Round(time.Millisecond), call.Wait)
+		return fmt.Sprintf("had neither an answer nor an end %s after its time limit of %s", late.Round(time.Millisecond), call.Wait)
 	})
 }
 
@@ -129,12 +132,20 @@
 // cutWithoutFault reports whether a request ended without an answer although no fault affected its daemon or an
 // endpoint that it reached.
 func (analysis *analysis) cutWithoutFault(call *Call) bool {
+	if call.Slow && analysis.answerWritten(call) {
+		return false // slowAnswer reports it
+	}
+	return analysis.cutWhileUnaffected(call)
+}
+
+// cutWhileUnaffected reports whether a request ended without an answer although no fault affected it.
+func (analysis *analysis) cutWhileUnaffected(call *Call) bool {
 	return !call.Whole && !analysis.hasOtherCause(call) && analysis.daemonUnaffected(call.Daemon, call.Sent, call.Ended, analysis.bounds.Stability)
 }
 
 // hasOtherCause reports whether something other than a graceful shutdown may have ended a request.
 func (analysis *analysis) hasOtherCause(call *Call) bool {
-	if call.Ended.Sub(call.Sent) >= call.Wait {
+	if call.Ended.Sub(call.Sent) >= call.Wait || call.Slow && call.LargeBytes > analysis.bounds.AnswerBuffer {
 		return true
 	}
 	if !analysis.noFault(call.Sent.Add(-analysis.bounds.Stability), call.Ended, func(fault *Fault) bool {
--- a/dogwoodload/dogwoodsoakplan/plan.go
+++ b/dogwoodload/dogwoodsoakplan/plan.go
@@ -72,6 +72,14 @@
 	TextChanged Kind = "TextChanged"
 	// KeyWithdrawn withdraws a customer's key and restores it after the duration.
 	KeyWithdrawn Kind = "KeyWithdrawn"
+	// SlowCallers makes further callers send large requests and read the answers slowly, or stop reading for a while.
+	SlowCallers Kind = "SlowCallers"
+	// SlowBodies makes an endpoint read the bodies of requests slowly.
+	SlowBodies Kind = "SlowBodies"
+	// HotCustomer makes a customer send many times as much as the others and repeat at once what is refused.
+	HotCustomer Kind = "HotCustomer"
+	// RanksDiffer publishes a text with ranks of routes and customers that differ, and restores the one without.
+	RanksDiffer Kind = "RanksDiffer"
 	// TakenOut takes a data centre out of service and brings it back after the duration.
 	TakenOut Kind = "TakenOut"
 )
@@ -102,7 +110,7 @@
 
 const second = time.Second
 
-// kinds lists all kinds but those in busyKinds, crashKinds, limitKinds and backoffKinds. Many ranges of durations include the daemons' bounds of 4 and 5
+// kinds lists all kinds but those in the lists below. Many ranges of durations include the daemons' bounds of 4 and 5
 // seconds, so that some steps end before these bounds and some after.
 var kinds = []traits{
 	{DaemonKilled, Daemon, 6, second / 2, 3 * second, second / 2},
@@ -155,6 +163,18 @@
 	{ServiceSheds, Service, 2, 2 * second, 5 * second, 0},
 }
 
+// loadKinds lists the kinds that change the load. They are drawn by DrawLoads, independently of all others, so that the faults of
+// a seed stay as they were before there were such kinds.
+var loadKinds = []traits{
+	{SlowCallers, Callers, 3, 4 * second, 8 * second, 0},
+	{SlowBodies, Endpoint, 2, 3 * second, 6 * second, second},
+	{HotCustomer, Key, 3, 6 * second, 10 * second, 0},
+	{RanksDiffer, Key, 3, 8 * second, 12 * second, 0},
+}
+
+// calmKinds lists the kinds of loads that also occur after the last fault, where a check can tell that nothing else is wrong.
+var calmKinds = []Kind{SlowCallers, HotCustomer, RanksDiffer}
+
 // Shape holds the number of subjects of each type.
 type Shape struct {
 	Daemons, Endpoints, Keys, DataCentres, Services int
@@ -204,6 +224,11 @@
 	// backoffInterval and backoffSeriesShare correspond to stepInterval and seriesShare for backoffKinds.
 	backoffInterval    = 8 * time.Second
 	backoffSeriesShare = 0.25
+	// loadInterval and loadSeriesShare correspond to stepInterval and seriesShare for loadKinds.
+	loadInterval    = 2500 * time.Millisecond
+	loadSeriesShare = 0.25
+	// calmShare is the probability of each of calmKinds after the last fault.
+	calmShare = 0.7
 )
 
 // Draw returns the steps of a seed in order of time. All of them start and end between from and until.
@@ -221,6 +246,22 @@
 	return steps
 }
 
+// DrawLoads returns the changes of a seed's load in order of time. Those beside the faults start and end between from and calm,
+// and those after the last fault between calm and until.
+func DrawLoads(seed uint64, shape Shape, from, calm, until time.Duration) []Step {
+	random := rand.New(rand.NewPCG(seed+1, ^seed))
+	loads := sequence{random, loadKinds, loadInterval, loadSeriesShare}
+	steps := loads.draw(shape, from, calm)
+	for _, kind := range calmKinds {
+		at, target := calm+time.Duration(random.Float64()*float64(second)), random.IntN(shape.count(SubjectOf(kind)))
+		if random.Float64() < calmShare && at < until {
+			steps = append(steps, Step{At: at, For: until - at, Kind: kind, Target: target})
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
+
 // sequence draws steps independently of other sequences.
 type sequence struct {
 	random      *rand.Rand
@@ -269,7 +310,7 @@
 
 // SubjectOf returns what a kind of step acts on.
 func SubjectOf(kind Kind) Subject {
-	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds) {
+	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds, loadKinds) {
 		if candidate.kind == kind {
 			return candidate.subject
 		}
--- a/dogwoodload/dogwoodsoakplan/plan_test.go
+++ b/dogwoodload/dogwoodsoakplan/plan_test.go
@@ -1,6 +1,9 @@
 package dogwoodsoakplan
 
 import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
 	"slices"
 	"testing"
 	"time"
@@ -30,7 +33,8 @@
 func TestStepTimesAndTargets(t *testing.T) {
 	drawn := map[Kind]bool{}
 	for seed := range uint64(200) {
-		steps := Draw(seed, shape, from, until)
+		steps := slices.Concat(Draw(seed, shape, from, until), DrawLoads(seed, shape, from, until-20*time.Second, until))
+		slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 		for i, step := range steps {
 			drawn[step.Kind] = true
 			if step.At < from || step.At+step.For > until {
@@ -44,13 +48,25 @@
 			}
 		}
 	}
-	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds) {
+	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds, loadKinds) {
 		if !drawn[candidate.kind] {
 			t.Errorf("no seed of 200 draws %s", candidate.kind)
 		}
 	}
 }
 
+// Guards against a change of the faults that the seeds listed in docs/SOAK.md stand for, which would make them other seeds. The
+// sum is that of the code before there were loads.
+func TestDrawnFaultsStay(t *testing.T) {
+	sum := fnv.New64a()
+	for seed := range uint64(100) {
+		_, _ = fmt.Fprint(sum, Draw(seed, shape, from, until))
+	}
+	if got, want := sum.Sum64(), uint64(6955873069943468984); got != want {
+		t.Errorf("got sum %d of the steps, want %d", got, want)
+	}
+}
+
 // Some steps overlap in time and some form series that act on several subjects one after another.
 func TestStepsOverlapAndFormSeries(t *testing.T) {
 	overlaps, series := 0, 0
--- a/dogwoodload/dogwoodsoakprocess/process.go
+++ b/dogwoodload/dogwoodsoakprocess/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"sync"
@@ -98,6 +99,19 @@
 	return nil
 }
 
+// ResidentBytes returns the size of the process's resident set.
+func (process *Process) ResidentBytes() (int, error) {
+	source, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", process.command.Process.Pid))
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	var size, resident int // in pages
+	if _, err := fmt.Sscan(string(source), &size, &resident); err != nil {
+		return 0, Error.Wrap(err)
+	}
+	return resident * os.Getpagesize(), nil
+}
+
 // Running reports whether the process has not ended yet.
 func (process *Process) Running() bool {
 	select {
--- a/dogwoodload/dogwoodsoakprocess/process_test.go
+++ b/dogwoodload/dogwoodsoakprocess/process_test.go
@@ -55,3 +55,21 @@
 	}
 	group.KillAll()
 }
+
+// Guards against a memory check that reads a wrong field, or a dead process's: this process's own resident set is read, and one
+// that has ended has none.
+func TestResidentBytes(t *testing.T) {
+	var group Group
+	process, err := group.Start(t.Context(), Spec{Name: "sleep", Path: "/bin/sh", Arguments: []string{"-c", "exec sleep 60"}, Log: filepath.Join(t.TempDir(), "log")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := process.ResidentBytes()
+	if least, most := 64<<10, 64<<20; err != nil || got < least || got > most {
+		t.Errorf("got %d bytes and %v, want some hundred kilobytes", got, err)
+	}
+	group.KillAll()
+	if got, err := process.ResidentBytes(); err == nil {
+		t.Errorf("got %d bytes of a process that has ended, want an error", got)
+	}
+}
--- a/dogwoodload/dogwoodsoakproxy/proxy.go
+++ b/dogwoodload/dogwoodsoakproxy/proxy.go
@@ -36,6 +36,9 @@
 	// chunkBytes is the maximum size of a chunk.
 	chunkBytes  = 16 << 10
 	dialTimeout = time.Second
+	// bufferBytes is the size of the kernel's buffers of each connection. Its defaults take megabytes, so that a daemon would
+	// never notice a caller that doesn't read.
+	bufferBytes = 64 << 10
 )
 
 // Proxy forwards connections to a target. It is safe for concurrent use.
@@ -108,6 +111,9 @@
 }
 
 func (proxy *Proxy) add(connection net.Conn) {
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		_ = errors.Join(tcp.SetReadBuffer(bufferBytes), tcp.SetWriteBuffer(bufferBytes)) // the connection may be closed already
+	}
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
 	proxy.connections[connection] = struct{}{}
