Add local scenarios with ranks, a hot customer, a turning mix and slow readers

The scenarios of local deployments had no prompts of different ranks, no caller that repeats what is refused, no mix that turns and no caller that stops reading.

dogwoodload local plays "ranks", "hot-customer", "turning-mix" and "slow-readers", and the judge counts what was in time by rank and by customer. Traces of the other scenarios stay as they were.

--- a/dogwoodload/dogwoodjudge/judge_test.go
+++ b/dogwoodload/dogwoodjudge/judge_test.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
+	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodproblem"
 	"dogwoodmux.example/core/dogwoodsettings"
 	"dogwoodmux.example/dogwoodload/dogwoodresult"
@@ -28,6 +30,32 @@
 	return &dogwoodproblem.Problem{NotRun: notRun, Reason: "Deadline"}
 }
 
+// Guards against a report in which a rank or a customer that gets nothing is hidden by the others.
+func TestInTimeByRankAndCustomer(t *testing.T) {
+	ranked := func(rank int, customer dogwoodfleet.Customer, took time.Duration) dogwoodsender.Sample {
+		arrival := arrival("x", "")
+		arrival.Rank, arrival.Customer = rank, customer
+		return dogwoodsender.Sample{Arrival: arrival, Whole: true, Status: 200, Took: took}
+	}
+	var result dogwoodresult.Result
+	samples := []dogwoodsender.Sample{ranked(0, "a", time.Second), ranked(0, "b", time.Second), ranked(2, "b", time.Minute), {Arrival: arrival("hold", "key"), Whole: true, Status: 201}}
+	Judge(&result, samples, &Ran{}, Speed{Prefill: 1000, Decode: 100})
+	if got, want := result.InTimeByRank, []dogwoodresult.RankShare{{Rank: 0, Sent: 2, InTime: 2}, {Rank: 2, Sent: 1}}; !slices.Equal(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if got, want := result.InTimeByCustomer, []dogwoodresult.CustomerShare{{Customer: "a", Sent: 2, InTime: 2}, {Customer: "b", Sent: 2, InTime: 1}}; !slices.Equal(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	Judge(&result, samples[:2], &Ran{}, Speed{Prefill: 1000, Decode: 100})
+	if result.InTimeByRank != nil {
+		t.Errorf("got %+v for prompts of one rank, want nothing", result.InTimeByRank)
+	}
+	samples[2].Arrival.ReadPause = dogwoodsettings.Duration(50 * time.Second)
+	if Late(&samples[2]) {
+		t.Error("got a late answer, want one whose caller did not read for most of the time")
+	}
+}
+
 func TestEachRequestHasExactlyOneOutcome(t *testing.T) {
 	samples := []dogwoodsender.Sample{
 		{Arrival: arrival("answered", ""), Whole: true, Status: 200, Took: time.Second, FirstToken: time.Second},
--- a/dogwoodload/dogwoodjudge/measure.go
+++ b/dogwoodload/dogwoodjudge/measure.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -11,6 +12,7 @@
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/dogwoodload/dogwoodresult"
 	"dogwoodmux.example/dogwoodload/dogwoodsender"
+	"dogwoodmux.example/dogwoodload/dogwoodtrace"
 )
 
 // promptClassBounds are the upper bounds, in tokens, of the classes of prompts. Times to the first token
@@ -108,6 +110,28 @@
 	return result
 }
 
+// countByRank returns the counts of prompts by rank, and nothing if all have the same one.
+func countByRank(samples []dogwoodsender.Sample) []dogwoodresult.RankShare {
+	counts := map[int]dogwoodresult.RankShare{}
+	for i := range samples {
+		arrival := samples[i].Arrival
+		if arrival.Kind != dogwoodtrace.Chat {
+			continue
+		}
+		count := counts[arrival.Rank]
+		count.Rank = arrival.Rank
+		count.Sent++
+		if inTime(&samples[i]) {
+			count.InTime++
+		}
+		counts[arrival.Rank] = count
+	}
+	if len(counts) < 2 {
+		return nil
+	}
+	return slices.SortedFunc(maps.Values(counts), func(a, b dogwoodresult.RankShare) int { return cmp.Compare(a.Rank, b.Rank) })
+}
+
 // reasons counts requests that were not answered by outcome and reason.
 func reasons(samples []dogwoodsender.Sample) []dogwoodresult.ReasonCount {
 	counts := map[string]int{}
--- a/dogwoodload/dogwoodresult/result.go
+++ b/dogwoodload/dogwoodresult/result.go
@@ -77,6 +77,8 @@
 	InTime int
 	// InTimeByCustomer counts the requests of each customer, and those answered by their deadline.
 	InTimeByCustomer []CustomerShare `json:",omitempty"`
+	// InTimeByRank counts the prompts of each rank, and those answered by their deadline. It is empty if all have the same rank.
+	InTimeByRank []RankShare `json:",omitempty"`
 	// Reasons counts requests that were not answered by outcome and by the reason that callers
 	// received.
 	Reasons []ReasonCount `json:",omitempty"`
@@ -104,6 +106,13 @@
 	InTime   int
 }
 
+// RankShare holds the counts of one rank.
+type RankShare struct {
+	Rank   int
+	Sent   int
+	InTime int
+}
+
 // ReasonCount counts outcomes with one reason.
 type ReasonCount struct {
 	Reason string
--- a/dogwoodload/dogwoodresult/table.go
+++ b/dogwoodload/dogwoodresult/table.go
@@ -79,6 +79,16 @@
 }
 
 func writeNotes(writer io.Writer, result *Result) error {
+	for _, share := range result.InTimeByRank {
+		if _, err := fmt.Fprintf(writer, "in time of rank %d: %d of %d\n", share.Rank, share.InTime, share.Sent); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	for _, share := range result.InTimeByCustomer {
+		if _, err := fmt.Fprintf(writer, "in time of %s: %d of %d\n", share.Customer, share.InTime, share.Sent); err != nil {
+			return Error.Wrap(err)
+		}
+	}
 	for _, reason := range result.Reasons {
 		if _, err := fmt.Fprintf(writer, "told %s: %d\n", reason.Reason, reason.Count); err != nil {
 			return Error.Wrap(err)
--- a/dogwoodload/dogwoodscenario/scenarios.go
+++ b/dogwoodload/dogwoodscenario/scenarios.go
@@ -158,8 +158,74 @@
 			{At: 12 * time.Second, What: "daemon 2 back", Do: restartDaemon(1)},
 		},
 	},
+	{
+		Name: "ranks", Shape: dogwoodsite.Hinokuni,
+		Description: "Urgent short prompts beside long ones of lower ranks, while engines are lost.",
+		Spec: func(spec *dogwoodtrace.Spec) {
+			spec.PromptClasses = rankedClasses
+		},
+		Steps: []Step{
+			{At: 4 * time.Second, What: "6 engines die", Do: killEngines(0, 1, 2, 3, 4, 5)},
+			{At: 7 * time.Second, What: "2 more engines die", Do: killEngines(6, 7)},
+			{At: 12 * time.Second, What: "8 engines back", Do: reviveEngines(0, 1, 2, 3, 4, 5, 6, 7)},
+		},
+	},
+	{
+		Name: "hot-customer", Shape: dogwoodsite.Hinokuni,
+		Description: "One small customer sends forty times its usual rate and repeats at once what is refused, while engines are lost.",
+		Spec: func(spec *dogwoodtrace.Spec) {
+			spec.Repeating = spec.TrafficShares[len(spec.TrafficShares)-1].Customer
+			spec.Phases = []dogwoodtrace.Phase{{From: 4 * time.Second, To: 12 * time.Second, Factor: 40, Customer: spec.Repeating}}
+		},
+		Steps: []Step{
+			{At: 6 * time.Second, What: "4 engines die", Do: killEngines(0, 1, 2, 3)},
+			{At: 10 * time.Second, What: "4 engines back", Do: reviveEngines(0, 1, 2, 3)},
+		},
+	},
+	{
+		Name: "turning-mix", Shape: dogwoodsite.Hinokuni,
+		Description: "The mix turns between mostly short and mostly long prompts every four seconds.",
+		Spec: func(spec *dogwoodtrace.Spec) {
+			for from := time.Duration(0); from < spec.Duration; from += 2 * turnInterval {
+				spec.Phases = append(spec.Phases,
+					dogwoodtrace.Phase{From: from, To: from + turnInterval, Factor: 1.5, PromptClasses: mostlyShort},
+					dogwoodtrace.Phase{From: from + turnInterval, To: from + 2*turnInterval, Factor: 0.5, PromptClasses: mostlyLong})
+			}
+		},
+	},
+	{
+		Name: "slow-readers", Shape: dogwoodsite.Hinokuni,
+		Description: "A fifth of the callers stop reading their streams for three seconds, at four fifths of the capacity.",
+		Spec: func(spec *dogwoodtrace.Spec) {
+			spec.Rate = 0.8 * capacity
+			spec.ReadPauseShare, spec.ReadPause = 0.2, 3*time.Second
+		},
+	},
 }
 
+// rankedClasses are urgent short prompts, long ones of a lower rank and very long ones of the lowest.
+var rankedClasses = []dogwoodtrace.PromptClass{
+	{Share: 0.86, FromTokens: 200, ToTokens: 4000, MaxTokens: 32, Deadline: 3 * time.Second},
+	{Share: 0.12, FromTokens: 30_000, ToTokens: 60_000, MaxTokens: 48, Deadline: 8 * time.Second, Rank: 1},
+	{Share: 0.02, FromTokens: 150_000, ToTokens: 250_000, MaxTokens: 48, Deadline: 12 * time.Second, Rank: 2},
+}
+
+// turnInterval is the time for which one mix lasts.
+const turnInterval = 4 * time.Second
+
+// The mixes between which the load turns. They have the classes of one deployment with different shares.
+var (
+	mostlyShort = []dogwoodtrace.PromptClass{
+		{Share: 0.97, FromTokens: 200, ToTokens: 4000, MaxTokens: 32, Deadline: 3 * time.Second},
+		{Share: 0.03, FromTokens: 30_000, ToTokens: 60_000, MaxTokens: 48, Deadline: 8 * time.Second},
+	}
+	mostlyLong = []dogwoodtrace.PromptClass{
+		{Share: 0.62, FromTokens: 200, ToTokens: 4000, MaxTokens: 32, Deadline: 3 * time.Second},
+		{Share: 0.2, FromTokens: 30_000, ToTokens: 60_000, MaxTokens: 48, Deadline: 8 * time.Second},
+		{Share: 0.18, FromTokens: 150_000, ToTokens: 250_000, MaxTokens: 48, Deadline: 12 * time.Second},
+	}
+)
+
 // longJobArrivals returns prompts that exceed one engine's memory. They arrive in pairs.
 func longJobArrivals(spec *dogwoodtrace.Spec) []dogwoodtrace.Arrival {
 	const jobs = 10
--- a/dogwoodload/dogwoodsender/read.go
+++ b/dogwoodload/dogwoodsender/read.go
@@ -25,6 +25,9 @@
 func (sender *Sender) read(sample *Sample, response *http.Response) error {
 	sample.Status = response.StatusCode
 	sample.RequestID = response.Header.Get(headerRequestID)
+	if pause := time.Duration(sample.Arrival.ReadPause); pause > 0 && response.StatusCode < http.StatusMultipleChoices {
+		time.Sleep(pause)
+	}
 	contentType := response.Header.Get("Content-Type")
 	switch {
 	case strings.HasPrefix(contentType, dogwoodproblem.ContentType):
--- a/dogwoodload/dogwoodsender/sample.go
+++ b/dogwoodload/dogwoodsender/sample.go
@@ -19,9 +19,10 @@
 type Sample struct {
 	Arrival *dogwoodtrace.Arrival
 	// Resent is the time when the caller sent the request again because the first attempt
-	// returned neither a whole answer nor a problem; zero if it was sent once. If it is not
-	// zero, the other fields are about the second attempt, except that Sent is the time of the
-	// first and BrokenEntry the address that the first went to.
+	// returned neither a whole answer nor a problem, or because it was refused and the arrival
+	// repeats such requests; zero if it was sent once. If it is not zero, the other fields are
+	// about the last attempt, except that Sent is the time of the first and BrokenEntry the
+	// address that a broken attempt went to.
 	Resent      time.Time
 	BrokenEntry netip.AddrPort
 	// Entry is the address that the request was sent to.
--- a/dogwoodload/dogwoodsender/sender.go
+++ b/dogwoodload/dogwoodsender/sender.go
@@ -14,6 +14,7 @@
 	"github.com/alitto/pond/v2"
 
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodproblem"
 	"dogwoodmux.example/dogwoodload/dogwoodtrace"
 )
 
@@ -137,6 +138,11 @@
 			sample = resent
 		}
 	}
+	for sample.mayRepeat() && waitUntil(bounded, time.Now().Add(repeatInterval)) {
+		repeated := Sample{Arrival: arrival, Sent: sample.Sent, Resent: time.Now(), BrokenEntry: sample.BrokenEntry}
+		sender.sendOnce(bounded, &repeated, customerAddresses, body, netip.AddrPort{})
+		sample = repeated
+	}
 	sample.Took = time.Since(sample.Sent)
 	return sample
 }
@@ -148,6 +154,16 @@
 	return broken && time.Since(sample.Sent) < time.Duration(sample.Arrival.Deadline)
 }
 
+// repeatInterval is the time between a refusal and the repetition of the request. It keeps repetitions from taking the machine's
+// processors from the daemons.
+const repeatInterval = 20 * time.Millisecond
+
+// mayRepeat reports whether the caller sends a refused request again.
+func (sample *Sample) mayRepeat() bool {
+	refused := sample.Problem != nil && sample.Problem.NotRun == dogwoodproblem.True
+	return refused && sample.Arrival.RepeatsRefused && time.Since(sample.Sent)+repeatInterval < time.Duration(sample.Arrival.Deadline)
+}
+
 // sendOnce sends the request to the first address that accepts a connection, skipping the one to
 // avoid. It dials a further address only after a failed dial, so the request is sent at most once.
 func (sender *Sender) sendOnce(ctx context.Context, sample *Sample, customerAddresses *addresses, body string, avoid netip.AddrPort) {
--- a/dogwoodload/dogwoodsender/sender_test.go
+++ b/dogwoodload/dogwoodsender/sender_test.go
@@ -92,6 +92,27 @@
 	}
 }
 
+// Guards against a hot customer that gives up after one refusal: it sends a refused prompt again until that is answered, and others
+// do not.
+func TestRefusedPromptIsRepeated(t *testing.T) {
+	for _, repeats := range []bool{true, false} {
+		var received atomic.Int32
+		address := startServer(t, func(writer http.ResponseWriter, _ *http.Request) {
+			if received.Add(1) < 3 {
+				writer.Header().Set("Content-Type", "application/problem+json")
+				writer.WriteHeader(http.StatusTooManyRequests)
+				_, _ = writer.Write([]byte(`{"NotRun":"true"}`))
+				return
+			}
+			_, _ = writer.Write([]byte(`{"choices":[{"message":{"content":"mine"}}]}`))
+		})
+		got := sendArrival(t, dogwoodtrace.Arrival{Kind: dogwoodtrace.Chat, PromptTokens: 100, MaxTokens: 5, RepeatsRefused: repeats}, address)
+		if got.Whole != repeats || got.Resent.IsZero() == repeats || (received.Load() == 3) != repeats {
+			t.Errorf("repeats %t: got whole %t after %d requests", repeats, got.Whole, received.Load())
+		}
+	}
+}
+
 // The server closes a caller's idle connection just as the caller sends a hold on it. By default
 // net/http resends a request with an Idempotency-Key, and the result would count this second hold as
 // one that the system had sent.
--- a/dogwoodload/dogwoodtrace/draw.go
+++ b/dogwoodload/dogwoodtrace/draw.go
@@ -17,6 +17,8 @@
 	FromTokens, ToTokens int
 	MaxTokens            int
 	Deadline             time.Duration
+	// Rank is the rank of its prompts, 0 for the most urgent.
+	Rank int
 }
 
 // TrafficShare is a customer and its share of the requests.
@@ -31,6 +33,8 @@
 	Factor   float64
 	// Customer is the customer whose rate changes; empty means all.
 	Customer dogwoodfleet.Customer
+	// PromptClasses replace those of the specification during the phase; nil keeps them.
+	PromptClasses []PromptClass
 }
 
 // Spec specifies the trace to draw.
@@ -56,6 +60,11 @@
 	PrefixShare  float64
 	// DuplicateHoldShare is the share of holds that the caller sends a second time with the same key.
 	DuplicateHoldShare float64
+	// Repeating is the customer that sends prompts again at once when they are refused; empty for none.
+	Repeating dogwoodfleet.Customer
+	// ReadPauseShare is the share of the prompts whose callers stop reading for ReadPause.
+	ReadPauseShare float64
+	ReadPause      time.Duration
 }
 
 // Draw draws the trace of a spec. Each customer has a separate random source, so that a change to one
@@ -101,9 +110,10 @@
 		if at >= spec.Duration {
 			return arrivals
 		}
-		arrival := spec.drawArrival(random)
+		arrival := spec.drawArrival(random, at)
 		arrival.At = dogwoodsettings.Duration(at)
 		arrival.Customer = trafficShare.Customer
+		arrival.RepeatsRefused = arrival.Kind == Chat && trafficShare.Customer == spec.Repeating
 		if arrival.Kind == Hold {
 			holds++
 			arrival.Key = fmt.Sprintf("%s-%d-%d", trafficShare.Customer, spec.Seed, holds)
@@ -129,7 +139,7 @@
 	return factor
 }
 
-func (spec *Spec) drawArrival(random *rand.Rand) Arrival {
+func (spec *Spec) drawArrival(random *rand.Rand, at time.Duration) Arrival {
 	drawn := random.Float64()
 	if drawn < spec.LookupShare+spec.HoldShare {
 		arrival := Arrival{Kind: Lookup, Service: spec.Plain, Deadline: dogwoodsettings.Duration(spec.PlainDeadline)}
@@ -138,7 +148,7 @@
 		}
 		return arrival
 	}
-	class := spec.drawPromptClass(random)
+	class := spec.drawPromptClass(random, at)
 	arrival := Arrival{
 		Kind:         Chat,
 		Service:      spec.Engines,
@@ -147,6 +157,10 @@
 		MaxTokens:    class.MaxTokens/2 + random.IntN(class.MaxTokens/2+1),
 		Stream:       random.IntN(4) > 0,
 		Deadline:     dogwoodsettings.Duration(class.Deadline),
+		Rank:         class.Rank,
+	}
+	if spec.ReadPauseShare > 0 && random.Float64() < spec.ReadPauseShare {
+		arrival.ReadPause, arrival.Stream = dogwoodsettings.Duration(spec.ReadPause), true
 	}
 	if spec.Prefixes > 0 && random.Float64() < spec.PrefixShare && arrival.PromptTokens > spec.PrefixTokens+minUniqueTokens {
 		arrival.Prefix = 1 + random.IntN(spec.Prefixes)
@@ -155,13 +169,19 @@
 	return arrival
 }
 
-func (spec *Spec) drawPromptClass(random *rand.Rand) PromptClass {
+func (spec *Spec) drawPromptClass(random *rand.Rand, at time.Duration) PromptClass {
+	classes := spec.PromptClasses
+	for _, phase := range spec.Phases {
+		if phase.PromptClasses != nil && at >= phase.From && at < phase.To {
+			classes = phase.PromptClasses
+		}
+	}
 	drawn := random.Float64()
-	for _, class := range spec.PromptClasses {
+	for _, class := range classes {
 		if drawn < class.Share {
 			return class
 		}
 		drawn -= class.Share
 	}
-	return spec.PromptClasses[len(spec.PromptClasses)-1]
+	return classes[len(classes)-1]
 }
--- a/dogwoodload/dogwoodtrace/trace.go
+++ b/dogwoodload/dogwoodtrace/trace.go
@@ -48,6 +48,13 @@
 	// Poison, if not empty, makes the prompt crash the engine that runs it. Requests with the same
 	// Poison have the same body.
 	Poison string `json:",omitempty"`
+	// Rank is the rank of the prompt's class, 0 for the most urgent. Local deployments have no ranks in their text, so daemons
+	// don't know it; only the judge does.
+	Rank int `json:",omitempty"`
+	// RepeatsRefused makes the caller send the prompt again at once when it is refused.
+	RepeatsRefused bool `json:",omitempty"`
+	// ReadPause, if not 0, is the time for which the caller stops reading after the beginning of the answer.
+	ReadPause dogwoodsettings.Duration `json:",omitempty"`
 	// Key is the Idempotency-Key of a hold.
 	Key string `json:",omitempty"`
 }
--- a/dogwoodload/dogwoodtrace/trace_test.go
+++ b/dogwoodload/dogwoodtrace/trace_test.go
@@ -50,6 +50,32 @@
 	}
 }
 
+// Guards against a mix that does not turn, and against ranks, repetitions and pauses that get lost on the way to the trace.
+func TestPhasesTurnTheMix(t *testing.T) {
+	spec := testSpec(5)
+	spec.Repeating, spec.ReadPauseShare, spec.ReadPause = "b", 0.5, time.Second
+	long := []PromptClass{{Share: 1, FromTokens: 100_000, ToTokens: 200_000, MaxTokens: 32, Deadline: time.Second, Rank: 2}}
+	spec.Phases = []Phase{{From: 2 * time.Second, To: 4 * time.Second, Factor: 1, PromptClasses: long}}
+	pauses, prompts := 0, 0
+	for _, arrival := range Draw(spec).Arrivals {
+		if arrival.Kind != Chat {
+			continue
+		}
+		prompts++
+		if arrival.ReadPause > 0 {
+			pauses++
+		}
+		at := time.Duration(arrival.At)
+		inPhase := at >= 2*time.Second && at < 4*time.Second
+		if isLong := arrival.PromptTokens >= 100_000; isLong != inPhase || (arrival.Rank == 2) != inPhase || arrival.RepeatsRefused != (arrival.Customer == "b") {
+			t.Errorf("got %+v, want long prompts of rank 2 from 2 s to 4 s alone, and repetitions of b alone", arrival)
+		}
+	}
+	if pauses < prompts/3 || pauses > 2*prompts/3 {
+		t.Errorf("got %d pauses in %d prompts, want half as many", pauses, prompts)
+	}
+}
+
 // A change to one customer's rate must not change the requests of the others; otherwise a run with a
 // hot customer could not be compared with a run without it.
 func TestPhaseOfOneCustomerDoesNotChangeOthers(t *testing.T) {
