Read an endpoint's answer whatever its caller does

A caller that did not read blocked the reading of the endpoint's answer, which held the endpoint's slot until the endpoint cut the answer off. The relay now puts the answer into a buffer, from which a task of its own writes it to the caller; the run ends with the endpoint's answer. dogwoodbuffer bounds what is held for answers and for bodies, by the setting limits.memory_mb. At the bound an answer is cut and a request is refused.

--- /dev/null
+++ b/core/decision/dogwoodbuffer/budget.go
@@ -0,0 +1,201 @@
+package dogwoodbuffer
+
+import "sync"
+
+var (
+	// ErrAnswerBound means that an answer holds as much as one answer may.
+	ErrAnswerBound = Error.New("the answer's bound is reached")
+	// ErrDaemonBound means that the daemon holds as much as it may.
+	ErrDaemonBound = Error.New("the daemon's bound is reached")
+)
+
+// Budget counts the bytes that a daemon holds. It is safe for concurrent use.
+type Budget struct {
+	mutex  sync.Mutex
+	bounds Bounds
+	// answers are the answers that hold bytes and are not cut.
+	answers map[*Answer]struct{}
+	// answerBytes and bodyBytes are held by answers and by bodies.
+	answerBytes, bodyBytes int64
+	// opened counts the answers that were opened.
+	opened uint64
+}
+
+// New returns a budget that nothing is counted toward.
+func New(bounds Bounds) *Budget {
+	return &Budget{bounds: bounds, answers: map[*Answer]struct{}{}}
+}
+
+// SetBounds replaces the bounds. What is held stays; the next reservation is checked against the new bounds.
+func (budget *Budget) SetBounds(bounds Bounds) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.bounds = bounds
+}
+
+// Held returns the bytes that are held for answers and for bodies.
+func (budget *Budget) Held() (answers, bodies int64) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	return budget.answerBytes, budget.bodyBytes
+}
+
+// Answer counts the bytes that are held for one answer.
+type Answer struct {
+	budget *Budget
+	// cut is called once if the answer is to be cut.
+	cut func(held int64)
+	// number orders answers by when they were opened.
+	number uint64
+	// held are the answer's bytes. isCut is true once the answer was cut, from when on it holds nothing.
+	held  int64
+	isCut bool
+}
+
+// NewAnswer returns an answer that holds nothing. cut is called with the bytes that the answer holds if it is to be cut, at most
+// once, and possibly by the reservation of another answer. It must drop these bytes soon and may not call Reserve.
+func (budget *Budget) NewAnswer(cut func(held int64)) *Answer {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.opened++
+	return &Answer{budget: budget, cut: cut, number: budget.opened}
+}
+
+// Reserve counts bytes toward the answer. It returns ErrAnswerBound if the answer would hold more than its bound, unless it
+// holds nothing. If the daemon would hold more than its bound, the answers that hold most are cut. ErrDaemonBound means that
+// this answer is one of them.
+func (answer *Answer) Reserve(bytes int64) error {
+	return answer.reserve(bytes, true)
+}
+
+// ReserveWhole is Reserve without the bound of one answer, for an answer that is read whole before any of it is sent. Its
+// size is bounded by its reader.
+func (answer *Answer) ReserveWhole(bytes int64) error {
+	return answer.reserve(bytes, false)
+}
+
+func (answer *Answer) reserve(bytes int64, bounded bool) error {
+	victims, err := answer.budget.reserveAnswer(answer, bytes, bounded)
+	for _, victim := range victims {
+		victim.answer.cut(victim.held)
+	}
+	return err
+}
+
+// victim is an answer that is to be cut, with the bytes that it holds.
+type victim struct {
+	answer *Answer
+	held   int64
+}
+
+// reserveAnswer counts bytes toward an answer and returns the answers that are to be cut for it.
+func (budget *Budget) reserveAnswer(answer *Answer, bytes int64, bounded bool) (victims []victim, err error) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	if answer.isCut {
+		return nil, ErrDaemonBound
+	}
+	if bounded && answer.held > 0 && answer.held+bytes > budget.bounds.Answer {
+		return nil, ErrAnswerBound
+	}
+	answer.held += bytes
+	budget.answerBytes += bytes
+	budget.answers[answer] = struct{}{}
+	for budget.answerBytes > budget.answerBound() {
+		largest := budget.largest()
+		victims = append(victims, victim{largest, largest.held})
+		budget.drop(largest)
+	}
+	if answer.isCut {
+		return victims, ErrDaemonBound
+	}
+	return victims, nil
+}
+
+// answerBound returns how much all answers may hold now.
+func (budget *Budget) answerBound() int64 {
+	return min(budget.bounds.kind(), max(budget.bounds.Daemon-budget.bodyBytes, budget.bounds.Daemon/reservedShare))
+}
+
+// largest returns the answer that holds most; of several, the one that was opened first.
+func (budget *Budget) largest() *Answer {
+	var largest *Answer
+	for answer := range budget.answers {
+		if largest == nil || answer.held > largest.held || answer.held == largest.held && answer.number < largest.number {
+			largest = answer
+		}
+	}
+	return largest
+}
+
+// drop counts an answer as one that holds nothing and gets no further bytes.
+func (budget *Budget) drop(answer *Answer) {
+	delete(budget.answers, answer)
+	budget.answerBytes -= answer.held
+	answer.held, answer.isCut = 0, true
+}
+
+// Held returns the bytes that the answer holds.
+func (answer *Answer) Held() int64 {
+	answer.budget.mutex.Lock()
+	defer answer.budget.mutex.Unlock()
+	return answer.held
+}
+
+// Release takes bytes off the answer. It does nothing once the answer is cut.
+func (answer *Answer) Release(bytes int64) {
+	budget := answer.budget
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	bytes = min(bytes, answer.held)
+	answer.held -= bytes
+	budget.answerBytes -= bytes
+	if answer.held == 0 {
+		delete(budget.answers, answer)
+	}
+}
+
+// Close takes all bytes off an answer that has ended.
+func (answer *Answer) Close() {
+	budget := answer.budget
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.drop(answer)
+}
+
+// ReserveBody counts bytes of a request's body. It returns ErrDaemonBound, and counts nothing, if bodies or the daemon would
+// hold more than their bound.
+func (budget *Budget) ReserveBody(bytes int64) error {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	if !budget.bodyFits(bytes) {
+		return ErrDaemonBound
+	}
+	budget.bodyBytes += bytes
+	return nil
+}
+
+// BodyFits reports whether ReserveBody would succeed now.
+func (budget *Budget) BodyFits(bytes int64) bool {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	return budget.bodyFits(bytes)
+}
+
+func (budget *Budget) bodyFits(bytes int64) bool {
+	return budget.bodyBytes+bytes <= min(budget.bounds.kind(), budget.bounds.Daemon-budget.answerBytes)
+}
+
+// MaxBody returns the size of the largest body that can be held while nothing else is.
+func (budget *Budget) MaxBody() int64 {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	return budget.bounds.kind()
+}
+
+// ReleaseBody takes bytes of bodies off.
+func (budget *Budget) ReleaseBody(bytes int64) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.bodyBytes -= bytes
+}
--- a/core/duty/dogwoodrelay/counters.go
+++ b/core/duty/dogwoodrelay/counters.go
@@ -10,6 +10,15 @@
 // Failure reason, Retries, RetriesForbidden, NotBegun, Conflicts, Silent, Panics.
 var counters = expvar.NewMap("Relay")
 
+// bufferCuts counts the answers that were cut, by the bound that was reached.
+var bufferCuts = expvar.NewMap("BufferCuts")
+
+// The bounds for which answers are cut, as in the metrics and in the log.
+const (
+	boundAnswer = "Answer"
+	boundDaemon = "Daemon"
+)
+
 // Names of the latency metrics.
 const (
 	// metricPlaceWait is the time that a try waits for a placement.
--- a/core/duty/dogwoodrelay/forward.go
+++ b/core/duty/dogwoodrelay/forward.go
@@ -24,7 +24,7 @@
 			return attempt.forwardAnswer(ctx, run, event.raw), nil
 		}
 		attempt.recordEvent(ctx, run)
-		if err := attempt.forwardEvent(run.response, event); err != nil {
+		if err := attempt.forwardEvent(ctx, run.response, event); err != nil {
 			return tryResult{err: err}, nil
 		}
 	}
--- a/core/duty/dogwoodrelay/plain.go
+++ b/core/duty/dogwoodrelay/plain.go
@@ -17,27 +17,26 @@
 	if len(data) > maxHeldBytes {
 		return attempt.forwardLarge(ctx, run, data)
 	}
-	if err := attempt.sendAnswer(run.response, data); err != nil {
+	if err := attempt.sendAnswer(run, data); err != nil {
 		return tryResult{err: err}
 	}
 	return tryResult{done: true}
 }
 
 // sendAnswer sends the status, the headers and the data of an answer to the caller.
-func (attempt *attempt) sendAnswer(response *Response, data []byte) error {
-	if err := attempt.answer.Begin(response.Status, response.Header); err != nil {
-		return errors.Join(ErrCallerGone, err)
+func (attempt *attempt) sendAnswer(run *run, data []byte) error {
+	if err := attempt.buffer.begin(run.response.Status, run.response.Header); err != nil {
+		return err
 	}
-	if err := attempt.answer.Write(data); err != nil {
-		return errors.Join(ErrCallerGone, err)
-	}
-	return nil
+	held := run.held
+	run.held = 0
+	return attempt.buffer.writeWhole(data, held)
 }
 
 // forwardLarge forwards the start of an answer that is too large to be held, then the rest of the
 // body as it arrives.
 func (attempt *attempt) forwardLarge(ctx context.Context, run *run, start []byte) tryResult {
-	if err := attempt.sendAnswer(run.response, start); err != nil {
+	if err := attempt.sendAnswer(run, start); err != nil {
 		return tryResult{err: err}
 	}
 	attempt.stream.begun = true
@@ -46,8 +45,8 @@
 	for {
 		count, err := run.response.Body.Read(buffer)
 		if count > 0 {
-			if err := attempt.answer.Write(buffer[:count]); err != nil {
-				return tryResult{err: errors.Join(ErrCallerGone, err)}
+			if err := attempt.buffer.write(ctx, buffer[:count]); err != nil {
+				return tryResult{err: err}
 			}
 			end = lastBytes(append(end, buffer[:count]...))
 		}
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
+	"dogwoodmux.example/core/decision/dogwoodbuffer"
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/decision/dogwoodretry"
 	"dogwoodmux.example/core/decision/dogwoodroute"
@@ -48,6 +49,8 @@
 	// Header holds the headers to forward.
 	Header http.Header
 	Body   []byte
+	// BodySent is called once no further try will send the body although the answer is still being written; nil for none.
+	BodySent func()
 	// Digest is equal for copies of a request that a customer sends again.
 	Digest dogwoodfleet.Digest
 	// Arrived and Deadline are times of this daemon's clock. Deadline is the earlier of the
@@ -86,7 +89,8 @@
 	return request.Prompt == 0 && request.Route.Repeat != dogwoodroute.Stream
 }
 
-// Answer receives the response to the caller.
+// Answer receives the response to the caller. It is called by one goroutine at a time, which is not that of Serve. An Answer
+// that is also an Aborter does not keep the request of a caller that reads nothing once the answer is cut.
 type Answer interface {
 	// Begin sends the status and headers.
 	Begin(status int, header http.Header) error
@@ -225,6 +229,8 @@
 	Places    Places
 	Endpoints Endpoints
 	Suspects  Suspects
+	// Buffers bounds what is held of answers that callers have not read; nil for the bounds of an unknown memory.
+	Buffers *dogwoodbuffer.Budget
 	// Retries is this daemon's part of the retry budget.
 	Retries *dogwoodretry.SharedBudget
 	// Fresh reports whether the keys were confirmed recently enough that none can have been
@@ -256,6 +262,9 @@
 	if options.Metrics == nil {
 		options.Metrics = noMetrics{}
 	}
+	if options.Buffers == nil {
+		options.Buffers = dogwoodbuffer.New(dogwoodbuffer.NewBounds(0))
+	}
 	return &Relay{options: options, queue: queue{places: options.Places}}
 }
 
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -6,9 +6,11 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
+	"dogwoodmux.example/core/decision/dogwoodbuffer"
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 )
 
@@ -51,6 +53,8 @@
 	begun bool
 	// peeked is the event that peek read; nil for none.
 	peeked *peekedEvent
+	// held is the capacity of the answer that was read whole and is not in the buffer for the caller.
+	held int64
 	// unusedTimer ends a run whose helpers' memory stays unused; nil if no memory is reserved.
 	unusedTimer *time.Timer
 	// memoryUsed is true once the memory is used or about to be released.
@@ -83,6 +87,8 @@
 		closeBody(run.response)
 	}
 	run.cancel(nil)
+	run.attempt.buffer.account.Release(run.held)
+	run.held = 0
 	run.retry.Return()
 	if run.answered {
 		attempt := run.attempt
@@ -133,7 +139,14 @@
 
 // readWhole reads a plain answer. Of an answer larger than maxHeldBytes it reads one byte more than that.
 func (run *run) readWhole() (event, error) {
-	data, err := io.ReadAll(io.LimitReader(run.response.Body, maxHeldBytes+1))
+	length, _ := strconv.ParseInt(run.response.Header.Get("Content-Length"), 10, 64) // 0 if there is none
+	data, err := dogwoodbuffer.ReadAll(io.LimitReader(run.response.Body, maxHeldBytes+1), min(length, maxHeldBytes), func(bytes int64) error {
+		err := run.attempt.buffer.account.ReserveWhole(bytes)
+		if err == nil {
+			run.held += bytes
+		}
+		return err
+	})
 	if err == nil && len(data) <= maxHeldBytes && run.response.endsInsideEvent(data) {
 		err = io.ErrUnexpectedEOF
 	}
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -43,7 +43,8 @@
 	relay   *Relay
 	request *Request
 	subject dogwoodsuspect.Subject
-	answer  Answer
+	// buffer takes the answer for the caller.
+	buffer *answerBuffer
 	// possibleRuns counts the tries that may have run, reachedTries those that reached an
 	// endpoint, and unsentTries those that did not.
 	possibleRuns, reachedTries, unsentTries int
@@ -91,9 +92,23 @@
 	if !request.Counted {
 		relay.options.Retries.First(time.Now(), request.Service)
 	}
+	callerContext := ctx
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	attempt := &attempt{relay: relay, request: request, answer: answer, runState: dogwoodfleet.NotRun, subject: dogwoodsuspect.Subject{
+	buffer := newAnswerBuffer(relay, request.ID, answer, cancel)
+	defer buffer.close()
+	defer context.AfterFunc(callerContext, func() { buffer.stop(ErrCallerGone) })()
+	err := relay.serveTries(ctx, request, buffer)
+	if request.BodySent != nil && buffer.hasBegun() {
+		request.BodySent()
+	}
+	return buffer.finish(err)
+}
+
+// serveTries sends the request until it has an answer, or no further try is allowed. It returns once the answer has ended at
+// the endpoint, when the caller may not have read it yet.
+func (relay *Relay) serveTries(ctx context.Context, request *Request, buffer *answerBuffer) error {
+	attempt := &attempt{relay: relay, request: request, buffer: buffer, runState: dogwoodfleet.NotRun, subject: dogwoodsuspect.Subject{
 		Request: dogwoodfleet.RequestID(request.ID), Digest: request.Digest, Customer: request.Customer, Parts: request.Parts,
 	}}
 	attempt.stream.lastEvent = request.LastEventID
--- a/core/duty/dogwoodrelay/stream.go
+++ b/core/duty/dogwoodrelay/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,10 +10,10 @@
 	"dogwoodmux.example/core/dogwoodlog"
 )
 
-// progress tracks what a caller has received of a stream.
+// progress tracks what was put into the buffer of a stream for its caller, who may not have received it yet.
 type progress struct {
 	begun bool
-	// lastEvent is the ID of the last event sent to the caller, or the one that the caller asked to
+	// lastEvent is the ID of the last event in the buffer, or the one that the caller asked to
 	// resume after.
 	lastEvent string
 }
@@ -74,23 +73,23 @@
 	// A stream that resumes at another endpoint may have a different length.
 	header := response.Header.Clone()
 	header.Del("Content-Length")
-	if err := attempt.answer.Begin(response.Status, header); err != nil {
-		return errors.Join(ErrCallerGone, err)
+	if err := attempt.buffer.begin(response.Status, header); err != nil {
+		return err
 	}
 	attempt.stream.begun = true
 	return nil
 }
 
-// forwardEvent forwards an event unless the caller already has it.
-func (attempt *attempt) forwardEvent(response *Response, event event) error {
+// forwardEvent forwards an event unless the caller already gets it.
+func (attempt *attempt) forwardEvent(ctx context.Context, response *Response, event event) error {
 	if event.id != "" && !after(event.id, attempt.stream.lastEvent) {
 		return nil
 	}
 	if err := attempt.beginStream(response); err != nil {
 		return err
 	}
-	if err := attempt.answer.Write(event.raw); err != nil {
-		return errors.Join(ErrCallerGone, err)
+	if err := attempt.buffer.write(ctx, event.raw); err != nil {
+		return err
 	}
 	if event.id != "" {
 		attempt.stream.lastEvent = event.id
