--- a/core/decision/dogwoodbuffer/budget.go
+++ b/core/decision/dogwoodbuffer/budget.go
@@ -186,11 +186,12 @@
 	return budget.bodyBytes+bytes <= min(budget.bounds.kind(), budget.bounds.Daemon-budget.answerBytes)
 }
 
-// MaxBody returns the size of the largest body that can be held while nothing else is.
+// MaxBody returns the size of the largest body that can be held while nothing else is. ReadAll needs a byte more, in which the
+// end of the body shows.
 func (budget *Budget) MaxBody() int64 {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	return budget.bounds.kind()
+	return budget.bounds.kind() - 1
 }
 
 // ReleaseBody takes bytes of bodies off.
--- a/core/duty/dogwoodrelay/slowcaller_test.go
+++ b/core/duty/dogwoodrelay/slowcaller_test.go
@@ -186,6 +186,43 @@
 	}
 }
 
+// Guards against the cut of an answer at its bound whose caller reads all the time, though slowly.
+func TestSteadyCallerIsNotCutAtTheBound(t *testing.T) {
+	answer := eventsUpTo(10_000)
+	runRelayTest(t, testEngine, []step{responds(200, answer)}, func(t *testing.T, fixture *fixture) {
+		fixture.setBounds(dogwoodbuffer.Bounds{Daemon: 4 << 20, Answer: 64 << 10})
+		served := fixture.serve(t.Context(), streamRequest(), &slowCaller{recorder: fixture.answer, delay: maxStall * 3 / 5})
+		if err := served.wait(); err != nil || fixture.answer.body.String() != answer || served.after < 2*maxStall {
+			t.Errorf("got %v and %d bytes after %s, want all %d", err, fixture.answer.body.Len(), served.after, len(answer))
+		}
+	})
+}
+
+// Guards against an event above the bound that waits for a chunk which is kept for later events.
+func TestEventAboveTheBoundFollowsOthers(t *testing.T) {
+	large := "id: 3\ndata: " + strings.Repeat("x", 100_000) + "\n\n"
+	runRelayTest(t, testEngine, []step{pauses(firstEvents, 100*time.Millisecond, large)}, func(t *testing.T, fixture *fixture) {
+		fixture.setBounds(dogwoodbuffer.Bounds{Daemon: 4 << 20, Answer: 64 << 10})
+		served := fixture.serve(t.Context(), streamRequest(), fixture.answer)
+		if err := served.wait(); err != nil || fixture.answer.body.String() != firstEvents+large {
+			t.Errorf("got %v and %d bytes, want all %d", err, fixture.answer.body.Len(), len(firstEvents+large))
+		}
+	})
+}
+
+// Guards against bytes that stay counted for a run that has failed while the next one is waited for.
+func TestFailedRunReleasesWhatItRead(t *testing.T) {
+	script := []step{breaksOff(strings.Repeat("x", 100_000)), fallsSilent("")}
+	runRelayTest(t, nil, script, func(t *testing.T, fixture *fixture) {
+		served := fixture.serve(t.Context(), plainRequest(dogwoodroute.Idempotent), fixture.answer)
+		synctest.Wait()
+		if got := fixture.held(); len(fixture.endpoints.sent()) != 2 || got > 1000 {
+			t.Errorf("got %d sends and %d bytes held, want two and those of the second alone", len(fixture.endpoints.sent()), got)
+		}
+		_ = served.wait() // it fails at its time limit
+	})
+}
+
 // Guards against a slow caller who delays the reading of its answer, or gets its events in another order or in parts.
 func TestCallerThatReadsSlowlyGetsTheWholeAnswer(t *testing.T) {
 	answer := eventsUpTo(5000)
@@ -225,16 +262,20 @@
 
 // Guards against an event that waits for the next one, or for a timer, before a fast caller gets it.
 func TestFastCallerGetsEachEventAtOnce(t *testing.T) {
-	runRelayTest(t, testEngine, []step{pauses(firstEvents, 200*time.Millisecond, lastEvents)}, func(t *testing.T, fixture *fixture) {
+	const pause = 100 * time.Millisecond
+	runRelayTest(t, testEngine, []step{endless(pause)}, func(t *testing.T, fixture *fixture) {
+		ctx, leave := context.WithCancel(t.Context())
 		caller := &lockedCaller{}
-		served := fixture.serve(t.Context(), streamRequest(), caller)
-		synctest.Wait()
-		if got := caller.received.String(); got != firstEvents {
-			t.Errorf("got %q before the pause, want the first events", got)
-		}
-		if err := served.wait(); err != nil || served.after != 200*time.Millisecond {
-			t.Errorf("got %v after %s, want the end with the last event", err, served.after)
+		served := fixture.serve(ctx, streamRequest(), caller)
+		for want := 1; want <= 10; want++ {
+			synctest.Wait()
+			if got := strings.Count(caller.received.String(), "id: "); got != want {
+				t.Errorf("got %d events, want %d", got, want)
+			}
+			time.Sleep(pause)
 		}
+		leave()
+		_ = served.wait() // the caller has left
 	})
 }
 
