Release a failed run's engines while its second run has not begun

Cause: a joint prompt's engine turned it away after five seconds, while the attempt waited for a second run.

Change: a run that has failed releases its slot and memory at once, and once only.

Measured: TestMemoryOfAnEndedRunIsReleasedBesideASecondRun fails without the change.

--- a/core/duty/dogwoodrelay/forward.go
+++ b/core/duty/dogwoodrelay/forward.go
@@ -13,6 +13,9 @@
 	for {
 		hedge.beginWait()
 		event, err := run.next()
+		if !run.continues(err) {
+			run.releaseEngines(ctx) // a second run may take seconds to begin
+		}
 		if replacement := hedge.settle(run.continues(err)); replacement != nil {
 			attempt.recordReplaced(ctx, run, err)
 			return tryResult{}, replacement
--- a/core/duty/dogwoodrelay/reserve.go
+++ b/core/duty/dogwoodrelay/reserve.go
@@ -65,6 +65,7 @@
 	// renewals is the task that renews the memory; stopRenewing ends it and is nil before it has begun.
 	renewals     errgroup.Group
 	stopRenewing context.CancelFunc
+	closed       bool
 }
 
 func (reservation *reservation) renew(ctx context.Context, helper dogwoodpacking.Helper) error {
@@ -149,8 +150,12 @@
 	}
 }
 
-// close ends the renewals and releases the memory.
+// close ends the renewals and releases the memory, once.
 func (reservation *reservation) close(ctx context.Context) {
+	if reservation.closed {
+		return
+	}
+	reservation.closed = true
 	if reservation.stopRenewing != nil {
 		reservation.stopRenewing()
 	}
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -97,6 +97,12 @@
 	run.free()
 }
 
+// releaseEngines releases the slot and the helpers' memory of a run that has failed.
+func (run *run) releaseEngines(ctx context.Context) {
+	run.reservation.close(ctx)
+	run.attempt.relay.options.Places.End(run.id)
+}
+
 // next returns the next event, or errStreamEnded after the last one. The first call sends the request.
 func (run *run) next() (event, error) {
 	if peeked := run.peeked; peeked != nil {
--- a/core/duty/dogwoodrelay/unused_test.go
+++ b/core/duty/dogwoodrelay/unused_test.go
@@ -1,6 +1,7 @@
 package dogwoodrelay
 
 import (
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -82,3 +83,38 @@
 		}
 	})
 }
+
+// Guards against memory that stays reserved for a run that has ended, while the attempt waits for its second run.
+func TestMemoryOfAnEndedRunIsReleasedBesideASecondRun(t *testing.T) {
+	const firstEnds, secondAnswers = 6 * time.Second, 10 * time.Second
+	script := []step{delayed(firstEnds, notRun(http.StatusServiceUnavailable)), delayed(secondAnswers, responds(http.StatusOK, firstEvents+lastEvents))}
+	runRelayTest(t, testEngine, script, func(t *testing.T, fixture *fixture) {
+		fixture.endpoints.memoryUsed = true
+		fixture.setEndpoints(12, testEngine)
+		request := streamRequest()
+		request.Prompt, request.Route.Aim, request.Route.Attempts = 150_000, 10*time.Second, 2
+		request.Deadline = time.Now().Add(time.Minute)
+		var group sync.WaitGroup
+		group.Go(func() {
+			if err := fixture.relay.Serve(t.Context(), request, fixture.answer); err != nil {
+				t.Errorf("got %v, want the answer of the second run", err)
+			}
+		})
+		defer group.Wait()
+		time.Sleep(firstEnds + releaseTimeout)
+		fixture.endpoints.mutex.Lock()
+		defer fixture.endpoints.mutex.Unlock()
+		if got := len(fixture.endpoints.sends); got != 2 {
+			t.Fatalf("got %d runs, want a second one beside the first", got)
+		}
+		ticket := fixture.endpoints.sends[0].helpers[0].Ticket
+		if ticket == "" {
+			t.Fatal("got no memory reserved for the first run, want some")
+		}
+		for key := range fixture.endpoints.reservations {
+			if strings.HasSuffix(key, "/"+ticket) {
+				t.Errorf("got memory %q still reserved %s after its run ended, want it released", key, releaseTimeout)
+			}
+		}
+	})
+}
