Decide alike which prompts take the engines that urgent ranks leave

Cause: a review of the placement by rank found these faults. - Daemons that place prompts of a less urgent rank at the same moment each took the whole allowance of engines. - In a conflict the smaller ID went first, also if the other prompt was more urgent. - A prompt that needs the memory of more engines than its rank's minimum was never placed. - A prompt was refused for want of time by the prefill time on the minimum of engines, also while idle ones could answer it. - A prompt that its own rank's answers held up was taken to yield. It is repeated every 20 ms and with each request that arrives, and urgent ones wait for it.

The minimum covers the prompt's memory. The demand leaves out engines that take no requests and is scaled by the share of the daemons seen. Whether enough engines can help is counted once for each number of parts.

--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -282,14 +282,17 @@
 	listed := make(map[WorkID]bool, len(works))
 	for _, work := range works {
 		listed[work.ID] = true
-		board.put(now, work)
 	}
+	// Work that has ended is dropped first. If the new work were counted beside it, each view would raise the peaks of all ranks.
 	for id, work := range board.workByID {
 		if string(work.Holder) != board.owner && !listed[id] {
 			board.shares.recordDropped(work)
 			board.detach(id)
 		}
 	}
+	for _, work := range works {
+		board.put(now, work)
+	}
 	board.notifyChange()
 }
 
--- a/core/decision/dogwoodpacking/conflict_test.go
+++ b/core/decision/dogwoodpacking/conflict_test.go
@@ -1,6 +1,7 @@
 package dogwoodpacking
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -69,12 +70,12 @@
 	var withdrawn []WorkID
 	for daemon, board := range herd.boards {
 		herd.placed[daemon] = slices.DeleteFunc(herd.placed[daemon], func(placement Placement) bool {
-			if !board.Conflicts(placement.Work.ID) {
+			if !board.Conflicts(herd.now, placement.Work.ID) {
 				return false
 			}
 			withdrawn = append(withdrawn, placement.Work.ID)
 			again := long(herd.now, placement.Work.Prompt)
-			again.Aim, again.Holder, again.CanWait = placement.Work.Aim, placement.Work.Holder, true
+			again.Aim, again.Holder, again.Rank, again.Until, again.CanWait = placement.Work.Aim, placement.Work.Holder, placement.Work.Rank, placement.Work.Until, true
 			herd.waiting[daemon] = append(herd.waiting[daemon], again)
 			return true
 		})
@@ -154,7 +155,7 @@
 		board := pool(1)
 		board.Put(now, prompt("b", "me", now, 200_000))
 		board.Put(now, test.other)
-		if got := board.Conflicts("b"); got != test.want {
+		if got := board.Conflicts(now, "b"); got != test.want {
 			t.Errorf("%s: got %t, want %t", test.name, got, test.want)
 		}
 	}
@@ -167,3 +168,79 @@
 		t.Errorf("got a check after %s for a short prompt, want none", got)
 	}
 }
+
+// Guards against daemons that each take all engines that more urgent requests leave, at the same moment. Each of five daemons has a prompt
+// of low rank. Urgent requests needed most of 20 engines a moment ago, and 15 of these are idle until they are assigned again, so
+// that the daemons choose different ones and no engine has two prompts.
+func TestAllowanceIsTakenOnceByDaemonsAtTheSameMoment(t *testing.T) {
+	tests := []struct {
+		name        string
+		answers     int // urgent answers a moment ago
+		prompt      int
+		aim         time.Duration
+		wantAtMost  int // engines that the prompts take together
+		wantAtLeast int // prompts that are placed
+	}{
+		{"the minimum", 17 * 13, 200_000, 8 * time.Second, 2, 1},
+		{"some engines are left", 10 * 13, 200_000, 8 * time.Second, 9, 4},
+		{"a prompt larger than the minimum", 17 * 13, 800_000, time.Minute, 3, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			const daemons, engines = 5, 20
+			herd := newHerd(daemons, engines, 1, test.prompt)
+			for daemon, board := range herd.boards {
+				for i := range test.answers {
+					board.Put(herd.now, Work{
+						ID: WorkID(fmt.Sprint("urgent", i)), Holder: "hub9", Service: "models", Endpoint: engineEndpoint(i / 13).ID, Prompt: 5000, Tokens: 6000,
+						Pause: 250 * time.Millisecond, Begun: herd.now.Add(-time.Second), Writing: true, Until: herd.now.Add(time.Minute),
+					})
+				}
+				for i := 5 * 13; i < test.answers; i++ {
+					board.Remove(WorkID(fmt.Sprint("urgent", i)))
+				}
+				slices.SortFunc(board.ranked, func(a, b *endpointState) int { return cmp.Compare(a.ID, b.ID) })
+				board.ranked = slices.Concat(board.ranked[5+3*daemon:], board.ranked[:5+3*daemon])
+				board.promptSends = nil // one group, so that ranked decides
+				for _, request := range herd.waiting[daemon] {
+					request.Rank, request.Aim, request.Until = 2, test.aim, herd.now.Add(time.Minute)
+				}
+			}
+			herd.placeWaiting()
+			for round := 0; herd.resolve() > 0; round++ {
+				if round == 10 {
+					t.Fatalf("got conflicts after %d rounds, want them resolved", round)
+				}
+				herd.placeWaiting()
+			}
+			taken, placed := map[dogwoodfleet.EndpointID]bool{}, 0
+			for _, placement := range slices.Concat(herd.placed...) {
+				placed++
+				for _, engine := range placement.Work.engines() {
+					taken[engine] = true
+				}
+			}
+			if len(taken) > test.wantAtMost || placed < test.wantAtLeast {
+				t.Errorf("got %d engines taken by %d prompts, want at most %d by at least %d", len(taken), placed, test.wantAtMost, test.wantAtLeast)
+			}
+		})
+	}
+}
+
+// Guards against a prompt that makes a more urgent one late, since its ID goes first.
+func TestMoreUrgentPromptGoesFirstInConflicts(t *testing.T) {
+	now := time.Now()
+	for _, rank := range []int{0, 2} {
+		board := pool(1)
+		for id, holder := range map[WorkID]dogwoodfleet.InstanceID{"a": "other", "b": "me"} {
+			work := Work{ID: id, Holder: holder, Service: "models", Endpoint: "e00", Prompt: 200_000, Tokens: 200_000, Rank: 1, Reading: testEngine.PrefillTime(200_000, 5), Aim: 3 * time.Second, Begun: now, Until: now.Add(time.Minute)}
+			if id == "a" {
+				work.Rank = rank
+			}
+			board.Put(now, work)
+		}
+		if got, want := board.Conflicts(now, "b"), rank < 1; got != want {
+			t.Errorf("another prompt of rank %d: got %t, want %t", rank, got, want)
+		}
+	}
+}
--- a/core/decision/dogwoodpacking/engines.go
+++ b/core/decision/dogwoodpacking/engines.go
@@ -73,7 +73,7 @@
 		})
 		if allowance != unlimitedEngines {
 			last := &engines[len(engines)-1]
-			last.taken, last.hasUrgent = state.isTakenBy(request.Rank), state.hasMoreUrgent(request.Rank)
+			last.taken, last.hasUrgent = state.isTakenBy(request.Rank, nil), state.hasMoreUrgent(request.Rank)
 		}
 	}
 	board.scratch.engines = engines
@@ -145,9 +145,13 @@
 	helpers []*engine
 	// minEngines is the number of engines needed to hold the prompt and its answer in memory.
 	minEngines int
-	// allowance is the number of engines that the prompt may take from more urgent ranks.
+	// allowance is the number of engines that the prompt may take from more urgent ranks, minimum that on which its rank may prefill
+	// whatever these need.
 	allowance    int
+	minimum      int
 	prefillLimit time.Duration
+	// keeping and breaking count the engines that can help while all limits are kept, and when no placement keeps them.
+	keeping, breaking [1 + maxHelpers + 1]helperCount
 }
 
 // chooseEngines selects the engine that decodes an answer and those that help to prefill its
@@ -175,7 +179,7 @@
 	switch {
 	case ok:
 		return search.placement(found), Placed
-	case search.allowance != unlimitedEngines:
+	case search.isHeldUp():
 		return Placement{}, Yields
 	default:
 		return Placement{}, Full
@@ -183,16 +187,16 @@
 }
 
 func (board *Board) newSearch(now time.Time, request *PlacementRequest, candidates []*endpointState) *search {
-	allowance := board.engineAllowance(now, request)
+	demand := board.rankDemand(now, request, nil)
+	allowance := demand.allowance()
 	search := &search{
-		now: now, request: request, engines: board.survey(now, request, candidates, allowance), allowance: allowance, prefillLimit: time.Duration(aimShare * float64(request.Aim)),
+		now: now, request: request, engines: board.survey(now, request, candidates, allowance), allowance: allowance, minimum: demand.minimum(), prefillLimit: time.Duration(aimShare * float64(request.Aim)),
 		primaries: board.scratch.primaries[:0], helpers: board.scratch.helpers[:0],
 	}
 	if !request.Arrived.IsZero() {
 		search.waited = now.Sub(request.Arrived)
 	}
-	memory := usableMemory(candidates[0])
-	search.minEngines = max((request.Prompt+request.Answer+memory-1)/memory, 1)
+	search.minEngines = minEngines(request.Prompt+request.Answer, candidates[0])
 	for i := range search.engines {
 		engine := &search.engines[i]
 		if !engine.failing {
@@ -230,6 +234,12 @@
 	return max(int(memoryShare*float64(state.Engine.MemoryTokens)), 1)
 }
 
+// minEngines returns the number of engines like the given one whose memory a prompt and its answer need.
+func minEngines(tokens int, state *endpointState) int {
+	memory := usableMemory(state)
+	return max((tokens+memory-1)/memory, 1)
+}
+
 // memoryPerEngine returns the tokens that each of minEngines engines holds in its memory.
 func (search *search) memoryPerEngine() int {
 	return (search.request.Prompt + search.request.Answer + search.minEngines - 1) / search.minEngines
@@ -240,8 +250,10 @@
 func (search *search) fewestHelpers(primary *engine) (choice, bool) {
 	for parts := search.minEngines; parts <= 1+maxHelpers; parts++ {
 		prefill := primary.state.Engine.PrefillTime(search.request.Prompt, parts)
-		found, ok := search.assign(primary, parts, func(helper *engine) bool { return helper.keepsPauses(prefill, 0) })
-		if ok && found.predicted <= search.prefillLimit && primary.keepsPauses(prefill, search.request.Pause) {
+		if !primary.keepsPauses(prefill, search.request.Pause) || !search.hasHelpers(&search.keeping, parts, prefill, search.keepsLimits) {
+			continue
+		}
+		if found, ok := search.assign(primary, parts, search.keepsLimits); ok && found.predicted <= search.prefillLimit {
 			return found, true
 		}
 	}
@@ -250,7 +262,7 @@
 
 // assign splits the prompt into parts for the primary engine and the first suitable helpers. It
 // returns false if there are too few helpers or the engines have too little memory.
-func (search *search) assign(primary *engine, parts int, suits func(helper *engine) bool) (choice, bool) {
+func (search *search) assign(primary *engine, parts int, suits func(helper *engine, prefill time.Duration) bool) (choice, bool) {
 	share := search.memoryPerEngine()
 	allowance := search.allowance
 	if primary.usedTokens+share > usableMemory(primary.state) || primary.taken && allowance == 0 {
@@ -266,7 +278,7 @@
 			break
 		}
 		holds := len(found.helpers) < search.minEngines-1
-		if helper == primary || holds && helper.usedTokens+share > usableMemory(helper.state) || !suits(helper) || helper.taken && allowance == 0 {
+		if helper == primary || holds && helper.usedTokens+share > usableMemory(helper.state) || helper.taken && allowance == 0 || !suits(helper, prefill) {
 			continue
 		}
 		if helper.taken {
--- a/core/decision/dogwoodpacking/leastbad.go
+++ b/core/decision/dogwoodpacking/leastbad.go
@@ -39,12 +39,13 @@
 		primary := &search.engines[i]
 		for parts := search.minEngines; parts <= 1+maxHelpers; parts++ {
 			prefill := primary.state.Engine.PrefillTime(search.request.Prompt, parts)
-			found, ok := search.assign(primary, parts, func(helper *engine) bool {
-				return helper.keepsPauses(prefill, 0) || helper.mayHelpLate() && !helper.hasUrgent
-			})
-			if !ok || primary.hasUrgent && !primary.keepsPauses(prefill, search.request.Pause) {
+			if primary.hasUrgent && !primary.keepsPauses(prefill, search.request.Pause) || !search.hasHelpers(&search.breaking, parts, prefill, search.mayBreakLimits) {
 				continue // with more parts, each is smaller and more helpers may be suitable
 			}
+			found, ok := search.assign(primary, parts, search.mayBreakLimits)
+			if !ok {
+				continue
+			}
 			loss := search.loss(&found, prefill)
 			if best.primary == nil || loss < bestLoss {
 				best, bestLoss = found, loss
--- a/core/decision/dogwoodpacking/rank.go
+++ b/core/decision/dogwoodpacking/rank.go
@@ -92,30 +92,60 @@
 	return board.urgentRequests(now, request) >= 1
 }
 
-// engineAllowance returns on how many more engines without more urgent requests a prompt may be prefilled. The caller holds the mutex.
-func (board *Board) engineAllowance(now time.Time, request *PlacementRequest) int {
-	if !board.yields(now, request) {
+// rankDemand is what a service's requests need of its engines, as seen from one rank.
+type rankDemand struct {
+	// yields is false for prompts that leave no engines to others.
+	yields bool
+	// engines counts the engines that take requests, and needed those that more urgent requests need of them.
+	engines int
+	needed  float64
+	// own and rest count the engines without more urgent requests that prefill for the rank, and for less urgent ones.
+	own, rest int
+	// seenShare is the share of the daemons whose work is counted.
+	seenShare float64
+	// minEngines is the number of engines whose memory the prompt needs.
+	minEngines int
+}
+
+// allowance returns on how many more engines without more urgent requests a prompt may be prefilled.
+func (demand *rankDemand) allowance() int {
+	if !demand.yields {
 		return unlimitedEngines
 	}
-	engines, slots, prefillingRank, prefillingRest, prefill := 0, 1, 0, 0, 0.0
+	left := float64(demand.engines) - (rankHeadroom*demand.needed+float64(demand.own+demand.rest))/demand.seenShare
+	return max(int(left), demand.minimum()-demand.own, 0)
+}
+
+// minimum returns the number of engines on which the rank may prefill whatever more urgent ranks need. It includes all engines whose
+// memory the prompt needs: with fewer, such a prompt could never be placed in a small pool.
+func (demand *rankDemand) minimum() int {
+	return max(int(minRankShare*demand.seenShare*float64(demand.engines)), demand.minEngines, 1)
+}
+
+// rankDemand counts the demand for a service's engines without the given work; except may be nil. The caller holds the mutex.
+func (board *Board) rankDemand(now time.Time, request *PlacementRequest, except map[WorkID]bool) rankDemand {
+	if !board.yields(now, request) {
+		return rankDemand{}
+	}
+	demand := rankDemand{yields: true, seenShare: board.seenShare}
+	slots, prefill := 1, 0.0
 	for _, state := range board.ranked {
-		if state.Service != request.Service || !state.takesRequests() || !state.isProven() {
+		if state.Service != request.Service || state.Engine == nil || state.Slots <= 0 || !state.takesRequests() || !state.isProven() || board.isBackedOff(now, state) {
 			continue
 		}
-		engines++
+		demand.engines++
+		demand.minEngines = max(demand.minEngines, minEngines(request.Prompt+request.Answer, state))
 		slots = max(slots, state.Slots)
 		prefill += state.urgentPrefill(request.Rank)
-		switch own, rest := state.prefillsFor(request.Rank); {
+		switch own, rest := state.prefillsFor(request.Rank, except); {
 		case own:
-			prefillingRank++
+			demand.own++
 		case rest:
-			prefillingRest++
+			demand.rest++
 		}
 	}
-	needed := board.urgentRequests(now, request)/(packShare*float64(slots)) + prefill
-	left := float64(engines) - rankHeadroom*needed - float64(prefillingRank+prefillingRest)
-	least := max(minRankShare*float64(engines), 1) - float64(prefillingRank)
-	return max(int(left), int(least), 0)
+	demand.needed = board.urgentRequests(now, request)/(packShare*float64(slots)) + prefill
+	return demand
 }
 
 // urgentPrefill returns the number of engines that prefill in time the prompts without a first token that are more urgent than a rank.
@@ -129,24 +159,27 @@
 	return engines
 }
 
-// prefillsFor reports whether an engine without more urgent requests prefills for a rank, or for less urgent ones.
-func (state *endpointState) prefillsFor(rank int) (own, rest bool) {
+// prefillsFor reports whether an engine without more urgent requests prefills for a rank, or for less urgent ones, work in except aside.
+func (state *endpointState) prefillsFor(rank int, except map[WorkID]bool) (own, rest bool) {
 	if state.hasMoreUrgent(rank) {
 		return false, false
 	}
 	for _, list := range []workList{state.work, state.helpedWork} {
 		for _, work := range list {
-			own = own || !work.Writing && work.Rank == rank
-			rest = rest || !work.Writing && work.Rank > rank
+			if work.Writing || len(except) > 0 && except[work.ID] {
+				continue
+			}
+			own = own || work.Rank == rank
+			rest = rest || work.Rank > rank
 		}
 	}
 	return own, rest
 }
 
 // isTakenBy reports whether a part for a rank takes the engine from more urgent ranks: it holds none of their requests and prefills
-// neither for this rank nor for less urgent ones.
-func (state *endpointState) isTakenBy(rank int) bool {
-	own, rest := state.prefillsFor(rank)
+// neither for this rank nor for less urgent ones, work in except aside.
+func (state *endpointState) isTakenBy(rank int, except map[WorkID]bool) bool {
+	own, rest := state.prefillsFor(rank, except)
 	return !own && !rest && !state.hasMoreUrgent(rank)
 }
 
@@ -168,15 +201,33 @@
 	return 1
 }
 
-// canEnd reports whether a prompt can be answered until its deadline if it is prefilled by the fewest engines of its rank. Prompts
-// that wait for more urgent ones and can't end are refused while their callers can still do something else.
+// canEnd reports whether a prompt can be answered until its deadline if it is prefilled by as many engines as it may take now, or by its
+// rank's minimum. Prompts that wait for more urgent ones and can't end are refused while their callers can still do something else.
 func (search *search) canEnd() bool {
 	if search.allowance == unlimitedEngines || search.request.Until.IsZero() {
 		return true
 	}
 	engine := search.engines[0].state.Engine
-	parts := min(max(int(minRankShare*float64(len(search.engines))), search.minEngines), 1+maxHelpers)
+	parts := min(max(search.allowance, search.minimum), 1+maxHelpers)
 	passes := search.request.Answer / max(engine.Stride, 1)
 	decode := time.Duration(passes) * engine.PassTime(1, search.request.Prompt)
 	return search.now.Add(engine.PrefillTime(search.request.Prompt, parts) + decode).Before(search.request.Until)
 }
+
+// isHeldUp reports whether a prompt that found no placement would have one without more urgent requests: these need engines that it
+// could take, or hold most engines. Otherwise it waits for the same reasons and as long as prompts that yield to none.
+func (search *search) isHeldUp() bool {
+	if search.allowance == unlimitedEngines {
+		return false
+	}
+	taken, urgent := 0, 0
+	for i := range search.engines {
+		if search.engines[i].taken {
+			taken++
+		}
+		if search.engines[i].hasUrgent {
+			urgent++
+		}
+	}
+	return search.allowance < min(taken, 1+maxHelpers) || 2*urgent >= len(search.engines)
+}
--- a/core/decision/dogwoodpacking/rank_test.go
+++ b/core/decision/dogwoodpacking/rank_test.go
@@ -9,7 +9,7 @@
 )
 
 // urgentPool returns a board with engines, of which the first ones hold the given number of urgent answers each.
-func urgentPool(t *testing.T, now time.Time, engines, busy, answersEach int) *Board {
+func urgentPool(t testing.TB, now time.Time, engines, busy, answersEach int) *Board {
 	t.Helper()
 	board := pool(engines)
 	for i := range busy * answersEach {
@@ -109,7 +109,8 @@
 	for _, test := range tests {
 		at := now.Add(test.after)
 		board.Put(at, Work{ID: "latest", Service: "models", Prompt: 5000, Begun: at, Until: at.Add(time.Minute), Endpoint: engineEndpoint(0).ID, Writing: true})
-		got := board.engineAllowance(at, lessUrgent(at, 200_000))
+		demand := board.rankDemand(at, lessUrgent(at, 200_000), nil)
+		got := demand.allowance()
 		if (got <= 2) != test.want {
 			t.Errorf("after %s: got an allowance of %d engines, want the minimum %t", test.after, got, test.want)
 		}
@@ -161,3 +162,113 @@
 		}
 	}
 }
+
+// Guards against a prompt of a lower rank that waits until its deadline because it needs the memory of more engines than its rank's
+// minimum, and against one that takes more than it needs.
+func TestPromptLargerThanTheMinimumIsPlaced(t *testing.T) {
+	now := time.Now()
+	board := urgentPool(t, now, 8, 5, 15)
+	board.Put(now, Work{ID: "more", Service: "models", Prompt: 5000, Aim: time.Second, Reading: 3 * time.Second, Endpoint: engineEndpoint(0).ID, Begun: now, Until: now.Add(time.Minute)})
+	request := lessUrgent(now, 800_000)
+	request.Aim, request.Until = 30*time.Second, now.Add(time.Minute)
+	placement, refusal := board.Place(now, request)
+	if refusal != Placed {
+		t.Fatalf("got refusal %q, want a placement", refusal)
+	}
+	if got := 1 + len(placement.Helpers); got != 3 {
+		t.Errorf("got %d engines, want the 3 whose memory the prompt needs", got)
+	}
+	next := lessUrgent(now, 300_000)
+	next.Until = now.Add(time.Minute)
+	if _, got := board.Place(now, next); got != Yields {
+		t.Errorf("got %q for a further prompt, want it to yield: the rank has more than its minimum", got)
+	}
+}
+
+// Guards against a leaf that counts the requests of its last view beside those of the new one. It then keeps long prompts from idle
+// engines while nothing is short.
+func TestNewViewReplacesTheDemand(t *testing.T) {
+	now, board := time.Now(), pool(20)
+	view := func(name string) []Work {
+		var works []Work
+		for i := range 100 {
+			works = append(works, Work{ID: WorkID(fmt.Sprint(name, i)), Holder: "other", Service: "models", Endpoint: engineEndpoint(i % 8).ID, Prompt: 5000, Writing: true, Until: now.Add(time.Minute)})
+		}
+		return works
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		board.ReplacePeerWork(now, view(name))
+	}
+	if got := board.urgentRequests(now, lessUrgent(now, 200_000)); got != 100 {
+		t.Errorf("got %.0f urgent requests, want the 100 of the last view", got)
+	}
+}
+
+// Guards against engines that are counted as free for urgent requests, or for long prompts, although they take none: each of these
+// raises the allowance of long prompts while engines are short.
+func TestEnginesThatTakeNoRequestsAreNotLeft(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name   string
+		change func(board *Board, endpoint *Endpoint)
+	}{
+		{"back-off", func(board *Board, endpoint *Endpoint) { board.Backoff(now, &endpoint.Endpoint, now.Add(time.Minute)) }},
+		{"unreachable", func(board *Board, endpoint *Endpoint) { board.Avoid(now, endpoint.ID, time.Second) }},
+		{"leaving", func(board *Board, endpoint *Endpoint) { board.Leave(now, &endpoint.Endpoint) }},
+		{"no slots", func(_ *Board, endpoint *Endpoint) { endpoint.Slots = 0 }},
+		{"no engine", func(_ *Board, endpoint *Endpoint) { endpoint.Engine = nil }},
+	}
+	for _, test := range tests {
+		board := urgentPool(t, now, 20, 8, 10)
+		var endpoints []Endpoint
+		for i := range 20 {
+			endpoint := engineEndpoint(i)
+			if i >= 12 {
+				test.change(board, &endpoint)
+			}
+			endpoints = append(endpoints, endpoint)
+		}
+		board.SetEndpoints(endpoints)
+		demand := board.rankDemand(now, lessUrgent(now, 200_000), nil)
+		if got := demand.engines; got != 12 {
+			t.Errorf("%s: got %d engines, want the 12 that take requests", test.name, got)
+		}
+	}
+}
+
+// Guards against a daemon that sees a part of the others and takes the engines that those it does not see need for urgent requests.
+func TestDaemonThatSeesFewOthersTakesFewerEngines(t *testing.T) {
+	now := time.Now()
+	board := urgentPool(t, now, 20, 6, 12)
+	all := board.rankDemand(now, lessUrgent(now, 200_000), nil)
+	board.SetVisibleDaemons(4, 8)
+	half := board.rankDemand(now, lessUrgent(now, 200_000), nil)
+	if allEngines, halfEngines := all.allowance(), half.allowance(); halfEngines > allEngines-5 {
+		t.Errorf("got an allowance of %d engines by half of the daemons and %d by all, want five fewer at least", halfEngines, allEngines)
+	}
+}
+
+// Guards against a prompt that is refused for want of time although idle engines could answer it.
+func TestPromptThatIdleEnginesAnswerInTimeIsNotRefused(t *testing.T) {
+	now := time.Now()
+	board := urgentPool(t, now, 5, 1, 1)
+	request := lessUrgent(now, 200_000)
+	request.Until = now.Add(4 * time.Second)
+	mustPlace(t, board, now, request)
+}
+
+// Guards against a prompt that waits for more urgent ones, longer than others would, although they hold one engine of 40 and answers of its
+// own rank are what it would delay.
+func TestPromptIsHeldUpByItsOwnRank(t *testing.T) {
+	now := time.Now()
+	board := urgentPool(t, now, 40, 1, 1)
+	for i := range 39 * 4 {
+		board.Put(now, Work{
+			ID: WorkID(fmt.Sprint("own", i)), Service: "models", Endpoint: engineEndpoint(1 + i/4).ID, Rank: 2, Prompt: 50_000, Tokens: 51_000,
+			Aim: 8 * time.Second, Pause: 200 * time.Millisecond, Begun: now, Writing: true, Until: now.Add(time.Minute),
+		})
+	}
+	if _, got := board.Place(now, lessUrgent(now, 300_000)); got != Full {
+		t.Errorf("got %q, want %q", got, Full)
+	}
+}
--- a/core/decision/dogwoodwaiting/waiting.go
+++ b/core/decision/dogwoodwaiting/waiting.go
@@ -45,6 +45,8 @@
 	// yieldShare is the fraction of its time limit for which a prompt waits for engines that more urgent ones need. Longer
 	// waits leave too little time for another attempt or for a long prefill.
 	yieldShare = 0.5
+	// yieldToleranceShare is the fraction of the caller's tolerance for such a wait. The rest is for the prefill.
+	yieldToleranceShare = 0.85
 )
 
 // Request is a waiting request.
@@ -116,9 +118,14 @@
 	return max(toleratedAims*request.Aim, toleratedPauses*request.Pause, minTolerance)
 }
 
-// MaxYield returns how much longer a request may wait for endpoints that more urgent ones need.
+// MaxYield returns how much longer a request may wait for endpoints that more urgent ones need. With a long time limit and a short
+// aim, its caller gives up before.
 func MaxYield(now time.Time, request *Request) time.Duration {
-	return request.Arrived.Add(time.Duration(yieldShare * float64(request.Deadline.Sub(request.Arrived)))).Sub(now)
+	maxYield := time.Duration(yieldShare * float64(request.Deadline.Sub(request.Arrived)))
+	if request.Pause > 0 {
+		maxYield = min(maxYield, time.Duration(yieldToleranceShare*float64(request.tolerance())))
+	}
+	return maxYield - now.Sub(request.Arrived)
 }
 
 // MaxWait returns how much longer the request may wait for a slot.
--- a/core/decision/dogwoodwaiting/waiting_test.go
+++ b/core/decision/dogwoodwaiting/waiting_test.go
@@ -133,3 +133,26 @@
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
+
+// Guards against a stream with a long time limit that waits for more urgent requests after its caller has given up, and against one with a
+// short aim that waits less than half of its time limit although its caller waits.
+func TestMaxYield(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name       string
+		aim, pause time.Duration
+		limit      time.Duration
+		want       time.Duration
+	}{
+		{"half of the time limit", 8 * time.Second, time.Second, 15 * time.Second, 7500 * time.Millisecond},
+		{"a caller who gives up before", time.Second, 100 * time.Millisecond, 60 * time.Second, 3400 * time.Millisecond},
+		{"a plain call", time.Second, 0, 60 * time.Second, 30 * time.Second},
+	}
+	for _, test := range tests {
+		arrived := now.Add(-time.Second)
+		request := Request{Arrived: arrived, Deadline: arrived.Add(test.limit), Aim: test.aim, Pause: test.pause}
+		if got, want := MaxYield(now, &request), test.want-time.Second; got != want {
+			t.Errorf("%s: got %s, want %s", test.name, got, want)
+		}
+	}
+}
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -284,8 +284,8 @@
 }
 
 // Conflicts reports whether a placed prompt must be placed again, since another daemon's goes first.
-func (duty *Duty) Conflicts(id dogwoodpacking.WorkID) bool {
-	return duty.options.Board.Conflicts(id)
+func (duty *Duty) Conflicts(now time.Time, id dogwoodpacking.WorkID) bool {
+	return duty.options.Board.Conflicts(now, id)
 }
 
 // Writes records the first token of a request and announces it.
--- a/core/duty/dogwoodrelay/place.go
+++ b/core/duty/dogwoodrelay/place.go
@@ -47,7 +47,7 @@
 		if err != nil || window == 0 || conflicts == maxConflicts {
 			return placementRequest, placement, err
 		}
-		if !dogwoodkernel.Sleep(ctx, window) || !places.Conflicts(placementRequest.ID) {
+		if !dogwoodkernel.Sleep(ctx, window) || !places.Conflicts(time.Now(), placementRequest.ID) {
 			return placementRequest, placement, nil
 		}
 		counters.Add("Conflicts", 1)
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -163,7 +163,7 @@
 	// ConflictWindow returns how long after its placement a prompt must be checked with Conflicts; 0 for no check.
 	ConflictWindow(prompt int) time.Duration
 	// Conflicts reports whether a placed prompt must be placed again, since another daemon's goes first.
-	Conflicts(id dogwoodpacking.WorkID) bool
+	Conflicts(now time.Time, id dogwoodpacking.WorkID) bool
 	// Writes records the first event of an answer with its predicted and its observed time.
 	Writes(id dogwoodpacking.WorkID, predicted, seen time.Duration)
 	// RecordPace records a short pause between two events, which shows how fast the endpoint decodes.
