Explain late streams and prompts that yield to operators

Change: explain tells which limit of its route a late stream exceeded, that a request waited for more urgent ones, and the two new refusals.

--- a/dogwoodctl/dogwoodexplain/explain.go
+++ b/dogwoodctl/dogwoodexplain/explain.go
@@ -76,7 +76,7 @@
 }
 
 // durationFields are the fields that hold durations, which the daemons log in nanoseconds.
-var durationFields = []string{"predicted", "seen", "waited", "queued", "taken", "limit", "age", "cold", "after"}
+var durationFields = []string{"predicted", "seen", "waited", "queued", "taken", "limit", "age", "cold", "after", "firstevent", "aim", "longestpause", "pause"}
 
 // formatDuration rounds a duration to a few significant digits.
 func formatDuration(duration time.Duration) string {
--- a/dogwoodctl/dogwoodexplain/explain_test.go
+++ b/dogwoodctl/dogwoodexplain/explain_test.go
@@ -25,6 +25,12 @@
 {"@level":"info","@message":"Placed.","@module":"relay","@timestamp":"2026-01-31T16:19:50.00Z","endpoint":"i-3","predicted":630000000,"request":"slow","try":1}
 {"@level":"info","@message":"First event.","@module":"relay","@timestamp":"2026-01-31T16:19:59.00Z","endpoint":"i-3","predicted":630000000,"seen":8974000000,"request":"slow"}
 {"@level":"info","@message":"Answered.","@module":"front","@timestamp":"2026-01-31T16:20:03.00Z","request":"slow","status":200,"taken":12580000000}
+{"@level":"info","@message":"A stream was late.","@module":"relay","@timestamp":"2026-01-31T16:19:50.10Z","aim":250000000,"firstevent":410000000,"longestpause":380000000,"pause":250000000,"pausedat":"i-5","prompt":4960,"rank":0,"request":"tardy","routerank":0,"tries":1}
+{"@level":"info","@message":"Answered.","@module":"front","@timestamp":"2026-01-31T16:19:50.11Z","request":"tardy","status":200,"taken":1180000000}
+{"@level":"info","@message":"A stream was late.","@module":"relay","@timestamp":"2026-01-31T16:19:50.10Z","aim":250000000,"firstevent":110000000,"longestpause":380000000,"pause":250000000,"pausedat":"i-6","prompt":4960,"rank":0,"request":"paused","routerank":0,"tries":1}
+{"@level":"info","@message":"Waits for more urgent requests.","@module":"relay","@timestamp":"2026-01-31T16:19:51.00Z","prompt":220000,"rank":2,"request":"yielded","routerank":1}
+{"@level":"warn","@message":"Not answered.","@module":"front","@timestamp":"2026-01-31T16:19:54.00Z","error":"Limit (NotRun): the engines are needed for more urgent requests","request":"yielded"}
+{"@level":"warn","@message":"Not answered.","@module":"front","@timestamp":"2026-01-31T16:19:54.00Z","error":"Limit (NotRun): it can't be answered in time after more urgent requests","request":"toolate"}
 `
 
 func explain(t *testing.T, id string) (string, error) {
@@ -50,6 +56,10 @@
 		{"r2", []string{"It was answered", "no known key"}},
 		{"failed", []string{"It failed: the endpoint itself answered 500", "taken=101.87ms"}},
 		{"slow", []string{"It was answered", "8.97s after it was sent to i-3, predicted were 630ms", "took 3.61s together"}},
+		{"tardy", []string{"It was answered", "410ms after it arrived; its route's aim is 250ms", "paused for 380ms before an event of i-5", "longestpause=380ms"}},
+		{"paused", []string{"paused for 380ms before an event of i-6"}},
+		{"yielded", []string{"It was refused, not run", "more urgent requests needed the engines for as long", "its rank is 2 and its route's 1"}},
+		{"toolate", []string{"It was refused, not run", "could not have answered it within its time limit"}},
 	}
 	for _, test := range tests {
 		got, err := explain(t, test.id)
@@ -62,6 +72,9 @@
 			}
 		}
 	}
+	if got, _ := explain(t, "paused"); strings.Contains(got, "Its first event") {
+		t.Errorf("got %s, want nothing said of a first event in time", got)
+	}
 	if got, _ := explain(t, "r2"); strings.Index(got, "Refused.") > strings.Index(got, "Answered.") {
 		t.Errorf("got %s, want the lines of all files in the order of their times", got)
 	}
--- a/dogwoodctl/dogwoodexplain/outcome.go
+++ b/dogwoodctl/dogwoodexplain/outcome.go
@@ -23,6 +23,8 @@
 	{dogwoodlog.Refused, "", "It was refused, not run."},
 	{dogwoodlog.NotAnswered, "confirmed the keys", "It was refused, not run: the store had not confirmed the keys for too long, and a withdrawn key must not be used."},
 	{dogwoodlog.NotAnswered, "Limit (NotRun): the customer has used", "It was refused, not run: its customer has used at least twice its share of engine time, while requests of other customers waited."},
+	{dogwoodlog.NotAnswered, "Limit (NotRun): it can't be answered in time after more urgent requests", "It was refused, not run: more urgent requests needed the engines, and the engines that were left could not have answered it within its time limit."},
+	{dogwoodlog.NotAnswered, "Limit (NotRun): the engines are needed for more urgent requests", "It was refused, not run: more urgent requests needed the engines for as long as it could wait."},
 	{dogwoodlog.NotAnswered, "Limit (NotRun)", "It was refused, not run: all endpoints of its service were full for as long as it could wait."},
 	{dogwoodlog.NotAnswered, "NoEndpoint", "It was refused: no endpoint of its service was in force."},
 	{dogwoodlog.NotAnswered, "TooLarge", "It was refused, not run: its prompt fits no number of engines."},
@@ -67,7 +69,34 @@
 	if closed, _ := last.fields["closed"].(bool); closed {
 		sentence += " The daemon closed its connection."
 	}
-	return sentence + describeSlowness(lines, last)
+	return sentence + describeYield(lines) + describeSlowness(lines, last) + describeLateness(lines)
+}
+
+// describeYield tells that a request waited for more urgent ones. It returns an empty string if it did not.
+func describeYield(lines []line) string {
+	for _, each := range lines {
+		if each.text("@message") == dogwoodlog.Yields {
+			return fmt.Sprintf(" It waited for more urgent requests; its rank is %s and its route's %s.", each.text("rank"), each.text("routerank"))
+		}
+	}
+	return ""
+}
+
+// describeLateness tells which of its route's limits a stream exceeded. It returns an empty string if it was in time.
+func describeLateness(lines []line) string {
+	var text string
+	for _, each := range lines {
+		if each.text("@message") != dogwoodlog.Late {
+			continue
+		}
+		if firstEvent, aim := each.duration("firstevent"), each.duration("aim"); aim > 0 && firstEvent > aim {
+			text += fmt.Sprintf(" Its first event came %s after it arrived; its route's aim is %s.", formatDuration(firstEvent), formatDuration(aim))
+		}
+		if longest, pause := each.duration("longestpause"), each.duration("pause"); pause > 0 && longest > pause {
+			text += fmt.Sprintf(" It paused for %s before an event of %s; its route's longest pause is %s.", formatDuration(longest), each.text("pausedat"), formatDuration(pause))
+		}
+	}
+	return text
 }
 
 const (
