Don't take a part that all prompts share for the cause

Cause: all prompts of a service share their first part. While endpoints ended under a crashing part, crashing requests and kills at the same time, the shared part had more ends than any cause. It was refused for ten minutes for each customer that had not been answered since, and hid the crashing part.

Change: a part that was answered between its latest three ends goes after those that were not; answers to prompts with a part no longer count as other answers; ends of trials that a refused part explains count against no other.

--- a/core/decision/dogwoodsuspect/partrefusal.go
+++ b/core/decision/dogwoodsuspect/partrefusal.go
@@ -14,7 +14,7 @@
 	minPartEnds     = 3
 	minLonePartEnds = 4
 	minTrialEnds    = 2
-	// minOtherBegins is the number of other answers that must have begun since a part's first strike.
+	// minOtherBegins is the number of answers to prompts without a part that must have begun since its first strike.
 	minOtherBegins = 3
 	// firstPartRefusal is how long a part is refused before its first trial, and ConvictionTTL after one that ended an endpoint.
 	firstPartRefusal = 30 * time.Second
@@ -75,14 +75,18 @@
 	ends   map[dogwoodfleet.EndpointID]time.Time
 	// independent is the number of ends under different requests at different moments.
 	independent int
-	examined    bool
+	// answered is true if an answer to a prompt with the part, of any customer, has begun since the first of its latest minPartEnds
+	// independent ends.
+	answered bool
+	examined bool
 }
 
 // Refusals returns the parts whose prompts are not run.
 //
 // Of all parts the one that explains the most ends is refused first; its ends then count against no other part. So a part that
 // harmless requests share with those that end endpoints is not refused beside the crashing one, and two crashing ones are found one
-// after the other.
+// after the other. A part that was answered between its latest
+// ends comes after those that were not.
 //
 // A part whose ends all lie within those of a request that digests refuses already says nothing new: it is not refused, and its
 // ends stay that request's. Otherwise a popular part that is beside the copies of a crashing request at each end would be taken
@@ -146,7 +150,7 @@
 		for i := range record.strikes {
 			candidate.ends[record.strikes[i].endpoint] = record.strikes[i].at
 		}
-		candidate.independent = candidate.countIndependent()
+		candidate.count()
 		candidates = append(candidates, candidate)
 	}
 	return candidates, endTimes
@@ -166,8 +170,12 @@
 	return best
 }
 
-// isBefore orders candidates, at all daemons alike.
+// isBefore orders candidates, at all daemons alike. A part that all prompts share is in the prompts of several crashing parts and
+// requests, and so has more ends than each of them. Answers to prompts with it tell it from those.
 func (candidate *partCandidate) isBefore(other *partCandidate) bool {
+	if candidate.answered != other.answered {
+		return other.answered
+	}
 	if candidate.independent != other.independent {
 		return candidate.independent > other.independent
 	}
@@ -197,16 +205,17 @@
 // refused before, other answers began meanwhile, or endpoints ended while nothing else with the part ran.
 func (ledger *PartLedger) isShown(candidate *partCandidate) bool {
 	record := candidate.record
-	return record.shown || record.trialEnds() >= minTrialEnds ||
-		ledger.begins[candidate.part.Pool()].areAllSince(record.strikes[0].at)
+	return record.shown || candidate.trialEnds() >= minTrialEnds ||
+		ledger.begins[candidate.part.Pool()].haveOthersSince(record.strikes[0].at, candidate.part)
 }
 
-// trialEnds counts the endpoints that ended during trials.
-func (record *partRecord) trialEnds() int {
+// trialEnds counts the endpoints that ended during trials and that no refused part explains.
+func (candidate *partCandidate) trialEnds() int {
 	ends := map[dogwoodfleet.EndpointID]bool{}
-	for i := range record.strikes {
-		if record.strikes[i].trial {
-			ends[record.strikes[i].endpoint] = true
+	for i := range candidate.record.strikes {
+		strike := &candidate.record.strikes[i]
+		if _, ok := candidate.ends[strike.endpoint]; ok && strike.trial {
+			ends[strike.endpoint] = true
 		}
 	}
 	return len(ends)
@@ -233,23 +242,39 @@
 	for _, endpoint := range ends {
 		delete(candidate.ends, endpoint)
 	}
-	candidate.independent = candidate.countIndependent()
+	candidate.count()
 }
 
-// countIndependent counts the ends under different requests at different moments: neither the copies and retries of one
-// request nor the endpoints of one rack count twice.
-func (candidate *partCandidate) countIndependent() int {
-	count, last := 0, time.Time{}
+// count counts the independent ends and determines whether the part was answered between the latest ones.
+func (candidate *partCandidate) count() {
+	ends := candidate.independentEnds()
+	candidate.independent, candidate.answered = len(ends), false
+	if len(ends) < minPartEnds {
+		return
+	}
+	since := ends[len(ends)-minPartEnds]
+	for _, begun := range candidate.record.cleared {
+		candidate.answered = candidate.answered || begun.After(since)
+	}
+}
+
+// independentEnds returns the times of the ends under different requests at different moments: neither the copies and retries of
+// one request nor the endpoints of one rack count twice.
+func (candidate *partCandidate) independentEnds() []time.Time {
+	var ends []time.Time
 	counted := map[dogwoodfleet.Digest]bool{}
 	for i := range candidate.record.strikes {
 		strike := &candidate.record.strikes[i]
-		if _, ok := candidate.ends[strike.endpoint]; !ok || counted[strike.digest] || strike.at.Sub(last) < partMoment {
+		if _, ok := candidate.ends[strike.endpoint]; !ok || counted[strike.digest] {
+			continue
+		}
+		if len(ends) > 0 && strike.at.Sub(ends[len(ends)-1]) < partMoment {
 			continue
 		}
-		counted[strike.digest], last = true, strike.at
-		count++
+		counted[strike.digest] = true
+		ends = append(ends, strike.at)
 	}
-	return count
+	return ends
 }
 
 // refusal returns the refusal of a candidate that ended endpoints, always together with the others of its group. One that is not
@@ -287,7 +312,7 @@
 		return refusal
 	case len(confirmed) < minSharedEndpoints:
 		refusal.Until = last.Add(ProvisionalTTL)
-	case candidate.record.trialEnds() == 0:
+	case candidate.trialEnds() == 0:
 		refusal.Until, refusal.ProbationUntil = last.Add(firstPartRefusal), candidate.record.expires
 	default:
 		refusal.Until, refusal.ProbationUntil = last.Add(ConvictionTTL), candidate.record.expires
--- a/core/decision/dogwoodsuspect/parts.go
+++ b/core/decision/dogwoodsuspect/parts.go
@@ -18,6 +18,9 @@
 	maxClearedCustomers = 64
 	// maxPools bounds the models of services whose latest answers are known.
 	maxPools = 256
+	// keptBegins is the number of latest answers that are known of a pool. A part that is in more of its prompts than all but
+	// minOtherBegins in this many is seldom refused without trials.
+	keptBegins = 12
 	// maxRecentBegins is the size of each of the two generations of parts whose answers began.
 	maxRecentBegins = 8192
 	// probationTime is how long after a refusal a part runs as a suspect, one request at a time in the whole system.
@@ -56,7 +59,7 @@
 // that customer's strikes.
 type partRecord struct {
 	strikes []partStrike // by time
-	// cleared holds the customers whose answers have begun since the first strike, and when the first one did.
+	// cleared holds the customers whose answers have begun since the first strike, and when the latest one did.
 	cleared map[dogwoodfleet.Customer]time.Time
 	expires time.Time
 	// shown is true once this daemon or another one has refused the part: the ends were no chance.
@@ -71,29 +74,50 @@
 	records map[dogwoodfleet.PromptPart]*partRecord
 	// recent holds when answers to prompts with a part last began, by customer.
 	recent [2]map[uint64]time.Time
-	// begins holds the times of the latest answers that began at this daemon, by the pool of their prompts' parts.
+	// begins holds the latest answers that began at this daemon, by the pool of their prompts' parts.
 	begins  map[string]*latestBegins
 	version uint64
 }
 
-// latestBegins holds the times of the latest answers that began, in a ring.
+// latestBegins holds the latest answers that began, in a ring.
 type latestBegins struct {
-	times [minOtherBegins]time.Time
-	next  int
+	answers [keptBegins]begunAnswer
+	next    int
 }
 
-func (latestBegins *latestBegins) add(begun time.Time) {
-	latestBegins.times[latestBegins.next] = begun
-	latestBegins.next = (latestBegins.next + 1) % len(latestBegins.times)
+// begunAnswer is an answer that began, with the hashes of its prompt's parts.
+type begunAnswer struct {
+	at    time.Time
+	parts []uint64
 }
 
-// areAllSince reports whether as many answers as it holds have begun since a time.
-func (latestBegins *latestBegins) areAllSince(since time.Time) bool {
-	return latestBegins != nil && !slices.ContainsFunc(latestBegins.times[:], func(begun time.Time) bool { return begun.Before(since) })
+func (latestBegins *latestBegins) add(begun time.Time, parts []dogwoodfleet.PromptPart) {
+	answer := &latestBegins.answers[latestBegins.next]
+	answer.at, answer.parts = begun, answer.parts[:0]
+	for _, part := range parts {
+		answer.parts = append(answer.parts, xxhash.Sum64String(string(part)))
+	}
+	latestBegins.next = (latestBegins.next + 1) % len(latestBegins.answers)
 }
 
-// recordBegin records that an answer to a prompt of a pool began here.
-func (ledger *PartLedger) recordBegin(pool string, begun time.Time) {
+// haveOthersSince reports whether enough answers to prompts without a part have begun since a time. Those to prompts with it say
+// nothing against it.
+func (latestBegins *latestBegins) haveOthersSince(since time.Time, part dogwoodfleet.PromptPart) bool {
+	if latestBegins == nil {
+		return false
+	}
+	hash, others := xxhash.Sum64String(string(part)), 0
+	for i := range latestBegins.answers {
+		if answer := &latestBegins.answers[i]; !answer.at.Before(since) && !slices.Contains(answer.parts, hash) {
+			others++
+		}
+	}
+	return others >= minOtherBegins
+}
+
+// recordBegin records that an answer to a prompt with some parts began here. All parts are of one pool.
+func (ledger *PartLedger) recordBegin(parts []dogwoodfleet.PromptPart, begun time.Time) {
+	pool := parts[0].Pool()
 	latest := ledger.begins[pool]
 	if latest == nil {
 		if len(ledger.begins) >= maxPools {
@@ -102,7 +126,7 @@
 		latest = &latestBegins{}
 		ledger.begins[pool] = latest
 	}
-	latest.add(begun)
+	latest.add(begun, parts)
 }
 
 // NewPartLedger returns an empty ledger.
@@ -197,7 +221,11 @@
 		ledger.drop(part)
 		return
 	}
-	if _, known := found.cleared[customer]; !known && len(found.cleared) < maxClearedCustomers {
+	latest, known := found.cleared[customer]
+	switch {
+	case known && begun.After(latest):
+		found.cleared[customer] = begun
+	case !known && len(found.cleared) < maxClearedCustomers:
 		if found.cleared == nil {
 			found.cleared = map[dogwoodfleet.Customer]time.Time{}
 		}
@@ -245,7 +273,7 @@
 // parts that have strikes, here or in refusals that are known.
 func (ledger *PartLedger) Began(now, begun time.Time, subject *Subject, refused func(dogwoodfleet.PromptPart) bool) []Notice {
 	if len(subject.Parts) > 0 {
-		ledger.recordBegin(subject.Parts[0].Pool(), begun)
+		ledger.recordBegin(subject.Parts, begun)
 	}
 	var struck []dogwoodfleet.PromptPart
 	for _, part := range subject.Parts {
--- a/core/decision/dogwoodsuspect/parts_test.go
+++ b/core/decision/dogwoodsuspect/parts_test.go
@@ -183,6 +183,64 @@
 	}
 }
 
+// Load: all prompts share their first part. Endpoints end under a request, under prompts with a crashing part and by chance, and each
+// end is one of the first part too, which has more of them than any cause. Prompts of other customers are answered in between.
+// Guards against refusing the first part for them, and so all prompts of the customers that were not answered since, and against
+// a crashing part that stays hidden behind it.
+func TestPartOfAllPromptsIsNotTakenForTheCause(t *testing.T) {
+	// others records answers to other customers' prompts, all of them with the part.
+	others := func(history *partHistory) *partHistory {
+		return history.began("c", popular).began("d", popular).began("c", popular)
+	}
+	byChance := func() *partHistory {
+		return others(newPartHistory().ended("a", popular).ended("b", popular)).ended("a", popular).ended("b", popular)
+	}
+	tests := []struct {
+		name    string
+		history *partHistory
+		// crashing is the standing of prompts with the crashing part, harmless that of prompts of a customer that was not answered.
+		crashing, harmless Standing
+	}{
+		{"three ends by chance", others(newPartHistory().ended("a", popular).ended("b", popular).ended("a", popular)), Clear, Clear},
+		{"four ends by chance", others(byChance()), Clear, Suspect},
+		{
+			"a crashing part whose trials end endpoints, after two other ends",
+			others(newPartHistory().ended("b", popular).ended("b", popular).ended("a", popular, crashing).ended("a", popular, crashing)).
+				endedInTrial("a", popular, crashing).endedInTrial("a", popular, crashing),
+			Convicted, Clear,
+		},
+		{
+			"a crashing part, with harmless prompts of all customers beside it",
+			others(newPartHistory().ended("b", popular).ended("b", popular).ended("a", popular, crashing).beside(popular).ended("a", popular, crashing)).
+				ended("a", popular, crashing).endedTogether("c", popular).endedTogether("d", popular).
+				began("e", popular).began("e", popular).began("e", popular),
+			Convicted, Clear,
+		},
+		{
+			"a crashing part whose trials end endpoints, after four other ends",
+			others(newPartHistory().ended("b", popular).ended("b", popular).ended("b", popular).ended("b", popular).
+				ended("a", popular, crashing).ended("a", popular, crashing)).endedInTrial("a", popular, crashing).endedInTrial("c", popular, crashing),
+			Convicted, Suspect,
+		},
+		{
+			"an answer between earlier ends shows nothing",
+			others(newPartHistory().ended("b", popular)).ended("b", popular).ended("a", popular, crashing).ended("a", popular, crashing).
+				ended("a", popular, crashing).othersBegan(),
+			Convicted, Convicted,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.history.standing("a", popular, crashing); got != max(test.crashing, test.harmless) {
+				t.Errorf("the crashing part: got %v, want %v", got, test.crashing)
+			}
+			if got := test.history.standing("b", popular); got != test.harmless {
+				t.Errorf("the part of all prompts: got %v, want %v", got, test.harmless)
+			}
+		})
+	}
+}
+
 // Guards against refusing harmless prompts with a part that came only together with the crashing one: a prompt with one of them
 // tells which it is.
 func TestPartsThatComeTogether(t *testing.T) {
