Keep a minimum of the starts for each rank that waits

Cause: in the strict order of ranks a customer of an urgent rank that sends more than all slots can run takes each slot that becomes free; customers' shares hold within a rank.

Change: each start earns each less urgent rank that goes on waiting for the service a tenth of a start, all of them together a fifth. Nothing is earned where nothing waits or all ranks are equal.

--- a/core/decision/dogwoodwaiting/reopening.go
+++ b/core/decision/dogwoodwaiting/reopening.go
@@ -56,7 +56,7 @@
 			counted, servable = waiter.Until, countServable(reopenings, waiter.Until, shortestRun, len(waiters))
 		}
 		isCertain := servable > len(candidates)
-		if !isCertain && hasAhead(candidates, first, waiter, servable) {
+		if !isCertain && !keepsMinimum(candidates, waiter, servable) && hasAhead(candidates, first, waiter, servable) {
 			tooLate[i] = true
 			continue
 		}
@@ -65,6 +65,17 @@
 	return tooLate
 }
 
+// keepsMinimum reports whether the minimum of the waiter's rank may give it one of the slots that more urgent requests would take.
+func keepsMinimum(candidates []candidate, waiter *Waiter, servable int) bool {
+	same := 0
+	for i := range candidates {
+		if candidates[i].Request.Rank == waiter.Request.Rank {
+			same++
+		}
+	}
+	return same < len(candidates) && float64(same+1) <= MinRankShare*float64(servable)
+}
+
 // countServable counts the requests that can get a slot before a time, up to a maximum.
 func countServable(reopenings []Reopening, until time.Time, shortestRun time.Duration, atMost int) int {
 	count := 0
--- a/core/decision/dogwoodwaiting/reopening_test.go
+++ b/core/decision/dogwoodwaiting/reopening_test.go
@@ -40,6 +40,12 @@
 	overtaken := func(count int) []Waiter {
 		return with(calls(count, backoff+100*time.Millisecond), 1, func(waiter *Waiter) { waiter.Request.Aim = 2*backoff + 100*time.Millisecond })
 	}
+	// lowerLast returns calls of which the last two are of a less urgent rank.
+	lowerLast := func(count int, wait time.Duration) []Waiter {
+		waiters := calls(count, wait)
+		waiters[count-1].Request.Rank, waiters[count-2].Request.Rank = 1, 1
+		return waiters
+	}
 	tests := []struct {
 		name       string
 		waiters    []Waiter
@@ -71,6 +77,7 @@
 		{
 			"an urgent one overtakes", with(calls(3, backoff+100*time.Millisecond), 0, func(waiter *Waiter) { waiter.Request.Rank = 1 }), one, run, []int{0, 2},
 		},
+		{"the minimum of a less urgent rank gives it one of eleven slots", lowerLast(16, backoff+1200*time.Millisecond), one, run, []int{11, 12, 13, 15}},
 		{
 			"a prompt before it may fit nowhere", with(chats(2, 300*time.Millisecond), 0, func(waiter *Waiter) { waiter.Request.Prompt = 50_000 }), one, run, nil,
 		},
--- a/core/duty/dogwoodrelay/queue.go
+++ b/core/duty/dogwoodrelay/queue.go
@@ -26,6 +26,8 @@
 	waiters []*waiter
 	// shortestRuns are those of tries that were answered.
 	shortestRuns dogwoodwaiting.ShortestRuns
+	// minimums are those of the ranks that wait for more urgent ones.
+	minimums dogwoodwaiting.Minimums
 }
 
 // waiter is a try that waits. Its result is sent once.
@@ -101,28 +103,88 @@
 	slices.SortStableFunc(queue.waiters, func(a, b *waiter) int {
 		return dogwoodwaiting.Compare(now, &a.request, &b.request)
 	})
-	full := map[dogwoodfleet.Service]bool{}
-	queue.waiters = slices.DeleteFunc(queue.waiters, func(waiter *waiter) bool {
-		if full[waiter.placementRequest.Service] {
-			return false
+	queue.minimums.SetWaiting(now, queue.rankClaims())
+	pass := &pass{queue: queue, now: now, full: map[dogwoodfleet.Service]bool{}, tried: make([]bool, len(queue.waiters)), done: make([]bool, len(queue.waiters))}
+	for i, waiter := range queue.waiters {
+		if !waiter.request.Begun {
+			pass.placeDue()
 		}
-		result := queue.place(now, waiter)
-		waiter.yields = result.refusal == dogwoodpacking.Yields
-		switch {
-		case waiter.panicked != nil:
-		case result.refusal == dogwoodpacking.Full:
-			// A prompt that needs the memory of several engines may not fit although others do.
-			full[waiter.placementRequest.Service] = waiter.placementRequest.Prompt == 0
-			return false
-		case result.refusal == dogwoodpacking.NoEndpoint, result.refusal == dogwoodpacking.Yields:
-			return false
-		}
-		waiter.result <- result
-		return true
+		pass.place(i)
+	}
+	done := pass.done
+	queue.waiters = slices.DeleteFunc(queue.waiters, func(*waiter) bool {
+		isDone := done[0]
+		done = done[1:]
+		return isDone
 	})
 	queue.refuseOverShare(now)
 }
 
+// rankClaims returns the claims of the waiters for the minimums of their ranks. Answers that have begun go first anyway.
+func (queue *queue) rankClaims() []dogwoodwaiting.RankClaim {
+	if len(queue.waiters) < 2 {
+		return nil
+	}
+	claims := make([]dogwoodwaiting.RankClaim, 0, len(queue.waiters))
+	for _, waiter := range queue.waiters {
+		if !waiter.request.Begun {
+			claims = append(claims, waiter.rankClaim())
+		}
+	}
+	return claims
+}
+
+func (waiter *waiter) rankClaim() dogwoodwaiting.RankClaim {
+	return dogwoodwaiting.RankClaim{Service: waiter.placementRequest.Service, Rank: waiter.request.Rank}
+}
+
+// pass is one try to place all waiters.
+type pass struct {
+	queue *queue
+	now   time.Time
+	// full holds the services that take no more requests.
+	full map[dogwoodfleet.Service]bool
+	// tried and done tell of each waiter whether it was tried, and whether it has its result.
+	tried, done []bool
+}
+
+// placeDue places the first waiters of the ranks that have earned the next start.
+func (pass *pass) placeDue() {
+	if !pass.queue.minimums.AnyDue() {
+		return
+	}
+	for i, waiter := range pass.queue.waiters {
+		if !pass.tried[i] && pass.queue.minimums.IsDue(waiter.rankClaim()) {
+			pass.place(i)
+		}
+	}
+}
+
+// place tries to place a waiter that was not tried yet.
+func (pass *pass) place(i int) {
+	queue, waiter := pass.queue, pass.queue.waiters[i]
+	service := waiter.placementRequest.Service
+	if pass.tried[i] || pass.full[service] {
+		return
+	}
+	pass.tried[i] = true
+	result := queue.place(pass.now, waiter)
+	waiter.yields = result.refusal == dogwoodpacking.Yields
+	switch {
+	case waiter.panicked != nil:
+	case result.refusal == dogwoodpacking.Full:
+		// A prompt that needs the memory of several engines may not fit although others do.
+		pass.full[service] = waiter.placementRequest.Prompt == 0
+		return
+	case result.refusal == dogwoodpacking.NoEndpoint, result.refusal == dogwoodpacking.Yields:
+		return
+	case result.refusal == dogwoodpacking.Placed && !waiter.request.Begun:
+		queue.minimums.Started(pass.now, waiter.rankClaim())
+	}
+	waiter.result <- result
+	pass.done[i] = true
+}
+
 // place places a waiter. It keeps a panic with the waiter, which would otherwise stay in the queue and panic
 // again beside every other one.
 func (queue *queue) place(now time.Time, waiter *waiter) (result placementResult) {
--- a/core/duty/dogwoodrelay/queue_test.go
+++ b/core/duty/dogwoodrelay/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -92,6 +93,47 @@
 	})
 }
 
+// Load: one slot becomes free at a time, and a customer of an urgent rank always has more requests that wait. Guards against a
+// request of a less urgent rank that gets none of the slots until the others stop, and against one that gets more than its
+// minimum.
+func TestLessUrgentRankGetsItsMinimum(t *testing.T) {
+	runRelayTest(t, testEngine, []step{delayed(10*time.Millisecond, responds(http.StatusOK, firstEvents))}, func(t *testing.T, fixture *fixture) {
+		const urgentRequests, lowerRequests = 25, 3
+		fixture.takeSlots(t, 12)
+		var mutex sync.Mutex
+		var answered []int
+		var group sync.WaitGroup
+		for i := range urgentRequests + lowerRequests {
+			rank := 0
+			if i < lowerRequests {
+				rank = 2
+			}
+			group.Go(func() {
+				request := streamRequest()
+				request.ID, request.Rank = fmt.Sprint("request-", i), rank
+				if err := fixture.relay.Serve(t.Context(), request, &recorder{}); err != nil {
+					t.Errorf("rank %d: got %v, want an answer", rank, err)
+				}
+				mutex.Lock()
+				defer mutex.Unlock()
+				answered = append(answered, rank)
+			})
+		}
+		time.Sleep(time.Millisecond)
+		fixture.board.End("0")
+		group.Wait()
+		var got []int
+		for i, rank := range answered {
+			if rank == 2 {
+				got = append(got, i)
+			}
+		}
+		if want := []int{10, 21, urgentRequests + lowerRequests - 1}; !slices.Equal(got, want) {
+			t.Errorf("got the less urgent requests answered at %v, want %v", got, want)
+		}
+	})
+}
+
 func newTestWaiter(id string) *waiter {
 	return &waiter{placementRequest: &dogwoodpacking.PlacementRequest{ID: dogwoodpacking.WorkID(id), Service: "s"}, result: make(chan placementResult, 1)}
 }
