Bound how long engines count as down, and tell storms by repeats

Cause: an engine that could not be reached counted as down until it answered. A storm of placements was told by a daemon's own prompts of the last 20 ms, so that ordinary bursts of equal rank were placed otherwise than before ranks were known.

A storm is told by repeats: prompts that resume, or were tried elsewhere.

--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -114,10 +114,10 @@
 	// seenShare is the share of the daemons whose work is on the board.
 	seenShare float64
 	senders   Senders
-	// promptSends holds the times of the prompts sent within the last second by all daemons,
-	// ownPromptSends those of the prompts and ownSends those of all requests sent by this daemon.
-	promptSends, ownPromptSends, ownSends timestamps
-	shares                                shares
+	// promptSends holds the times of the prompts sent within the last second by all daemons, ownSends those of
+	// all requests and ownRepeats those of the prompts that had been tried before, sent by this daemon.
+	promptSends, ownSends, ownRepeats timestamps
+	shares                            shares
 	// scratch is reused by each decision while the mutex is held.
 	scratch scratch
 }
@@ -223,10 +223,6 @@
 			board.promptSends = append(board.promptSends, now)
 			board.promptSends.countRecent(now)
 		}
-		if work.Prompt > 0 && own {
-			board.ownPromptSends = append(board.ownPromptSends, now)
-			board.ownPromptSends.countRecent(now)
-		}
 	}
 }
 
--- a/core/decision/dogwoodpacking/choose.go
+++ b/core/decision/dogwoodpacking/choose.go
@@ -54,6 +54,11 @@
 	Origin dogwoodfleet.Place
 }
 
+// isRepeated reports whether the request was tried before.
+func (request *PlacementRequest) isRepeated() bool {
+	return request.Resumed || len(request.Avoid) > 0
+}
+
 // Refusal is the reason why a request was not placed.
 type Refusal string
 
@@ -113,6 +118,10 @@
 	placement.Load = board.endpoints[placement.Endpoint.ID].load(now)
 	placement.Work = newWork(now, request, &placement)
 	board.put(now, placement.Work)
+	if request.isRepeated() && request.Prompt > 0 {
+		board.ownRepeats = append(board.ownRepeats, now)
+		board.ownRepeats.countRecent(now)
+	}
 	return placement, Placed
 }
 
@@ -163,7 +172,7 @@
 			continue
 		}
 		available = append(available, state)
-		if state.isProven() && !now.Before(state.health.avoidUntil) {
+		if state.isProven(now) && !now.Before(state.health.avoidUntil) {
 			healthy = append(healthy, state)
 		}
 	}
--- a/core/decision/dogwoodpacking/engines.go
+++ b/core/decision/dogwoodpacking/engines.go
@@ -63,7 +63,7 @@
 }
 
 func (board *Board) survey(now time.Time, request *PlacementRequest, candidates []*endpointState, allowance int) []engine {
-	engines, groups := board.scratch.engines[:0], board.groupCount(now, board.scratch.requestCount, candidates[0].Slots)
+	engines, groups := board.scratch.engines[:0], board.groupCount(now, request, board.scratch.requestCount, candidates[0].Slots)
 	for _, state := range candidates {
 		load := state.load(now)
 		engines = append(engines, engine{
@@ -202,7 +202,7 @@
 		if !engine.failing {
 			search.primaries = append(search.primaries, engine)
 		}
-		if !engine.state.limit.Named && engine.state.isProven() { // a part is a request that the limit does not count
+		if !engine.state.limit.Named && engine.state.isProven(search.now) { // a part is a request that the limit does not count
 			search.helpers = append(search.helpers, engine)
 		}
 	}
--- a/core/decision/dogwoodpacking/groups.go
+++ b/core/decision/dogwoodpacking/groups.go
@@ -17,32 +17,30 @@
 // is ten times the delay of an announcement, so that about one prompt in ten collides with another.
 const collisionWindow = 20 * time.Millisecond
 
-// stormFactor is how many times the usual number of prompts in collisionWindow make a storm. When a data centre is lost, each daemon
-// places all answers that broke off there within some milliseconds. Counted over a second they looked like ordinary
-// traffic, and all daemons filled the same few engines.
-const stormFactor = 3
-
-// minStorm is the number of own prompts in collisionWindow from which the other daemons are taken to place as many. Fewer come together
-// by chance.
-const minStorm = 4
+// minStorm is the number of own repeats in collisionWindow from which the other daemons are taken to place as many. When a data centre is
+// lost, each daemon places all answers that broke off there within some milliseconds. Counted over a second they looked like
+// ordinary traffic, and all daemons filled the same few engines. A single repeat comes by chance. First tries don't count: bursts of one
+// daemon's callers are no sign of what the others do.
+const minStorm = 2
 
 // groupCount returns the number of groups for engines that hold the given number of requests.
-func (board *Board) groupCount(now time.Time, requestCount, slots int) int {
+func (board *Board) groupCount(now time.Time, request *PlacementRequest, requestCount, slots int) int {
 	packed := max(packShare*float64(slots), 1)
 	engines := int(math.Ceil(float64(requestCount+1) / packed))
 	prompts := int(float64(board.promptSends.countRecent(now)) * collisionWindow.Seconds() / rateWindow.Seconds())
-	if storm := board.recentPrompts(now); storm > stormFactor*(prompts+1) {
-		prompts = storm
-	}
+	prompts = max(prompts, board.repeatStorm(now, request))
 	return max(min(engines, prompts, board.senders.Count), 1)
 }
 
-// recentPrompts estimates the number of prompts within collisionWindow. The other daemons' announcements may not have arrived: in a storm
-// these are taken to place as many as this one.
-func (board *Board) recentPrompts(now time.Time) int {
-	own := board.ownPromptSends.countWithin(now, collisionWindow)
+// repeatStorm estimates the number of prompts within collisionWindow while all daemons repeat requests at the same moment, which the
+// request is one of; 0 if they don't. The other daemons' announcements may not have arrived.
+func (board *Board) repeatStorm(now time.Time, request *PlacementRequest) int {
+	own := board.ownRepeats.countWithin(now, collisionWindow)
+	if request.isRepeated() {
+		own++
+	}
 	if own < minStorm {
-		own = 0
+		return 0
 	}
 	return max(board.promptSends.countWithin(now, collisionWindow), own*board.senders.Count)
 }
