State the conditions for sending to an endpoint in one place

Cause: the board asked in five ways whether an endpoint had asked for a back-off, and the conditions stood in five files.

--- a/core/decision/dogwoodpacking/backoff.go
+++ b/core/decision/dogwoodpacking/backoff.go
@@ -115,18 +115,13 @@
 	return reopenings
 }
 
-// isBackedOff reports whether an endpoint has asked this daemon for no requests now. The caller holds the mutex.
-func (board *Board) isBackedOff(now time.Time, state *endpointState) bool {
-	return len(board.backoffs) > 0 && now.Before(board.backoffs[instanceOf(&state.Endpoint.Endpoint)])
-}
-
 // CountBackedOff returns the number of known endpoints that have asked this daemon for no requests now.
 func (board *Board) CountBackedOff(now time.Time) int {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	count := 0
 	for _, state := range board.endpoints {
-		if now.Before(board.backoffs[instanceOf(&state.Endpoint.Endpoint)]) {
+		if board.isBackedOff(now, &state.Endpoint.Endpoint) {
 			count++
 		}
 	}
--- a/core/decision/dogwoodpacking/choose.go
+++ b/core/decision/dogwoodpacking/choose.go
@@ -148,7 +148,7 @@
 	defer board.mutex.Unlock()
 	for _, state := range board.endpoints {
 		if state.Service == request.Service && state.takesRequests() && !state.limit.Named && !slices.Contains(request.Avoid, state.ID) &&
-			!now.Before(board.backoffs[instanceOf(&state.Endpoint.Endpoint)]) {
+			!board.isBackedOff(now, &state.Endpoint.Endpoint) {
 			return true
 		}
 	}
@@ -172,7 +172,7 @@
 			continue
 		}
 		available = append(available, state)
-		if state.isProven(now) && !now.Before(state.health.avoidUntil) {
+		if state.isProven(now) && !state.isAvoided(now) {
 			healthy = append(healthy, state)
 		}
 	}
--- a/core/decision/dogwoodpacking/leaving.go
+++ b/core/decision/dogwoodpacking/leaving.go
@@ -38,16 +38,3 @@
 	}
 	_, state.leaving = board.leaving[instanceOf(&state.Endpoint.Endpoint)]
 }
-
-// takesRequests reports whether an endpoint is in force and has not said that it leaves.
-func (state *endpointState) takesRequests() bool {
-	return state.InForce && !state.leaving
-}
-
-// IsOpen reports whether a request may be sent to an endpoint now: it has neither said that it leaves nor asked for a back-off.
-func (board *Board) IsOpen(now time.Time, endpoint *dogwoodfleet.Endpoint) bool {
-	board.mutex.Lock()
-	defer board.mutex.Unlock()
-	_, leaving := board.leaving[instanceOf(endpoint)]
-	return !leaving && !now.Before(board.backoffs[instanceOf(endpoint)])
-}
--- a/core/decision/dogwoodpacking/rank.go
+++ b/core/decision/dogwoodpacking/rank.go
@@ -130,7 +130,7 @@
 	demand := rankDemand{yields: true, seenShare: board.seenShare}
 	slots, prefill := 1, 0.0
 	for _, state := range board.ranked {
-		if state.Service != request.Service || state.Engine == nil || state.Slots <= 0 || !state.takesRequests() || !state.isProven(now) || board.isBackedOff(now, state) {
+		if state.Service != request.Service || state.Engine == nil || state.Slots <= 0 || !state.takesRequests() || !state.isProven(now) || board.isBackedOff(now, &state.Endpoint.Endpoint) {
 			continue
 		}
 		demand.engines++
--- a/core/decision/dogwoodpacking/unproven.go
+++ b/core/decision/dogwoodpacking/unproven.go
@@ -30,7 +30,7 @@
 		case state.isProven(now):
 		case board.ownRequests(state) > 0:
 			return healthy
-		case probe == nil && !now.Before(state.health.avoidUntil):
+		case probe == nil && !state.isAvoided(now):
 			probe = state
 		}
 	}
