Let the largest prompts wait for engines that are in use

Cause: a prompt of a less urgent rank was refused as too late by the engines that it could take at that moment. Such a prompt weighs as much as a hundred short ones.

Change: it is refused at once only if it can't end on the engines that more urgent requests leave once the running prefills of its rank and a peak that is over have ended.

--- a/core/decision/dogwoodpacking/engines.go
+++ b/core/decision/dogwoodpacking/engines.go
@@ -145,10 +145,10 @@
 	helpers []*engine
 	// minEngines is the number of engines needed to hold the prompt and its answer in memory.
 	minEngines int
-	// allowance is the number of engines that the prompt may take from more urgent ranks, minimum that on which its rank may prefill
-	// whatever these need.
+	// allowance is the number of engines that the prompt may take from more urgent ranks now, attainable the most that it may take while
+	// it waits.
 	allowance    int
-	minimum      int
+	attainable   int
 	prefillLimit time.Duration
 	// keeping and breaking count the engines that can help while all limits are kept, and when no placement keeps them.
 	keeping, breaking [1 + maxHelpers + 1]helperCount
@@ -190,7 +190,7 @@
 	demand := board.rankDemand(now, request, nil)
 	allowance := demand.allowance()
 	search := &search{
-		now: now, request: request, engines: board.survey(now, request, candidates, allowance), allowance: allowance, minimum: demand.minimum(), prefillLimit: time.Duration(aimShare * float64(request.Aim)),
+		now: now, request: request, engines: board.survey(now, request, candidates, allowance), allowance: allowance, attainable: demand.attainable(), prefillLimit: time.Duration(aimShare * float64(request.Aim)),
 		primaries: board.scratch.primaries[:0], helpers: board.scratch.helpers[:0],
 	}
 	if !request.Arrived.IsZero() {
--- a/core/decision/dogwoodpacking/rank.go
+++ b/core/decision/dogwoodpacking/rank.go
@@ -83,6 +83,17 @@
 	return requests
 }
 
+// urgentCount returns the number of requests of more urgent ranks that are assigned now. The caller holds the mutex.
+func (board *Board) urgentCount(request *PlacementRequest) int {
+	count := 0
+	for key, counted := range board.rankCounts {
+		if key.service == request.Service && key.rank < request.Rank {
+			count += counted.count
+		}
+	}
+	return count
+}
+
 // yields reports whether a prompt has to leave engines to more urgent ones. Short prompts, which take an engine some milliseconds, do
 // not, and neither does the rest of an answer that its caller has begun to receive. The caller holds the mutex.
 func (board *Board) yields(now time.Time, request *PlacementRequest) bool {
@@ -99,6 +110,8 @@
 	// engines counts the engines that take requests, and needed those that more urgent requests need of them.
 	engines int
 	needed  float64
+	// neededNow is needed without the peak of urgent requests that is over.
+	neededNow float64
 	// own and rest count the engines without more urgent requests that prefill for the rank, and for less urgent ones.
 	own, rest int
 	// seenShare is the share of the daemons whose work is counted.
@@ -116,6 +129,13 @@
 	return max(int(left), demand.minimum()-demand.own, 0)
 }
 
+// attainable returns the most engines on which a prompt may be prefilled while it waits: those that it may take now, or once the peak of
+// urgent requests is over and the running prefills of its rank and of less urgent ones have ended, or its minimum.
+func (demand *rankDemand) attainable() int {
+	left := float64(demand.engines) - rankHeadroom*demand.neededNow/demand.seenShare
+	return max(demand.allowance(), int(left), demand.minimum())
+}
+
 // minimum returns the number of engines on which the rank may prefill whatever more urgent ranks need. It includes all engines whose
 // memory the prompt needs: with fewer, such a prompt could never be placed in a small pool.
 func (demand *rankDemand) minimum() int {
@@ -144,7 +164,9 @@
 			demand.rest++
 		}
 	}
-	demand.needed = board.urgentRequests(now, request)/(packShare*float64(slots)) + prefill
+	packed := packShare * float64(slots)
+	demand.needed = board.urgentRequests(now, request)/packed + prefill
+	demand.neededNow = float64(board.urgentCount(request))/packed + prefill
 	return demand
 }
 
@@ -201,14 +223,14 @@
 	return 1
 }
 
-// canEnd reports whether a prompt can be answered until its deadline if it is prefilled by as many engines as it may take now, or by its
-// rank's minimum. Prompts that wait for more urgent ones and can't end are refused while their callers can still do something else.
+// canEnd reports whether a prompt can be answered until its deadline if it is prefilled by as many engines as it may take while it waits. Those
+// that it may take now don't decide: the largest prompts need most engines, which are free only at times. Prompts that wait for more urgent ones and can't end are refused while their callers can still do something else.
 func (search *search) canEnd() bool {
 	if search.allowance == unlimitedEngines || search.request.Until.IsZero() {
 		return true
 	}
 	engine := search.engines[0].state.Engine
-	parts := min(max(search.allowance, search.minimum), 1+maxHelpers)
+	parts := min(search.attainable, 1+maxHelpers)
 	passes := search.request.Answer / max(engine.Stride, 1)
 	decode := time.Duration(passes) * engine.PassTime(1, search.request.Prompt)
 	return search.now.Add(engine.PrefillTime(search.request.Prompt, parts) + decode).Before(search.request.Until)
--- a/core/decision/dogwoodpacking/rank_test.go
+++ b/core/decision/dogwoodpacking/rank_test.go
@@ -137,6 +137,49 @@
 	}
 }
 
+// Guards against the largest prompts that are refused in the moment of their arrival, with most of their time left, because engines are
+// prefilling or a peak of urgent requests has just passed.
+func TestLargestPromptWaitsForEnginesInUse(t *testing.T) {
+	now := time.Now()
+	tests := []struct {
+		name string
+		busy func(board *Board)
+	}{
+		{"own rank prefills", func(board *Board) {
+			for i := range 14 {
+				request := lessUrgent(now, 200_000)
+				board.Put(now, Work{
+					ID: WorkID(fmt.Sprint("prefill", i)), Service: "models", Endpoint: engineEndpoint(2 + i).ID, Rank: request.Rank, Tokens: 201_000, Prompt: 200_000,
+					Reading: 5 * time.Second, Aim: request.Aim, Begun: now, Until: now.Add(15 * time.Second),
+				})
+			}
+		}},
+		{"a peak has passed", func(board *Board) {
+			const peak = 230
+			for i := range peak {
+				board.Put(now, Work{
+					ID: WorkID(fmt.Sprint("peak", i)), Service: "models", Endpoint: engineEndpoint(2 + i%18).ID, Tokens: 5000, Prompt: 4000,
+					Writing: true, Begun: now, Until: now.Add(time.Minute),
+				})
+			}
+			for i := range peak {
+				board.End(WorkID(fmt.Sprint("peak", i)))
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			board := urgentPool(t, now, 20, 2, 6)
+			test.busy(board)
+			request := lessUrgent(now, 800_000)
+			request.Until = now.Add(15 * time.Second)
+			if _, got := board.Place(now, request); got == TooLate {
+				t.Errorf("got %q, want it to wait or be placed", got)
+			}
+		})
+	}
+}
+
 // Guards against placements that change where no rank is more urgent than another one.
 func TestEqualRanksArePlacedAlike(t *testing.T) {
 	now := time.Now()
