Let owners use the standings of parts of prompts

Cause: dogwoodmuxd is to refuse parts of prompts too. The look-up of a request's strictest refusal and the digest of a part's permits were private to dogwoodsuspects.

Change: both are in dogwoodsuspect now (PartRefusals.Strictest, PartGate), unchanged. Rules and notices are as before.

--- a/core/decision/dogwoodsuspect/partrefusal.go
+++ b/core/decision/dogwoodsuspect/partrefusal.go
@@ -146,16 +146,20 @@
 		if len(record.strikes) < minPartEnds {
 			continue
 		}
-		candidate := &partCandidate{part: part, record: record, ends: map[dogwoodfleet.EndpointID]time.Time{}}
-		for i := range record.strikes {
-			candidate.ends[record.strikes[i].endpoint] = record.strikes[i].at
-		}
-		candidate.count()
-		candidates = append(candidates, candidate)
+		candidates = append(candidates, newPartCandidate(part, record))
 	}
 	return candidates, endTimes
 }
 
+func newPartCandidate(part dogwoodfleet.PromptPart, record *partRecord) *partCandidate {
+	candidate := &partCandidate{part: part, record: record, ends: map[dogwoodfleet.EndpointID]time.Time{}}
+	for i := range record.strikes {
+		candidate.ends[record.strikes[i].endpoint] = record.strikes[i].at
+	}
+	candidate.count()
+	return candidate
+}
+
 // strongest returns the candidate with the most ends that can be refused, nil if there is none.
 func strongest(candidates []*partCandidate) *partCandidate {
 	var best *partCandidate
--- a/core/duty/dogwoodsuspects/leaf.go
+++ b/core/duty/dogwoodsuspects/leaf.go
@@ -28,7 +28,7 @@
 	from    dogwoodfleet.InstanceID
 	version uint64
 	ends    map[dogwoodfleet.Digest]time.Time
-	parts   partRefusals
+	parts   dogwoodsuspect.PartRefusals
 }
 
 // until returns the end of a digest's refusal; zero if it is not refused.
@@ -113,7 +113,7 @@
 	for _, request := range refused.Requests {
 		ends[request.Digest] = now.Add(request.Left)
 	}
-	parts := make(partRefusals, len(refused.Parts))
+	parts := make(dogwoodsuspect.PartRefusals, len(refused.Parts))
 	for _, part := range refused.Parts {
 		part.Refusal.Until, part.Refusal.ProbationUntil = now.Add(part.Left), now.Add(part.ProbationLeft)
 		parts[part.Refusal.Part] = &part.Refusal
--- a/core/duty/dogwoodsuspects/parts.go
+++ b/core/duty/dogwoodsuspects/parts.go
@@ -7,25 +7,6 @@
 	"dogwoodmux.example/core/dogwoodfleet"
 )
 
-// partRefusals holds refusals by part.
-type partRefusals map[dogwoodfleet.PromptPart]*dogwoodsuspect.PartRefusal
-
-// strictest returns the refusal that restricts a request the most, and the standing that it gives it; nil for none.
-func (partRefusals partRefusals) strictest(now time.Time, subject *dogwoodsuspect.Subject) (*dogwoodsuspect.PartRefusal, dogwoodsuspect.Standing) {
-	var strictest *dogwoodsuspect.PartRefusal
-	worst := dogwoodsuspect.Clear
-	for _, part := range subject.Parts {
-		refusal := partRefusals[part]
-		if refusal == nil {
-			continue
-		}
-		if standing := refusal.Standing(now, subject); standing > worst {
-			strictest, worst = refusal, standing
-		}
-	}
-	return strictest, worst
-}
-
 // updateParts updates which parts are refused. A leaf gets that from its hub, which knows what all daemons have seen. The caller
 // holds the mutex.
 func (duty *Duty) updateParts() {
@@ -34,7 +15,7 @@
 		return
 	}
 	now := time.Now()
-	refused := partRefusals{}
+	refused := dogwoodsuspect.PartRefusals{}
 	for _, refusal := range duty.parts.Refusals(now, duty.ledger) {
 		refused[refusal.Part] = &refusal
 		for _, endpoint := range refusal.Ends {
@@ -95,12 +76,7 @@
 	}
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
-	return duty.refusedParts.strictest(now, subject)
-}
-
-// partGate returns the digest under which the trials of a part get their permits.
-func partGate(part dogwoodfleet.PromptPart) dogwoodfleet.Digest {
-	return dogwoodfleet.NewDigester("", "part", string(part)).Digest()
+	return duty.refusedParts.Strictest(now, subject)
 }
 
 // RefusedParts returns the number of parts whose prompts are refused.
@@ -116,7 +92,7 @@
 func (refusedList *refusedList) strictest(now time.Time, subject *dogwoodsuspect.Subject) (*dogwoodsuspect.PartRefusal, dogwoodsuspect.Standing) {
 	refusedList.mutex.Lock()
 	defer refusedList.mutex.Unlock()
-	return refusedList.parts.strictest(now, subject)
+	return refusedList.parts.Strictest(now, subject)
 }
 
 func (refusedList *refusedList) hasPart(part dogwoodfleet.PromptPart) bool {
--- a/core/duty/dogwoodsuspects/permit.go
+++ b/core/duty/dogwoodsuspects/permit.go
@@ -92,7 +92,7 @@
 // judgeSubject returns what is known of a request, apart from the gates for which it holds a permit.
 func (duty *Duty) judgeSubject(subject *dogwoodsuspect.Subject, permit *Permit) verdict {
 	if refusal, standing := duty.partStanding(subject); standing != dogwoodsuspect.Clear {
-		gate := partGate(refusal.Part)
+		gate := dogwoodsuspect.PartGate(refusal.Part)
 		if standing == dogwoodsuspect.Convicted || !permit.holds(gate) {
 			return verdict{standing: standing, gate: gate, until: refusal.Until, part: refusal.Part}
 		}
--- a/core/duty/dogwoodsuspects/suspects.go
+++ b/core/duty/dogwoodsuspects/suspects.go
@@ -91,7 +91,7 @@
 	convicted      map[dogwoodfleet.Digest]time.Time
 	refusedVersion uint64
 	// refusedParts holds the refusals of parts at the last check.
-	refusedParts partRefusals
+	refusedParts dogwoodsuspect.PartRefusals
 }
 
 // New returns a Duty with an empty ledger.
@@ -211,7 +211,7 @@
 	if len(request.Parts) > 0 {
 		// A leaf that asks may not know yet how the last trial of the part ended.
 		subject := &dogwoodsuspect.Subject{Customer: request.Customer, Parts: request.Parts}
-		if _, standing := duty.refusedParts.strictest(time.Now(), subject); standing != dogwoodsuspect.Suspect {
+		if _, standing := duty.refusedParts.Strictest(time.Now(), subject); standing != dogwoodsuspect.Suspect {
 			return dogwoodsuspect.PermitResponse{Allowed: standing == dogwoodsuspect.Clear, Standing: standing}
 		}
 	}
