Refuse prompts with a part that crashes engines, in dogwoodmuxd

Cause: dogwoodmuxd refused copies of a request that crashes engines, by the digest of the whole request. Of prompts that share a crashing prefix and nothing else, each took down an engine, and mostly a second one when it was tried again alone.

Change: the owner feeds dogwoodsuspect.PartLedger with the chained hashes of a prompt's first 64 blocks, and asks it before a grant. Entry daemons report answers that have begun with the renewals of their grants. Ends are sent to all owners before the caller learns of the failure; an owner that refuses a part tells the others. A request that ran when an endpoint ended is held back for 2 s at most while one more end would refuse a part of its prompt. Prompts on probation run alone, with a permit of the part. Counters "Parts", two log lines, reason Suspect for callers. The fakes of Slots in the tests of dogwooddispatch and dogwoodquotas get the new method Began, which does nothing.

--- a/core/dogwooddaemon/owner.go
+++ b/core/dogwooddaemon/owner.go
@@ -36,7 +36,7 @@
 	gangs := &dogwooddispatch.Gangs{}
 	started.local = dogwoodowner.New(dogwoodowner.Options{
 		Text: changes.Text(), Policy: environment.settings.Policy, Place: environment.place, Self: environment.instance,
-		Suspects: suspects, Gangs: gangs,
+		Suspects: suspects, Gangs: gangs, Logger: kernel.Named(pluginOwner),
 	})
 	started.owners = dogwooddispatch.NewOwners(dogwooddispatch.OwnersOptions{
 		Self: environment.instance, Place: environment.place, Policy: environment.settings.Policy,
@@ -52,6 +52,7 @@
 	kernel.Go("renew grants", started.owners.RunRenewals)
 	kernel.Go("expire grants", started.owners.RunExpiry)
 	kernel.Go("probe dependencies", started.owners.RunProbes)
+	kernel.Go("announce parts of prompts", started.local.RunAnnouncements)
 	kernel.Go("lifted convictions", func(ctx context.Context) error {
 		return changes.applyLifts(ctx, started.local.LiftConviction)
 	})
--- a/core/duty/dogwooddispatch/dispatch.go
+++ b/core/duty/dogwooddispatch/dispatch.go
@@ -126,6 +126,8 @@
 	// ToldCold notifies the owner of an endpoint that reported at the start of an answer
 	// that it is cold.
 	ToldCold(ctx context.Context, endpoint dogwoodfleet.Endpoint, instance dogwoodfleet.InstanceID)
+	// Began notes that the answer to the request of a grant has begun, for the endpoint's owner.
+	Began(grant dogwoodowner.Grant, begun time.Time)
 	// Release ends a grant.
 	Release(ctx context.Context, grant dogwoodowner.Grant, release dogwoodowner.Release)
 }
--- a/core/duty/dogwooddispatch/dispatch_test.go
+++ b/core/duty/dogwooddispatch/dispatch_test.go
@@ -53,6 +53,8 @@
 
 func (fakes *fakes) ToldCold(context.Context, dogwoodfleet.Endpoint, dogwoodfleet.InstanceID) {}
 
+func (fakes *fakes) Began(dogwoodowner.Grant, time.Time) {}
+
 func (fakes *fakes) Do(ctx context.Context, endpoint dogwoodfleet.Endpoint, _ ServiceRequest) (*ServiceAnswer, error) {
 	fakes.record("send %s", endpoint.ID)
 	var err error
--- a/core/duty/dogwooddispatch/owners.go
+++ b/core/duty/dogwooddispatch/owners.go
@@ -83,6 +83,8 @@
 	// owner is the endpoint's current owner, which accounts for the grant.
 	owner     dogwoodfleet.InstanceID
 	heldSince time.Time
+	// begun is when the answer began; zero if it has not or if the owner knows.
+	begun time.Time
 }
 
 // ownerState is the last known load of an owner.
@@ -253,11 +255,15 @@
 	owners.mutex.Lock()
 	defer owners.mutex.Unlock()
 	parts := grant.Parts()
+	var blocks []uint64
+	if len(parts) == 1 {
+		blocks = acquireRequest.Request.Blocks
+	}
 	for _, part := range parts {
 		owners.held[part.ID] = &heldGrant{
 			Held: dogwoodowner.Held{
 				Grant: part, Holder: acquireRequest.Holder, Request: acquireRequest.Request.ID, Customer: acquireRequest.Request.Customer,
-				Digest: acquireRequest.Request.Digest, PromptTokens: acquireRequest.Request.PromptTokens / len(parts), MaxTokens: acquireRequest.Request.MaxTokens / len(parts),
+				Digest: acquireRequest.Request.Digest, Model: acquireRequest.Request.Model, Blocks: blocks, PromptTokens: acquireRequest.Request.PromptTokens / len(parts), MaxTokens: acquireRequest.Request.MaxTokens / len(parts),
 			},
 			owner:     part.ID.Owner,
 			heldSince: time.Now(),
@@ -265,6 +271,30 @@
 	}
 }
 
+// Began notes that the answer to the request of a grant has begun. The owner learns of it with the next renewal.
+func (owners *Owners) Began(grant dogwoodowner.Grant, begun time.Time) {
+	owners.mutex.Lock()
+	defer owners.mutex.Unlock()
+	if held := owners.held[grant.ID]; held != nil {
+		held.begun = begun
+	}
+}
+
+// takeBegins returns the answers to the requests of grants that have begun since it was last called. A begin whose renewal is lost
+// is seen again at the release.
+func (owners *Owners) takeBegins(grants []dogwoodowner.GrantID) []dogwoodowner.Begin {
+	owners.mutex.Lock()
+	defer owners.mutex.Unlock()
+	var begins []dogwoodowner.Begin
+	for _, id := range grants {
+		if held := owners.held[id]; held != nil && !held.begun.IsZero() {
+			begins = append(begins, dogwoodowner.Begin{Grant: id, Age: time.Since(held.begun)})
+			held.begun = time.Time{}
+		}
+	}
+	return begins
+}
+
 // Release ends a grant and reports the request's result to the endpoints' current owners. If
 // the endpoint died, Release waits for the owners' replies: a caller may send the same request
 // again immediately, and by then all owners must have a record of it.
--- a/core/duty/dogwooddispatch/prompt.go
+++ b/core/duty/dogwooddispatch/prompt.go
@@ -37,7 +37,12 @@
 	if stream.Cold() {
 		dispatcher.options.Slots.ToldCold(ctx, grant.Endpoint, stream.Instance())
 	}
-	result, firstToken, count := forward(ctx, stream, answer, sent)
+	began := func(begun time.Time) {
+		if len(request.Blocks) > 0 {
+			dispatcher.options.Slots.Began(grant, begun)
+		}
+	}
+	result, firstToken, count := forward(ctx, stream, answer, sent, began)
 	result.release.FirstToken = firstToken
 	result.release.Took = time.Since(sent)
 	result.release.PromptTokens = request.PromptTokens
@@ -48,8 +53,9 @@
 }
 
 // forward copies a stream's events to the answer until the stream ends or the caller
-// disconnects. It returns the outcome, the time to the first token and the number of events.
-func forward(ctx context.Context, stream Stream, answer PromptAnswerWriter, sent time.Time) (result outcome, firstToken time.Duration, count int) {
+// disconnects. It calls began once the endpoint has lived on for dogwoodowner.BeginTime after the first token. It returns the
+// outcome, the time to the first token and the number of events.
+func forward(ctx context.Context, stream Stream, answer PromptAnswerWriter, sent time.Time, began func(begun time.Time)) (result outcome, firstToken time.Duration, count int) {
 	for {
 		event, err := stream.Next(ctx)
 		if errors.Is(err, io.EOF) {
@@ -66,6 +72,10 @@
 		if count == 0 {
 			firstToken = time.Since(sent)
 		}
+		if took := time.Since(sent); began != nil && took-firstToken >= dogwoodowner.BeginTime {
+			began(sent.Add(firstToken))
+			began = nil
+		}
 		count++
 		if err := answer.Event(event); err != nil {
 			result = outcome{
--- a/core/duty/dogwooddispatch/receiver.go
+++ b/core/duty/dogwooddispatch/receiver.go
@@ -23,6 +23,8 @@
 type RenewArgs struct {
 	Holder dogwoodfleet.InstanceID
 	Grants []dogwoodowner.GrantID
+	// Begun are the answers that have begun since the last renewal.
+	Begun []dogwoodowner.Begin
 }
 
 // RenewReply lists the grants that the owner has no record of.
@@ -103,6 +105,7 @@
 // Renew extends a holder's grants by another lease.
 func (receiver *Receiver) Renew(args RenewArgs, reply *RenewReply) error {
 	reply.Lost = receiver.owner.Renew(args.Holder, args.Grants)
+	receiver.owner.Began(args.Holder, args.Begun)
 	reply.Summary = receiver.owner.Summary()
 	return nil
 }
--- a/core/duty/dogwooddispatch/upkeep.go
+++ b/core/duty/dogwooddispatch/upkeep.go
@@ -130,9 +130,11 @@
 		return nil
 	}
 	var reply RenewReply
+	args := RenewArgs{Holder: owners.options.Self, Grants: grants, Begun: owners.takeBegins(grants)}
 	if member.Instance == owners.options.Self {
-		reply.Lost = owners.options.Local.Renew(owners.options.Self, grants)
-	} else if err := owners.options.Caller.Call(ctx, member.Peer, "Owner.Renew", RenewArgs{Holder: owners.options.Self, Grants: grants}, &reply); err != nil {
+		reply.Lost = owners.options.Local.Renew(args.Holder, args.Grants)
+		owners.options.Local.Began(args.Holder, args.Begun)
+	} else if err := owners.options.Caller.Call(ctx, member.Peer, "Owner.Renew", args, &reply); err != nil {
 		owners.options.Logger.Debug("failed to renew grants", "owner", member.Instance, "error", err)
 		return nil
 	}
--- a/core/duty/dogwoodowner/acquire.go
+++ b/core/duty/dogwoodowner/acquire.go
@@ -18,6 +18,8 @@
 	tokens         int // memory to reserve
 	long           bool
 	suspect        bool
+	// gates are the digests for which a suspect needs permits, its own, a part's or both, and permits those that it has.
+	gates, permits []dogwoodfleet.Digest
 	lane           *lane
 	reserved       *endpoint // the endpoint that is being cleared for this waiter
 	outcomes       chan outcome
@@ -111,11 +113,14 @@
 	case waiter == nil:
 		return owner.acquireGang(ctx, acquireRequest)
 	case waiter.suspect:
-		if refusal := owner.awaitPermit(ctx, waiter); refusal != nil {
+		owner.awaitPartDecision(ctx, waiter)
+		if refusal := owner.awaitPermits(ctx, waiter); refusal != nil {
+			owner.returnPermit(ctx, waiter)
 			return Grant{}, refusal
 		}
 	}
 	if refusal := owner.enqueue(waiter); refusal != nil {
+		owner.returnPermit(ctx, waiter)
 		return Grant{}, refusal
 	}
 	granted, refusal := owner.await(ctx, waiter)
@@ -150,11 +155,9 @@
 	if owner.baseline() {
 		return prepared, nil
 	}
-	standing, until := owner.suspects.Standing(now, request.Digest)
-	if standing == dogwoodsuspect.Convicted {
-		return nil, refusalSuspect(now, until)
+	if refusal := owner.checkSuspectLocked(now, prepared); refusal != nil {
+		return nil, refusal
 	}
-	prepared.suspect = standing == dogwoodsuspect.Suspect && acquireRequest.Pin == ""
 	if usable, largest := lane.usableTokens(); usable > 0 && prepared.tokens > usable && acquireRequest.Pin == "" {
 		if owner.options.Gangs != nil {
 			return nil, nil
@@ -166,6 +169,32 @@
 	return prepared, nil
 }
 
+// checkSuspectLocked sets the gates of a suspect, or returns the refusal of a request that is convicted or has a refused part.
+func (owner *Owner) checkSuspectLocked(now time.Time, prepared *waiter) *Refusal {
+	request := &prepared.acquireRequest.Request
+	standing, until := owner.suspects.Standing(now, request.Digest)
+	if standing == dogwoodsuspect.Convicted {
+		return refusalSuspect(now, until)
+	}
+	partRefusal, partStanding := owner.partStandingLocked(now, request)
+	if partStanding == dogwoodsuspect.Convicted {
+		counters.Add("Refused", 1)
+		return refusalPart(now, partRefusal)
+	}
+	if prepared.acquireRequest.Pin != "" {
+		return nil
+	}
+	if partStanding == dogwoodsuspect.Suspect {
+		counters.Add("Trials", 1)
+		prepared.gates = append(prepared.gates, dogwoodsuspect.PartGate(partRefusal.Part))
+	}
+	if standing == dogwoodsuspect.Suspect {
+		prepared.gates = append(prepared.gates, request.Digest)
+	}
+	prepared.suspect = len(prepared.gates) > 0
+	return nil
+}
+
 func (owner *Owner) ownsLocked(id dogwoodfleet.EndpointID) bool {
 	state := owner.endpoints[id]
 	return state != nil && state.description.InForce
@@ -177,6 +206,12 @@
 	defer owner.mutex.Unlock()
 	now := time.Now()
 	lane := arrived.lane
+	if !owner.baseline() {
+		// A part of its prompt may have been refused while it waited for a permit.
+		if refusal := owner.partRefusalLocked(now, arrived); refusal != nil {
+			return refusal
+		}
+	}
 	switch {
 	case owner.baseline():
 		lane.baselineQueue = append(lane.baselineQueue, arrived)
--- a/core/duty/dogwoodowner/endpoint.go
+++ b/core/duty/dogwoodowner/endpoint.go
@@ -35,6 +35,9 @@
 	unknownStreams int
 	// alone is true while a suspect runs alone on the endpoint.
 	alone bool
+	// endID and endedAt are the name and the time of the latest end under runs whose answers had not begun.
+	endID   dogwoodfleet.EndpointID
+	endedAt time.Time
 	// reservation is for the waiter that the endpoint is being cleared for; nil if none.
 	reservation *reservation
 	// prefillUntil is when the engine is expected to have prefilled all prompts granted so far.
--- a/core/duty/dogwoodowner/grant.go
+++ b/core/duty/dogwoodowner/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodadmission"
@@ -23,6 +24,8 @@
 	aheadTokens int  // prompt tokens that the endpoint has to prefill first
 	member      bool // part of a gang: its engine prefills only a share of the prompt
 	takenOver   bool // made by another owner, so aheadTokens is unknown
+	begun       bool // its holder has reported that the answer began
+	permits     []dogwoodfleet.Digest
 	backfilled  *reservation
 	grantedAt   time.Time
 	renewedAt   time.Time
@@ -30,6 +33,11 @@
 	expiredAt   time.Time
 }
 
+// isPartTrial reports whether the run had a permit to try a part of its prompt.
+func (grant *grant) isPartTrial() bool {
+	return slices.ContainsFunc(grant.permits, func(gate dogwoodfleet.Digest) bool { return gate != grant.request.Digest })
+}
+
 // Release ends a grant and records the result. If the endpoint died, it returns only after the
 // other owners have received the strike or a timeout has passed. The entry daemon reports
 // the failure to its caller after that, so that a request sent again at once is a known suspect
@@ -165,7 +173,7 @@
 		return
 	}
 	request := dogwoodfleet.Request{
-		ID: held.Request, Customer: held.Customer, Service: state.description.Service, Digest: held.Digest,
+		ID: held.Request, Customer: held.Customer, Service: state.description.Service, Model: held.Model, Digest: held.Digest, Blocks: held.Blocks,
 		PromptTokens: held.PromptTokens, MaxTokens: held.MaxTokens,
 	}
 	taken := &grant{
@@ -201,6 +209,7 @@
 	for _, lane := range owner.laneList {
 		lane.queue.DropIdle()
 	}
+	owner.updatePartsLocked(now)
 	owner.grantWaitingLocked(now)
 	return orphans
 }
--- a/core/duty/dogwoodowner/lane.go
+++ b/core/duty/dogwoodowner/lane.go
@@ -240,7 +240,7 @@
 			ReservedTokens: waiter.tokens, Lease: GrantLease, Alone: alone,
 		},
 		endpoint: state, lane: lane, waiter: waiter, holder: waiter.acquireRequest.Holder, request: waiter.acquireRequest.Request,
-		tokens: waiter.tokens, long: waiter.long, member: waiter.acquireRequest.Pin != "", grantedAt: now, renewedAt: now.Add(max(0, waiter.acquireRequest.Hold-GrantLease)),
+		tokens: waiter.tokens, long: waiter.long, member: waiter.acquireRequest.Pin != "", permits: waiter.permits, grantedAt: now, renewedAt: now.Add(max(0, waiter.acquireRequest.Hold-GrantLease)),
 	}
 	state.addGrant(now, held, hitTokens)
 	held.waiter = nil
--- a/core/duty/dogwoodowner/messages.go
+++ b/core/duty/dogwoodowner/messages.go
@@ -89,11 +89,14 @@
 
 // Held is a live grant that its holder announces to a new owner of the endpoint.
 type Held struct {
-	Grant        Grant
-	Holder       dogwoodfleet.InstanceID
-	Request      dogwoodfleet.RequestID
-	Customer     dogwoodfleet.Customer
-	Digest       dogwoodfleet.Digest
+	Grant    Grant
+	Holder   dogwoodfleet.InstanceID
+	Request  dogwoodfleet.RequestID
+	Customer dogwoodfleet.Customer
+	Digest   dogwoodfleet.Digest
+	// Model and Blocks name the parts of the prompt.
+	Model        dogwoodfleet.Model
+	Blocks       []uint64
 	PromptTokens int
 	MaxTokens    int
 	// Age is how long ago the request was sent to the endpoint.
--- a/core/duty/dogwoodowner/owner.go
+++ b/core/duty/dogwoodowner/owner.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
 
 	"dogwoodmux.example/core/decision/dogwoodmemory"
@@ -75,6 +76,8 @@
 	Suspects SuspectPeers
 	// Gangs may be nil: prompts that exceed one engine are rejected then.
 	Gangs GangPeers
+	// Logger may be nil.
+	Logger hclog.Logger
 	// Seed makes the random choices repeatable in tests; 0 selects a random seed.
 	Seed uint64
 }
@@ -96,10 +99,19 @@
 	unprovenRuns    map[dogwoodfleet.Digest]unprovenRun
 	lastGrantNumber uint64
 	suspects        *dogwoodsuspect.Ledger
-	prefixes        *dogwoodprefix.Index
-	random          *rand.Rand
-	timer           *time.Timer
-	wakeAt          time.Time
+	parts           *dogwoodsuspect.PartLedger
+	// refusedParts holds the refusals of parts at partsUpdated.
+	refusedParts dogwoodsuspect.PartRefusals
+	// announced holds the refused parts of which all owners have been told.
+	announced     map[dogwoodfleet.PromptPart]bool
+	partsUpdated  time.Time
+	lastEndNumber uint64
+	prefixes      *dogwoodprefix.Index
+	random        *rand.Rand
+	timer         *time.Timer
+	wakeAt        time.Time
+	// announcements holds what RunAnnouncements sends. What finds it full is left to the exchange of notices.
+	announcements chan partAnnouncement
 }
 
 // New returns an owner without endpoints.
@@ -108,16 +120,22 @@
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
 	owner := &Owner{
-		options:      options,
-		endpoints:    map[dogwoodfleet.EndpointID]*endpoint{},
-		lanes:        map[laneKey]*lane{},
-		grants:       map[GrantID]*grant{},
-		byRequest:    map[dogwoodfleet.RequestID]*grant{},
-		unprovenRuns: map[dogwoodfleet.Digest]unprovenRun{},
-		suspects:     dogwoodsuspect.NewLedger(),
-		prefixes:     dogwoodprefix.NewIndex(),
-		random:       rand.New(rand.NewPCG(seed, seed)),
+		options:       options,
+		endpoints:     map[dogwoodfleet.EndpointID]*endpoint{},
+		lanes:         map[laneKey]*lane{},
+		grants:        map[GrantID]*grant{},
+		byRequest:     map[dogwoodfleet.RequestID]*grant{},
+		unprovenRuns:  map[dogwoodfleet.Digest]unprovenRun{},
+		suspects:      dogwoodsuspect.NewLedger(),
+		parts:         dogwoodsuspect.NewPartLedger(),
+		announced:     map[dogwoodfleet.PromptPart]bool{},
+		announcements: make(chan partAnnouncement, maxAnnouncements),
+		prefixes:      dogwoodprefix.NewIndex(),
+		random:        rand.New(rand.NewPCG(seed, seed)),
 	}
 	owner.setTextLocked(options.Text)
 	return owner
--- a/core/duty/dogwoodowner/suspect.go
+++ b/core/duty/dogwoodowner/suspect.go
@@ -27,8 +27,8 @@
 
 // peerUpdate is what the other owners are notified of once the lock is released.
 type peerUpdate struct {
-	notices        []dogwoodsuspect.Notice
-	returnedPermit *dogwoodsuspect.PermitRequest
+	notices         []dogwoodsuspect.Notice
+	returnedPermits []dogwoodsuspect.PermitRequest
 }
 
 // trackRunLocked records on which endpoint an unproven digest runs.
@@ -88,16 +88,28 @@
 		notices = owner.suspects.Finished(now, run)
 	case dogwoodfleet.ResultCancelled, dogwoodfleet.ResultRefused, dogwoodfleet.ResultTimedOut, dogwoodfleet.ResultFailed:
 	}
-	update := &peerUpdate{notices: notices}
+	update := &peerUpdate{notices: append(notices, owner.judgePartsLocked(now, grant, release)...)}
 	if grant.Alone {
-		update.returnedPermit = &dogwoodsuspect.PermitRequest{Digest: run.Digest, Request: run.Request, Ended: true}
+		permits := grant.permits
+		if len(permits) == 0 {
+			permits = []dogwoodfleet.Digest{run.Digest} // another owner made the grant
+		}
+		update.returnedPermits = returnedPermits(permits, run.Request)
 	}
-	if len(notices) == 0 && update.returnedPermit == nil {
+	if len(update.notices)+len(update.returnedPermits) == 0 {
 		return nil
 	}
 	return update
 }
 
+func returnedPermits(permits []dogwoodfleet.Digest, request dogwoodfleet.RequestID) []dogwoodsuspect.PermitRequest {
+	var returned []dogwoodsuspect.PermitRequest
+	for _, permit := range permits {
+		returned = append(returned, dogwoodsuspect.PermitRequest{Digest: permit, Request: request, Ended: true})
+	}
+	return returned
+}
+
 // evictSuspectsLocked removes the copies of a digest that just got a strike from the queues,
 // which they entered while the digest was clear. Their calls are queued anew as suspects, or
 // rejected if the digest is convicted.
@@ -131,8 +143,8 @@
 func (owner *Owner) notifyPeers(ctx context.Context, update peerUpdate) {
 	peers := owner.options.Suspects
 	if peers == nil {
-		if update.returnedPermit != nil {
-			owner.Judge(*update.returnedPermit)
+		for _, returned := range update.returnedPermits {
+			owner.Judge(returned)
 		}
 		return
 	}
@@ -141,13 +153,25 @@
 	if len(update.notices) > 0 {
 		peers.Notify(ctx, update.notices)
 	}
-	if update.returnedPermit != nil {
-		_, _ = peers.RequestPermit(ctx, *update.returnedPermit) // a permit whose return is lost expires with its lease
+	for _, returned := range update.returnedPermits {
+		_, _ = peers.RequestPermit(ctx, returned) // a permit whose return is lost expires with its lease
+	}
+}
+
+// awaitPermits waits until the homes of the waiter's gates grant the permits to run the suspect. All owners ask in the same order,
+// that of a part first, so that no two suspects wait for each other.
+func (owner *Owner) awaitPermits(ctx context.Context, waiter *waiter) *Refusal {
+	for _, gate := range waiter.gates {
+		if refusal := owner.awaitPermit(ctx, waiter, gate); refusal != nil {
+			return refusal
+		}
+		waiter.permits = append(waiter.permits, gate)
 	}
+	return nil
 }
 
-// awaitPermit waits until the digest's home grants the permit to run the suspect.
-func (owner *Owner) awaitPermit(ctx context.Context, waiter *waiter) *Refusal {
+// awaitPermit waits until the gate's home grants its permit.
+func (owner *Owner) awaitPermit(ctx context.Context, waiter *waiter, gate dogwoodfleet.Digest) *Refusal {
 	request := &waiter.acquireRequest.Request
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -161,13 +185,18 @@
 		if !now.Before(request.Deadline) {
 			return refusalDeadline()
 		}
-		permitRequest := dogwoodsuspect.PermitRequest{Digest: request.Digest, Request: request.ID, Lease: request.Deadline.Sub(now) + GrantLease}
+		permitRequest := dogwoodsuspect.PermitRequest{Digest: gate, Request: request.ID, Lease: request.Deadline.Sub(now) + GrantLease}
+		refusedFor := dogwoodsuspect.ConvictionTTL
+		if gate != request.Digest {
+			permitRequest.Customer, permitRequest.Parts = request.Customer, newSubject(request).Parts
+			refusedFor = dogwoodsuspect.ProvisionalTTL
+		}
 		answer, err := owner.requestPermit(ctx, permitRequest)
 		switch {
 		case err != nil:
 			timer.Reset(permitRetryInterval)
 		case answer.Standing == dogwoodsuspect.Convicted:
-			return refusalSuspect(now, now.Add(dogwoodsuspect.ConvictionTTL))
+			return refusalSuspect(now, now.Add(refusedFor))
 		case answer.Allowed:
 			return nil
 		default:
@@ -187,18 +216,25 @@
 
 // returnPermit returns the permit of a suspect that didn't run.
 func (owner *Owner) returnPermit(ctx context.Context, waiter *waiter) {
-	if !waiter.suspect {
+	if len(waiter.permits) == 0 {
 		return
 	}
-	request := &waiter.acquireRequest.Request
-	owner.notifyPeers(ctx, peerUpdate{returnedPermit: &dogwoodsuspect.PermitRequest{Digest: request.Digest, Request: request.ID, Ended: true}})
+	owner.notifyPeers(ctx, peerUpdate{returnedPermits: returnedPermits(waiter.permits, waiter.acquireRequest.Request.ID)})
 }
 
 // Judge decides, as the digest's home, on a request for a permit or its return.
 func (owner *Owner) Judge(permitRequest dogwoodsuspect.PermitRequest) dogwoodsuspect.PermitResponse {
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
-	return owner.suspects.Judge(time.Now(), permitRequest)
+	now := time.Now()
+	if len(permitRequest.Parts) > 0 {
+		// The asking owner may not know yet how the last trial of the part ended.
+		subject := &dogwoodsuspect.Subject{Customer: permitRequest.Customer, Parts: permitRequest.Parts}
+		if _, standing := owner.refusedParts.Strictest(now, subject); standing != dogwoodsuspect.Suspect {
+			return dogwoodsuspect.PermitResponse{Allowed: standing == dogwoodsuspect.Clear, Standing: standing}
+		}
+	}
+	return owner.suspects.Judge(now, permitRequest)
 }
 
 // Learn applies the notices of other owners.
@@ -207,6 +243,11 @@
 	defer owner.mutex.Unlock()
 	now := time.Now()
 	owner.suspects.Learn(now, notices)
+	owner.parts.Learn(now, notices)
+	if slices.ContainsFunc(notices, func(notice dogwoodsuspect.Notice) bool { return len(notice.Parts) > 0 }) {
+		owner.recordAnnouncedLocked(notices)
+		owner.updatePartsLocked(now)
+	}
 	for i := range notices {
 		owner.evictSuspectsLocked(now, notices[i].Digest)
 	}
@@ -216,7 +257,8 @@
 func (owner *Owner) Notices() []dogwoodsuspect.Notice {
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
-	return owner.suspects.Notices(time.Now())
+	now := time.Now()
+	return append(owner.suspects.Notices(now), owner.parts.Notices(now)...)
 }
 
 // Convictions lists the digests whose requests are rejected now.
--- a/core/duty/dogwoodquotas/quotas.go
+++ b/core/duty/dogwoodquotas/quotas.go
@@ -54,6 +54,7 @@
 type Slots interface {
 	Acquire(ctx context.Context, acquireRequest *dogwoodowner.AcquireRequest) (dogwoodowner.Grant, error)
 	ToldCold(ctx context.Context, endpoint dogwoodfleet.Endpoint, instance dogwoodfleet.InstanceID)
+	Began(grant dogwoodowner.Grant, begun time.Time)
 	Release(ctx context.Context, grant dogwoodowner.Grant, release dogwoodowner.Release)
 }
 
--- a/core/duty/dogwoodquotas/quotas_test.go
+++ b/core/duty/dogwoodquotas/quotas_test.go
@@ -99,7 +99,9 @@
 	return dogwoodowner.Grant{}, nil
 }
 func (*countingSlots) ToldCold(context.Context, dogwoodfleet.Endpoint, dogwoodfleet.InstanceID) {}
-func (*countingSlots) Release(context.Context, dogwoodowner.Grant, dogwoodowner.Release)        {}
+
+func (*countingSlots) Began(dogwoodowner.Grant, time.Time)                               {}
+func (*countingSlots) Release(context.Context, dogwoodowner.Grant, dogwoodowner.Release) {}
 
 // A customer that seldom sends requests may send two at once through an entry daemon without a
 // share. The others must be rejected as not run.
