Count answers at other owners when a part of prompts is judged

Cause: a part is refused for three ends only if three answers to other prompts have begun meanwhile, else nothing tells it from an outage. Each owner counted the answers of its own engines. With few harmless prompts, or long answers, which are reported with renewals, no owner had three.

Change: while a part has two or more independent ends and is undecided, owners notify each other of answers to prompts without it. Such a notice has all parts of the prompt (Whole), so that a receiver can tell that the part is not among them. Announcements that wait are sent together.

--- a/core/decision/dogwoodsuspect/partstanding.go
+++ b/core/decision/dogwoodsuspect/partstanding.go
@@ -49,6 +49,30 @@
 	})
 }
 
+// Undecided returns the parts that have nearly enough ends to be refused, and of which too few answers to other prompts are known
+// to tell whether they are the cause.
+func (ledger *PartLedger) Undecided(now time.Time) []dogwoodfleet.PromptPart {
+	var undecided []dogwoodfleet.PromptPart
+	for part, record := range ledger.records {
+		if now.After(record.expires) || len(record.strikes) < minPartEnds-1 {
+			continue
+		}
+		if candidate := newPartCandidate(part, record); candidate.independent >= minPartEnds-1 && !ledger.isShown(candidate) {
+			undecided = append(undecided, part)
+		}
+	}
+	return undecided
+}
+
+// LearnOthers records the answers at other daemons of which notices have all parts, as those that begin here.
+func (ledger *PartLedger) LearnOthers(now time.Time, notices []Notice) {
+	for i := range notices {
+		if notice := &notices[i]; notice.Whole && len(notice.Parts) > 0 {
+			ledger.recordBegin(notice.Parts, now.Add(-notice.Age))
+		}
+	}
+}
+
 // KnownAnswered returns the parts of a request's prompt under which endpoints ended and of which an answer to the same customer
 // is known that began after all of these ends: another one tells the other daemons nothing new.
 func (ledger *PartLedger) KnownAnswered(subject *Subject) []dogwoodfleet.PromptPart {
--- a/core/decision/dogwoodsuspect/suspect.go
+++ b/core/decision/dogwoodsuspect/suspect.go
@@ -84,6 +84,8 @@
 	// Refused is true for a strike of a part that the sender refuses, PartTrial for one by a run that was the only one with the
 	// part.
 	Refused, PartTrial bool
+	// Whole is true for a Begun notice with all parts of the answer's prompt, which shows that the answer began without others.
+	Whole bool
 }
 
 // Run is a request that an endpoint ran until it finished or the endpoint died.
--- a/core/duty/dogwoodowner/owner.go
+++ b/core/duty/dogwoodowner/owner.go
@@ -102,6 +102,8 @@
 	parts           *dogwoodsuspect.PartLedger
 	// refusedParts holds the refusals of parts at partsUpdated.
 	refusedParts dogwoodsuspect.PartRefusals
+	// undecided holds the parts for which answers to other prompts are needed, at partsUpdated.
+	undecided []dogwoodfleet.PromptPart
 	// announced holds the refused parts of which all owners have been told.
 	announced     map[dogwoodfleet.PromptPart]bool
 	partsUpdated  time.Time
--- a/core/duty/dogwoodowner/part.go
+++ b/core/duty/dogwoodowner/part.go
@@ -73,7 +73,8 @@
 }
 
 // beganLocked records that an answer began at a time. The other owners are notified unless they know of an answer that shows the
-// same, since a popular part has many.
+// same, since a popular part has many. They are also notified while a part is undecided that the prompt lacks: each owner may see
+// too few answers to tell alone.
 func (owner *Owner) beganLocked(now, begun time.Time, subject *dogwoodsuspect.Subject) {
 	known := owner.parts.KnownAnswered(subject)
 	isRefused := func(part dogwoodfleet.PromptPart) bool { return owner.refusedParts[part] != nil }
@@ -82,6 +83,14 @@
 		notices[i].Parts = slices.DeleteFunc(notices[i].Parts, func(part dogwoodfleet.PromptPart) bool { return slices.Contains(known, part) })
 	}
 	notices = slices.DeleteFunc(notices, func(notice dogwoodsuspect.Notice) bool { return len(notice.Parts) == 0 })
+	lacks := func(part dogwoodfleet.PromptPart) bool {
+		return part.Pool() == subject.Parts[0].Pool() && !slices.Contains(subject.Parts, part)
+	}
+	if slices.ContainsFunc(owner.undecided, lacks) {
+		notices = append(notices, dogwoodsuspect.Notice{
+			Kind: dogwoodsuspect.Begun, Request: subject.Request, Customer: subject.Customer, Parts: subject.Parts, Age: now.Sub(begun), Whole: true,
+		})
+	}
 	if len(notices) > 0 {
 		owner.announceLocked(partAnnouncement{begun: notices})
 	}
@@ -153,20 +162,33 @@
 		case <-ctx.Done():
 			return nil
 		case announcement := <-owner.announcements:
-			notices := announcement.begun
-			if len(announcement.refused) > 0 {
-				dogwoodkernel.Sleep(ctx, rand.N(maxAnnouncePause))
-				owner.mutex.Lock()
-				notices = owner.refusalNoticesLocked(time.Now(), announcement.refused)
-				owner.mutex.Unlock()
+			for range len(owner.announcements) {
+				next := <-owner.announcements
+				announcement.begun = append(announcement.begun, next.begun...)
+				announcement.refused = append(announcement.refused, next.refused...)
 			}
-			if len(notices) > 0 {
-				owner.notifyPeers(ctx, peerUpdate{notices: notices})
+			if len(announcement.begun) > 0 {
+				owner.notifyPeers(ctx, peerUpdate{notices: announcement.begun})
+			}
+			if len(announcement.refused) > 0 {
+				owner.announceRefusals(ctx, announcement.refused)
 			}
 		}
 	}
 }
 
+func (owner *Owner) announceRefusals(ctx context.Context, refused []dogwoodfleet.PromptPart) {
+	if !dogwoodkernel.Sleep(ctx, rand.N(maxAnnouncePause)) {
+		return
+	}
+	owner.mutex.Lock()
+	notices := owner.refusalNoticesLocked(time.Now(), refused)
+	owner.mutex.Unlock()
+	if len(notices) > 0 {
+		owner.notifyPeers(ctx, peerUpdate{notices: notices})
+	}
+}
+
 // mergeBegins merges the notices of one answer, which differ in the part only.
 func mergeBegins(notices []dogwoodsuspect.Notice) []dogwoodsuspect.Notice {
 	var merged []dogwoodsuspect.Notice
@@ -197,8 +219,10 @@
 func (owner *Owner) updatePartsLocked(now time.Time) []dogwoodfleet.PromptPart {
 	owner.partsUpdated = now
 	if !owner.parts.HasStrikes() && len(owner.refusedParts) == 0 {
+		owner.undecided = nil
 		return nil
 	}
+	owner.undecided = owner.parts.Undecided(now)
 	refused := dogwoodsuspect.PartRefusals{}
 	var added []dogwoodfleet.PromptPart
 	changed := false
--- a/core/duty/dogwoodowner/suspect.go
+++ b/core/duty/dogwoodowner/suspect.go
@@ -246,6 +246,7 @@
 	owner.parts.Learn(now, notices)
 	if slices.ContainsFunc(notices, func(notice dogwoodsuspect.Notice) bool { return len(notice.Parts) > 0 }) {
 		owner.recordAnnouncedLocked(notices)
+		owner.parts.LearnOthers(now, notices)
 		owner.updatePartsLocked(now)
 	}
 	for i := range notices {
