Let large texts from hubs and readers arrive, and date them right

Cause: a daemon that reads from another one gave each answer 0.8 s, and a leaf gave its hub 8 s. A large text never arrived from a reader over a narrow link, and not from a hub that many leaves share. Found on the way: a whole read that takes long may bring an older table than another daemon has told meanwhile (a hub that becomes a leaf during its read); the older table then counted as confirmed as of the newer answer.

A silent reader or hub is left as soon as before. A leaf still accepts any rate for 8 s, as before, since it would begin anew at another hub. A whole table that is older than the copy takes the confirmation of its own query.

--- a/core/duty/dogwoodhub/leaf.go
+++ b/core/duty/dogwoodhub/leaf.go
@@ -26,9 +26,6 @@
 	ErrNoHub = errors.New("no hub answers")
 )
 
-// errSilentHub means that a hub sent neither an answer in time nor a part of one.
-var errSilentHub = errors.New("the hub is silent")
-
 const (
 	// startSearchTimeout is how long a leaf that starts searches for a hub before it gives up
 	// with ErrNoHub. Hubs that lost power together with it are back within this time.
@@ -253,37 +250,16 @@
 
 // pollWithTimeout polls a hub for updates of the tables until it does not answer in time.
 func (leaf *Leaf) pollWithTimeout(ctx context.Context, hub dogwoodhubs.Daemon, version uint64) (News, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	var group errgroup.Group
-	group.Go(func() error {
-		if leaf.awaitSilence(ctx, hub) {
-			cancel(errSilentHub)
-		}
-		return nil
+	var news News
+	transfer := dogwoodcopy.Transfer{First: maxHold + answerTimeout, Step: answerTimeout, Patience: transferPatience}
+	err := transfer.Run(ctx, func() uint64 { return leaf.options.Caller.Received(hub.Peer) }, func(ctx context.Context) error {
+		var err error
+		news, err = leaf.poll(ctx, hub, FollowRequest{Tables: leaf.positions(), Fleet: version})
+		return err
 	})
-	news, err := leaf.poll(ctx, hub, FollowRequest{Tables: leaf.positions(), Fleet: version})
-	if err != nil && errors.Is(context.Cause(ctx), errSilentHub) {
-		err = Error.Wrap(errSilentHub)
-	}
-	cancel(nil)
-	_ = group.Wait() // the wait returns no error
 	return news, err
 }
 
-// awaitSilence waits until a hub that is polled has sent neither an answer in time nor a part of one. It returns
-// false if the context ends before.
-func (leaf *Leaf) awaitSilence(ctx context.Context, hub dogwoodhubs.Daemon) bool {
-	begun, received := time.Now(), leaf.options.Caller.Received(hub.Peer)
-	for limit := maxHold + answerTimeout; dogwoodkernel.Sleep(ctx, limit); limit = answerTimeout {
-		before := received
-		received = leaf.options.Caller.Received(hub.Peer)
-		if received < before+minTransferStep || time.Since(begun) > maxTransfer {
-			return true
-		}
-	}
-	return false
-}
-
 // positions returns the versions of the tables that this daemon has.
 func (leaf *Leaf) positions() []Position {
 	positions := make([]Position, 0, len(leaf.options.TableNames))
--- a/core/duty/dogwoodhub/leaf_test.go
+++ b/core/duty/dogwoodhub/leaf_test.go
@@ -13,6 +13,7 @@
 
 	"dogwoodmux.example/core/decision/dogwoodhubs"
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/state/dogwoodcopy"
 )
 
 // remoteOnlyCaller answers for the remote hub, which lists a local one that is dead.
@@ -47,7 +48,8 @@
 type slowCaller struct {
 	fleet    Fleet
 	transfer time.Duration
-	begun    atomic.Int64 // when the answer began to arrive, in nanoseconds; 0 for not yet
+	step     uint64       // bytes of a part
+	begun    atomic.Int64 // when the first answer began to arrive, in nanoseconds; 0 for not yet
 	polls    atomic.Int64
 }
 
@@ -57,7 +59,7 @@
 		return nil
 	}
 	caller.polls.Add(1)
-	caller.begun.Store(time.Now().UnixNano())
+	caller.begun.CompareAndSwap(0, time.Now().UnixNano())
 	select {
 	case <-time.After(caller.transfer):
 		*reply.(*News) = News{}
@@ -69,7 +71,7 @@
 
 func (caller *slowCaller) Received(netip.AddrPort) uint64 {
 	if begun := caller.begun.Load(); begun > 0 {
-		return uint64(time.Since(time.Unix(0, begun))/(100*time.Millisecond)) * minTransferStep
+		return uint64(time.Since(time.Unix(0, begun))/(100*time.Millisecond)) * caller.step
 	}
 	return 0
 }
@@ -77,21 +79,35 @@
 // Guards against a large text that is transferred from the beginning again and again, because each transfer takes
 // longer than a poll without updates may take.
 func TestLeafAwaitsAnAnswerThatArrives(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		caller := &slowCaller{transfer: 4 * time.Second, fleet: Fleet{Version: 1, Hubs: []dogwoodhubs.Daemon{daemonAt("near", "0", 1)}}}
-		tables := newTables()
-		leaf := NewLeaf(LeafOptions{
-			Self: func() dogwoodhubs.Daemon { return daemonAt("self", "0", 3) }, Caller: caller, Feed: tables, TableNames: tableNames, Clock: tables.clock, Logger: hclog.NewNullLogger(),
+	tests := []struct {
+		name     string
+		transfer time.Duration
+		step     uint64 // bytes in each tenth of a second
+		within   time.Duration
+		want     int64
+	}{
+		{name: "4 s", transfer: 4 * time.Second, step: dogwoodcopy.MinTransferStep, within: 10 * time.Second, want: 3},
+		{name: "20 s at 175 kB a second", transfer: 20 * time.Second, step: 17_500, within: 39 * time.Second, want: 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				caller := &slowCaller{transfer: test.transfer, step: test.step, fleet: Fleet{Version: 1, Hubs: []dogwoodhubs.Daemon{daemonAt("near", "0", 1)}}}
+				tables := newTables()
+				leaf := NewLeaf(LeafOptions{
+					Self: func() dogwoodhubs.Daemon { return daemonAt("self", "0", 3) }, Caller: caller, Feed: tables, TableNames: tableNames, Clock: tables.clock, Logger: hclog.NewNullLogger(),
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), test.within)
+				defer cancel()
+				if err := leaf.Run(ctx, caller.fleet.Hubs); !errors.Is(err, context.DeadlineExceeded) {
+					t.Errorf("got %v, want a leaf that follows its hub", err)
+				}
+				if got := caller.polls.Load(); got != test.want {
+					t.Errorf("got %d polls in %s, want %d: one for each answer", got, test.within, test.want)
+				}
+			})
 		})
-		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-		defer cancel()
-		if err := leaf.Run(ctx, caller.fleet.Hubs); !errors.Is(err, context.DeadlineExceeded) {
-			t.Errorf("got %v, want a leaf that follows its hub", err)
-		}
-		if got, want := caller.polls.Load(), int64(3); got != want {
-			t.Errorf("got %d polls in 10 s, want %d: one for each answer", got, want)
-		}
-	})
+	}
 }
 
 // A leaf follows a remote hub that answers, while a local hub is listed but dead. The leaf must not
--- a/core/duty/dogwoodhub/messages.go
+++ b/core/duty/dogwoodhub/messages.go
@@ -34,12 +34,10 @@
 	// because of the network and of busy small VMs. A leaf leaves a frozen hub after the sum of
 	// this and maxHold.
 	answerTimeout = 400 * time.Millisecond
-	// maxTransfer is how long an answer may take as long as a part of it arrives within each answerTimeout. A large
-	// text takes long on the link of a small VM, and a poll that starts anew transfers it from the beginning.
-	maxTransfer = 8 * time.Second
-	// minTransferStep is the number of bytes that must arrive within an answerTimeout to count as a part of an
-	// answer. It is more than the answers to pings and heartbeats.
-	minTransferStep = 4 << 10
+	// transferPatience is how long an answer may take as long as a part of it arrives within each answerTimeout, at any
+	// rate. A large text takes long on the link of a small VM, and a poll that starts anew transfers it from the
+	// beginning. An answer that takes longer must arrive at the rate that dogwoodcopy.Transfer requires.
+	transferPatience = 8 * time.Second
 	// leafTTL is the time without a poll after which a hub drops a leaf: it covers two polls and
 	// the time in which the leaf would have found another hub.
 	leafTTL = 3 * time.Second
--- a/core/duty/dogwoodreader/reader.go
+++ b/core/duty/dogwoodreader/reader.go
@@ -15,7 +15,7 @@
 // older than staleAfter.
 //
 // A reader that dies, freezes or loses the store is detected within maxHold plus
-// answerAllowance; from then on the daemon queries the store itself and tries another reader
+// answerAllowance, or within answerAllowance while its answer arrives; from then on the daemon queries the store itself and tries another reader
 // later. So no daemon depends on another one to serve. A daemon that must query the store itself
 // and gets no answer queries the others for as long as that lasts.
 package dogwoodreader
@@ -91,6 +91,8 @@
 // Caller calls other daemons.
 type Caller interface {
 	Call(ctx context.Context, peer netip.AddrPort, method string, args, reply any) error
+	// Received returns how many bytes this daemon has received from another one.
+	Received(peer netip.AddrPort) uint64
 }
 
 // Peer is a daemon that reads the store.
@@ -329,11 +331,13 @@
 
 // query queries a peer for changes.
 func (reader *Reader) query(ctx context.Context, peer Peer, table string, after int64) (dogwoodcopy.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxHold+answerAllowance)
-	defer cancel()
 	sentAt := reader.options.Clock()
 	var told Told
-	if err := reader.options.Caller.Call(ctx, peer.Address, Name+".Changes", Query{Table: table, After: after, Compressed: true}, &told); err != nil {
+	transfer := dogwoodcopy.Transfer{First: maxHold + answerAllowance, Step: answerAllowance}
+	err := transfer.Run(ctx, func() uint64 { return reader.options.Caller.Received(peer.Address) }, func(ctx context.Context) error {
+		return reader.options.Caller.Call(ctx, peer.Address, Name+".Changes", Query{Table: table, After: after, Compressed: true}, &told)
+	})
+	if err != nil {
 		return dogwoodcopy.Answer{}, Error.Wrap(err)
 	}
 	if told.Stale {
--- a/core/duty/dogwoodreader/reader_test.go
+++ b/core/duty/dogwoodreader/reader_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,11 +33,13 @@
 	return store
 }
 
-func (store *storeStandin) put(key string) {
+func (store *storeStandin) put(key string) { store.putValue(key, nil) }
+
+func (store *storeStandin) putValue(key string, value []byte) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.version++
-	store.table.Apply(dogwoodcopy.Answer{Rows: []dogwoodcopy.Row{{Key: key, Version: store.version}}, Version: store.version}, true)
+	store.table.Apply(dogwoodcopy.Answer{Rows: []dogwoodcopy.Row{{Key: key, Value: value, Version: store.version}}, Version: store.version}, true)
 }
 
 func (store *storeStandin) count() int {
@@ -56,6 +60,8 @@
 	readers []Peer
 	// fallbacks are the daemons to ask while the store does not answer.
 	fallbacks []Peer
+	// sent is the number of bytes of values that this daemon has sent to others.
+	sent atomic.Uint64
 }
 
 func (daemon *daemon) clock() time.Duration { return time.Since(daemon.started) }
@@ -98,7 +104,10 @@
 	change(daemon)
 }
 
-// daemons carries the calls between daemons, which take a millisecond each way.
+// narrowLink is the width of a daemon's link in bytes a millisecond, 14 Mbit/s.
+const narrowLink = 1750
+
+// daemons carries the calls between daemons, which take a millisecond each way and the time of the values sent.
 type daemons map[netip.AddrPort]*daemon
 
 func (daemons daemons) Call(ctx context.Context, peer netip.AddrPort, _ string, args, reply any) error {
@@ -113,9 +122,17 @@
 	}
 	err := called.Receiver().Changes(args.(Query), reply.(*Told))
 	time.Sleep(time.Millisecond)
-	return err
+	for _, row := range reply.(*Told).Answer.Rows {
+		for left := len(row.Compressed); left > 0 && ctx.Err() == nil; left -= narrowLink {
+			time.Sleep(time.Millisecond)
+			called.sent.Add(narrowLink)
+		}
+	}
+	return errors.Join(err, ctx.Err())
 }
 
+func (daemons daemons) Received(peer netip.AddrPort) uint64 { return daemons[peer].sent.Load() }
+
 func addressOf(index int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(index)}), 1)
 }
@@ -265,6 +282,32 @@
 	}
 }
 
+// Guards against a large text that never arrives from a reader, as its transfer takes longer than an answer without it,
+// and against one that is confirmed as of its arrival.
+func TestLargeTextArrivesFromAReader(t *testing.T) {
+	runDaemons(t, 2, func(t *testing.T, store *storeStandin, all []*daemon, followers []*follower) {
+		text := make([]byte, 6_000_000)
+		_, _ = rand.NewChaCha8([32]byte{}).Read(text) // never returns an error
+		before, changed := store.count(), time.Now()
+		store.putValue("text", text)
+		var oldest time.Duration
+		for time.Since(changed) < 6*time.Second {
+			time.Sleep(10 * time.Millisecond)
+			oldest = max(oldest, followers[1].age(all[1]))
+		}
+		at, ok := followers[1].receivedAt("text")
+		if got, want := at.Sub(changed), 3500*time.Millisecond; !ok || got > want {
+			t.Errorf("got the text: %t, after %s; want it within %s", ok, got, want)
+		}
+		if least := at.Sub(changed); oldest < least {
+			t.Errorf("got confirmations at most %s old during a transfer of %s, want the age of the query", oldest, least)
+		}
+		if got, want := store.count()-before, 8; got > want {
+			t.Errorf("got %d queries to the store, want at most %d: those of the reader", got, want)
+		}
+	})
+}
+
 // All daemons lose the store. None may accept another daemon's answer as a confirmation: their
 // confirmations must age with the outage.
 func TestPeersConfirmNothingInAnOutage(t *testing.T) {
--- a/core/state/dogwoodcopy/copy.go
+++ b/core/state/dogwoodcopy/copy.go
@@ -82,7 +82,12 @@
 	if fromStore {
 		table.storeConfirmed, table.hasStoreAnswer = answer.Proven, true
 	}
-	table.lastConfirmed = max(table.lastConfirmed, answer.Proven)
+	if answer.Whole && answer.Version < table.version {
+		// A read that took long returns an older table than a peer has told meanwhile. Only the peer's was confirmed since.
+		table.lastConfirmed = answer.Proven
+	} else {
+		table.lastConfirmed = max(table.lastConfirmed, answer.Proven)
+	}
 	if answer.Version > table.version || answer.Whole {
 		table.version = answer.Version
 	}
--- a/core/state/dogwoodcopy/copy_test.go
+++ b/core/state/dogwoodcopy/copy_test.go
@@ -120,3 +120,16 @@
 		t.Errorf("got rows %v at the follower, want none", got.Rows)
 	}
 }
+
+// A daemon reads the table whole over a narrow link, which takes seconds, and learns of a later version from a peer
+// meanwhile. The table of the read is older; if it were confirmed as of the peer's answer, keys that the later version
+// withdraws would be accepted.
+func TestOlderWholeTableIsNotConfirmedAsOfALaterAnswer(t *testing.T) {
+	table := New()
+	table.Apply(Answer{Rows: []Row{{Key: "text", Version: 12}}, Version: 12, Proven: 5 * time.Second}, false)
+	table.Apply(Answer{Whole: true, Rows: []Row{{Key: "text", Version: 9}}, Version: 9, Proven: time.Second}, true)
+	version, confirmed := table.Known()
+	if version != 9 || confirmed != time.Second {
+		t.Errorf("got version %d confirmed as of %s, want 9 as of its own query, 1s", version, confirmed)
+	}
+}
