--- a/dogwoodload/dogwoodsoakprocess/process.go
+++ b/dogwoodload/dogwoodsoakprocess/process.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 
@@ -112,6 +113,20 @@
 	return resident * os.Getpagesize(), nil
 }
 
+// PeakResidentBytes returns the largest size that the process's resident set has had, which samples of it would miss.
+func (process *Process) PeakResidentBytes() (int, error) {
+	source, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.command.Process.Pid))
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	_, after, _ := strings.Cut(string(source), "\nVmHWM:")
+	kilobytes := 0
+	if _, err := fmt.Sscan(after, &kilobytes); err != nil {
+		return 0, Error.New("%s: no peak of its resident set: %w", process.name, err)
+	}
+	return kilobytes << 10, nil
+}
+
 // Running reports whether the process has not ended yet.
 func (process *Process) Running() bool {
 	select {
--- a/dogwoodload/dogwoodsoakprocess/process_test.go
+++ b/dogwoodload/dogwoodsoakprocess/process_test.go
@@ -75,8 +75,14 @@
 	if err != nil || got < least || got > most {
 		t.Errorf("got %d bytes and %v, want some hundred kilobytes", got, err)
 	}
+	if peak, err := process.PeakResidentBytes(); err != nil || peak < got || peak > most {
+		t.Errorf("got a peak of %d bytes and %v, want at least the %d of now", peak, err, got)
+	}
 	group.KillAll()
 	if got, err := process.ResidentBytes(); err == nil {
 		t.Errorf("got %d bytes of a process that has ended, want an error", got)
 	}
+	if got, err := process.PeakResidentBytes(); err == nil {
+		t.Errorf("got a peak of %d bytes of a process that has ended, want an error", got)
+	}
 }
