Bound the requests in progress by the daemon's memory

Cause: a thousand callers that read slowly drove a daemon of 136 MB to a peak of 144 to 312 MB. Its buffers were bounded, but not what each request takes besides: goroutine stacks, the buffers of two connections and the event that is being read.

Change: each request in progress counts 128 KiB, and all of them may take half of the memory.

The wants of TestBounds gained the new bound.

--- a/core/decision/dogwoodbuffer/bounds.go
+++ b/core/decision/dogwoodbuffer/bounds.go
@@ -23,12 +23,22 @@
 	// reservedShare is the part of the daemon's bound that each kind, answers and bodies, has for itself. The other
 	// half is for either kind.
 	reservedShare = 4
+	// requestBytes is what a request in progress takes besides what is counted: the stacks of five goroutines, the buffers of two
+	// connections and the event that is being read. A thousand of them took some 110 kB each with events of 8 KiB.
+	requestBytes = 128 << 10
+	// memoryPerRequests is the process's memory as a multiple of what all requests in progress may take.
+	memoryPerRequests = 2
+	// minCutBytes is the least that an answer holds for its caller to count as one that reads slowly when there are too many
+	// requests. Those that read hold a few events.
+	minCutBytes = minAnswerBytes / 2
 )
 
 // Bounds are the bounds of a Budget in bytes.
 type Bounds struct {
 	// Daemon bounds all that is held, Answer what is held for one answer.
 	Daemon, Answer int64
+	// Requests bounds the number of requests in progress; 0 means no bound.
+	Requests int
 }
 
 // NewBounds returns the bounds of a daemon whose process may use memory bytes; 0 if that is not known.
@@ -37,7 +47,11 @@
 	if memory > 0 {
 		daemon = memory / memoryPerBound
 	}
-	return Bounds{Daemon: daemon, Answer: max(daemon/answersPerBound, minAnswerBytes)}
+	bounds := Bounds{Daemon: daemon, Answer: max(daemon/answersPerBound, minAnswerBytes)}
+	if memory > 0 {
+		bounds.Requests = int(max(memory/memoryPerRequests/requestBytes, 1))
+	}
+	return bounds
 }
 
 // kind returns the bound of all answers and of all bodies: what the other kind does not have for itself.
--- a/core/decision/dogwoodbuffer/budget.go
+++ b/core/decision/dogwoodbuffer/budget.go
@@ -19,6 +19,8 @@
 	answerBytes, bodyBytes int64
 	// opened counts the answers that were opened.
 	opened uint64
+	// requests is the number of requests in progress. It exceeds its bound while answers that were cut for others end.
+	requests int
 }
 
 // New returns a budget that nothing is counted toward.
@@ -33,6 +35,45 @@
 	budget.bounds = bounds
 }
 
+// BeginRequest counts a request in progress until its end is reported with EndRequest. If there are too many, the answer that
+// holds most is cut in its place, provided that its caller reads slowly. Otherwise it returns ErrDaemonBound and counts nothing.
+func (budget *Budget) BeginRequest() error {
+	slowest, err := budget.beginRequest()
+	if slowest.answer != nil {
+		slowest.answer.cut(slowest.held)
+	}
+	return err
+}
+
+func (budget *Budget) beginRequest() (slowest victim, err error) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	if budget.bounds.Requests > 0 && budget.requests >= budget.bounds.Requests {
+		largest := budget.largest()
+		if largest == nil || largest.held < minCutBytes {
+			return victim{}, ErrDaemonBound
+		}
+		slowest = victim{largest, largest.held}
+		budget.drop(largest)
+	}
+	budget.requests++
+	return slowest, nil
+}
+
+// EndRequest reports the end of a request that BeginRequest counted.
+func (budget *Budget) EndRequest() {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.requests--
+}
+
+// Requests returns the number of requests in progress.
+func (budget *Budget) Requests() int {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	return budget.requests
+}
+
 // Held returns the bytes that are held for answers and for bodies.
 func (budget *Budget) Held() (answers, bodies int64) {
 	budget.mutex.Lock()
--- a/core/decision/dogwoodbuffer/budget_test.go
+++ b/core/decision/dogwoodbuffer/budget_test.go
@@ -17,10 +17,10 @@
 		want   Bounds
 	}{
 		{"unknown memory", 0, Bounds{Daemon: 8 << 20, Answer: 512 << 10}},
-		{"the smallest daemon of S", 136_000_000, Bounds{Daemon: 17_000_000, Answer: 1_062_500}},
-		{"the largest daemon", 536_000_000, Bounds{Daemon: 67_000_000, Answer: 4_187_500}},
-		{"little memory", 8 << 20, Bounds{Daemon: 1 << 20, Answer: 64 << 10}},
-		{"very little memory", 4 << 20, Bounds{Daemon: 512 << 10, Answer: 64 << 10}},
+		{"the smallest daemon of S", 136_000_000, Bounds{Daemon: 17_000_000, Answer: 1_062_500, Requests: 518}},
+		{"the largest daemon", 536_000_000, Bounds{Daemon: 67_000_000, Answer: 4_187_500, Requests: 2044}},
+		{"little memory", 8 << 20, Bounds{Daemon: 1 << 20, Answer: 64 << 10, Requests: 32}},
+		{"very little memory", 4 << 20, Bounds{Daemon: 512 << 10, Answer: 64 << 10, Requests: 16}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -203,3 +203,44 @@
 		})
 	}
 }
+
+// Guards against a daemon that takes as many requests as callers send: slow ones are cut for new ones, others are not.
+func TestRequestsInProgressAreBounded(t *testing.T) {
+	tests := []struct {
+		name string
+		// held are the bytes of the answers in progress.
+		held []int64
+		want error
+		cut  []int
+	}{
+		{"room", []int64{minCutBytes, 0}, nil, nil},
+		{"the slowest caller is cut", []int64{minCutBytes, 2 * minCutBytes, 0}, nil, []int{1}},
+		{"all callers read", []int64{minCutBytes - 1, 100, 0}, ErrDaemonBound, nil},
+		{"answers have not begun", []int64{0, 0, 0}, ErrDaemonBound, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			budget := New(Bounds{Daemon: 1 << 20, Answer: 128 << 10, Requests: 3})
+			var cut []int
+			for i, held := range test.held {
+				if err := budget.BeginRequest(); err != nil {
+					t.Fatal(err)
+				}
+				if err := budget.NewAnswer(func(int64) { cut = append(cut, i) }).ReserveWhole(held); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := budget.BeginRequest(); !errors.Is(err, test.want) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+			if !slices.Equal(cut, test.cut) {
+				t.Errorf("got answers %v cut, want %v", cut, test.cut)
+			}
+			budget.EndRequest()
+			budget.EndRequest()
+			if err := budget.BeginRequest(); err != nil {
+				t.Errorf("got %v after two requests have ended, want room", err)
+			}
+		})
+	}
+}
