Return the use of engine time by rank, and look up a ledger in one place

Cause: a minimum for each rank over all daemons needs the engine time that each rank has used, also by requests without a customer, which the ledger left out. The share that a rank keeps stood in two packages, and Standings, Excess and UntilFair each looked up a ledger.

Shares of customers are as before: requests without a customer count for their rank alone.

Tests of both packages pass with -race.

--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -210,7 +210,7 @@
 	board.rankCount(&work).add(now)
 	board.attach(&work)
 	if !known {
-		board.shares.record(now, &work)
+		board.shares.record(now, &work, string(work.Holder) == board.owner)
 	}
 	if state := board.endpoints[work.Endpoint]; state != nil && !known {
 		own := string(work.Holder) == board.owner
--- a/core/decision/dogwoodpacking/rank.go
+++ b/core/decision/dogwoodpacking/rank.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodenginetime"
+	"dogwoodmux.example/core/decision/dogwoodshare"
 	"dogwoodmux.example/core/dogwoodfleet"
 )
 
@@ -20,9 +21,6 @@
 	// rankHeadroom is the factor by which the engines kept for more urgent ranks exceed those that their requests fill. Those
 	// requests last two seconds and long prompts longer, so an engine must be kept for requests that arrive later.
 	rankHeadroom = 1.1
-	// minRankShare is the share of the engines in force, and at least one engine, that a rank may prefill on whatever more urgent
-	// ranks need.
-	minRankShare = 0.1
 	// peakHalfLife is the half-life of a peak of the requests of a rank, about as long as a short prompt's answer takes.
 	peakHalfLife = 2 * time.Second
 	// rankDiscount is the factor for harm to less urgent requests.
@@ -116,10 +114,10 @@
 	return max(int(left), demand.minimum()-demand.own, 0)
 }
 
-// minimum returns the number of engines on which the rank may prefill whatever more urgent ranks need. It includes all engines whose
+// minimum returns the number of engines, one at least, on which the rank may prefill whatever more urgent ranks need. It includes all engines whose
 // memory the prompt needs: with fewer, such a prompt could never be placed in a small pool.
 func (demand *rankDemand) minimum() int {
-	return max(int(minRankShare*demand.seenShare*float64(demand.engines)), demand.minEngines, 1)
+	return max(int(dogwoodshare.MinRankShare*demand.seenShare*float64(demand.engines)), demand.minEngines, 1)
 }
 
 // rankDemand counts the demand for a service's engines without the given work; except may be nil. The caller holds the mutex.
--- a/core/decision/dogwoodpacking/ranksimulation_test.go
+++ b/core/decision/dogwoodpacking/ranksimulation_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"dogwoodmux.example/core/decision/dogwoodshare"
 	"dogwoodmux.example/core/decision/dogwoodwaiting"
 	"dogwoodmux.example/core/dogwoodfleet"
 )
@@ -259,7 +260,7 @@
 	if want := objective * alone.settled; ranked.settled < want {
 		t.Errorf("got %.3f of the urgent prompts in time, want %.3f", ranked.settled, want)
 	}
-	if want := minRankShare / shortage; ranked.long < want {
+	if want := dogwoodshare.MinRankShare / shortage; ranked.long < want {
 		t.Errorf("got %.3f of the long prompts in time, want the %.3f of their minimum", ranked.long, want)
 	}
 	if want := calmEqual.long - negligible; calmRanked.long < want {
--- a/core/decision/dogwoodpacking/shares.go
+++ b/core/decision/dogwoodpacking/shares.go
@@ -17,7 +17,7 @@
 	maxDroppedWorks = 4096
 )
 
-// shares records the customers' use of engine time by service: engines of one service don't run another's requests. It is
+// shares records the use of engine time by service, customer and rank: engines of one service don't run another's requests. It is
 // guarded by the board's mutex.
 type shares struct {
 	ledgers map[dogwoodfleet.Service]*dogwoodshare.Ledger
@@ -27,10 +27,7 @@
 }
 
 // record counts work that is put on the board for the first time.
-func (shares *shares) record(now time.Time, work *Work) {
-	if work.Customer == "" {
-		return
-	}
+func (shares *shares) record(now time.Time, work *Work, own bool) {
 	if _, counted := shares.dropped[work.ID]; counted {
 		return
 	}
@@ -41,7 +38,7 @@
 		}
 	}
 	ledger.Record(now, dogwoodshare.Use{
-		Customer: work.Customer, Rank: work.Rank, Time: work.Reading * time.Duration(1+len(work.Helpers)), At: work.Begun,
+		Customer: work.Customer, Rank: work.Rank, Time: work.Reading * time.Duration(1+len(work.Helpers)), At: work.Begun, Own: own,
 	})
 }
 
@@ -65,11 +62,16 @@
 	return ledger
 }
 
+// ledger returns the ledger of a service, an empty one if nothing of it was counted.
+func (shares *shares) ledger(service dogwoodfleet.Service) *dogwoodshare.Ledger {
+	if ledger := shares.ledgers[service]; ledger != nil {
+		return ledger
+	}
+	return &dogwoodshare.Ledger{}
+}
+
 // recordDropped remembers counted work that is dropped although it may not have ended.
 func (shares *shares) recordDropped(work *Work) {
-	if work.Customer == "" {
-		return
-	}
 	if shares.dropped == nil {
 		shares.dropped = map[WorkID]time.Time{}
 	}
@@ -92,44 +94,46 @@
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	standings := make([]dogwoodshare.Standing, len(claims))
-	for service, ledger := range board.shares.ledgers {
-		var indexes []int
-		var own []dogwoodshare.Claim
-		for i, claim := range claims {
-			if claim.Service == service {
-				indexes, own = append(indexes, i), append(own, claim)
-			}
-		}
-		if len(own) == 0 {
-			continue
+	indexes := map[dogwoodfleet.Service][]int{}
+	for i, claim := range claims {
+		indexes[claim.Service] = append(indexes[claim.Service], i)
+	}
+	for service, indexes := range indexes {
+		own := make([]dogwoodshare.Claim, len(indexes))
+		for i, index := range indexes {
+			own[i] = claims[index]
 		}
-		for i, standing := range ledger.Standings(now, own) {
+		for i, standing := range board.shares.ledger(service).Standings(now, own) {
 			standings[indexes[i]] = standing
 		}
 	}
 	return standings
 }
 
+// RankUses returns the use of engine time of each rank of a service. Own is scaled by the share of the daemons that are seen: one that
+// sees few others would otherwise take itself for the sender of most requests.
+func (board *Board) RankUses(now time.Time, service dogwoodfleet.Service) []dogwoodshare.RankUse {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	uses := board.shares.ledger(service).RankUses(now)
+	for i := range uses {
+		uses[i].Own = time.Duration(board.seenShare * float64(uses[i].Own))
+	}
+	return uses
+}
+
 // Excess returns a customer's use of engine time as a multiple of an equal share; at most 1 within its share.
 func (board *Board) Excess(now time.Time, claim dogwoodshare.Claim) float64 {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
-	ledger := board.shares.ledgers[claim.Service]
-	if ledger == nil {
-		return 0
-	}
-	return ledger.Excess(now, claim.Customer, claim.Rank)
+	return board.shares.ledger(claim.Service).Excess(now, claim.Customer, claim.Rank)
 }
 
 // UntilFair returns the time until a customer's use falls to its share.
 func (board *Board) UntilFair(now time.Time, claim dogwoodshare.Claim) time.Duration {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
-	ledger := board.shares.ledgers[claim.Service]
-	if ledger == nil {
-		return 0
-	}
-	return ledger.UntilFair(now, claim.Customer, claim.Rank)
+	return board.shares.ledger(claim.Service).UntilFair(now, claim.Customer, claim.Rank)
 }
 
 // CustomerUse is the engine time that a customer has used recently.
--- a/core/decision/dogwoodpacking/shares_test.go
+++ b/core/decision/dogwoodpacking/shares_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -97,6 +98,26 @@
 	}
 }
 
+// Guards against a rank's use that leaves out requests without a customer, counts those of a broken link twice, or takes this
+// daemon's share for larger than it is while few daemons are seen.
+func TestUseByRank(t *testing.T) {
+	board, now := pool(2), time.Now()
+	own, peer := peerWork("own", "", now, time.Second), peerWork("peer", "", now, time.Second)
+	own.Holder = "me"
+	board.Put(now, own)
+	board.Put(now, peer)
+	board.RemoveHolder("peer", nil)
+	board.Put(now, peer)
+	board.SetVisibleDaemons(1, 4)
+	want := []dogwoodshare.RankUse{{Used: 2 * time.Second, Own: time.Second / 4, Starts: 2}}
+	if got := board.RankUses(now, "models"); !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	if got := board.RankUses(now, "other"); len(got) > 0 {
+		t.Errorf("got %v for another service, want none", got)
+	}
+}
+
 // Guards against ledgers that grow with the services that peers announce.
 func TestLedgersAreBounded(t *testing.T) {
 	board, now := pool(1), time.Now()
--- a/core/decision/dogwoodshare/ledger.go
+++ b/core/decision/dogwoodshare/ledger.go
@@ -30,14 +30,17 @@
 	maxAccounts = 4096
 )
 
-// Use is engine time that a customer's request takes.
+// Use is engine time that a request takes.
 type Use struct {
+	// Customer is empty for requests without one, which count for their rank alone.
 	Customer dogwoodfleet.Customer
 	Rank     int
 	// Time is 0 if it is unknown.
 	Time time.Duration
 	// At is when the request was sent to its engine.
 	At time.Time
+	// Own is true if this daemon sent it.
+	Own bool
 }
 
 // Ledger holds the use of one service's engines over the last Window. Ranks are counted apart. The zero value is empty.
@@ -46,11 +49,13 @@
 	start time.Time
 	slot  int64
 	ranks map[int]*rankUse
+	// totals is the use by rank, with that of requests without a customer.
+	totals map[int]*rankTotal
 	// accounts is the number of accounts of all ranks.
 	accounts int
 }
 
-// rankUse is the use of one rank.
+// rankUse is the use of one rank's customers.
 type rankUse struct {
 	total    time.Duration
 	accounts map[dogwoodfleet.Customer]*account
@@ -67,11 +72,8 @@
 	slots [slotCount]time.Duration
 }
 
-// Record adds use. Use that is learnt late counts at the time at which it began. Requests without a customer don't count.
+// Record adds use. Use that is learnt late counts at the time at which it began.
 func (ledger *Ledger) Record(now time.Time, use Use) {
-	if use.Customer == "" {
-		return
-	}
 	ledger.advance(now)
 	slot := min(ledger.slotOf(use.At), ledger.slot)
 	if slot <= ledger.slot-slotCount {
@@ -81,6 +83,10 @@
 	if took <= 0 {
 		took = UnknownTime
 	}
+	ledger.recordRank(&use, slot, took)
+	if use.Customer == "" {
+		return
+	}
 	rank := ledger.ranks[use.Rank]
 	if rank == nil || rank.accounts[use.Customer] == nil {
 		rank = ledger.open(use.Rank, use.Customer)
@@ -152,6 +158,7 @@
 	}
 	first := max(ledger.slot+1, latest-slotCount+1)
 	ledger.slot = latest
+	ledger.forgetRanks(first, latest)
 	for number, rank := range ledger.ranks {
 		for slot := first; slot <= latest; slot++ {
 			rank.squares[indexOf(slot)] = 0
@@ -186,7 +193,7 @@
 // IsEmpty reports whether nobody has used anything within Window.
 func (ledger *Ledger) IsEmpty(now time.Time) bool {
 	ledger.advance(now)
-	return ledger.accounts == 0
+	return len(ledger.totals) == 0
 }
 
 // Excess returns a customer's use as a multiple of an equal share among the customers of the rank that were active within
--- a/core/decision/dogwoodshare/ledger_test.go
+++ b/core/decision/dogwoodshare/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,6 +58,31 @@
 	}
 }
 
+// Guards against use by rank that leaves out requests without a customer, outlasts the window, or takes another daemon's starts for
+// this one's; and against ranks without a bound.
+func TestRankUses(t *testing.T) {
+	now := time.Now()
+	ledger := ledgerOf(now, use{"", 2, time.Second, 0}, use{"a", 2, time.Second, 4 * time.Second}, use{"a", 0, 0, 0}, use{"a", 1, time.Second, 6 * time.Second})
+	ledger.Record(now, Use{Rank: 2, Time: 3 * time.Second, At: now, Own: true})
+	want := []RankUse{{Rank: 0, Used: UnknownTime, Starts: 1}, {Rank: 2, Used: 5 * time.Second, Own: 3 * time.Second, Starts: 3}}
+	if got := ledger.RankUses(now); !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	want = []RankUse{{Rank: 0, Used: UnknownTime, Starts: 1}, {Rank: 2, Used: 4 * time.Second, Own: 3 * time.Second, Starts: 2}}
+	if got := ledger.RankUses(now.Add(2 * time.Second)); !slices.Equal(got, want) {
+		t.Errorf("got %v after 2 s, want %v", got, want)
+	}
+	if got := ledger.RankUses(now.Add(Window)); len(got) > 0 {
+		t.Errorf("got %v after the window, want none", got)
+	}
+	for rank := range 3 * maxRanks {
+		ledger.Record(now, Use{Rank: rank, Time: time.Second, At: now})
+	}
+	if got := len(ledger.totals); got > maxRanks {
+		t.Errorf("got %d ranks, want at most %d", got, maxRanks)
+	}
+}
+
 // Guards against a customer whose key was withdrawn, and that therefore sends nothing more, but lowers the others' shares
 // for ever, and against one that is punished for longer than the window.
 func TestUseIsForgotten(t *testing.T) {
