Count a rank's minimum over all daemons

Cause: each daemon counted the starts of its own queue and gave a less urgent rank one start after ten. With ten daemons and 13 starts a second in all, a rank got its first start after 8 to 10 s.

Change: Minimums takes a rank that waits for due while its engine time of the last 5 s, at all daemons, is below a tenth of that of more urgent ranks; all less urgent ranks together get a fifth of the most urgent one's starts. So that daemons that see the same rank due do not all give it a start, each offers it only a part of its own starts: a fifth, or by its share in the starts eight for each start that is owed. TooLate keeps the request that such a turn is for. The share that a rank keeps is dogwoodshare.MinRankShare alone. Counter MinimumStartsRank*M* and the log line "Placed for its rank's minimum.", which is sampled like "Placed.".

Tests changed: the starts in TestEachRankKeepsAMinimumOfStarts are as before, with a ledger in place of counted starts. The steps of TestMinimumIsEarnedByWaitingForMoreUrgentRanks, now TestRankIsDueBelowItsMinimum, are given in engine time: a rank without any use is due earlier than after ten starts, so "nine starts" is gone. TestLessUrgentRankGetsItsMinimum has the rank served at 1, 11 and 22 instead of 10, 21 and 27. TestUrgentRequestGetsTheNextSlot gives the less urgent ranks their minimums first, as they would be due otherwise. The relay's test fixture begins with no part of a turn, which is random otherwise.

Tests of the packages pass with -race.

--- a/core/decision/dogwoodwaiting/reopening.go
+++ b/core/decision/dogwoodwaiting/reopening.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"dogwoodmux.example/core/decision/dogwoodshare"
 	"dogwoodmux.example/core/dogwoodfleet"
 )
 
@@ -36,8 +37,8 @@
 // in time: the slots until then are for waiters that go before it all the time.
 //
 // A slot serves one waiter after the other, each for shortestRun at least. If that is not known, which is 0, a slot that has opened
-// may serve any number of them. Slots that other requests hold are taken for free.
-func TooLate(waiters []Waiter, reopenings []Reopening, shortestRun time.Duration) []bool {
+// may serve any number of them. Slots that other requests hold are taken for free. turn is that of the service (Minimums.Turn).
+func TooLate(waiters []Waiter, reopenings []Reopening, shortestRun time.Duration, turn float64) []bool {
 	reopenings = slices.SortedFunc(slices.Values(reopenings), func(a, b Reopening) int { return a.At.Compare(b.At) })
 	first := reopenings[0].At
 	order := make([]int, len(waiters))
@@ -56,7 +57,7 @@
 			counted, servable = waiter.Until, countServable(reopenings, waiter.Until, shortestRun, len(waiters))
 		}
 		isCertain := servable > len(candidates)
-		if !isCertain && !keepsMinimum(candidates, waiter, servable) && hasAhead(candidates, first, waiter, servable) {
+		if !isCertain && !keepsMinimum(candidates, waiter, servable, turn) && hasAhead(candidates, first, waiter, servable) {
 			tooLate[i] = true
 			continue
 		}
@@ -66,14 +67,24 @@
 }
 
 // keepsMinimum reports whether the minimum of the waiter's rank may give it one of the slots that more urgent requests would take.
-func keepsMinimum(candidates []candidate, waiter *Waiter, servable int) bool {
-	same := 0
+func keepsMinimum(candidates []candidate, waiter *Waiter, servable int, turn float64) bool {
+	same, mostUrgent := 0, waiter.Request.Rank
 	for i := range candidates {
+		mostUrgent = min(mostUrgent, candidates[i].Request.Rank)
 		if candidates[i].Request.Rank == waiter.Request.Rank {
 			same++
 		}
 	}
-	return same < len(candidates) && float64(same+1) <= MinRankShare*float64(servable)
+	lower := 0
+	for i := range candidates {
+		if candidates[i].Request.Rank > mostUrgent {
+			lower++
+		}
+	}
+	if same == 0 && waiter.Request.Rank > mostUrgent && float64(lower+1) <= turn+minOffer*float64(servable) {
+		return true // it is due if nothing of its rank was started, and one of the slots is for the ranks that are
+	}
+	return same < len(candidates) && float64(same+1) <= dogwoodshare.MinRankShare*float64(servable)
 }
 
 // countServable counts the requests that can get a slot before a time, up to a maximum.
--- a/core/decision/dogwoodwaiting/waiting.go
+++ b/core/decision/dogwoodwaiting/waiting.go
@@ -15,7 +15,7 @@
 // smallest excess first (dogwoodshare). All of them would otherwise wait behind the customer that sends the most.
 //
 // All this holds among requests of one rank. The operators' ranks go first: a request waits behind all
-// of a more urgent rank, except that each rank keeps a minimum of the starts (Minimums).
+// of a more urgent rank, except that each rank keeps a minimum of the engine time (Minimums).
 package dogwoodwaiting
 
 import (
--- a/core/dogwoodlog/messages.go
+++ b/core/dogwoodlog/messages.go
@@ -14,6 +14,8 @@
 	Late = "A stream was late."
 	// Yields means that a request waits for engines that more urgent requests need.
 	Yields = "Waits for more urgent requests."
+	// Minimum means that a request got a slot ahead of more urgent ones, for its rank's minimum.
+	Minimum = "Placed for its rank's minimum."
 	// Silent means that an endpoint sent nothing for longer than a stream's silence limit.
 	Silent = "An endpoint is silent."
 	// TryingAgain means that another try follows.
--- a/core/dogwoodlog/writer.go
+++ b/core/dogwoodlog/writer.go
@@ -33,7 +33,7 @@
 // ordinaryMessages are the messages of requests that succeed; requestField starts the field
 // with a request's ID.
 var (
-	ordinaryMessages = [][]byte{messageField(Placed), messageField(FirstEvent), messageField(Answered)}
+	ordinaryMessages = [][]byte{messageField(Placed), messageField(Minimum), messageField(FirstEvent), messageField(Answered)}
 	requestField     = []byte(`"request":"`)
 )
 
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -399,6 +399,11 @@
 	return duty.options.Board.Standings(now, claims)
 }
 
+// RankUses returns the recent use of engine time of a service's ranks, the most urgent one first.
+func (duty *Duty) RankUses(now time.Time, service dogwoodfleet.Service) []dogwoodshare.RankUse {
+	return duty.options.Board.RankUses(now, service)
+}
+
 // UntilFair returns the time until a customer's use of engine time falls to its share.
 func (duty *Duty) UntilFair(now time.Time, claim dogwoodshare.Claim) time.Duration {
 	return duty.options.Board.UntilFair(now, claim)
--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -198,6 +198,7 @@
 		Fresh:   func() bool { return !fixture.stale.Load() },
 		Logger:  hclog.NewNullLogger(),
 	})
+	fixture.relay.queue.minimums.FirstTurn = 0 // it is random otherwise
 	group.Go(func() { _ = fixture.relay.Run(ctx) })
 	group.Go(func() { _ = fixture.suspects.Run(ctx) })
 	synctest.Wait() // the daemon knows that it is the only one
--- a/core/duty/dogwoodrelay/lateness.go
+++ b/core/duty/dogwoodrelay/lateness.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodpacking"
+	"dogwoodmux.example/core/decision/dogwoodwaiting"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodlog"
 )
@@ -65,3 +66,10 @@
 	counters.Add("Yielded", 1)
 	attempt.relay.options.Logger.Info(dogwoodlog.Yields, "request", attempt.request.ID, "rank", attempt.request.Rank, "routerank", attempt.request.Route.Rank, "prompt", placementRequest.Prompt)
 }
+
+// reportMinimum counts and logs that a request got a slot for its rank's minimum.
+func (attempt *attempt) reportMinimum(use dogwoodwaiting.MinimumUse) {
+	request := attempt.request
+	counters.Add(fmt.Sprintf("MinimumStartsRank%d", boundedRank(request.Rank)), 1)
+	attempt.relay.options.Logger.Info(dogwoodlog.Minimum, "request", request.ID, "rank", request.Rank, "routerank", request.Route.Rank, "used", use.Used, "urgent", use.Urgent)
+}
--- a/core/duty/dogwoodrelay/place.go
+++ b/core/duty/dogwoodrelay/place.go
@@ -131,6 +131,9 @@
 	if result.overShare != nil {
 		return attempt.overShareError(result.overShare)
 	}
+	if result.minimum.Urgent > 0 {
+		attempt.reportMinimum(result.minimum)
+	}
 	if !result.backoffsUntil.IsZero() {
 		wait := time.Until(result.backoffsUntil) + dogwoodkernel.Jittered(backoffSpread)
 		return attempt.newFailure(dogwoodfleet.ReasonLimit, wait, "all endpoints have asked for a back-off")
--- a/core/duty/dogwoodrelay/queue.go
+++ b/core/duty/dogwoodrelay/queue.go
@@ -55,6 +55,8 @@
 	// backoffsUntil is when the first endpoint takes requests again, if the try was refused since all have asked for none and it
 	// would get no slot in time after that; else zero.
 	backoffsUntil time.Time
+	// minimum is the use by which the try's rank was due; zero if the try was not placed for its rank's minimum.
+	minimum dogwoodwaiting.MinimumUse
 	// overShare is set if the try was refused since its customer has used more than its share.
 	overShare *overShare
 }
@@ -103,7 +105,7 @@
 	slices.SortStableFunc(queue.waiters, func(a, b *waiter) int {
 		return dogwoodwaiting.Compare(now, &a.request, &b.request)
 	})
-	queue.minimums.SetWaiting(now, queue.rankClaims())
+	queue.minimums.SetWaiting(now, queue.rankClaims(), queue.places)
 	pass := &pass{queue: queue, now: now, full: map[dogwoodfleet.Service]bool{}, tried: make([]bool, len(queue.waiters)), done: make([]bool, len(queue.waiters))}
 	for i, waiter := range queue.waiters {
 		if !waiter.request.Begun {
@@ -148,7 +150,7 @@
 	tried, done []bool
 }
 
-// placeDue places the first waiters of the ranks that have earned the next start.
+// placeDue places the first waiters of the ranks that get the next start.
 func (pass *pass) placeDue() {
 	if !pass.queue.minimums.AnyDue() {
 		return
@@ -179,7 +181,8 @@
 	case result.refusal == dogwoodpacking.NoEndpoint, result.refusal == dogwoodpacking.Yields:
 		return
 	case result.refusal == dogwoodpacking.Placed && !waiter.request.Begun:
-		queue.minimums.Started(pass.now, waiter.rankClaim())
+		result.minimum = queue.minimums.Use(waiter.rankClaim())
+		queue.minimums.Started(pass.now, waiter.rankClaim(), queue.places)
 	}
 	waiter.result <- result
 	pass.done[i] = true
@@ -218,7 +221,7 @@
 			line = append(line, dogwoodwaiting.Waiter{Request: &waiter.request, Until: waiter.waitUntil})
 		}
 	}
-	tooLate := dogwoodwaiting.TooLate(line, reopenings, queue.shortestRuns.Of(service))
+	tooLate := dogwoodwaiting.TooLate(line, reopenings, queue.shortestRuns.Of(service), queue.minimums.Turn(service))
 	queue.waiters = slices.DeleteFunc(queue.waiters, func(waiter *waiter) bool {
 		if waiter.placementRequest.Service != service {
 			return false
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"time"
@@ -193,6 +194,8 @@
 	Reopenings(now time.Time, service dogwoodfleet.Service) []dogwoodwaiting.Reopening
 	// Standings compares the customers' recent use of engine time with their shares, for requests that wait.
 	Standings(now time.Time, claims []dogwoodshare.Claim) []dogwoodshare.Standing
+	// RankUses returns the recent use of engine time of a service's ranks, the most urgent one first.
+	RankUses(now time.Time, service dogwoodfleet.Service) []dogwoodshare.RankUse
 	// UntilFair returns the time until a customer's use of engine time falls to its share.
 	UntilFair(now time.Time, claim dogwoodshare.Claim) time.Duration
 }
@@ -265,7 +268,7 @@
 	if options.Buffers == nil {
 		options.Buffers = dogwoodbuffer.New(dogwoodbuffer.NewBounds(0))
 	}
-	return &Relay{options: options, queue: queue{places: options.Places}}
+	return &Relay{options: options, queue: queue{places: options.Places, minimums: dogwoodwaiting.Minimums{FirstTurn: rand.Float64()}}}
 }
 
 // Run places waiting tries until the context ends.
