Test a rank's minimum below a hot customer that is not the most urgent

Cause: with a rank above the hot customer's, the hot customer itself is a less urgent rank and uses up the fifth of all of them. The simulation had no such load, and no test read the counter of starts for a minimum.

Change: a row of the simulation with three callers of rank 0; the relay's test checks MinimumStartsRank2.

--- a/core/decision/dogwoodwaiting/minimumsimulation_test.go
+++ b/core/decision/dogwoodwaiting/minimumsimulation_test.go
@@ -29,6 +29,8 @@
 // minimumLoad is a customer of rank 1 with more callers than there are slots, beside callers of less urgent ranks.
 type minimumLoad struct {
 	daemons int
+	// urgent is the number of callers of rank 0.
+	urgent int
 	// lower is the number of callers of each less urgent rank, from rank 2 on.
 	lower []int
 	// lowerDaemons is the number of daemons at which these callers arrive; 0 for all.
@@ -98,6 +100,9 @@
 	for range 96 {
 		simulation.send(1)
 	}
+	for range load.urgent {
+		simulation.send(0)
+	}
 	for i, callers := range load.lower {
 		for range callers {
 			simulation.send(2 + i)
@@ -258,6 +263,7 @@
 		{"all daemons killed at once", minimumLoad{daemons: 10, lower: []int{12}, restartAt: 7 * time.Second, restartAll: true}, 0.05},
 		{"a frozen daemon", minimumLoad{daemons: 10, lower: []int{12}, frozenAt: 7 * time.Second}, 0.05},
 		{"a text changes ranks", minimumLoad{daemons: 10, lower: []int{12}, textAt: 7 * time.Second}, 0.04},
+		{"a more urgent rank than the hot customer's", minimumLoad{daemons: 10, urgent: 3, lower: []int{12}}, 0.04},
 		{"one daemon", minimumLoad{daemons: 1, lower: []int{12}}, 0.05},
 		{"three daemons", minimumLoad{daemons: 3, lower: []int{12}}, 0.05},
 	}
--- a/core/duty/dogwoodrelay/queue_test.go
+++ b/core/duty/dogwoodrelay/queue_test.go
@@ -1,6 +1,7 @@
 package dogwoodrelay
 
 import (
+	"expvar"
 	"fmt"
 	"net/http"
 	"slices"
@@ -102,6 +103,10 @@
 	runRelayTest(t, testEngine, []step{delayed(10*time.Millisecond, responds(http.StatusOK, firstEvents))}, func(t *testing.T, fixture *fixture) {
 		const urgentRequests, lowerRequests = 25, 3
 		fixture.takeSlots(t, 12)
+		counter, before := "MinimumStartsRank2", int64(0)
+		if known, ok := counters.Get(counter).(*expvar.Int); ok {
+			before = known.Value()
+		}
 		var mutex sync.Mutex
 		var answered []int
 		var group sync.WaitGroup
@@ -133,6 +138,9 @@
 		if want := []int{1, 11, 22}; !slices.Equal(got, want) {
 			t.Errorf("got the less urgent requests answered at %v, want %v", got, want)
 		}
+		if count, ok := counters.Get(counter).(*expvar.Int); !ok || count.Value()-before != lowerRequests {
+			t.Errorf("got %v counted for the minimum, want %d", counters.Get(counter), lowerRequests)
+		}
 	})
 }
 
