--- a/core/duty/dogwoodowner/part.go
+++ b/core/duty/dogwoodowner/part.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -215,7 +216,8 @@
 }
 
 // updatePartsLocked updates which parts are refused, and returns those that were not before. Of parts that are refused only
-// together the longest alone is kept: a prompt that has it has the others too.
+// together the longest is kept, for prompts that have all of them: in one prompt's chain that has the others too. Prompts of two
+// chains with the same ends run until an end tells which chain it is.
 func (owner *Owner) updatePartsLocked(now time.Time) []dogwoodfleet.PromptPart {
 	owner.partsUpdated = now
 	if !owner.parts.HasStrikes() && len(owner.refusedParts) == 0 {
@@ -230,7 +232,6 @@
 		if slices.ContainsFunc(refusal.With, func(other dogwoodfleet.PromptPart) bool { return other > refusal.Part }) {
 			continue
 		}
-		refusal.With = nil
 		refused[refusal.Part] = &refusal
 		known := owner.refusedParts[refusal.Part]
 		changed = changed || known == nil || !known.Equal(&refusal)
@@ -247,9 +248,7 @@
 		}
 	}
 	owner.refusedParts = refused
-	if len(refused) == 0 {
-		clear(owner.announced)
-	}
+	maps.DeleteFunc(owner.announced, func(part dogwoodfleet.PromptPart, _ bool) bool { return refused[part] == nil })
 	if len(added) > 0 {
 		owner.announceLocked(partAnnouncement{refused: added})
 	}
--- a/core/duty/dogwoodowner/part_test.go
+++ b/core/duty/dogwoodowner/part_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"dogwoodmux.example/core/decision/dogwoodsuspect"
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodsettings"
 	"dogwoodmux.example/core/duty/dogwoodowner"
@@ -93,3 +94,41 @@
 		})
 	}
 }
+
+// Guards against refusing a harmless prefix that was in prefill at the same ends as a crashing one.
+func TestPrefixesWithTheSameEndsAreNotTakenForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		text := &dogwoodsettings.Text{Services: []dogwoodsettings.Service{{Name: pool, Kind: dogwoodfleet.EnginePool, ColdLimit: 4, WarmLimit: 4}}}
+		owner := dogwoodowner.New(dogwoodowner.Options{Text: text, Self: "owner", Seed: 1})
+		owner.SetEndpoints([]dogwoodfleet.Endpoint{{ID: "engine", Service: pool, Kind: dogwoodfleet.EnginePool, InForce: true, MemoryTokens: 400_000}}, text)
+		time.Sleep(5 * time.Second)
+		number := 0
+		learn := func(blocks []uint64, notice func(subject *dogwoodsuspect.Subject) dogwoodsuspect.Notice) {
+			number++
+			subject := &dogwoodsuspect.Subject{Request: dogwoodfleet.RequestID(fmt.Sprint(number)), Digest: digestOf(number), Customer: dogwoodfleet.Customer(fmt.Sprint(blocks[0]))}
+			for i, block := range blocks {
+				subject.Parts = append(subject.Parts, dogwoodfleet.NewPromptPart(pool, "", "")+dogwoodfleet.PromptPart(fmt.Sprintf("%02d.%x", i, block)))
+			}
+			owner.Learn([]dogwoodsuspect.Notice{notice(subject)})
+		}
+		for end := range 3 {
+			strike := func(subject *dogwoodsuspect.Subject) dogwoodsuspect.Notice {
+				return subject.PartStrikeNotice(dogwoodfleet.EndpointID(fmt.Sprint("engine@", end)), 0, true, false)
+			}
+			learn([]uint64{1, 2, uint64(1000 + end)}, strike)
+			learn([]uint64{50, 51, 52, 53, uint64(2000 + end)}, strike)
+			for other := range uint64(4) {
+				learn([]uint64{70 + other}, func(subject *dogwoodsuspect.Subject) dogwoodsuspect.Notice {
+					return dogwoodsuspect.Notice{Kind: dogwoodsuspect.Begun, Request: subject.Request, Customer: subject.Customer, Parts: subject.Parts, Whole: true}
+				})
+			}
+			time.Sleep(time.Second)
+		}
+		_, err := owner.Acquire(t.Context(), dogwoodowner.AcquireRequest{Holder: "entry", Budget: 20 * time.Second, Request: dogwoodfleet.Request{
+			ID: "harmless", Customer: "50", Service: pool, Digest: digestOf(99), PromptTokens: 100, MaxTokens: 10, Blocks: []uint64{50, 51, 52, 53, 99},
+		}})
+		if err != nil {
+			t.Errorf("got %v for a harmless prompt, want a grant", err)
+		}
+	})
+}
--- a/core/state/dogwoodcopy/copy.go
+++ b/core/state/dogwoodcopy/copy.go
@@ -40,6 +40,8 @@
 	// Version is the version of the table in this answer; the next query is for changes
 	// after it.
 	Version int64
+	// Base is the version after which Rows are the changes; it has no meaning for whole answers.
+	Base int64
 	// Proven is the time as of which the answer is confirmed to be current, on a clock that
 	// also advances while the machine is suspended.
 	Proven time.Duration
@@ -72,12 +74,19 @@
 func (table *Copy) Apply(answer Answer, fromStore bool) {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
+	if !answer.Whole && answer.Base > max(table.version, 0) {
+		// The table was replaced by an older one since the query, so that changes before these are missing. If the answer counted,
+		// the old rows would be confirmed as the new version.
+		return
+	}
 	if answer.Whole {
 		clear(table.rows)
 		table.deleted, table.historyStart = 0, answer.Version
 	}
 	for _, row := range answer.Rows {
-		table.put(row)
+		if answer.Whole || row.Version > table.historyStart { // an older row that is missing was deleted
+			table.put(row)
+		}
 	}
 	if fromStore {
 		table.storeConfirmed, table.hasStoreAnswer = answer.Proven, true
--- a/core/state/dogwoodcopy/copy_test.go
+++ b/core/state/dogwoodcopy/copy_test.go
@@ -132,4 +132,24 @@
 	if version != 9 || confirmed != time.Second {
 		t.Errorf("got version %d confirmed as of %s, want 9 as of its own query, 1s", version, confirmed)
 	}
+	// The answer to a query for changes after version 12 arrives late.
+	table.Apply(Told{Answer: Answer{Version: 12}}.ToLocalClock(6*time.Second, 12), false)
+	if version, confirmed := table.Known(); version != 9 || confirmed != time.Second {
+		t.Errorf("got version %d confirmed as of %s after an answer without the changes since 9, want 9 as of 1s", version, confirmed)
+	}
+	table.Apply(Told{Answer: Answer{Version: 12, Rows: []Row{{Key: "text", Version: 12}}}}.ToLocalClock(7*time.Second, 9), false)
+	if version, confirmed := table.Known(); version != 12 || confirmed != 7*time.Second {
+		t.Errorf("got version %d confirmed as of %s after the changes since 9, want 12 as of 7s", version, confirmed)
+	}
+}
+
+// An answer of the store is on its way while a daemon gets the whole table from another one. A row that was deleted meanwhile
+// must not come back, as a data centre that is taken out would.
+func TestLateChangesDoNotRestoreDeletedRows(t *testing.T) {
+	table := New()
+	table.Apply(Answer{Whole: true, Rows: []Row{{Key: "text", Version: 3}}, Version: 9}, false)
+	table.Apply(Answer{Rows: []Row{{Key: "out", Version: 5}}, Version: 5}, true)
+	if answer, _, _ := table.Since(-1); len(answer.Rows) != 1 || answer.Version != 9 {
+		t.Errorf("got %+v, want the text alone at version 9", answer)
+	}
 }
--- a/core/state/dogwoodcopy/told.go
+++ b/core/state/dogwoodcopy/told.go
@@ -74,7 +74,7 @@
 // network latency makes the confirmation look older than it is, never younger.
 func (told Told) ToLocalClock(sent time.Duration, after int64) Answer {
 	answer := told.Answer
-	answer.Proven = sent + told.ProvenAfter
+	answer.Proven, answer.Base = sent+told.ProvenAfter, after
 	if answer.Version < after {
 		// This daemon has a newer version, from the store or from another peer.
 		answer.Whole, answer.Rows, answer.Version = false, nil, after
