--- a/core/decision/dogwoodbuffer/bounds.go
+++ b/core/decision/dogwoodbuffer/bounds.go
@@ -2,7 +2,11 @@
 // answers that callers have not read yet and the bodies of requests that endpoints have not read yet.
 package dogwoodbuffer
 
-import "github.com/zeebo/errs"
+import (
+	"time"
+
+	"github.com/zeebo/errs"
+)
 
 // Error is the class of this package's errors.
 var Error = errs.Class("buffer")
@@ -24,13 +28,14 @@
 	// half is for either kind.
 	reservedShare = 4
 	// requestBytes is what a request in progress takes besides what is counted: the stacks of five goroutines, the buffers of two
-	// connections and the event that is being read. A thousand of them took some 110 kB each with events of 8 KiB.
+	// connections and the event that is being read. A thousand of them took some 110 kB each with events of 8 KiB. Larger events take
+	// more, for which the other half of the memory has room.
 	requestBytes = 128 << 10
 	// memoryPerRequests is the process's memory as a multiple of what all requests in progress may take.
 	memoryPerRequests = 2
-	// minCutBytes is the least that an answer holds for its caller to count as one that reads slowly when there are too many
-	// requests. Those that read hold a few events.
-	minCutBytes = minAnswerBytes / 2
+	// maxBehind is how long a stream may hold bytes without a pause before its caller counts as one that reads slowly when there are
+	// too many requests.
+	maxBehind = time.Second
 )
 
 // Bounds are the bounds of a Budget in bytes.
--- a/core/decision/dogwoodbuffer/budget.go
+++ b/core/decision/dogwoodbuffer/budget.go
@@ -1,6 +1,10 @@
 package dogwoodbuffer
 
-import "sync"
+import (
+	"cmp"
+	"sync"
+	"time"
+)
 
 var (
 	// ErrAnswerBound means that an answer holds as much as one answer may.
@@ -35,31 +39,52 @@
 	budget.bounds = bounds
 }
 
-// BeginRequest counts a request in progress until its end is reported with EndRequest. If there are too many, the answer that
-// holds most is cut in its place, provided that its caller reads slowly. Otherwise it returns ErrDaemonBound and counts nothing.
+// BeginRequest counts a request in progress until its end is reported with EndRequest. If there are too many, the stream whose
+// caller has been behind for longest is cut in its place, provided that this is maxBehind at least. Otherwise it returns
+// ErrDaemonBound and counts nothing.
 func (budget *Budget) BeginRequest() error {
 	slowest, err := budget.beginRequest()
-	if slowest.answer != nil {
-		slowest.answer.cut(slowest.held)
+	if slowest.answer == nil {
+		return err
 	}
-	return err
+	slowest.answer.cut(slowest.held)
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.requests++
+	return nil
 }
 
+// beginRequest counts a request, or returns the stream that is to be cut before it is counted.
 func (budget *Budget) beginRequest() (slowest victim, err error) {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	if budget.bounds.Requests > 0 && budget.requests >= budget.bounds.Requests {
-		largest := budget.largest()
-		if largest == nil || largest.held < minCutBytes {
-			return victim{}, ErrDaemonBound
-		}
-		slowest = victim{largest, largest.held}
-		budget.drop(largest)
+	if budget.bounds.Requests == 0 || budget.requests < budget.bounds.Requests {
+		budget.requests++
+		return victim{}, nil
 	}
-	budget.requests++
+	answer := budget.slowest()
+	if answer == nil || time.Since(answer.behindSince) < maxBehind {
+		return victim{}, ErrDaemonBound
+	}
+	slowest = victim{answer, answer.held}
+	budget.drop(answer)
 	return slowest, nil
 }
 
+// slowest returns the stream whose caller has been behind for longest.
+func (budget *Budget) slowest() *Answer {
+	var slowest *Answer
+	for answer := range budget.answers {
+		if answer.behindSince.IsZero() {
+			continue
+		}
+		if slowest == nil || cmp.Or(answer.behindSince.Compare(slowest.behindSince), cmp.Compare(answer.number, slowest.number)) < 0 {
+			slowest = answer
+		}
+	}
+	return slowest
+}
+
 // EndRequest reports the end of a request that BeginRequest counted.
 func (budget *Budget) EndRequest() {
 	budget.mutex.Lock()
@@ -91,6 +116,8 @@
 	// held are the answer's bytes. isCut is true once the answer was cut, from when on it holds nothing.
 	held  int64
 	isCut bool
+	// behindSince is when a stream began to hold bytes; zero for an answer that holds none, or that is read whole before any of it is sent.
+	behindSince time.Time
 }
 
 // NewAnswer returns an answer that holds nothing. cut is called with the bytes that the answer holds if it is to be cut, at most
@@ -139,6 +166,9 @@
 	if bounded && answer.held > 0 && answer.held+bytes > budget.bounds.Answer {
 		return nil, ErrAnswerBound
 	}
+	if bounded && answer.held == 0 && bytes > 0 {
+		answer.behindSince = time.Now()
+	}
 	answer.held += bytes
 	budget.answerBytes += bytes
 	budget.answers[answer] = struct{}{}
@@ -193,6 +223,7 @@
 	budget.answerBytes -= bytes
 	if answer.held == 0 {
 		delete(budget.answers, answer)
+		answer.behindSince = time.Time{}
 	}
 }
 
--- a/core/decision/dogwoodbuffer/budget_test.go
+++ b/core/decision/dogwoodbuffer/budget_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
+	"time"
 )
 
 func TestBounds(t *testing.T) {
@@ -204,43 +206,60 @@
 	}
 }
 
-// Guards against a daemon that takes as many requests as callers send: slow ones are cut for new ones, others are not.
+// Guards against a daemon that takes as many requests as callers send, and against one that cuts callers that read for new ones.
 func TestRequestsInProgressAreBounded(t *testing.T) {
+	// stream is an answer in progress that began to hold its bytes before the request comes.
+	type stream struct {
+		held   int64
+		before time.Duration
+		whole  bool
+	}
 	tests := []struct {
-		name string
-		// held are the bytes of the answers in progress.
-		held []int64
-		want error
-		cut  []int
+		name    string
+		streams []stream
+		want    error
+		cut     []int
 	}{
-		{"room", []int64{minCutBytes, 0}, nil, nil},
-		{"the slowest caller is cut", []int64{minCutBytes, 2 * minCutBytes, 0}, nil, []int{1}},
-		{"all callers read", []int64{minCutBytes - 1, 100, 0}, ErrDaemonBound, nil},
-		{"answers have not begun", []int64{0, 0, 0}, ErrDaemonBound, nil},
+		{"room", []stream{{100, time.Minute, false}, {0, 0, false}}, nil, nil},
+		{"the caller that is behind for longest is cut", []stream{{900, 2 * time.Second, false}, {100, 3 * time.Second, false}, {0, 0, false}}, nil, []int{1}},
+		{"all callers read", []stream{{60_000, maxBehind - 1, false}, {100, 0, false}, {0, 0, false}}, ErrDaemonBound, nil},
+		{"an answer that is read whole", []stream{{60_000, time.Minute, true}, {0, 0, false}, {0, 0, false}}, ErrDaemonBound, nil},
+		{"answers have not begun", []stream{{}, {}, {}}, ErrDaemonBound, nil},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			budget := New(Bounds{Daemon: 1 << 20, Answer: 128 << 10, Requests: 3})
-			var cut []int
-			for i, held := range test.held {
-				if err := budget.BeginRequest(); err != nil {
-					t.Fatal(err)
+			synctest.Test(t, func(t *testing.T) {
+				budget, now := New(Bounds{Daemon: 1 << 20, Answer: 128 << 10, Requests: 3}), time.Now()
+				var cut []int
+				for i, stream := range test.streams {
+					if err := budget.BeginRequest(); err != nil {
+						t.Fatal(err)
+					}
+					answer := budget.NewAnswer(func(int64) { cut = append(cut, i) })
+					reserve := answer.Reserve
+					if stream.whole {
+						reserve = answer.ReserveWhole
+					}
+					time.AfterFunc(time.Minute-stream.before, func() {
+						if err := reserve(stream.held); err != nil && stream.held > 0 {
+							t.Error(err)
+						}
+					})
 				}
-				if err := budget.NewAnswer(func(int64) { cut = append(cut, i) }).ReserveWhole(held); err != nil {
-					t.Fatal(err)
+				time.Sleep(time.Until(now.Add(time.Minute)))
+				synctest.Wait()
+				if err := budget.BeginRequest(); !errors.Is(err, test.want) {
+					t.Errorf("got %v, want %v", err, test.want)
 				}
-			}
-			if err := budget.BeginRequest(); !errors.Is(err, test.want) {
-				t.Errorf("got %v, want %v", err, test.want)
-			}
-			if !slices.Equal(cut, test.cut) {
-				t.Errorf("got answers %v cut, want %v", cut, test.cut)
-			}
-			budget.EndRequest()
-			budget.EndRequest()
-			if err := budget.BeginRequest(); err != nil {
-				t.Errorf("got %v after two requests have ended, want room", err)
-			}
+				if !slices.Equal(cut, test.cut) {
+					t.Errorf("got answers %v cut, want %v", cut, test.cut)
+				}
+				budget.EndRequest()
+				budget.EndRequest()
+				if err := budget.BeginRequest(); err != nil {
+					t.Errorf("got %v after two requests have ended, want room", err)
+				}
+			})
 		})
 	}
 }
--- a/core/duty/dogwoodrelay/queue.go
+++ b/core/duty/dogwoodrelay/queue.go
@@ -148,13 +148,16 @@
 	full map[dogwoodfleet.Service]bool
 	// tried and done tell of each waiter whether it was tried, and whether it has its result.
 	tried, done []bool
+	// dueTried is true while no waiter was placed since the ranks that are due were tried.
+	dueTried bool
 }
 
 // placeDue places the first waiters of the ranks that get the next start.
 func (pass *pass) placeDue() {
-	if !pass.queue.minimums.AnyDue() {
+	if pass.dueTried || !pass.queue.minimums.AnyDue() {
 		return
 	}
+	pass.dueTried = true
 	for i, waiter := range pass.queue.waiters {
 		if !pass.tried[i] && pass.queue.minimums.IsDue(waiter.rankClaim()) {
 			pass.place(i)
@@ -181,6 +184,7 @@
 	case result.refusal == dogwoodpacking.NoEndpoint, result.refusal == dogwoodpacking.Yields:
 		return
 	case result.refusal == dogwoodpacking.Placed && !waiter.request.Begun:
+		pass.dueTried = false
 		result.minimum = queue.minimums.Use(waiter.rankClaim())
 		queue.minimums.Started(pass.now, waiter.rankClaim(), queue.places)
 	}
