--- a/core/decision/dogwoodwaiting/minimum.go
+++ b/core/decision/dogwoodwaiting/minimum.go
@@ -14,8 +14,9 @@
 // starts until the customer stops. Therefore each rank keeps a minimum of the engine time while it waits, over all daemons: with a
 // minimum for each daemon alone, a rank got its first start after 8 to 10 s where ten daemons had 13 starts a second in all.
 //
-// All daemons see that a rank is due, and some have slots that become free before they learn of the others' starts. Therefore a
-// daemon offers only a part of its starts to ranks that are due.
+// A rank is due while it has used less than its minimum; the starts that it lacks are owed to it. All daemons see that a rank is due,
+// and some have slots that become free before they learn of the others' starts. Therefore a daemon offers only a part of its
+// starts to ranks that are due: the parts add up, and each time that they reach a whole one, it is its turn to start one.
 
 const (
 	// maxMinimumShares bounds what all less urgent ranks together get, as a multiple of the most urgent one's starts, so that many
@@ -27,9 +28,9 @@
 	// minOffer is the part of its starts that a daemon offers at least. All offers of a fifth are a fifth of all starts, whatever the
 	// daemons know of each other.
 	minOffer = 0.2
-	// offerPerStart is what all daemons together offer for each start that is owed, in starts of each. Daemons without requests of
+	// offerPerStart is how many starts all daemons together offer for each start that is owed. Daemons without requests of
 	// the rank, and those without a slot, offer in vain. In the simulation a rank got at least 0.045 of the starts with 5 instead of 8,
-	// and from 0.016 to 0.209 at leaves alone with 16.
+	// and from 0.016 to 0.209 with 16 where all ten daemons are leaves.
 	offerPerStart = 8
 	// maxOffer leaves the urgent ranks a part of a daemon's starts however much is owed. Leaves see others' starts up to 500 ms late.
 	maxOffer = 0.75
@@ -41,7 +42,8 @@
 // RankClaim is the service and the rank of a request that waits.
 type RankClaim struct {
 	Service dogwoodfleet.Service
-	Rank    int
+	// Rank is made of the customer's rank and the route's, as that of a Request.
+	Rank int
 }
 
 // RankUses returns the recent use of engine time of a service's ranks, at all daemons that this one knows of.
--- a/core/decision/dogwoodwaiting/minimum_test.go
+++ b/core/decision/dogwoodwaiting/minimum_test.go
@@ -176,7 +176,7 @@
 func (uses fixedUses) RankUses(time.Time, dogwoodfleet.Service) []dogwoodshare.RankUse { return uses }
 
 // Guards against minimums that change who starts where all requests of a service have the same rank, or nothing waits.
-func TestEqualRanksEarnNothing(t *testing.T) {
+func TestEqualRanksAreNeverDue(t *testing.T) {
 	now := time.Now()
 	for _, claims := range [][]RankClaim{nil, {{"s", 1}}, {{"s", 1}, {"s", 1}, {"t", 2}, {"t", 2}}} {
 		var minimums Minimums
