Return a permit whose grant was lost on its way

Cause: an owner kept a permit for a suspect only once its grant had arrived. If the caller left before, nobody returned the permit, and the part of the prompt was blocked for all until the lease ended. Found by a review; before parts were known the permit was always returned.

Change: the permit counts from its first request on.

--- a/core/duty/dogwoodowner/suspect.go
+++ b/core/duty/dogwoodowner/suspect.go
@@ -162,10 +162,11 @@
 // that of a part first, so that no two suspects wait for each other.
 func (owner *Owner) awaitPermits(ctx context.Context, waiter *waiter) *Refusal {
 	for _, gate := range waiter.gates {
+		// The permit counts from the first request on: one whose grant is lost on its way would block the part until its lease ends.
+		waiter.permits = append(waiter.permits, gate)
 		if refusal := owner.awaitPermit(ctx, waiter, gate); refusal != nil {
 			return refusal
 		}
-		waiter.permits = append(waiter.permits, gate)
 	}
 	return nil
 }
