Refuse a part of all prompts for a short time, and on trials that are certain

A part that all prompts share was refused: trials at endpoints that were too slow to answer counted as ends and were confirmed when the endpoints ended of something else, trials counted beside earlier prompts with a crashing part, and a refusal together with a crashing part counted as evidence against each of the two. Its refusal of ten minutes rejects the whole service.

Change: an unconfirmed end in a trial lapses after 6 s; a trial counts only if it was alone with the part at its endpoint; a refusal beside another part, or an answer since, shows nothing; a part that only trials speak against is refused for 6, 12, 24 s and so on. The log says when prompts only run one at a time.

--- a/core/decision/dogwoodsuspect/partrefusal.go
+++ b/core/decision/dogwoodsuspect/partrefusal.go
@@ -36,7 +36,7 @@
 	Cleared []dogwoodfleet.Customer
 	// Until is the end of the refusal. One request at a time may run from then until ProbationUntil.
 	Until, ProbationUntil time.Time
-	// Ends are the endpoints that ended, which says nothing of the other requests that they ran.
+	// Ends are the endpoints that ended, which says nothing of the other requests that they ran. It is nil while that is uncertain.
 	Ends []dogwoodfleet.EndpointID
 }
 
@@ -56,6 +56,9 @@
 	}
 }
 
+// IsTrial reports whether no prompt is refused: they run one at a time until that shows whether the part is the cause.
+func (partRefusal *PartRefusal) IsTrial() bool { return partRefusal.Until.IsZero() }
+
 // IsOver reports whether the refusal and the probation after it have ended.
 func (partRefusal *PartRefusal) IsOver(now time.Time) bool {
 	return !now.Before(partRefusal.Until) && !now.Before(partRefusal.ProbationUntil)
@@ -72,7 +75,9 @@
 type partCandidate struct {
 	part   dogwoodfleet.PromptPart
 	record *partRecord
-	ends   map[dogwoodfleet.EndpointID]time.Time
+	// strikes are those of the record that are not void.
+	strikes []partStrike
+	ends    map[dogwoodfleet.EndpointID]time.Time
 	// independent is the number of ends under different requests at different moments.
 	independent int
 	// answered is true if an answer to a prompt with the part, of any customer, has begun since the first of its latest minPartEnds
@@ -100,7 +105,8 @@
 			return refusals
 		}
 		best.examined = true
-		isShown := ledger.isShown(best)
+		evidence := ledger.evidence(best)
+		isShown := evidence != noEvidence
 		if !best.explains(endTimes) || !isShown && best.independent < minLonePartEnds {
 			continue
 		}
@@ -111,10 +117,11 @@
 		ends := slices.Sorted(maps.Keys(best.ends))
 		for _, member := range group {
 			member.examined = true
-			if isShown {
+			// A member's refusal together with the others shows nothing of prompts that have the member alone.
+			if ledger.evidence(member) == distinguished {
 				ledger.markShown(member.record)
 			}
-			if refusal := member.refusal(group, ends, isShown); !refusal.IsOver(now) {
+			if refusal := member.refusal(group, ends, evidence); !refusal.IsOver(now) {
 				refusals = append(refusals, refusal)
 			}
 		}
@@ -141,20 +148,26 @@
 			continue
 		}
 		for i := range record.strikes {
-			endTimes[record.strikes[i].endpoint] = record.strikes[i].at
+			if strike := &record.strikes[i]; !strike.isVoid(now) {
+				endTimes[strike.endpoint] = strike.at
+			}
 		}
 		if len(record.strikes) < minPartEnds {
 			continue
 		}
-		candidates = append(candidates, newPartCandidate(part, record))
+		candidates = append(candidates, newPartCandidate(now, part, record))
 	}
 	return candidates, endTimes
 }
 
-func newPartCandidate(part dogwoodfleet.PromptPart, record *partRecord) *partCandidate {
-	candidate := &partCandidate{part: part, record: record, ends: map[dogwoodfleet.EndpointID]time.Time{}}
-	for i := range record.strikes {
-		candidate.ends[record.strikes[i].endpoint] = record.strikes[i].at
+func newPartCandidate(now time.Time, part dogwoodfleet.PromptPart, record *partRecord) *partCandidate {
+	candidate := &partCandidate{part: part, record: record, strikes: record.strikes, ends: map[dogwoodfleet.EndpointID]time.Time{}}
+	isVoid := func(strike partStrike) bool { return strike.isVoid(now) }
+	if slices.ContainsFunc(record.strikes, isVoid) {
+		candidate.strikes = slices.DeleteFunc(slices.Clone(record.strikes), isVoid)
+	}
+	for i := range candidate.strikes {
+		candidate.ends[candidate.strikes[i].endpoint] = candidate.strikes[i].at
 	}
 	candidate.count()
 	return candidate
@@ -191,7 +204,7 @@
 
 // explains reports whether a candidate explains a good share of the ends between its first strike and its last.
 func (candidate *partCandidate) explains(endTimes map[dogwoodfleet.EndpointID]time.Time) bool {
-	strikes := candidate.record.strikes
+	strikes := candidate.strikes
 	if len(strikes) == maxPartStrikes {
 		strikes = strikes[:maxPartStrikes-1] // others were dropped before the last one
 	}
@@ -205,23 +218,48 @@
 	return len(candidate.ends)*minPartShare >= meanwhile
 }
 
-// isShown reports whether a candidate's ends are more than those of a pool in which no answer begins, whatever its part: it was
-// refused before, other answers began meanwhile, or endpoints ended while nothing else with the part ran.
-func (ledger *PartLedger) isShown(candidate *partCandidate) bool {
-	record := candidate.record
-	return record.shown || candidate.trialEnds() >= minTrialEnds ||
-		ledger.begins[candidate.part.Pool()].haveOthersSince(record.strikes[0].at, candidate.part)
+// evidence says what shows that a candidate's ends are more than those of a pool in which no answer begins, whatever its part.
+type evidence int
+
+const (
+	noEvidence evidence = iota
+	// uncertainTrials is that endpoints did not answer during trials.
+	uncertainTrials
+	// endedTrials is that endpoints ended while nothing else with the part ran. A part that all prompts have gets no better evidence,
+	// and its refusal rejects all of them.
+	endedTrials
+	// distinguished is that answers to prompts without the part began meanwhile, now or when it was refused before.
+	distinguished
+)
+
+func (ledger *PartLedger) evidence(candidate *partCandidate) evidence {
+	switch {
+	case candidate.record.shown, ledger.begins[candidate.part.Pool()].haveOthersSince(candidate.strikes[0].at, candidate.part):
+		return distinguished
+	case candidate.trialEnds(true) >= minTrialEnds:
+		return endedTrials
+	case candidate.trialEnds(false) >= minTrialEnds:
+		return uncertainTrials
+	default:
+		return noEvidence
+	}
 }
 
-// trialEnds counts the endpoints that ended during trials and that no refused part explains.
-func (candidate *partCandidate) trialEnds() int {
+// trialEnds counts the endpoints that ended during trials and that no refused part explains, or only those whose end is certain. If
+// an endpoint also ran a prompt with the part that was no trial, sent before the part was tried, that one may have ended it.
+func (candidate *partCandidate) trialEnds(certain bool) int {
 	ends := map[dogwoodfleet.EndpointID]bool{}
-	for i := range candidate.record.strikes {
-		strike := &candidate.record.strikes[i]
-		if _, ok := candidate.ends[strike.endpoint]; ok && strike.trial {
+	for i := range candidate.strikes {
+		strike := &candidate.strikes[i]
+		if _, ok := candidate.ends[strike.endpoint]; ok && strike.trial && (strike.confirmed || !certain) {
 			ends[strike.endpoint] = true
 		}
 	}
+	for i := range candidate.strikes {
+		if strike := &candidate.strikes[i]; !strike.trial {
+			delete(ends, strike.endpoint)
+		}
+	}
 	return len(ends)
 }
 
@@ -267,8 +305,8 @@
 func (candidate *partCandidate) independentEnds() []time.Time {
 	var ends []time.Time
 	counted := map[dogwoodfleet.Digest]bool{}
-	for i := range candidate.record.strikes {
-		strike := &candidate.record.strikes[i]
+	for i := range candidate.strikes {
+		strike := &candidate.strikes[i]
 		if _, ok := candidate.ends[strike.endpoint]; !ok || counted[strike.digest] {
 			continue
 		}
@@ -281,9 +319,9 @@
 	return ends
 }
 
-// refusal returns the refusal of a candidate that ended endpoints, always together with the others of its group. One that is not
-// shown is only tried.
-func (candidate *partCandidate) refusal(group []*partCandidate, ends []dogwoodfleet.EndpointID, isShown bool) PartRefusal {
+// refusal returns the refusal of a candidate that ended endpoints, always together with the others of its group. Without evidence
+// its prompts only run one at a time.
+func (candidate *partCandidate) refusal(group []*partCandidate, ends []dogwoodfleet.EndpointID, evidence evidence) PartRefusal {
 	refusal := PartRefusal{Part: candidate.part}
 	for _, member := range group {
 		if member != candidate {
@@ -293,8 +331,8 @@
 	slices.Sort(refusal.With)
 	customers := map[dogwoodfleet.Customer]bool{}
 	confirmed := map[dogwoodfleet.EndpointID]bool{}
-	for i := range candidate.record.strikes {
-		strike := &candidate.record.strikes[i]
+	for i := range candidate.strikes {
+		strike := &candidate.strikes[i]
 		customers[strike.customer] = true
 		if strike.confirmed {
 			confirmed[strike.endpoint] = true
@@ -309,14 +347,20 @@
 		}
 	}
 	slices.Sort(refusal.Cleared)
-	last := candidate.record.strikes[len(candidate.record.strikes)-1].at
+	last := candidate.strikes[len(candidate.strikes)-1].at
+	trialEnds := candidate.trialEnds(true)
 	switch {
-	case !isShown:
+	case evidence == noEvidence:
 		refusal.ProbationUntil = last.Add(ConvictionTTL)
 		return refusal
+	case evidence == uncertainTrials:
+		refusal.Until = last.Add(ProvisionalTTL)
+		return refusal
 	case len(confirmed) < minSharedEndpoints:
 		refusal.Until = last.Add(ProvisionalTTL)
-	case candidate.trialEnds() == 0:
+	case evidence == endedTrials:
+		refusal.Until, refusal.ProbationUntil = last.Add(trialPause(trialEnds)), candidate.record.expires
+	case trialEnds == 0:
 		refusal.Until, refusal.ProbationUntil = last.Add(firstPartRefusal), candidate.record.expires
 	default:
 		refusal.Until, refusal.ProbationUntil = last.Add(ConvictionTTL), candidate.record.expires
@@ -324,3 +368,13 @@
 	refusal.Ends = ends
 	return refusal
 }
+
+// trialPause returns how long a part that only trials speak against is refused after the last of them. An answer to a trial is the
+// only thing that can speak for it, so the first pauses are short.
+func trialPause(trialEnds int) time.Duration {
+	pause := ProvisionalTTL
+	for range trialEnds - minTrialEnds {
+		pause = min(2*pause, ConvictionTTL)
+	}
+	return pause
+}
--- a/core/decision/dogwoodsuspect/parts.go
+++ b/core/decision/dogwoodsuspect/parts.go
@@ -55,6 +55,11 @@
 	trial bool
 }
 
+// isVoid reports whether the end is not known to have happened: the endpoint of a trial gave no answer, and its entry stayed.
+func (strike *partStrike) isVoid(now time.Time) bool {
+	return strike.trial && !strike.confirmed && now.Sub(strike.at) >= ProvisionalTTL
+}
+
 // partRecord holds what is known of a part under which endpoints ended. An answer that begins to a customer's prompt removes
 // that customer's strikes.
 type partRecord struct {
@@ -62,10 +67,22 @@
 	// cleared holds the customers whose answers have begun since the first strike, and when the latest one did.
 	cleared map[dogwoodfleet.Customer]time.Time
 	expires time.Time
-	// shown is true once this daemon or another one has refused the part: the ends were no chance.
+	// shown is true once this daemon or another one has refused the part: the ends were no chance. An answer that begins after the
+	// last of them resets it.
 	shown bool
 }
 
+// latestAnswer returns when an answer to a prompt with the part last began since the first strike, zero if none did.
+func (record *partRecord) latestAnswer() time.Time {
+	var latest time.Time
+	for _, begun := range record.cleared {
+		if begun.After(latest) {
+			latest = begun
+		}
+	}
+	return latest
+}
+
 // PartLedger holds one daemon's records of parts of prompts. It is not safe for concurrent use.
 //
 // Load pattern: requests of which no two are alike share one part of their prompts, and each endpoint ends as it begins an
@@ -168,8 +185,8 @@
 			return
 		}
 	}
-	if notice.Refused {
-		ledger.markShown(found)
+	if notice.Refused && at.After(found.latestAnswer()) {
+		ledger.markShown(found) // its sender may not know of the latest answer yet
 	}
 	known := slices.IndexFunc(found.strikes, func(strike partStrike) bool {
 		return strike.endpoint == notice.Endpoint && strike.digest == notice.Digest
@@ -210,6 +227,11 @@
 	if found == nil || len(found.strikes) == 0 || begun.Before(found.strikes[0].at) {
 		return
 	}
+	if found.shown && begun.After(found.strikes[len(found.strikes)-1].at) {
+		// The part was refused beside others, or in error. Further ends have to show anew that it is the cause.
+		found.shown = false
+		ledger.version++
+	}
 	before := len(found.strikes)
 	found.strikes = slices.DeleteFunc(found.strikes, func(strike partStrike) bool {
 		return strike.customer == customer && strike.at.Before(begun)
@@ -304,11 +326,12 @@
 	return notices
 }
 
-// Confirm records that the ends of endpoints are certain.
-func (ledger *PartLedger) Confirm(isListed func(dogwoodfleet.EndpointID) bool) {
+// Confirm records that the ends of endpoints are certain. An endpoint that is no longer listed long after a trial there ended for
+// another reason.
+func (ledger *PartLedger) Confirm(now time.Time, isListed func(dogwoodfleet.EndpointID) bool) {
 	for _, record := range ledger.records {
 		for i := range record.strikes {
-			if strike := &record.strikes[i]; !strike.confirmed && !isListed(strike.endpoint) {
+			if strike := &record.strikes[i]; !strike.confirmed && !strike.isVoid(now) && !isListed(strike.endpoint) {
 				strike.confirmed = true
 				ledger.version++
 			}
--- a/core/decision/dogwoodsuspect/parts_test.go
+++ b/core/decision/dogwoodsuspect/parts_test.go
@@ -41,11 +41,16 @@
 
 // endedInTrial is ended under a request that was the only one with the part.
 func (partHistory *partHistory) endedInTrial(customer dogwoodfleet.Customer, parts ...dogwoodfleet.PromptPart) *partHistory {
+	return partHistory.trialBroke(true, customer, parts...)
+}
+
+// trialBroke records that a trial broke off. The end of its endpoint is confirmed or not.
+func (partHistory *partHistory) trialBroke(confirmed bool, customer dogwoodfleet.Customer, parts ...dogwoodfleet.PromptPart) *partHistory {
 	partHistory.now = partHistory.now.Add(time.Second)
 	partHistory.number++
 	subject := Subject{Digest: dogwoodfleet.Digest{byte(partHistory.number)}, Customer: customer, Parts: parts}
 	endpoint := dogwoodfleet.EndpointID(fmt.Sprint("e", partHistory.number))
-	partHistory.ledger.Learn(partHistory.now, []Notice{subject.PartStrikeNotice(endpoint, 0, true, true)})
+	partHistory.ledger.Learn(partHistory.now, []Notice{subject.PartStrikeNotice(endpoint, 0, confirmed, true)})
 	return partHistory
 }
 
@@ -195,6 +200,23 @@
 	byChance := func() *partHistory {
 		return others(newPartHistory().ended("a", popular).ended("b", popular)).ended("a", popular).ended("b", popular)
 	}
+	refusedTogether := func() *partHistory {
+		history := newPartHistory().ended("a", popular, crashing).ended("a", popular, crashing).ended("a", popular, crashing).othersBegan()
+		history.standing("a", popular, crashing)
+		for range keptBegins {
+			history.began("c", popular)
+		}
+		return history
+	}
+	refusedBeside := func() *partHistory {
+		history := others(newPartHistory()).ended("a", popular, crashing)
+		for range keptBegins {
+			history.began("c", popular)
+		}
+		history.ended("a", popular, crashing).ended("a", popular, crashing)
+		history.standing("a", popular, crashing)
+		return history
+	}
 	tests := []struct {
 		name    string
 		history *partHistory
@@ -222,6 +244,19 @@
 				ended("a", popular, crashing).ended("a", popular, crashing)).endedInTrial("a", popular, crashing).endedInTrial("c", popular, crashing),
 			Convicted, Suspect,
 		},
+		{
+			"three ends by chance after a refusal together with a crashing part and answers",
+			refusedTogether().ended("a", popular).ended("b", popular).ended("a", popular), Convicted, Suspect,
+		},
+		{
+			"an end by chance after a refusal together with a crashing part",
+			refusedBeside().ended("b", popular), Convicted, Suspect,
+		},
+		{
+			"trials beside earlier prompts with a crashing part, after four other ends",
+			newPartHistory().ended("a", popular).ended("b", popular).ended("a", popular).ended("b", popular).
+				endedInTrial("a", popular).beside(popular, crashing).endedInTrial("b", popular).beside(popular, crashing), Suspect, Suspect,
+		},
 		{
 			"an answer between earlier ends shows nothing",
 			others(newPartHistory().ended("b", popular)).ended("b", popular).ended("a", popular, crashing).ended("a", popular, crashing).
@@ -390,12 +425,67 @@
 	if got := history.standing("a", crashing); got != Clear {
 		t.Errorf("got %v later, want it clear", got)
 	}
-	history.ledger.Confirm(func(endpoint dogwoodfleet.EndpointID) bool { return endpoint != "a" && endpoint != "b" })
+	history.ledger.Confirm(history.now, func(endpoint dogwoodfleet.EndpointID) bool { return endpoint != "a" && endpoint != "b" })
 	if got := history.standing("a", crashing); got != Convicted {
 		t.Errorf("got %v after two ends are confirmed, want it refused", got)
 	}
 }
 
+// Load: endpoints are so slow that they answer neither the trials of a part of all prompts nor the question whether they still run.
+// Guards against taking that for their ends, which refused all prompts for ten minutes.
+func TestTrialsAtSilentEndpointsRefuseAPartOnlyForAMoment(t *testing.T) {
+	tests := []struct {
+		name string
+		// listed is false if the endpoints' entries go in time.
+		listed bool
+		want   Standing
+	}{
+		{"the endpoints stay", true, Suspect},
+		{"the endpoints ended", false, Convicted},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			history := newPartHistory().ended("a", popular).ended("b", popular).ended("a", popular).ended("b", popular).
+				trialBroke(false, "a", popular).trialBroke(false, "b", popular)
+			if got := history.standing("a", popular); got != Convicted {
+				t.Errorf("just after: got %v, want it refused", got)
+			}
+			history.now = history.now.Add(ProvisionalTTL / 2)
+			history.ledger.Confirm(history.now, func(dogwoodfleet.EndpointID) bool { return test.listed })
+			// The endpoints leave long after, and a later trial ends another one.
+			history.now = history.now.Add(ProvisionalTTL)
+			history.ledger.Confirm(history.now, func(dogwoodfleet.EndpointID) bool { return false })
+			history.endedInTrial("a", popular)
+			history.now = history.now.Add(ProvisionalTTL)
+			if got := history.standing("a", popular); got != test.want {
+				t.Errorf("later: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// Load: all prompts of a pool have a part, so that no answer to others can tell whether it ends endpoints. Guards against refusing
+// all of them for ten minutes because two trials met something else, and against trying a part that does end endpoints too often.
+func TestPausesOfAPartOfAllPromptsGrow(t *testing.T) {
+	history := newPartHistory().ended("a", popular).ended("b", popular).ended("a", popular).ended("b", popular).endedInTrial("a", popular)
+	for _, want := range []time.Duration{6 * time.Second, 12 * time.Second, 24 * time.Second, 48 * time.Second} {
+		history.endedInTrial("a", popular)
+		ended := history.now
+		history.now = ended.Add(want - time.Millisecond)
+		if got := history.standing("b", popular); got != Convicted {
+			t.Errorf("before %s: got %v, want it refused", want, got)
+		}
+		history.now = ended.Add(want)
+		if got := history.standing("b", popular); got != Suspect {
+			t.Errorf("after %s: got %v, want it tried", want, got)
+		}
+	}
+	history.began("a", popular)
+	if got := history.standing("a", popular); got != Clear {
+		t.Errorf("after an answer to a trial: got %v, want it clear", got)
+	}
+}
+
 // Guards against a hub that has just started and judges otherwise than the one whose ledger it has learnt, in any order.
 func TestPartNoticesCarryRefusals(t *testing.T) {
 	tests := []struct {
--- a/core/decision/dogwoodsuspect/partstanding.go
+++ b/core/decision/dogwoodsuspect/partstanding.go
@@ -44,7 +44,7 @@
 		if record == nil || now.After(record.expires) {
 			return false
 		}
-		candidate := newPartCandidate(part, record)
+		candidate := newPartCandidate(now, part, record)
 		return candidate.independent >= minPartEnds-1
 	})
 }
@@ -57,7 +57,7 @@
 		if now.After(record.expires) || len(record.strikes) < minPartEnds-1 {
 			continue
 		}
-		if candidate := newPartCandidate(part, record); candidate.independent >= minPartEnds-1 && !ledger.isShown(candidate) {
+		if candidate := newPartCandidate(now, part, record); candidate.independent >= minPartEnds-1 && ledger.evidence(candidate) < endedTrials {
 			undecided = append(undecided, part)
 		}
 	}
--- a/core/duty/dogwoodowner/part.go
+++ b/core/duty/dogwoodowner/part.go
@@ -237,9 +237,9 @@
 		changed = changed || known == nil || !known.Equal(&refusal)
 		if known == nil {
 			added = append(added, refusal.Part)
-			counters.Add("Convictions", 1)
-			owner.options.Logger.Warn("Prompts with a part are refused, since endpoints ended under them.", "part", refusal.Part,
-				"customers", refusal.Customers, "for", max(0, refusal.Until.Sub(now)), "endpoints", refusal.Ends)
+		}
+		if known == nil || known.IsTrial() && !refusal.IsTrial() {
+			owner.logPartRefusedLocked(&refusal, now)
 		}
 	}
 	for part := range owner.refusedParts {
@@ -258,6 +258,17 @@
 	return added
 }
 
+func (owner *Owner) logPartRefusedLocked(refusal *dogwoodsuspect.PartRefusal, now time.Time) {
+	if refusal.IsTrial() {
+		owner.options.Logger.Warn("Prompts with a part run one at a time, since endpoints ended under them.", "part", refusal.Part,
+			"customers", refusal.Customers)
+		return
+	}
+	counters.Add("Convictions", 1)
+	owner.options.Logger.Warn("Prompts with a part are refused, since endpoints ended under them.", "part", refusal.Part,
+		"customers", refusal.Customers, "for", refusal.Until.Sub(now), "endpoints", refusal.Ends)
+}
+
 // evictRefusedLocked removes the waiters whose prompts have parts that were just refused. Their calls are rejected, or queued
 // anew as suspects.
 func (owner *Owner) evictRefusedLocked(now time.Time) {
--- a/core/duty/dogwoodsuspects/ends.go
+++ b/core/duty/dogwoodsuspects/ends.go
@@ -61,7 +61,7 @@
 			duty.ledger.Confirm(endpoint)
 		}
 	}
-	duty.parts.Confirm(isListed)
+	duty.parts.Confirm(time.Now(), isListed)
 }
 
 // Condition is what is known of an endpoint after a run broke off.
--- a/core/duty/dogwoodsuspects/parts.go
+++ b/core/duty/dogwoodsuspects/parts.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		changed = true
-		if known == nil {
+		if known == nil || known.IsTrial() && !refusal.IsTrial() {
 			duty.logPartRefused(refusal, now)
 		}
 	}
@@ -45,6 +45,11 @@
 }
 
 func (duty *Duty) logPartRefused(refusal *dogwoodsuspect.PartRefusal, now time.Time) {
+	if refusal.IsTrial() {
+		duty.options.Logger.Warn("Prompts with a part run one at a time, since endpoints ended under them.", "part", refusal.Part,
+			"with", refusal.With, "customers", refusal.Customers)
+		return
+	}
 	counters.Add("PartConvictions", 1)
 	duty.options.Logger.Warn("Prompts with a part are refused, since endpoints ended under them.", "part", refusal.Part, "with", refusal.With,
 		"customers", refusal.Customers, "for", refusal.Until.Sub(now), "endpoints", refusal.Ends)
