--- a/core/decision/dogwoodsuspect/parts.go
+++ b/core/decision/dogwoodsuspect/parts.go
@@ -67,8 +67,8 @@
 	// cleared holds the customers whose answers have begun since the first strike, and when the latest one did.
 	cleared map[dogwoodfleet.Customer]time.Time
 	expires time.Time
-	// shown is true once this daemon or another one has refused the part: the ends were no chance. An answer that begins after the
-	// last of them resets it.
+	// shown is true once this daemon or another one has refused the part while answers to prompts without it began: the ends were no
+	// chance. An answer to a prompt with the part that begins after the last of them resets it.
 	shown bool
 }
 
