Don't add the ends of customers while a part is answered

Change: if an answer to anyone began between the latest three ends of a part, only customers with three ends of their own are refused.

--- a/core/decision/dogwoodsuspect/partrefusal.go
+++ b/core/decision/dogwoodsuspect/partrefusal.go
@@ -287,9 +287,10 @@
 	candidate.count()
 }
 
-// count counts the independent ends and determines whether the part was answered between the latest ones.
+// count counts the independent ends and determines whether the part was answered between the latest ones. If it was, not to all
+// customers it ends endpoints, so those of different customers show nothing together: the customer with the most of them counts.
 func (candidate *partCandidate) count() {
-	ends := candidate.independentEnds()
+	ends := candidate.independentEnds(anyCustomer)
 	candidate.independent, candidate.answered = len(ends), false
 	if len(ends) < minPartEnds {
 		return
@@ -298,16 +299,53 @@
 	for _, begun := range candidate.record.cleared {
 		candidate.answered = candidate.answered || begun.After(since)
 	}
+	if !candidate.answered {
+		return
+	}
+	candidate.independent = 0
+	for _, customer := range candidate.customers() {
+		candidate.independent = max(candidate.independent, len(candidate.independentEnds(of(customer))))
+	}
+}
+
+// customers returns the customers whose requests ended endpoints.
+func (candidate *partCandidate) customers() []dogwoodfleet.Customer {
+	customers := map[dogwoodfleet.Customer]bool{}
+	for i := range candidate.strikes {
+		customers[candidate.strikes[i].customer] = true
+	}
+	return slices.Sorted(maps.Keys(customers))
+}
+
+// blamed returns the customers whose prompts a refusal rejects, nil for all.
+func (candidate *partCandidate) blamed() []dogwoodfleet.Customer {
+	customers := candidate.customers()
+	if candidate.answered {
+		return slices.DeleteFunc(customers, func(customer dogwoodfleet.Customer) bool {
+			return len(candidate.independentEnds(of(customer))) < minPartEnds
+		})
+	}
+	if len(customers) > 1 {
+		return nil
+	}
+	return customers
 }
 
-// independentEnds returns the times of the ends under different requests at different moments: neither the copies and retries of
-// one request nor the endpoints of one rack count twice.
-func (candidate *partCandidate) independentEnds() []time.Time {
+// anyCustomer and of select the strikes of all customers and of one.
+func anyCustomer(dogwoodfleet.Customer) bool { return true }
+
+func of(customer dogwoodfleet.Customer) func(dogwoodfleet.Customer) bool {
+	return func(other dogwoodfleet.Customer) bool { return other == customer }
+}
+
+// independentEnds returns the times of the ends under different requests of the selected customers at different moments: neither the
+// copies and retries of one request nor the endpoints of one rack count twice.
+func (candidate *partCandidate) independentEnds(isSelected func(dogwoodfleet.Customer) bool) []time.Time {
 	var ends []time.Time
 	counted := map[dogwoodfleet.Digest]bool{}
 	for i := range candidate.strikes {
 		strike := &candidate.strikes[i]
-		if _, ok := candidate.ends[strike.endpoint]; !ok || counted[strike.digest] {
+		if _, ok := candidate.ends[strike.endpoint]; !ok || counted[strike.digest] || !isSelected(strike.customer) {
 			continue
 		}
 		if len(ends) > 0 && strike.at.Sub(ends[len(ends)-1]) < partMoment {
@@ -329,20 +367,16 @@
 		}
 	}
 	slices.Sort(refusal.With)
-	customers := map[dogwoodfleet.Customer]bool{}
 	confirmed := map[dogwoodfleet.EndpointID]bool{}
 	for i := range candidate.strikes {
-		strike := &candidate.strikes[i]
-		customers[strike.customer] = true
-		if strike.confirmed {
+		if strike := &candidate.strikes[i]; strike.confirmed {
 			confirmed[strike.endpoint] = true
 		}
 	}
-	if len(customers) == 1 {
-		refusal.Customers = slices.Collect(maps.Keys(customers))
-	}
+	refusal.Customers = candidate.blamed()
+	struck := candidate.customers()
 	for customer := range candidate.record.cleared {
-		if !customers[customer] {
+		if !slices.Contains(struck, customer) {
 			refusal.Cleared = append(refusal.Cleared, customer)
 		}
 	}
