Count an answer as given when its caller leaves with all of it

Cause: a caller that asks for the connection to be closed disconnects as soon as it has the last byte of an answer with a length. The answer's writer was marked as finished only after the reading side had ended the request, so if net/http saw the end of the connection before that, the relay stopped the writer and returned ErrCallerGone for an answer that had been written whole. It was logged as "Not answered." and counted under CallerGone. TestMetricsPageNamesEveryMetric failed because its one request was counted that way: "Request{Answered} count " never appeared, the metrics had "Request{CallerGone} count 1".

Change: when the caller leaves, the writer still reports that it has written all chunks, provided that none was discarded, and the request's outcome is that of the reading side. An answer of which a part was not written, or that was cut at a bound, has the outcome that it had.

Without the change, TestCallerThatLeavesWithTheWholeAnswerIsAnswered fails in three of its four cases.

--- a/core/duty/dogwoodrelay/answerbuffer.go
+++ b/core/duty/dogwoodrelay/answerbuffer.go
@@ -59,8 +59,9 @@
 	spare []byte
 	// blocked is true while the reader waits for bytes to be released; no spare chunk is kept then.
 	blocked bool
-	// ended is true once no further chunk follows, finished once all have been written.
-	ended, finished bool
+	// ended is true once no further chunk follows, dropped if chunks were discarded before they were written, and finished
+	// once the writer has returned after all chunks.
+	ended, dropped, finished bool
 	// err is why the writer stopped early; nil if it did not.
 	err error
 	// waitsForReader is true while the writer has nothing to write, and behindSince the end of the last such time.
@@ -312,7 +313,8 @@
 			return chunk, true
 		}
 		buffer.waitsForReader = true
-		buffer.finished = buffer.ended && buffer.err == nil
+		// A caller that has the whole answer may disconnect before the endpoint's end of the answer has been seen.
+		buffer.finished = buffer.ended && buffer.err == nil || errors.Is(buffer.err, ErrCallerGone) && !buffer.dropped
 		done := buffer.ended || buffer.err != nil
 		buffer.mutex.Unlock()
 		if done {
@@ -343,6 +345,7 @@
 		buffer.mutex.Unlock()
 		return false
 	}
+	buffer.dropped = buffer.queue.last() != nil
 	buffer.err, buffer.queue, buffer.spare = err, chunkQueue{}, nil
 	buffer.mutex.Unlock()
 	buffer.account.Close()
@@ -381,6 +384,8 @@
 	buffer.mutex.Lock()
 	defer buffer.mutex.Unlock()
 	switch {
+	case err == nil && buffer.finished:
+		return nil
 	case buffer.err != nil && (buffer.begun || errors.Is(buffer.err, ErrCut)):
 		return buffer.err
 	case buffer.begun && err != nil && !errors.Is(err, ErrCut):
--- a/core/duty/dogwoodrelay/slowcaller_test.go
+++ b/core/duty/dogwoodrelay/slowcaller_test.go
@@ -18,6 +18,7 @@
 
 	"dogwoodmux.example/core/decision/dogwoodbuffer"
 	"dogwoodmux.example/core/decision/dogwoodroute"
+	"dogwoodmux.example/core/decision/dogwoodsuspect"
 	"dogwoodmux.example/core/dogwoodkernel"
 )
 
@@ -302,6 +303,83 @@
 	}
 }
 
+// leavingCaller disconnects once it has received a number of bytes.
+type leavingCaller struct {
+	recorder
+	after int
+	leave context.CancelFunc
+	// isSeenLate is true if the daemon sees only after the write that the caller has left.
+	isSeenLate bool
+	left       chan struct{}
+	once       sync.Once
+}
+
+func (caller *leavingCaller) Write(data []byte) error {
+	if isDone(caller.left) {
+		return errors.New("reset")
+	}
+	err := caller.recorder.Write(data)
+	if caller.body.Len() >= caller.after {
+		caller.leave()
+		if !caller.isSeenLate {
+			<-caller.left
+		}
+	}
+	return err
+}
+
+func (caller *leavingCaller) Abort() { caller.once.Do(func() { close(caller.left) }) }
+
+func isDone(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
+// slowSuspects takes note of the end of a request only once its caller has left.
+type slowSuspects struct{ Suspects }
+
+func (slow slowSuspects) Finished(ctx context.Context, subject *dogwoodsuspect.Subject) {
+	<-ctx.Done()
+	slow.Suspects.Finished(ctx, subject)
+}
+
+// Guards against an answer that is counted and logged as not delivered since its caller, which has all of it, closes the
+// connection before the daemon has ended the request, and against one that is counted as delivered without its last part.
+func TestCallerThatLeavesWithTheWholeAnswerIsAnswered(t *testing.T) {
+	const large = 2 * maxWriteBytes
+	tests := []struct {
+		name       string
+		bytes      int
+		after      int
+		isSeenLate bool
+		want       error
+	}{
+		{"after the write", 10, 10, true, nil},
+		{"during the write", 10, 10, false, nil},
+		{"during the last of several writes", large, large, false, nil},
+		{"before the last write", large, maxWriteBytes, false, ErrCallerGone},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runRelayTest(t, testEngine, []step{responds(200, strings.Repeat("x", test.bytes))}, func(t *testing.T, fixture *fixture) {
+				fixture.relay.options.Suspects = slowSuspects{fixture.suspects}
+				ctx, leave := context.WithCancel(t.Context())
+				caller := &leavingCaller{after: test.after, leave: leave, isSeenLate: test.isSeenLate, left: make(chan struct{})}
+				if err := fixture.relay.Serve(ctx, plainRequest(dogwoodroute.Once), caller); !errors.Is(err, test.want) {
+					t.Errorf("got %v, want %v", err, test.want)
+				}
+				if got := fixture.held(); got != 0 {
+					t.Errorf("got %d bytes still held, want none", got)
+				}
+			})
+		})
+	}
+}
+
 // failingCaller fails at a write.
 type failingCaller struct{ recorder }
 
