Take placements that never ran out of the use by rank and customer

A rank with many of these became due later than it should.

Change: the relay ends such a try with Places.Cancel instead of End. The board takes its use out of the ledger, at the time for which it was counted, as each announcement converts that time anew. Batch has the field NotRun with the IDs of such work; it is queued again after a failed announcement, and a hub forwards that of its leaves. A leaf is not told of other daemons' placements that never ran: they count there until they are older than the window.

--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -59,6 +59,8 @@
 	Writing bool
 	// Until is the latest time at which the work can end. Work of a peer that died expires then.
 	Until time.Time
+	// countedAt is the time for which its use was counted; zero if it does not count. Each announcement converts Begun anew.
+	countedAt time.Time
 }
 
 // Endpoint is an endpoint as recorded in the store.
@@ -209,11 +211,13 @@
 	board.workByID[work.ID] = &work
 	board.rankCount(&work).add(now)
 	board.attach(&work)
-	if !known {
-		board.shares.record(now, &work, string(work.Holder) == board.owner)
+	if known {
+		work.countedAt = before.countedAt
+	} else {
+		board.shares.record(now, &work, board.isOwn(&work))
 	}
 	if state := board.endpoints[work.Endpoint]; state != nil && !known {
-		own := string(work.Holder) == board.owner
+		own := board.isOwn(&work)
 		state.recordSend(now, own)
 		if own {
 			board.ownSends = append(board.ownSends, now)
@@ -226,6 +230,22 @@
 	}
 }
 
+// isOwn reports whether this daemon placed the work.
+func (board *Board) isOwn(work *Work) bool { return string(work.Holder) == board.owner }
+
+// RemoveUse takes work that never ran out of the use of its customer and its rank.
+func (board *Board) RemoveUse(now time.Time, id WorkID) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	work := board.workByID[id]
+	if work == nil {
+		work = board.shares.dropped[id]
+	}
+	if work != nil {
+		board.shares.remove(now, work, board.isOwn(work))
+	}
+}
+
 // Remove drops work of another daemon that has ended.
 func (board *Board) Remove(id WorkID) {
 	board.mutex.Lock()
@@ -281,7 +301,7 @@
 	}
 	// Work that has ended is dropped first. If the new work were counted beside it, each view would raise the peaks of all ranks.
 	for id, work := range board.workByID {
-		if string(work.Holder) != board.owner && !listed[id] {
+		if !board.isOwn(work) && !listed[id] {
 			board.shares.recordDropped(work)
 			board.detach(id)
 		}
--- a/core/decision/dogwoodpacking/shares.go
+++ b/core/decision/dogwoodpacking/shares.go
@@ -21,14 +21,15 @@
 // guarded by the board's mutex.
 type shares struct {
 	ledgers map[dogwoodfleet.Service]*dogwoodshare.Ledger
-	// dropped holds when work was sent that was dropped without its end having been announced, such as the work of a peer
-	// whose link broke. If it comes back it must not count a second time.
-	dropped map[WorkID]time.Time
+	// dropped holds work that was dropped without its end having been announced, such as the work of a peer whose link broke.
+	// If it comes back it must not count a second time.
+	dropped map[WorkID]*Work
 }
 
 // record counts work that is put on the board for the first time.
 func (shares *shares) record(now time.Time, work *Work, own bool) {
-	if _, counted := shares.dropped[work.ID]; counted {
+	if dropped := shares.dropped[work.ID]; dropped != nil {
+		work.countedAt = dropped.countedAt
 		return
 	}
 	ledger := shares.ledgers[work.Service]
@@ -37,9 +38,23 @@
 			return
 		}
 	}
-	ledger.Record(now, dogwoodshare.Use{
-		Customer: work.Customer, Rank: work.Rank, Time: work.Reading * time.Duration(1+len(work.Helpers)), At: work.Begun, Own: own,
-	})
+	work.countedAt = work.Begun
+	ledger.Record(now, work.use(own))
+}
+
+// remove takes work that never ran out of its service's ledger, once.
+func (shares *shares) remove(now time.Time, work *Work, own bool) {
+	if ledger := shares.ledgers[work.Service]; ledger != nil && !work.countedAt.IsZero() {
+		ledger.Remove(now, work.use(own))
+		work.countedAt = time.Time{}
+	}
+}
+
+// use returns the engine time for which counted work counts.
+func (work *Work) use(own bool) dogwoodshare.Use {
+	return dogwoodshare.Use{
+		Customer: work.Customer, Rank: work.Rank, Time: work.Reading * time.Duration(1+len(work.Helpers)), At: work.countedAt, Own: own,
+	}
 }
 
 // open adds a ledger. It returns nil if there are too many that are in use.
@@ -73,17 +88,17 @@
 // recordDropped remembers counted work that is dropped although it may not have ended.
 func (shares *shares) recordDropped(work *Work) {
 	if shares.dropped == nil {
-		shares.dropped = map[WorkID]time.Time{}
+		shares.dropped = map[WorkID]*Work{}
 	}
 	if len(shares.dropped) < maxDroppedWorks {
-		shares.dropped[work.ID] = work.Begun
+		shares.dropped[work.ID] = work
 	}
 }
 
 // forgetDropped forgets dropped work that would no longer count.
 func (shares *shares) forgetDropped(now time.Time) {
-	for id, begun := range shares.dropped {
-		if now.Sub(begun) > dogwoodshare.Window {
+	for id, work := range shares.dropped {
+		if now.Sub(work.Begun) > dogwoodshare.Window {
 			delete(shares.dropped, id)
 		}
 	}
--- a/core/decision/dogwoodpacking/shares_test.go
+++ b/core/decision/dogwoodpacking/shares_test.go
@@ -118,6 +118,45 @@
 	}
 }
 
+// Guards against work that never ran that still counts since it was announced again with another time, or since its peer's link broke
+// before the removal, and against a removal that counts twice.
+func TestWorkThatNeverRanDoesNotCount(t *testing.T) {
+	tests := []struct {
+		name string
+		act  func(board *Board, now time.Time, work Work)
+	}{
+		{"on the board", func(*Board, time.Time, Work) {}},
+		{"announced again", func(board *Board, now time.Time, work Work) {
+			work.Begun = work.Begun.Add(300 * time.Millisecond)
+			board.Put(now, work)
+		}},
+		{"link broken", func(board *Board, _ time.Time, _ Work) { board.RemoveHolder("peer", nil) }},
+		{"link broken and back", func(board *Board, now time.Time, work Work) {
+			board.RemoveHolder("peer", nil)
+			work.Begun = work.Begun.Add(300 * time.Millisecond)
+			board.Put(now, work)
+		}},
+		{"removed twice", func(board *Board, now time.Time, work Work) { board.RemoveUse(now, work.ID) }},
+	}
+	for _, test := range tests {
+		board, now := pool(2), time.Now()
+		work, ran := peerWork("w", "a", now, time.Second), peerWork("ran", "b", now, time.Second)
+		ran.Holder = "other"
+		board.Put(now, ran)
+		board.Put(now, work)
+		now = now.Add(500 * time.Millisecond)
+		test.act(board, now, work)
+		board.RemoveUse(now, work.ID)
+		want := []dogwoodshare.RankUse{{Used: time.Second, Starts: 1}}
+		if got := board.RankUses(now, "models"); !slices.Equal(got, want) {
+			t.Errorf("%s: got %v, want %v", test.name, got, want)
+		}
+		if got := usedBy(board, now, "a"); got != 0 {
+			t.Errorf("%s: got %s used, want 0", test.name, got)
+		}
+	}
+}
+
 // Guards against ledgers that grow with the services that peers announce.
 func TestLedgersAreBounded(t *testing.T) {
 	board, now := pool(1), time.Now()
--- a/core/decision/dogwoodshare/ledger.go
+++ b/core/decision/dogwoodshare/ledger.go
@@ -74,15 +74,10 @@
 
 // Record adds use. Use that is learnt late counts at the time at which it began.
 func (ledger *Ledger) Record(now time.Time, use Use) {
-	ledger.advance(now)
-	slot := min(ledger.slotOf(use.At), ledger.slot)
-	if slot <= ledger.slot-slotCount {
+	slot, took, recent := ledger.locate(now, &use)
+	if !recent {
 		return
 	}
-	took := use.Time
-	if took <= 0 {
-		took = UnknownTime
-	}
 	ledger.recordRank(&use, slot, took)
 	if use.Customer == "" {
 		return
@@ -100,6 +95,41 @@
 	rank.squareSum += square
 }
 
+// locate returns the slot and the engine time of a use, and false if it is older than Window.
+func (ledger *Ledger) locate(now time.Time, use *Use) (slot int64, took time.Duration, recent bool) {
+	ledger.advance(now)
+	slot, took = min(ledger.slotOf(use.At), ledger.slot), use.Time
+	if took <= 0 {
+		took = UnknownTime
+	}
+	return slot, took, slot > ledger.slot-slotCount
+}
+
+// Remove takes back use that was recorded with the same values, as its request never ran. An account that was dropped in the meantime
+// may hold less than that.
+func (ledger *Ledger) Remove(now time.Time, use Use) {
+	slot, took, recent := ledger.locate(now, &use)
+	if !recent {
+		return
+	}
+	ledger.removeRank(&use, slot, took)
+	rank := ledger.ranks[use.Rank]
+	if rank == nil || rank.accounts[use.Customer] == nil {
+		return
+	}
+	account, i := rank.accounts[use.Customer], indexOf(slot)
+	square := min(took.Seconds()*took.Seconds(), rank.squares[i])
+	rank.squares[i] -= square
+	rank.squareSum = max(rank.squareSum-square, 0)
+	took = min(took, account.slots[i])
+	account.slots[i] -= took
+	account.used -= took
+	rank.total -= took
+	if account.used == 0 {
+		ledger.drop(use.Rank, use.Customer)
+	}
+}
+
 // open adds an account, in place of the one with the least use if there are too many: the customers with the most use are
 // those that the ledger must know.
 func (ledger *Ledger) open(number int, customer dogwoodfleet.Customer) *rankUse {
--- a/core/decision/dogwoodshare/ledger_test.go
+++ b/core/decision/dogwoodshare/ledger_test.go
@@ -83,6 +83,42 @@
 	}
 }
 
+// Guards against use of requests that never ran that stays with their rank or their customer, and against removals that take away
+// other requests' use.
+func TestRemovedUseDoesNotCount(t *testing.T) {
+	now := time.Now()
+	other := Use{Customer: "b", Rank: 2, Time: time.Second, At: now, Own: true}
+	tests := []struct {
+		name    string
+		removed Use
+		// after is the time from the recording to the removal.
+		after time.Duration
+		want  []RankUse
+	}{
+		{"own", Use{Customer: "a", Rank: 2, Time: 3 * time.Second, At: now, Own: true}, 0, []RankUse{{Rank: 2, Used: time.Second, Own: time.Second, Starts: 1}}},
+		{"another daemon's", Use{Customer: "a", Rank: 2, Time: 3 * time.Second, At: now}, time.Second, []RankUse{{Rank: 2, Used: time.Second, Own: time.Second, Starts: 1}}},
+		{"the only one of its rank", Use{Customer: "a", Rank: 1, At: now}, 0, []RankUse{{Rank: 2, Used: time.Second, Own: time.Second, Starts: 1}}},
+		{"without a customer", Use{Rank: 2, Time: time.Second, At: now}, 0, []RankUse{{Rank: 2, Used: time.Second, Own: time.Second, Starts: 1}}},
+		{"older than the window", Use{Customer: "a", Rank: 2, At: now}, Window, nil},
+	}
+	for _, test := range tests {
+		ledger := &Ledger{}
+		ledger.Record(now, other)
+		ledger.Record(now, test.removed)
+		later := now.Add(test.after)
+		ledger.Remove(later, test.removed)
+		if got := ledger.RankUses(later); !slices.Equal(got, test.want) {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+		if got, want := ledger.Excess(later, "b", 2), float64(len(test.want)); got != want {
+			t.Errorf("%s: got an excess of %g for the other customer, want %g", test.name, got, want)
+		}
+		if got := ledger.Excess(later, "a", test.removed.Rank); got != 0 {
+			t.Errorf("%s: got an excess of %g, want 0", test.name, got)
+		}
+	}
+}
+
 // Guards against a customer whose key was withdrawn, and that therefore sends nothing more, but lowers the others' shares
 // for ever, and against one that is punished for longer than the window.
 func TestUseIsForgotten(t *testing.T) {
--- a/core/decision/dogwoodshare/rankuse.go
+++ b/core/decision/dogwoodshare/rankuse.go
@@ -53,6 +53,27 @@
 	}
 }
 
+// removeRank takes use back from its rank.
+func (ledger *Ledger) removeRank(use *Use, slot int64, took time.Duration) {
+	total, i := ledger.totals[use.Rank], indexOf(slot)
+	if total == nil || total.startSlots[i] == 0 {
+		return
+	}
+	total.starts--
+	total.startSlots[i]--
+	took = min(took, total.usedSlots[i])
+	total.used -= took
+	total.usedSlots[i] -= took
+	if use.Own {
+		took = min(took, total.ownSlots[i])
+		total.own -= took
+		total.ownSlots[i] -= took
+	}
+	if total.used == 0 {
+		delete(ledger.totals, use.Rank)
+	}
+}
+
 // forgetRanks forgets the ranks' use in the slots from one to another.
 func (ledger *Ledger) forgetRanks(first, latest int64) {
 	for rank, total := range ledger.totals {
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -103,9 +103,11 @@
 	Leaves, Requests int
 	Items            []Item
 	Ended            []dogwoodpacking.WorkID
-	Avoid            []Avoid
-	Paces            []Pace
-	Limits           []Limit
+	// NotRun lists the ended work that never ran and does not count as use.
+	NotRun []dogwoodpacking.WorkID
+	Avoid  []Avoid
+	Paces  []Pace
+	Limits []Limit
 }
 
 // Options configure a Duty.
@@ -306,6 +308,17 @@
 	}
 }
 
+// Cancel records the end of a request that never ran and announces it. The request then does not count as use.
+func (duty *Duty) Cancel(id dogwoodpacking.WorkID) {
+	duty.options.Board.RemoveUse(time.Now(), id)
+	duty.mutex.Lock()
+	for _, link := range duty.links {
+		link.endNotRun(id)
+	}
+	duty.mutex.Unlock()
+	duty.End(id)
+}
+
 // Failed records that an endpoint failed a request of this daemon.
 func (duty *Duty) Failed(now time.Time, endpoint dogwoodfleet.EndpointID) {
 	duty.options.Board.Failed(now, endpoint)
--- a/core/duty/dogwoodboard/link.go
+++ b/core/duty/dogwoodboard/link.go
@@ -30,6 +30,8 @@
 	failed bool
 	works  map[dogwoodpacking.WorkID]dogwoodpacking.Work
 	ended  []dogwoodpacking.WorkID
+	// notRun holds the ended work that never ran.
+	notRun []dogwoodpacking.WorkID
 	// avoided holds the endpoints to avoid, and until when.
 	avoided map[dogwoodfleet.EndpointID]time.Time
 	paces   map[dogwoodfleet.EndpointID]float64
@@ -61,6 +63,15 @@
 	link.signal()
 }
 
+// endNotRun queues that work never ran, without a signal: end follows.
+func (link *link) endNotRun(id dogwoodpacking.WorkID) {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	if len(link.notRun) < maxQueuedEnds {
+		link.notRun = append(link.notRun, id)
+	}
+}
+
 func (link *link) avoid(avoid Avoid) {
 	link.mutex.Lock()
 	link.avoidUntil(avoid.Endpoint, time.Now().Add(avoid.For))
@@ -109,6 +120,7 @@
 	whole   bool
 	works   []dogwoodpacking.Work
 	ended   []dogwoodpacking.WorkID
+	notRun  []dogwoodpacking.WorkID
 	avoided map[dogwoodfleet.EndpointID]time.Time
 	paces   []Pace
 	limits  map[dogwoodfleet.EndpointID]dogwoodpacking.EndpointLimit
@@ -118,7 +130,7 @@
 func (link *link) drain() updates {
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
-	drained := updates{whole: link.whole, ended: link.ended, avoided: maps.Clone(link.avoided), limits: maps.Clone(link.limits)}
+	drained := updates{whole: link.whole, ended: link.ended, notRun: link.notRun, avoided: maps.Clone(link.avoided), limits: maps.Clone(link.limits)}
 	for _, work := range link.works {
 		drained.works = append(drained.works, work)
 	}
@@ -129,7 +141,7 @@
 	clear(link.avoided)
 	clear(link.paces)
 	clear(link.limits)
-	link.whole, link.failed, link.ended = false, false, nil
+	link.whole, link.failed, link.ended, link.notRun = false, false, nil, nil
 	return drained
 }
 
@@ -153,6 +165,10 @@
 	if excess := len(link.ended) - maxQueuedEnds; excess > 0 {
 		link.ended = link.ended[excess:]
 	}
+	link.notRun = append(failed.notRun, link.notRun...)
+	if excess := len(link.notRun) - maxQueuedEnds; excess > 0 {
+		link.notRun = link.notRun[excess:]
+	}
 	for endpoint, until := range failed.avoided {
 		link.avoidUntil(endpoint, until)
 	}
@@ -224,7 +240,7 @@
 func (duty *Duty) newBatch(drained updates) Batch {
 	now := time.Now()
 	batch := Batch{
-		From: duty.options.Self, Sequence: duty.sequence.Add(1), Whole: drained.whole, Serves: duty.options.Serves(), Ended: drained.ended, Paces: drained.paces,
+		From: duty.options.Self, Sequence: duty.sequence.Add(1), Whole: drained.whole, Serves: duty.options.Serves(), Ended: drained.ended, NotRun: drained.notRun, Paces: drained.paces,
 		Requests: duty.options.Board.RecentOwnSends(now),
 	}
 	if duty.options.Leaves != nil {
--- a/core/duty/dogwoodboard/receiver.go
+++ b/core/duty/dogwoodboard/receiver.go
@@ -50,6 +50,9 @@
 	for _, work := range works {
 		board.Put(now, work)
 	}
+	for _, id := range batch.NotRun { // before the work itself is dropped
+		board.RemoveUse(now, id)
+	}
 	if batch.Whole {
 		batch.Ended = append(batch.Ended, board.RemoveHolder(batch.From, listed)...)
 	}
@@ -102,6 +105,9 @@
 		for _, work := range works {
 			link.put(work)
 		}
+		for _, id := range batch.NotRun {
+			link.endNotRun(id)
+		}
 		for _, id := range batch.Ended {
 			link.end(id)
 		}
--- a/core/duty/dogwoodboard/shares_test.go
+++ b/core/duty/dogwoodboard/shares_test.go
@@ -86,3 +86,53 @@
 		}
 	})
 }
+
+// Guards against a placement that never ran and still counts at some daemons: at those to which a leaf's hub forwards, or at one that
+// the announcement did not reach at first.
+func TestPlacementThatNeverRanCountsNowhere(t *testing.T) {
+	tests := []struct {
+		name string
+		// from is the daemon that places; daemon 2 is a leaf.
+		from   int
+		cancel func(duty *Duty, mesh *mesh)
+	}{
+		{"a hub's", 0, func(duty *Duty, _ *mesh) { duty.Cancel("w") }},
+		{"a leaf's", 2, func(duty *Duty, _ *mesh) { duty.Cancel("w") }},
+		{"while the links are broken", 0, func(duty *Duty, mesh *mesh) {
+			mesh.setCut(true)
+			duty.Cancel("w")
+			time.Sleep(2 * announceTimeout)
+			mesh.setCut(false)
+		}},
+		{"a leaf's while the links are broken", 2, func(duty *Duty, mesh *mesh) {
+			mesh.setCut(true)
+			duty.Cancel("w")
+			time.Sleep(2 * announceTimeout)
+			mesh.setCut(false)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runMesh(t, 3, func(t *testing.T, nodes []*node, mesh *mesh) {
+				mesh.makeLeaf()
+				nodes[test.from].placeFor("a", "w")
+				nodes[test.from].placeFor("b", "ran")
+				time.Sleep(20 * time.Millisecond)
+				test.cancel(nodes[test.from].duty, mesh)
+				nodes[test.from].duty.End("ran")
+				time.Sleep(2 * failureBackoff)
+				for i, node := range nodes {
+					if i == 2 && test.from != 2 {
+						continue // a leaf without requests fetches no view
+					}
+					if got := node.used("a"); got != 0 {
+						t.Errorf("daemon %d: got %s used, want 0", i, got)
+					}
+					if got, want := node.used("b"), dogwoodshare.UnknownTime; got != want {
+						t.Errorf("daemon %d: got %s used by what ran, want %s", i, got, want)
+					}
+				}
+			})
+		})
+	}
+}
--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -162,6 +162,11 @@
 	places.Board.Backoff(now, endpoint, until)
 }
 
+func (places places) Cancel(id dogwoodpacking.WorkID) {
+	places.Board.RemoveUse(time.Now(), id)
+	places.Board.End(id)
+}
+
 func (places places) Leave(now time.Time, endpoint *dogwoodfleet.Endpoint) {
 	places.Board.Leave(now, endpoint)
 }
--- a/core/duty/dogwoodrelay/place.go
+++ b/core/duty/dogwoodrelay/place.go
@@ -51,7 +51,7 @@
 			return placementRequest, placement, nil
 		}
 		counters.Add("Conflicts", 1)
-		places.End(placementRequest.ID)
+		places.Cancel(placementRequest.ID)
 	}
 }
 
@@ -112,7 +112,7 @@
 		return placement, attempt.placementError(refusal)
 	}
 	if placement.Predicted > dogwoodwaiting.CallerTimeLeft(time.Now(), &waiter.request) {
-		attempt.relay.options.Places.End(waiter.placementRequest.ID)
+		attempt.relay.options.Places.Cancel(waiter.placementRequest.ID)
 		return placement, attempt.newFailure(dogwoodfleet.ReasonLimit, dogwoodkernel.Jittered(fullRetryAfter),
 			fmt.Sprintf("the first event would come after %s", placement.Predicted))
 	}
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -171,6 +171,8 @@
 	RecordPace(endpoint dogwoodfleet.EndpointID, pause time.Duration)
 	// End drops work that has ended.
 	End(id dogwoodpacking.WorkID)
+	// Cancel drops work that never ran, which then does not count as use.
+	Cancel(id dogwoodpacking.WorkID)
 	// Failed records that an endpoint failed a request.
 	Failed(now time.Time, endpoint dogwoodfleet.EndpointID)
 	// Avoid assigns an endpoint no new work for the duration, unless no other is available.
--- a/core/duty/dogwoodrelay/reserve.go
+++ b/core/duty/dogwoodrelay/reserve.go
@@ -34,7 +34,7 @@
 	defer func() {
 		if !complete {
 			reservation.releaseInBackground(ctx)
-			relay.options.Places.End(id)
+			relay.options.Places.Cancel(id)
 		}
 	}()
 	for i, helper := range placement.Helpers {
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -100,7 +100,7 @@
 // releaseEngines releases the slot and the helpers' memory of a run that has failed.
 func (run *run) releaseEngines(ctx context.Context) {
 	run.reservation.close(ctx)
-	run.attempt.relay.options.Places.End(run.id)
+	run.end()
 }
 
 // next returns the next event, or errStreamEnded after the last one. The first call sends the request.
@@ -161,15 +161,18 @@
 
 // open sends the request. It returns errUnusable if the response is not an answer.
 func (run *run) open() error {
+	run.mayHaveRun = true
 	response, err := run.send()
 	var unsent *NotSent
 	if errors.As(err, &unsent) {
+		run.mayHaveRun = false
 		run.retry.Unsend()
 	}
 	if err != nil {
 		return run.withCause(err)
 	}
 	run.response, run.events = response, newEventReader(response.Body)
+	run.mayHaveRun = !response.NotRun && !response.OtherInstance
 	run.recordLimit()
 	run.recordBackoff()
 	run.recordLeaving()
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -208,15 +208,26 @@
 	permit          *dogwoodsuspects.Permit
 	// retry is the retry that the try uses; nil for a first try.
 	retry *dogwoodretry.Retry
+	// mayHaveRun is true from the time when it is sent, unless the endpoint was not reached or did not begin.
+	mayHaveRun bool
 }
 
 // close releases the slot, the memory and the permit.
 func (preparedTry *preparedTry) close(ctx context.Context) {
 	preparedTry.reservation.close(ctx)
-	preparedTry.attempt.relay.options.Places.End(preparedTry.id)
+	preparedTry.end()
 	preparedTry.permit.Return(ctx)
 }
 
+// end releases the slot.
+func (preparedTry *preparedTry) end() {
+	if places := preparedTry.attempt.relay.options.Places; preparedTry.mayHaveRun {
+		places.End(preparedTry.id)
+	} else {
+		places.Cancel(preparedTry.id)
+	}
+}
+
 // try places the request, sends it and forwards the answer. Another run may take over.
 func (attempt *attempt) try(ctx context.Context) tryResult {
 	preparedTry, failed := attempt.prepare(ctx)
