Grant at once what refused parts free, and check only waiters that have them

Cause: when notices of other owners or answers that begin refused a part, the waiters with it were evicted, but endpoints that were reserved for them stayed reserved until the next release or report. Each change of a refusal checked every waiter under the owner's lock, and made the names of all parts of its prompt. The counter Parts.Trials counted requests that asked for a permit, also again when they started over, and those that never ran.

Change: Learn and Began grant after evictions, those for digests included. The owner records which waiters have a refused part; only those of parts whose refusals are new, changed or gone are checked. A part that was not refused before is compared with one block of each waiter's prompt. Trials counts a run with a permit to try a part when it ends, unless the endpoint refused it. The run of a grant whose endpoint moves to another owner counts then, since the new owner does not know the permit.

--- a/core/duty/dogwoodowner/acquire.go
+++ b/core/duty/dogwoodowner/acquire.go
@@ -20,6 +20,7 @@
 	suspect        bool
 	// gates are the digests for which a suspect needs permits, its own, a part's or both, and permits those that it has.
 	gates, permits []dogwoodfleet.Digest
+	subject        *dogwoodsuspect.Subject // nil until promptSubject has made it
 	lane           *lane
 	reserved       *endpoint // the endpoint that is being cleared for this waiter
 	outcomes       chan outcome
@@ -36,11 +37,13 @@
 // reject ends the wait with a refusal. The channel's buffer holds the waiter's only outcome,
 // so the send doesn't block.
 func (waiter *waiter) reject(refusal *Refusal) {
-	waiter.cancelReservation()
+	waiter.stopWaiting()
 	waiter.outcomes <- outcome{refusal: refusal}
 }
 
-func (waiter *waiter) cancelReservation() {
+// stopWaiting removes what the owner keeps of a waiter beside its place in a queue.
+func (waiter *waiter) stopWaiting() {
+	waiter.lane.owner.partWaiters.remove(waiter)
 	if waiter.reserved != nil && waiter.reserved.reservation != nil && waiter.reserved.reservation.waiter == waiter {
 		waiter.reserved.reservation = nil
 	}
@@ -176,7 +179,7 @@
 	if standing == dogwoodsuspect.Convicted {
 		return refusalSuspect(now, until)
 	}
-	partRefusal, partStanding := owner.partStandingLocked(now, request)
+	partRefusal, partStanding := owner.partStandingLocked(now, prepared)
 	if partStanding == dogwoodsuspect.Convicted {
 		counters.Add("Refused", 1)
 		return refusalPart(now, partRefusal)
@@ -185,7 +188,6 @@
 		return nil
 	}
 	if partStanding == dogwoodsuspect.Suspect {
-		counters.Add("Trials", 1)
 		prepared.gates = append(prepared.gates, dogwoodsuspect.PartGate(partRefusal.Part))
 	}
 	if standing == dogwoodsuspect.Suspect {
@@ -217,6 +219,7 @@
 		lane.baselineQueue = append(lane.baselineQueue, arrived)
 	case arrived.suspect:
 		lane.suspects = append(lane.suspects, arrived)
+		owner.partWaiters.add(arrived)
 	case arrived.acquireRequest.Pin != "":
 		lane.members = append(lane.members, arrived)
 	default:
@@ -234,6 +237,7 @@
 				Detail: "predicted wait " + verdict.Wait.Round(time.Millisecond).String(),
 			}
 		}
+		owner.partWaiters.add(arrived)
 	}
 	lane.grantWaiting(now)
 	return nil
--- a/core/duty/dogwoodowner/grant.go
+++ b/core/duty/dogwoodowner/grant.go
@@ -38,6 +38,14 @@
 	return slices.ContainsFunc(grant.permits, func(gate dogwoodfleet.Digest) bool { return gate != grant.request.Digest })
 }
 
+// countTrial counts the run of a grant that ends, if it was a trial of a part. Runs are counted at their end, since only then is it
+// known that the caller did not withdraw and that the endpoint did not refuse the request.
+func countTrial(grant *grant) {
+	if grant.isPartTrial() {
+		counters.Add("Trials", 1)
+	}
+}
+
 // Release ends a grant and records the result. If the endpoint died, it returns only after the
 // other owners have received the strike or a timeout has passed. The entry daemon reports
 // the failure to its caller after that, so that a request sent again at once is a known suspect
@@ -57,6 +65,9 @@
 		return nil
 	}
 	now := time.Now()
+	if release.Result != dogwoodfleet.ResultRefused {
+		countTrial(grant)
+	}
 	cut := release.Result == dogwoodfleet.ResultCancelled || release.Result == dogwoodfleet.ResultTimedOut
 	owner.removeGrantLocked(release.ID, grant, cut)
 	var update *peerUpdate
@@ -222,6 +233,7 @@
 	if grant == nil || !grant.expired {
 		return
 	}
+	countTrial(grant)
 	owner.removeGrantLocked(id, grant, true)
 	owner.grantWaitingLocked(time.Now())
 }
--- a/core/duty/dogwoodowner/lane.go
+++ b/core/duty/dogwoodowner/lane.go
@@ -244,7 +244,7 @@
 	}
 	state.addGrant(now, held, hitTokens)
 	held.waiter = nil
-	waiter.cancelReservation()
+	waiter.stopWaiting()
 	owner.grants[held.ID] = held
 	owner.byRequest[held.request.ID] = held
 	owner.trackRunLocked(held)
@@ -273,7 +273,7 @@
 	lane.suspects = slices.DeleteFunc(lane.suspects, isRemoved)
 	lane.members = slices.DeleteFunc(lane.members, isRemoved)
 	lane.baselineQueue = slices.DeleteFunc(lane.baselineQueue, isRemoved)
-	removed.cancelReservation()
+	removed.stopWaiting()
 }
 
 // rejectAll rejects all waiters and empties the lane's queues.
--- a/core/duty/dogwoodowner/owner.go
+++ b/core/duty/dogwoodowner/owner.go
@@ -102,6 +102,10 @@
 	parts           *dogwoodsuspect.PartLedger
 	// refusedParts holds the refusals of parts at partsUpdated.
 	refusedParts dogwoodsuspect.PartRefusals
+	// partWaiters has an entry for each of refusedParts.
+	partWaiters partWaiters
+	// hasEvicted is true if waiters were evicted since grantWaitingLocked ran.
+	hasEvicted bool
 	// undecided holds the parts for which answers to other prompts are needed, at partsUpdated.
 	undecided []dogwoodfleet.PromptPart
 	// announced holds the refused parts of which all owners have been told.
@@ -134,6 +138,7 @@
 		unprovenRuns:  map[dogwoodfleet.Digest]unprovenRun{},
 		suspects:      dogwoodsuspect.NewLedger(),
 		parts:         dogwoodsuspect.NewPartLedger(),
+		partWaiters:   partWaiters{},
 		announced:     map[dogwoodfleet.PromptPart]bool{},
 		announcements: make(chan partAnnouncement, maxAnnouncements),
 		prefixes:      dogwoodprefix.NewIndex(),
@@ -201,6 +206,7 @@
 func (owner *Owner) dropEndpointLocked(state *endpoint) {
 	for id, grant := range owner.grants {
 		if grant.endpoint == state {
+			countTrial(grant) // its end is reported to the other owner, which does not know its permits
 			delete(owner.grants, id)
 			owner.untrackRunLocked(grant)
 		}
@@ -259,6 +265,7 @@
 
 // grantWaitingLocked grants what can be granted in all lanes.
 func (owner *Owner) grantWaitingLocked(now time.Time) {
+	owner.hasEvicted = false
 	if len(owner.laneList) == 0 {
 		return
 	}
@@ -359,6 +366,7 @@
 	}
 	for grantID, grant := range owner.grants {
 		if grant.endpoint == state && grant.expired && report.Asked.After(grant.expiredAt) && !listed[grant.request.ID] {
+			countTrial(grant)
 			owner.removeGrantLocked(grantID, grant, false)
 		}
 	}
--- a/core/duty/dogwoodowner/part.go
+++ b/core/duty/dogwoodowner/part.go
@@ -227,14 +227,12 @@
 	owner.undecided = owner.parts.Undecided(now)
 	refused := dogwoodsuspect.PartRefusals{}
 	var added []dogwoodfleet.PromptPart
-	changed := false
 	for _, refusal := range owner.parts.Refusals(now, owner.suspects) {
 		if slices.ContainsFunc(refusal.With, func(other dogwoodfleet.PromptPart) bool { return other > refusal.Part }) {
 			continue
 		}
 		refused[refusal.Part] = &refusal
 		known := owner.refusedParts[refusal.Part]
-		changed = changed || known == nil || !known.Equal(&refusal)
 		if known == nil {
 			added = append(added, refusal.Part)
 		}
@@ -247,14 +245,11 @@
 			owner.options.Logger.Info("Prompts with a part are not refused any more.", "part", part)
 		}
 	}
-	owner.refusedParts = refused
+	owner.setRefusedPartsLocked(now, refused)
 	maps.DeleteFunc(owner.announced, func(part dogwoodfleet.PromptPart, _ bool) bool { return refused[part] == nil })
 	if len(added) > 0 {
 		owner.announceLocked(partAnnouncement{refused: added})
 	}
-	if changed {
-		owner.evictRefusedLocked(now)
-	}
 	return added
 }
 
@@ -269,35 +264,18 @@
 		"customers", refusal.Customers, "for", refusal.Until.Sub(now), "endpoints", refusal.Ends)
 }
 
-// evictRefusedLocked removes the waiters whose prompts have parts that were just refused. Their calls are rejected, or queued
-// anew as suspects.
-func (owner *Owner) evictRefusedLocked(now time.Time) {
-	for _, lane := range owner.laneList {
-		waiters := slices.Clone(lane.suspects)
-		for _, work := range lane.queue.All() {
-			waiters = append(waiters, work.Value.(*waiter))
-		}
-		for _, waiter := range waiters {
-			if refusal := owner.partRefusalLocked(now, waiter); refusal != nil {
-				lane.remove(waiter)
-				waiter.reject(refusal)
-			}
-		}
-	}
-}
-
-// partStandingLocked returns the standing of a request by the parts of its prompt, and the refusal that gives it.
-func (owner *Owner) partStandingLocked(now time.Time, request *dogwoodfleet.Request) (*dogwoodsuspect.PartRefusal, dogwoodsuspect.Standing) {
+// partStandingLocked returns the standing of a waiter's request by the parts of its prompt, and the refusal that gives it.
+func (owner *Owner) partStandingLocked(now time.Time, waiter *waiter) (*dogwoodsuspect.PartRefusal, dogwoodsuspect.Standing) {
 	if len(owner.refusedParts) == 0 {
 		return nil, dogwoodsuspect.Clear
 	}
-	return owner.refusedParts.Strictest(now, newSubject(request))
+	return owner.refusedParts.Strictest(now, waiter.promptSubject())
 }
 
 // partRefusalLocked returns why the waiter may not run as it waits now, nil if it may: a part of its prompt is refused, or on
 // probation and the waiter has no permit to try it.
 func (owner *Owner) partRefusalLocked(now time.Time, waiter *waiter) *Refusal {
-	refusal, standing := owner.partStandingLocked(now, &waiter.acquireRequest.Request)
+	refusal, standing := owner.partStandingLocked(now, waiter)
 	switch {
 	case standing == dogwoodsuspect.Convicted:
 		counters.Add("Refused", 1)
@@ -320,7 +298,7 @@
 // end, since an earlier run of the request counts already, but would cost an endpoint.
 func (owner *Owner) awaitPartDecision(ctx context.Context, waiter *waiter) {
 	request := &waiter.acquireRequest.Request
-	subject := newSubject(request)
+	subject := waiter.promptSubject()
 	if len(subject.Parts) == 0 {
 		return
 	}
@@ -366,4 +344,5 @@
 			owner.beganLocked(now, now.Add(-begin.Age), subject)
 		}
 	}
+	owner.grantEvictedLocked(now)
 }
--- a/core/duty/dogwoodowner/suspect.go
+++ b/core/duty/dogwoodowner/suspect.go
@@ -125,6 +125,7 @@
 				continue
 			}
 			lane.queue.Remove(work)
+			owner.hasEvicted = true
 			if standing == dogwoodsuspect.Convicted {
 				waiter.reject(refusalSuspect(now, until))
 				continue
@@ -253,6 +254,7 @@
 	for i := range notices {
 		owner.evictSuspectsLocked(now, notices[i].Digest)
 	}
+	owner.grantEvictedLocked(now)
 }
 
 // Notices returns the notices on all current suspects, for a daemon that just started.
