Let the least urgent ranks share a count when 256 are in use

Cause: at 256 ranks in use a further rank was not counted, also an urgent one. It was due all the time, and less urgent ranks were due for none of its starts.

Change: of the ranks in use and the new one, the two least urgent ones get one count, with all ranks below them. The result does not depend on the order of use. RankUse has the field Shared; the rule takes a shared count for the use of each rank that it covers. Ranks without use within the window made room before, too; a test now checks it.

--- a/core/decision/dogwoodshare/ledger.go
+++ b/core/decision/dogwoodshare/ledger.go
@@ -51,6 +51,9 @@
 	ranks map[int]*rankUse
 	// totals is the use by rank, with that of requests without a customer.
 	totals map[int]*rankTotal
+	// sharing is true while the ranks from sharedFrom on have one count, which is in totals as that of sharedFrom.
+	sharing    bool
+	sharedFrom int
 	// accounts is the number of accounts of all ranks.
 	accounts int
 }
--- a/core/decision/dogwoodshare/ledger_test.go
+++ b/core/decision/dogwoodshare/ledger_test.go
@@ -83,6 +83,93 @@
 	}
 }
 
+// Guards against an urgent rank that is not counted since many others came into use before it, against ranks that no longer are in use
+// and still take room, and against a count that depends on the order or loses use.
+func TestLeastUrgentRanksShareACount(t *testing.T) {
+	const ranks = maxRanks + 44
+	tests := []struct {
+		name string
+		rank func(i int) int
+	}{
+		{"the most urgent first", func(i int) int { return i }},
+		{"the least urgent first", func(i int) int { return ranks - 1 - i }},
+		{"only the least urgent one first", func(i int) int { return (i + ranks - 1) % ranks }},
+		{"at random", func(i int) int { return i * 7 % ranks }},
+	}
+	now := time.Now()
+	use := func(rank int) Use { // odd ranks are used a second earlier
+		return Use{Rank: rank, Time: time.Second, At: now.Add(time.Duration(-rank%2) * time.Second), Own: true}
+	}
+	want := func(step int) []RankUse {
+		var uses []RankUse
+		for rank := 0; rank < ranks; rank += step {
+			if last := len(uses) - 1; rank > maxRanks-1 && uses[last].Shared {
+				uses[last].Used, uses[last].Own, uses[last].Starts = uses[last].Used+time.Second, uses[last].Own+time.Second, uses[last].Starts+1
+				continue
+			}
+			uses = append(uses, RankUse{Rank: min(rank, maxRanks-1), Used: time.Second, Own: time.Second, Starts: 1, Shared: rank >= maxRanks-1})
+		}
+		return uses
+	}
+	for _, test := range tests {
+		ledger := &Ledger{}
+		for rank := range maxRanks { // no longer in use at now
+			ledger.Record(now.Add(-Window), Use{Rank: -1 - rank, Time: time.Second, At: now.Add(-Window)})
+		}
+		for i := range ranks {
+			ledger.Record(now, use(test.rank(i)))
+		}
+		if got := ledger.RankUses(now); !slices.Equal(got, want(1)) {
+			t.Errorf("%s: got %v, want %v", test.name, got, want(1))
+		}
+		ledger.Remove(now, use(ranks-1))
+		ledger.Record(now, use(ranks-1))
+		if got := ledger.RankUses(now); !slices.Equal(got, want(1)) {
+			t.Errorf("%s: got %v after use was taken back and recorded again, want %v", test.name, got, want(1))
+		}
+		if got := ledger.RankUses(now.Add(Window - time.Second/2)); !slices.Equal(got, want(2)) {
+			t.Errorf("%s: got %v after the window of odd ranks, want %v", test.name, got, want(2))
+		}
+	}
+}
+
+// Guards against ranks that share a count although there is room for all that are in use.
+func TestRanksStopSharingACount(t *testing.T) {
+	const first, second = 2*maxRanks - 2, 2*maxRanks - 1
+	many := make([]int, maxRanks*3/4)
+	for rank := range many {
+		many[rank] = rank
+	}
+	tests := []struct {
+		name string
+		// inUse are the ranks that stay in use.
+		inUse []int
+	}{
+		{"the others are no longer in use", []int{first, second}},
+		{"those that shared it are no longer in use", many},
+	}
+	for _, test := range tests {
+		now := time.Now()
+		ledger := &Ledger{}
+		for rank := range 2 * maxRanks {
+			ledger.Record(now, Use{Rank: rank, Time: time.Second, At: now})
+		}
+		for range 2 * slotCount {
+			now = now.Add(slotLength)
+			for _, rank := range test.inUse {
+				ledger.Record(now, Use{Rank: rank, Time: time.Second, At: now})
+			}
+		}
+		ledger.Record(now, Use{Rank: first, Time: time.Second, At: now})
+		ledger.Record(now, Use{Rank: second, Time: time.Second, At: now})
+		uses := ledger.RankUses(now)
+		last := uses[len(uses)-2:]
+		if last[0].Rank != first || last[1].Rank != second || last[0].Starts != last[1].Starts || last[1].Shared {
+			t.Errorf("%s: got %v as the last counts, want one for each rank", test.name, last)
+		}
+	}
+}
+
 // Guards against use of requests that never ran that stays with their rank or their customer, and against removals that take away
 // other requests' use.
 func TestRemovedUseDoesNotCount(t *testing.T) {
--- a/core/decision/dogwoodwaiting/minimum.go
+++ b/core/decision/dogwoodwaiting/minimum.go
@@ -160,13 +160,13 @@
 	minimum.owed = 0
 	for i := range waiting {
 		rank := &waiting[i]
-		for len(uses) > 0 && uses[0].Rank < rank.rank {
+		for len(uses) > 0 && uses[0].Rank < rank.rank && !uses[0].Shared {
 			urgent.Used, urgent.Own, urgent.Starts = urgent.Used+uses[0].Used, urgent.Own+uses[0].Own, urgent.Starts+uses[0].Starts
 			uses = uses[1:]
 		}
 		starts := 0
 		rank.MinimumUse = MinimumUse{Urgent: urgent.Used}
-		if len(uses) > 0 && uses[0].Rank == rank.rank {
+		if len(uses) > 0 && uses[0].Rank <= rank.rank { // its own, or one that it shares
 			rank.Used, starts = uses[0].Used, uses[0].Starts
 		}
 		minStarts := share * float64(urgent.Starts)
--- a/core/decision/dogwoodwaiting/minimum_test.go
+++ b/core/decision/dogwoodwaiting/minimum_test.go
@@ -170,6 +170,24 @@
 	}
 }
 
+// Guards against a rank that is always due since its use is counted together with that of other ranks.
+func TestRankIsDueBySharedUse(t *testing.T) {
+	for _, test := range []struct {
+		shared int
+		want   bool
+	}{{2, true}, {10, false}} {
+		minimums := Minimums{FirstTurn: 0.99} // the next turn is for a rank that is due
+		board := fixedUses{
+			{Rank: 0, Used: time.Second, Own: time.Second, Starts: 50},
+			{Rank: 5, Used: time.Second * time.Duration(test.shared) / 50, Starts: test.shared, Shared: true},
+		}
+		minimums.SetWaiting(time.Now(), []RankClaim{{"s", 0}, {"s", 9}}, board)
+		if got := minimums.IsDue(RankClaim{"s", 9}); got != test.want {
+			t.Errorf("%d shared starts of 50: got %v, want %v", test.shared, got, test.want)
+		}
+	}
+}
+
 // fixedUses are the same uses at any time.
 type fixedUses []dogwoodshare.RankUse
 
