Make the tests of placement under overload fail without what they guard

Cause: with one mechanism disabled at a time on a scratch copy, no test failed without the smaller weight of less urgent harm, with a bound of three hours in place of 3 s on how long an engine counts as down, with parts of prompts at engines that have not answered, and with a storm that is told by a single repeat. Two tests could not fail: TestUnreachableEnginesGetNoParts excluded the dead engine by the request's own list of tried endpoints, and TestUnreachableEngineIsUsedAgainWithoutAnAnswer had one engine, which is used in any case, and went by the constant it checks.

Change: TestUrgentPromptGoesBesideLessUrgentAnswers is new. The two tests now use a request without tried endpoints and a second, busy engine, and the bound is 4 s after the failure with 1 s of avoidance. TestBurstOfFirstTriesIsNoStorm has a case of a single repeat. Code is not changed.

Each of the four changes fails its test on a scratch copy.

--- a/core/decision/dogwoodpacking/rank_test.go
+++ b/core/decision/dogwoodpacking/rank_test.go
@@ -92,6 +92,35 @@
 	}
 }
 
+// Guards against urgent prompts that wait for half of their aim while all engines write answers of a less urgent rank, whose pauses
+// they would stretch.
+func TestUrgentPromptGoesBesideLessUrgentAnswers(t *testing.T) {
+	tests := []struct {
+		name string
+		rank int
+		want Refusal
+	}{
+		{"less urgent answers", 2, Placed},
+		{"answers of its own rank", 0, Full},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now, board := time.Now(), pool(4)
+			for i := range 4 {
+				board.Put(now, Work{
+					ID: WorkID(fmt.Sprint("answer", i)), Service: "models", Endpoint: engineEndpoint(i).ID, Rank: test.rank, Tokens: 6000, Prompt: 5000,
+					Aim: time.Second, Pause: 20 * time.Millisecond, Begun: now, Writing: true, Until: now.Add(time.Minute),
+				})
+			}
+			request := short(now, 5000)
+			request.CanWait = true
+			if _, got := board.Place(now, request); got != test.want {
+				t.Errorf("got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against engines that look free for the moment in which the urgent requests of lost engines are assigned again.
 func TestDemandOutlastsLostEngines(t *testing.T) {
 	now := time.Now()
--- a/core/decision/dogwoodpacking/unproven_test.go
+++ b/core/decision/dogwoodpacking/unproven_test.go
@@ -35,14 +35,9 @@
 	dead := engineEndpoint(0).ID
 	board.Avoid(now, dead, time.Second)
 	now = now.Add(1100 * time.Millisecond)
-	helps := func() bool {
-		request := long(now, 380_000)
-		request.Avoid = []dogwoodfleet.EndpointID{dead}
-		placement := mustPlace(t, board, now, request)
-		board.End(request.ID)
-		return slices.ContainsFunc(placement.Helpers, func(helper Helper) bool { return helper.Endpoint.ID == dead })
-	}
-	if helps() {
+	board.Put(now, Work{ID: "answer", Service: "models", Endpoint: engineEndpoint(1).ID, Tokens: 6000, Prompt: 5000, Writing: true, Begun: now, Until: now.Add(time.Minute)})
+	placement := mustPlace(t, board, now, long(now, 380_000)) // it needs two engines, and prefers one that answers already as the first
+	if slices.ContainsFunc(placement.Helpers, func(helper Helper) bool { return helper.Endpoint.ID == dead }) {
 		t.Error("got a part at an engine that has not answered since it could not be reached, want none")
 	}
 	board.SetLimit(now, now, dead, NamedLimit{})
@@ -78,12 +73,17 @@
 
 // Guards against engines that are back and get one request at a time for as long as a daemon of a large fleet has few requests to try them with.
 func TestUnreachableEngineIsUsedAgainWithoutAnAnswer(t *testing.T) {
-	board, now := pool(1), time.Now()
-	board.Avoid(now, engineEndpoint(0).ID, time.Second)
-	now = now.Add(time.Second + unprovenFor)
+	const inUseAfter = 4 * time.Second // not by unprovenFor, so that a larger one fails
+	board, now := pool(2), time.Now()
+	back := engineEndpoint(0).ID
+	board.Avoid(now, back, time.Second)
+	now = now.Add(inUseAfter)
+	board.Put(now, Work{
+		ID: "prefill", Service: "models", Endpoint: engineEndpoint(1).ID, Prompt: 200_000, Tokens: 200_000, Reading: 10 * time.Second, Begun: now, Until: now.Add(time.Minute),
+	})
 	for i := range 3 {
-		if _, refusal := board.Place(now, short(now, 3000)); refusal != Placed {
-			t.Errorf("got refusal %q for request %d, want it placed", refusal, i)
+		if got := mustPlace(t, board, now, short(now, 3000)).Endpoint.ID; got != back {
+			t.Errorf("got request %d at %s, which is busy for ten seconds, want it at the engine that is back", i, got)
 		}
 	}
 	board = pool(6)
@@ -97,22 +97,24 @@
 	}
 }
 
-// Guards against ordinary bursts at one daemon that are taken for a storm: prompts of equal rank were then spread over more
-// engines than their answers need.
+// Guards against ordinary bursts at one daemon, or a single answer that broke off, that are taken for a storm: prompts of equal rank
+// were then spread over more engines than their answers need.
 func TestBurstOfFirstTriesIsNoStorm(t *testing.T) {
 	tests := []struct {
 		name    string
+		count   int
 		resumed bool
 		want    int
 	}{
-		{"first tries", false, 1},
-		{"answers that broke off", true, 6},
+		{"first tries", 8, false, 1},
+		{"answers that broke off", 8, true, 6},
+		{"a single one", 1, true, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			board, now := pool(26), time.Now()
 			board.SetSenders(Senders{Count: 6})
-			for range 8 {
+			for range test.count {
 				request := short(now, 3000)
 				request.Resumed = test.resumed
 				mustPlace(t, board, now, request)
