--- a/core/duty/dogwoodrelay/relay_test.go
+++ b/core/duty/dogwoodrelay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -85,6 +86,37 @@
 	})
 }
 
+// Load: an engine ends, and its entry stays for some seconds. Guards against requests that are sent there one after the other, and
+// against several that are sent there at once when it is no longer avoided.
+func TestEngineThatCannotBeReachedGetsOneRequest(t *testing.T) {
+	refused := fails(&NotSent{Cause: errors.New("refused")})
+	runRelayTest(t, testEngine, []step{refused, delayed(50*time.Millisecond, responds(200, firstEvents))}, func(t *testing.T, fixture *fixture) {
+		var group sync.WaitGroup
+		serve := func(id int) {
+			if err := fixture.relay.Serve(t.Context(), requestOf("", id), &recorder{}); err != nil {
+				t.Errorf("request %d: got %v, want an answer", id, err)
+			}
+		}
+		for id := range 6 {
+			serve(id)
+		}
+		sent := fixture.endpoints.sent()
+		dead := sent[0]
+		if slices.Contains(sent[1:], dead) {
+			t.Errorf("got %v sent, want none at %q after the first", sent, dead)
+		}
+		time.Sleep(avoidUnreachableFor)
+		for id := range 6 {
+			group.Go(func() { serve(6 + id) })
+		}
+		group.Wait()
+		later := fixture.endpoints.sent()[len(sent):]
+		if got := len(slices.DeleteFunc(later, func(endpoint dogwoodfleet.EndpointID) bool { return endpoint != dead })); got > 1 {
+			t.Errorf("got %d requests at once at an engine that has not answered since, want 1 at most", got)
+		}
+	})
+}
+
 // A server accepts connections and never answers. Calls that must not be repeated wait there
 // until their deadline; the next calls must not be sent there too.
 func TestServerThatNeverAnswersIsAvoided(t *testing.T) {
