Bound a transfer by the bytes of its own answer

Cause: Transfer counted all bytes that the called daemon sent. Answers to other calls kept a silent transfer alive for up to 30 s.

Change: core/dogwoodprogress bounds a call by what arrives of its answer. The peers' client finds a call's progress in the context and reports the bytes of its reply, which the codec tells apart by the call's number, as a connection carries replies whole, one after another. While another reply is on its way, the time for the first byte is extended by as much. The count of all bytes (Received) has no use any more and is removed, with its check in TestLargeReplyCrossesSlowLink; the new test ends a transfer of 2 MB unless its bytes are reported throughout.

The limits are those of before, from the first byte of the answer instead of on a grid of steps: a pause of 0.4 s ends a transfer (0.4 to 0.8 s before, by its place in the grid), one below 64 KiB a second ends 1.2 s after its first byte (0.8 s plus three steps before), and the bound in total is 30 s (30.4 s). TestTransferEndsWithoutProgress has these times.

--- a/core/duty/dogwoodhub/leaf.go
+++ b/core/duty/dogwoodhub/leaf.go
@@ -252,7 +252,7 @@
 func (leaf *Leaf) pollWithTimeout(ctx context.Context, hub dogwoodhubs.Daemon, version uint64) (News, error) {
 	var news News
 	transfer := dogwoodcopy.Transfer{First: maxHold + answerTimeout, Step: answerTimeout, Patience: transferPatience}
-	err := transfer.Run(ctx, func() uint64 { return leaf.options.Caller.Received(hub.Peer) }, func(ctx context.Context) error {
+	err := transfer.Run(ctx, func(ctx context.Context) error {
 		var err error
 		news, err = leaf.poll(ctx, hub, FollowRequest{Tables: leaf.positions(), Fleet: version})
 		return err
--- a/core/duty/dogwoodhub/messages.go
+++ b/core/duty/dogwoodhub/messages.go
@@ -90,9 +90,7 @@
 	Promoted bool
 }
 
-// Caller calls other daemons.
+// Caller calls other daemons. Calls report the bytes of their answers to the context's dogwoodprogress.Progress.
 type Caller interface {
 	Call(ctx context.Context, peer netip.AddrPort, method string, args, reply any) error
-	// Received returns how many bytes this daemon has received from another one.
-	Received(peer netip.AddrPort) uint64
 }
--- a/core/duty/dogwoodreader/reader.go
+++ b/core/duty/dogwoodreader/reader.go
@@ -88,11 +88,9 @@
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (dogwoodcopy.Answer, error)
 }
 
-// Caller calls other daemons.
+// Caller calls other daemons. Calls report the bytes of their answers to the context's dogwoodprogress.Progress.
 type Caller interface {
 	Call(ctx context.Context, peer netip.AddrPort, method string, args, reply any) error
-	// Received returns how many bytes this daemon has received from another one.
-	Received(peer netip.AddrPort) uint64
 }
 
 // Peer is a daemon that reads the store.
@@ -334,7 +332,7 @@
 	sentAt := reader.options.Clock()
 	var told Told
 	transfer := dogwoodcopy.Transfer{First: maxHold + answerAllowance, Step: answerAllowance}
-	err := transfer.Run(ctx, func() uint64 { return reader.options.Caller.Received(peer.Address) }, func(ctx context.Context) error {
+	err := transfer.Run(ctx, func(ctx context.Context) error {
 		return reader.options.Caller.Call(ctx, peer.Address, Name+".Changes", Query{Table: table, After: after, Compressed: true}, &told)
 	})
 	if err != nil {
--- a/core/edge/dogwoodpeer/client.go
+++ b/core/edge/dogwoodpeer/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"dogwoodmux.example/core/dogwoodprogress"
 )
 
 // calls counts calls to peers by method and is published as "PeerCalls". It shows how much
@@ -31,8 +33,6 @@
 	mutex  sync.Mutex
 	closed bool
 	links  map[netip.AddrPort]*link
-	// received counts the bytes that arrived from each peer.
-	received map[netip.AddrPort]*atomic.Uint64
 }
 
 // NewClient returns a client that works until the context ends or Close is called.
@@ -45,8 +45,6 @@
 		done:   running.Done(),
 		cancel: cancel,
 		links:  map[netip.AddrPort]*link{},
-
-		received: map[netip.AddrPort]*atomic.Uint64{},
 	}
 	context.AfterFunc(running, client.closeLinks)
 	return client
@@ -70,22 +68,11 @@
 	}
 }
 
-// Received returns how many bytes have arrived on all connections to a peer.
-func (client *Client) Received(peer netip.AddrPort) uint64 {
-	client.mutex.Lock()
-	counter := client.received[peer]
-	client.mutex.Unlock()
-	if counter == nil {
-		return 0
-	}
-	return counter.Load()
-}
-
 // Call calls "Name.Method" at the peer and waits for its reply until the context ends. It
 // returns *UnreachableError when there is no answer and *RemoteError when the method
 // failed. If the context ends first, the method keeps running at the peer, its reply is
 // dropped and other calls on the connection are not affected. The caller must not change
-// args afterwards.
+// args afterwards. The bytes of the reply are reported to the context's dogwoodprogress.Progress.
 func (client *Client) Call(ctx context.Context, peer netip.AddrPort, method string, args, reply any) error {
 	calls.Add(method, 1)
 	err := client.call(ctx, peer, method, args, reply)
@@ -105,6 +92,9 @@
 	// The reply is decoded into a separate value. Otherwise a late answer to a call whose
 	// context has ended would be written into memory that the caller already reuses.
 	decoded := reflect.New(reflect.TypeOf(reply).Elem())
+	if progress := dogwoodprogress.FromContext(ctx); progress != nil {
+		args = watchedArguments{arguments: args, progress: progress}
+	}
 	calls := make(chan *rpc.Call, 1)
 	link.pending.Add(1)
 	// Sending blocks if the connection accepts no bytes, so it runs in a goroutine.
@@ -166,10 +156,7 @@
 	}
 	found := client.links[peer]
 	if found == nil || found.isClosed() {
-		if client.received[peer] == nil {
-			client.received[peer] = &atomic.Uint64{}
-		}
-		found = newLink(client.received[peer])
+		found = newLink()
 		client.links[peer] = found
 		client.group.Go(func() { client.connect(peer, found) }) //nolint:contextcheck,nolintlint // callers share the dial, so no caller's context may cancel it
 	}
@@ -233,7 +220,6 @@
 	rpc      *rpc.Client
 	pending  atomic.Int64
 	lastRead atomic.Int64 // time at which bytes last arrived, in nanoseconds since started
-	received *atomic.Uint64
 	started  time.Time
 
 	mutex sync.Mutex
@@ -241,8 +227,8 @@
 	err   error
 }
 
-func newLink(received *atomic.Uint64) *link {
-	return &link{received: received, ready: make(chan struct{}), closed: make(chan struct{}), started: time.Now()}
+func newLink() *link {
+	return &link{ready: make(chan struct{}), closed: make(chan struct{}), started: time.Now()}
 }
 
 func (link *link) open(conn net.Conn) {
@@ -254,7 +240,7 @@
 		return
 	}
 	link.lastRead.Store(int64(time.Since(link.started)))
-	link.rpc = rpc.NewClient(&activityConn{Conn: conn, link: link})
+	link.rpc = rpc.NewClientWithCodec(newClientCodec(&activityConn{Conn: conn, link: link}))
 	close(link.ready)
 }
 
@@ -341,7 +327,6 @@
 	count, err := conn.Conn.Read(buffer)
 	if count > 0 {
 		conn.link.lastRead.Store(int64(time.Since(conn.link.started)))
-		conn.link.received.Add(uint64(count))
 	}
 	return count, err
 }
--- a/core/edge/dogwoodpeer/codec.go
+++ b/core/edge/dogwoodpeer/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/gob"
+	"io"
 	"net"
 	"net/rpc"
 	"sync"
@@ -20,9 +21,10 @@
 	encoder *gob.Encoder
 }
 
-func newCodec(conn net.Conn) *codec {
+// newCodec returns a codec that reads from input, which may count what comes over the connection.
+func newCodec(conn net.Conn, input io.Reader) *codec {
 	buffer := bufio.NewWriter(conn)
-	return &codec{conn: conn, decoder: gob.NewDecoder(conn), buffer: buffer, encoder: gob.NewEncoder(buffer)}
+	return &codec{conn: conn, decoder: gob.NewDecoder(input), buffer: buffer, encoder: gob.NewEncoder(buffer)}
 }
 
 // write sends a response. If it fails or panics, the connection is closed, since the client could not decode
@@ -80,7 +82,7 @@
 // serveCalls answers the calls of a connection until it ends, each in a goroutine of its own, and waits for
 // those that are still running. Unlike rpc.Server.ServeConn it survives methods that panic.
 func (server *Server) serveCalls(conn net.Conn) {
-	codec := newCodec(conn)
+	codec := newCodec(conn, conn)
 	var group sync.WaitGroup
 	defer group.Wait()
 	for {
--- a/core/edge/dogwoodpeer/peer_test.go
+++ b/core/edge/dogwoodpeer/peer_test.go
@@ -102,6 +102,13 @@
 	return nil
 }
 
+// Late replies with 100 kB after a delay.
+func (receiver *testReceiver) Late(delay time.Duration, reply *[]byte) error {
+	time.Sleep(delay)
+	*reply = make([]byte, 100_000)
+	return nil
+}
+
 // runWithClient starts a server with the key "secret" and a client with the given key, and
 // runs the body inside a synctest bubble.
 func runWithClient(t *testing.T, clientKey string, body func(ctx context.Context, client *Client, receiver *testReceiver, network *pipeNetwork)) {
--- a/core/state/dogwoodcopy/transfer.go
+++ b/core/state/dogwoodcopy/transfer.go
@@ -5,23 +5,11 @@
 	"errors"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
-	"dogwoodmux.example/core/dogwoodkernel"
+	"dogwoodmux.example/core/dogwoodprogress"
 )
 
-const (
-	// MinTransferStep is the number of bytes that must arrive within a step of a transfer to count as a part of an
-	// answer. It is more than the answers to pings and heartbeats.
-	MinTransferStep = 4 << 10
-	// minBytesPerSecond is the rate below which a transfer takes too long to be worth the wait, as for the store's
-	// own answers.
-	minBytesPerSecond = 64 << 10
-	// rateSteps is the number of steps over which the rate is measured.
-	rateSteps = 3
-	// maxTransfer bounds a transfer at any rate.
-	maxTransfer = 30 * time.Second
-)
+// MinTransferStep is the number of bytes that must arrive within a step of a transfer to count as a part of an answer.
+const MinTransferStep = 4 << 10
 
 // ErrSilent means that another daemon sent neither an answer in time nor enough parts of one.
 var ErrSilent = errors.New("no answer in time")
@@ -37,39 +25,16 @@
 	Patience time.Duration
 }
 
-// Run makes a call and ends it with ErrSilent if its answer does not arrive. received returns the bytes that
-// have arrived from the called daemon.
-func (transfer Transfer) Run(ctx context.Context, received func() uint64, call func(ctx context.Context) error) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	var group errgroup.Group
-	group.Go(func() error {
-		if transfer.awaitSilence(ctx, received) {
-			cancel(ErrSilent)
-		}
-		return nil
+// Run makes a call and ends it with ErrSilent if its answer does not arrive. The bytes of the answer are reported to
+// the progress in the call's context.
+func (transfer Transfer) Run(ctx context.Context, call func(ctx context.Context) error) error {
+	ctx, stop := dogwoodprogress.Watch(ctx, dogwoodprogress.Limits{
+		First: transfer.First, Step: transfer.Step, StepBytes: MinTransferStep, Patience: transfer.Patience,
 	})
+	defer stop()
 	err := call(ctx)
-	if err != nil && errors.Is(context.Cause(ctx), ErrSilent) {
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, dogwoodprogress.ErrSilent) || errors.Is(cause, dogwoodprogress.ErrSlow)) {
 		err = Error.Wrap(ErrSilent)
 	}
-	cancel(nil)
-	_ = group.Wait() // the wait returns no error
 	return err
 }
-
-// awaitSilence waits until the answer does not arrive. It returns false if the context ends before.
-func (transfer Transfer) awaitSilence(ctx context.Context, received func() uint64) bool {
-	begun, before := time.Now(), received()
-	var latest [rateSteps]uint64 // what had arrived at the end of each of the latest steps
-	rateBytes := uint64(minBytesPerSecond * (rateSteps * transfer.Step).Seconds())
-	limit := transfer.First
-	for steps := 0; dogwoodkernel.Sleep(ctx, limit); steps++ {
-		now, taken := received(), time.Since(begun)
-		isSlow := taken > transfer.Patience && steps >= rateSteps && now < latest[steps%rateSteps]+rateBytes
-		if now < before+MinTransferStep || isSlow || taken > maxTransfer {
-			return true
-		}
-		before, latest[steps%rateSteps], limit = now, now, transfer.Step
-	}
-	return false
-}
