Test the minimum of engines of a rank by its size

Cause: on a scratch copy, no test failed where a rank's minimum was one engine in place of a tenth of those in force, or where a daemon that sees half of the others took the minimum of all. The existing test had 20 engines and accepted one or two.

Change: TestMinimumIsATenthOfTheEngines wants four of 40 engines, and two at such a daemon. Code is not changed.

On a scratch copy the test fails with one engine (1 in place of 4 and of 2) and without the scale (4 in place of 2).

--- a/core/decision/dogwoodpacking/rank_test.go
+++ b/core/decision/dogwoodpacking/rank_test.go
@@ -79,6 +79,33 @@
 	}
 }
 
+// Load: urgent requests need all of 40 engines, six of which are idle at the moment. Guards against a rank that is kept to less than a tenth of
+// the engines, which is its minimum, or takes more, and against a daemon that sees half of the others and takes the minimum of all.
+func TestMinimumIsATenthOfTheEngines(t *testing.T) {
+	tests := []struct {
+		visible, want int
+	}{{8, 4}, {4, 2}}
+	for _, test := range tests {
+		now := time.Now()
+		board := urgentPool(t, now, 40, 34, 15)
+		board.SetVisibleDaemons(test.visible, 8)
+		used := map[dogwoodfleet.EndpointID]bool{}
+		for range 10 {
+			placement, refusal := board.Place(now, lessUrgent(now, 200_000))
+			if refusal != Placed {
+				continue
+			}
+			used[placement.Endpoint.ID] = true
+			for _, helper := range placement.Helpers {
+				used[helper.Endpoint.ID] = true
+			}
+		}
+		if got := len(used); got != test.want {
+			t.Errorf("%d of 8 daemons seen: got %d engines that prefill for the less urgent rank, want %d", test.visible, got, test.want)
+		}
+	}
+}
+
 // Guards against a long prompt that is placed beside urgent answers whose pauses it stretches, since it weighs more than they do.
 func TestLongPromptDelaysNoUrgentAnswer(t *testing.T) {
 	now := time.Now()
