--- a/core/decision/dogwoodbuffer/bounds.go
+++ b/core/decision/dogwoodbuffer/bounds.go
@@ -36,9 +36,6 @@
 	// maxBehind is how long a stream may hold bytes without a pause before its caller counts as one that reads slowly when there are
 	// too many requests.
 	maxBehind = time.Second
-	// groupShare is how many requests in progress a group may have as a multiple of the places that are free. One group alone gets three
-	// quarters of all places. However many groups have as many as they may, some places stay free for others.
-	groupShare = 3
 )
 
 // Bounds are the bounds of a Budget in bytes.
--- a/core/decision/dogwoodbuffer/budget.go
+++ b/core/decision/dogwoodbuffer/budget.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"sync"
 	"time"
-
-	"dogwoodmux.example/core/dogwoodfleet"
 )
 
 var (
@@ -15,13 +13,6 @@
 	ErrDaemonBound = Error.New("the daemon's bound is reached")
 )
 
-// Group is what the callers of some requests have in common. Those of one group may all read slowly and hold their places for long,
-// which must not keep out the requests of others.
-type Group struct {
-	Customer dogwoodfleet.Customer
-	Route    string
-}
-
 // Budget counts the bytes that a daemon holds. It is safe for concurrent use.
 type Budget struct {
 	mutex  sync.Mutex
@@ -34,13 +25,11 @@
 	opened uint64
 	// requests is the number of requests in progress. It exceeds its bound while answers that were cut for others end.
 	requests int
-	// groups holds the number of each group's requests in progress, without zeros.
-	groups map[Group]int
 }
 
 // New returns a budget that nothing is counted toward.
 func New(bounds Bounds) *Budget {
-	return &Budget{bounds: bounds, answers: map[*Answer]struct{}{}, groups: map[Group]int{}}
+	return &Budget{bounds: bounds, answers: map[*Answer]struct{}{}}
 }
 
 // SetBounds replaces the bounds. What is held stays; the next reservation is checked against the new bounds.
@@ -50,11 +39,11 @@
 	budget.bounds = bounds
 }
 
-// BeginRequest counts a request in progress until its end is reported with EndRequest. If there are too many, or too many of its
-// group, the answer whose caller has been behind for longest is cut in its place, provided that this is maxBehind at least. Groups
-// with fewer requests than its own are spared. Otherwise it returns ErrDaemonBound and counts nothing.
-func (budget *Budget) BeginRequest(group Group) error {
-	slowest, err := budget.beginRequest(group)
+// BeginRequest counts a request in progress until its end is reported with EndRequest. If there are too many, the stream whose
+// caller has been behind for longest is cut in its place, provided that this is maxBehind at least. Otherwise it returns
+// ErrDaemonBound and counts nothing.
+func (budget *Budget) BeginRequest() error {
+	slowest, err := budget.beginRequest()
 	if slowest.answer == nil {
 		return err
 	}
@@ -62,21 +51,18 @@
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	budget.requests++
-	budget.groups[group]++
 	return nil
 }
 
-// beginRequest counts a request, or returns the answer that is to be cut before it is counted.
-func (budget *Budget) beginRequest(group Group) (slowest victim, err error) {
+// beginRequest counts a request, or returns the stream that is to be cut before it is counted.
+func (budget *Budget) beginRequest() (slowest victim, err error) {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	free := budget.bounds.Requests - budget.requests
-	if budget.bounds.Requests == 0 || budget.groups[group] < groupShare*free {
+	if budget.bounds.Requests == 0 || budget.requests < budget.bounds.Requests {
 		budget.requests++
-		budget.groups[group]++
 		return victim{}, nil
 	}
-	answer := budget.slowest(budget.groups[group])
+	answer := budget.slowest()
 	if answer == nil || time.Since(answer.behindSince) < maxBehind {
 		return victim{}, ErrDaemonBound
 	}
@@ -85,11 +71,11 @@
 	return slowest, nil
 }
 
-// slowest returns the answer whose caller has been behind for longest, of those of groups that have at least some number of requests.
-func (budget *Budget) slowest(requests int) *Answer {
+// slowest returns the stream whose caller has been behind for longest.
+func (budget *Budget) slowest() *Answer {
 	var slowest *Answer
 	for answer := range budget.answers {
-		if answer.behindSince.IsZero() || budget.groups[answer.group] < requests {
+		if answer.behindSince.IsZero() {
 			continue
 		}
 		if slowest == nil || cmp.Or(answer.behindSince.Compare(slowest.behindSince), cmp.Compare(answer.number, slowest.number)) < 0 {
@@ -100,14 +86,10 @@
 }
 
 // EndRequest reports the end of a request that BeginRequest counted.
-func (budget *Budget) EndRequest(group Group) {
+func (budget *Budget) EndRequest() {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	budget.requests--
-	budget.groups[group]--
-	if budget.groups[group] == 0 {
-		delete(budget.groups, group)
-	}
 }
 
 // Requests returns the number of requests in progress.
@@ -127,7 +109,6 @@
 // Answer counts the bytes that are held for one answer.
 type Answer struct {
 	budget *Budget
-	group  Group
 	// cut is called once if the answer is to be cut.
 	cut func(held int64)
 	// number orders answers by when they were opened.
@@ -135,18 +116,17 @@
 	// held are the answer's bytes. isCut is true once the answer was cut, from when on it holds nothing.
 	held  int64
 	isCut bool
-	// behindSince is when a stream began to hold bytes, or when the sending of an answer began that was read whole before; zero for an
-	// answer that holds none or is still being read whole.
+	// behindSince is when a stream began to hold bytes; zero for an answer that holds none, or that is read whole before any of it is sent.
 	behindSince time.Time
 }
 
-// NewAnswer returns an answer to a request of a group that holds nothing. cut is called with the bytes that the answer holds if it is to be cut, at most
+// NewAnswer returns an answer that holds nothing. cut is called with the bytes that the answer holds if it is to be cut, at most
 // once, and possibly by the reservation of another answer. It must drop these bytes soon and may not call Reserve.
-func (budget *Budget) NewAnswer(group Group, cut func(held int64)) *Answer {
+func (budget *Budget) NewAnswer(cut func(held int64)) *Answer {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	budget.opened++
-	return &Answer{budget: budget, group: group, cut: cut, number: budget.opened}
+	return &Answer{budget: budget, cut: cut, number: budget.opened}
 }
 
 // Reserve counts bytes toward the answer. It returns ErrAnswerBound if the answer would hold more than its bound, unless it
@@ -170,16 +150,6 @@
 	return err
 }
 
-// BeginSending tells that what an answer holds that was read whole is being sent from now on.
-func (answer *Answer) BeginSending() {
-	budget := answer.budget
-	budget.mutex.Lock()
-	defer budget.mutex.Unlock()
-	if answer.held > 0 && answer.behindSince.IsZero() {
-		answer.behindSince = time.Now()
-	}
-}
-
 // victim is an answer that is to be cut, with the bytes that it holds.
 type victim struct {
 	answer *Answer
--- a/core/duty/dogwoodrelay/answerbuffer.go
+++ b/core/duty/dogwoodrelay/answerbuffer.go
@@ -107,12 +107,12 @@
 	return chunk
 }
 
-func newAnswerBuffer(relay *Relay, request *Request, answer Answer, cancel context.CancelFunc) *answerBuffer {
+func newAnswerBuffer(relay *Relay, request string, answer Answer, cancel context.CancelFunc) *answerBuffer {
 	buffer := &answerBuffer{
-		relay: relay, request: request.ID, answer: answer, cancel: cancel,
+		relay: relay, request: request, answer: answer, cancel: cancel,
 		filled: make(chan struct{}, 1), taken: make(chan struct{}, 1), behindSince: time.Now(),
 	}
-	buffer.account = relay.options.Buffers.NewAnswer(request.Group(), func(held int64) { buffer.cut(boundDaemon, held) })
+	buffer.account = relay.options.Buffers.NewAnswer(func(held int64) { buffer.cut(boundDaemon, held) })
 	return buffer
 }
 
@@ -216,7 +216,6 @@
 		buffer.account.Release(int64(cap(data)))
 		return nil
 	}
-	buffer.account.BeginSending()
 	return buffer.push(data)
 }
 
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -73,11 +73,6 @@
 	Counted bool
 }
 
-// Group returns the group in whose share the request's place is counted.
-func (request *Request) Group() dogwoodbuffer.Group {
-	return dogwoodbuffer.Group{Customer: request.Customer, Route: request.Route.Name}
-}
-
 // Repeatable reports whether the request can safely run more than once.
 func (request *Request) Repeatable() bool {
 	switch request.Route.Repeat {
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -95,7 +95,7 @@
 	callerContext := ctx
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	buffer := newAnswerBuffer(relay, request, answer, cancel)
+	buffer := newAnswerBuffer(relay, request.ID, answer, cancel)
 	defer buffer.close()
 	defer context.AfterFunc(callerContext, func() { buffer.stop(ErrCallerGone) })()
 	err := relay.serveTries(ctx, request, buffer)
