--- a/core/decision/dogwoodsuspect/partrefusal.go
+++ b/core/decision/dogwoodsuspect/partrefusal.go
@@ -16,7 +16,8 @@
 	minTrialEnds    = 2
 	// minOtherBegins is the number of answers to prompts without a part that must have begun since its first strike.
 	minOtherBegins = 3
-	// firstPartRefusal is how long a part is refused before its first trial, and ConvictionTTL after one that ended an endpoint.
+	// firstPartRefusal is how long a part is refused before its first trial, and ConvictionTTL after one that ended an endpoint. A part
+	// that only trials speak against is refused as trialPause says.
 	firstPartRefusal = 30 * time.Second
 	// partMoment is the time between ends that count separately. Endpoints of one rack end within it.
 	partMoment = 200 * time.Millisecond
@@ -30,7 +31,8 @@
 	// With are the parts that were in all prompts under which endpoints ended as well. Only prompts with all of them are
 	// refused: one that lacks some tells which part it is.
 	With []dogwoodfleet.PromptPart
-	// Customers are those whose requests ended endpoints if that is a single one; nil for all customers.
+	// Customers are those whose prompts are refused: the single one whose requests ended endpoints, or those with enough ends of their
+	// own if the part was answered meanwhile. It is nil for all customers.
 	Customers []dogwoodfleet.Customer
 	// Cleared are the customers whose answers have begun since.
 	Cleared []dogwoodfleet.Customer
@@ -90,8 +92,7 @@
 //
 // Of all parts the one that explains the most ends is refused first; its ends then count against no other part. So a part that
 // harmless requests share with those that end endpoints is not refused beside the crashing one, and two crashing ones are found one
-// after the other. A part that was answered between its latest
-// ends comes after those that were not.
+// after the other. A part that was answered between its latest ends comes after those that were not.
 //
 // A part whose ends all lie within those of a request that digests refuses already says nothing new: it is not refused, and its
 // ends stay that request's. Otherwise a popular part that is beside the copies of a crashing request at each end would be taken
