--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -16,7 +16,9 @@
 
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(record *record, program string, trouble bool) (bool, error){
-	"revoked-key": revokedKey,
+	"revoked-key":  revokedKey,
+	"changed-path": changedPath,
+	"flood":        flood,
 }
 
 func main() {
--- a/review/standins/revokedkey.go
+++ b/review/standins/revokedkey.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -41,6 +42,8 @@
 // request is a request of a requester.
 type request struct {
 	id, key string
+	// path is /lohu930/2f if it is empty.
+	path    string
 	address netip.AddrPort
 	// sent is when its first byte was sent.
 	sent   time.Time
@@ -68,7 +71,7 @@
 	header.Set(dogwoodwire.Model, "m")
 	request.sent = time.Now()
 	head := &strings.Builder{}
-	fmt.Fprintf(head, "POST /lohu930/2f HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n", host, promptBytes)
+	fmt.Fprintf(head, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n", cmp.Or(request.path, "/lohu930/2f"), host, promptBytes)
 	if err := header.Write(head); err != nil {
 		return 0, err
 	}
