Review case 2: answers of two runs are joined on an idempotent route

Cause, as far as the source shows: a request with token counts is forwarded in parts whatever its route's kind. When its server breaks off, it is run again as an idempotent request, although a part of its answer has been sent, and the second answer is appended.

Done: a script in which three of six servers break off one in 50 answers. Nothing is fixed.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Spoils one answer of a model server: a stream that goes on without the end of an event. Exits with 1 if more than three requests of
-# others, passed on from kept channels to sound servers, end without an answer, 0 if not, 2 if the case could not run. TROUBLE=0: no
-# answer is spoilt.
+# Breaks off one in fifty answers of half of the model servers, on a route whose requests may be repeated. Exits with 1 if a requester
+# gets a success whose body is not a server's whole body, 0 if none does, 2 if the case could not run. TROUBLE=0: no answer is broken
+# off.
 cd "$(dirname "$0")/../.." || exit 2
 test -x target/platform -a -x target/review/standins || exit 2
-exec timeout -k 5 110 target/review/standins flood review/2 target/platform
+exec timeout -k 5 110 target/review/standins joined review/2 target/platform
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
-# Sends requests whose paths begin with two slashes. Exits with 1 if a server ran one whose method, path, query or host is not the
-# requester's, 0 if none did, 2 if the case could not run. TROUBLE=0: the paths begin with one slash.
+# Spoils one answer of a model server: a stream that goes on without the end of an event. Exits with 1 if more than three requests of
+# others, passed on from kept channels to sound servers, end without an answer, 0 if not, 2 if the case could not run. TROUBLE=0: no
+# answer is spoilt.
 cd "$(dirname "$0")/../.." || exit 2
 test -x target/platform -a -x target/review/standins || exit 2
-exec timeout -k 5 110 target/review/standins changed-path review/3 target/platform
+exec timeout -k 5 110 target/review/standins flood review/3 target/platform
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -19,6 +19,8 @@
 	"revoked-key":  revokedKey,
 	"changed-path": changedPath,
 	"flood":        flood,
+	"budget":       changedBudget,
+	"joined":       joined,
 }
 
 func main() {
--- a/review/standins/plain.go
+++ b/review/standins/plain.go
@@ -18,6 +18,7 @@
 // plainRequest is a request without a prompt, sent at once.
 type plainRequest struct {
 	id, method, target, body string
+	tokens                   int
 	address                  netip.AddrPort
 	wait                     time.Duration
 }
@@ -46,7 +47,7 @@
 
 // sendOn sends the request on a channel.
 func (request *plainRequest) sendOn(connection io.Writer, reader *bufio.Reader) answer {
-	call := dogwoodstandin.Call{ID: request.id, Key: otherTenantKey, Wait: request.wait}
+	call := dogwoodstandin.Call{ID: request.id, Key: otherTenantKey, Wait: request.wait, PromptTokens: request.tokens, AnswerTokens: 80}
 	head := &strings.Builder{}
 	fmt.Fprintf(head, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.method, request.target, host)
 	if request.body != "" {
