--- a/review/standins/flood.go
+++ b/review/standins/flood.go
@@ -138,6 +138,7 @@
 			if answer.status == http.StatusOK {
 				served++
 			}
+			deployment.record.log("requester: %s was answered %d by %s", request.id, answer.status, machine.name)
 			if answer.header.Get("Connection") == "close" {
 				break
 			}
--- a/review/standins/joined.go
+++ b/review/standins/joined.go
@@ -116,6 +116,7 @@
 					record.log("requester: %s was answered %d (%v), ran at %v", request.id, answer.status, answer.err, servers)
 				case answer.body == draft(request.id):
 					whole.Add(1)
+					record.log("requester: %s was answered 200 with the server's whole body, ran at %v", request.id, servers)
 				default:
 					wrong.Add(1)
 					record.log("requester: %s was answered 200 with the seal %s and a complete body of %d bytes, the server's whole body has %d; it ran at %v; the body has paragraph 1 %d times",
--- a/review/standins/revokedkey.go
+++ b/review/standins/revokedkey.go
@@ -53,6 +53,7 @@
 
 // send sends the request's headers at once and its body over a time, and reads the answer.
 func (request *request) send(record *record, upload time.Duration) {
+	record.log("requester: sends %s with key %.4s.. to %s, its body in %s", request.id, request.key, request.address, upload)
 	request.status, request.err = request.exchange(upload)
 	record.log("requester: %s with key %.4s.. was answered %d by %s (%v)", request.id, request.key, request.status, request.address, request.err)
 }
