--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -62,6 +62,7 @@
 	name, zone, settings string
 	ip                   netip.Addr
 	store                netip.AddrPort
+	channels             *silenceable // those to the store
 	process              *exec.Cmd
 }
 
@@ -128,18 +129,25 @@
 
 // serve serves a handler at a port of a new address.
 func serve(port uint16, handler http.Handler) (netip.AddrPort, error) {
+	address, _, err := serveSilenceable(port, handler)
+	return address, err
+}
+
+// serveSilenceable serves a handler at a port of a new address, on channels that can go silent.
+func serveSilenceable(port uint16, handler http.Handler) (netip.AddrPort, *silenceable, error) {
 	ip, err := newAddress(port)
 	if err != nil {
-		return netip.AddrPort{}, err
+		return netip.AddrPort{}, nil, err
 	}
 	address := netip.AddrPortFrom(ip, port)
 	listener, err := net.Listen("tcp", address.String()) //nolint:noctx // it lasts as long as the process
 	if err != nil {
-		return address, fmt.Errorf("%w: %w", errCannotRun, err)
+		return address, nil, fmt.Errorf("%w: %w", errCannotRun, err)
 	}
+	channels := &silenceable{Listener: listener}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(listener) }() // it ends with the process
-	return address, nil
+	go func() { _ = server.Serve(channels) }() // it ends with the process
+	return address, channels, nil
 }
 
 // start starts the store, servers and machines, and waits until all machines are ready.
@@ -224,7 +232,7 @@
 		return err
 	}
 	machine := &machine{name: fmt.Sprintf("front-%s-%d", zones[number%len(zones)], number/len(zones)+1), zone: zones[number%len(zones)], ip: ip}
-	if machine.store, err = serve(storePort, deployment.store.handler(machine.name)); err != nil {
+	if machine.store, machine.channels, err = serveSilenceable(storePort, deployment.store.handler(machine.name)); err != nil {
 		return err
 	}
 	machine.settings = filepath.Join(deployment.folder, machine.name+".toml")
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -21,6 +21,7 @@
 	"flood":        flood,
 	"budget":       changedBudget,
 	"joined":       joined,
+	"silent":       silent,
 }
 
 func main() {
