Hold answers to prompts whole on routes that are not streamed

Cause: Request.isPlain took any request with token counts for a stream, so that the request's headers decided how its answer is passed on. The parts went to the caller as they came, split at empty lines, without their length, and the next run was appended to them, as nothing but Request.Repeatable was asked.

The kind of the route decides now. An answer that is not streamed is held until it is whole, up to maxHeldBytes, and a run that breaks off or falls silent leaves nothing behind. Engines still report their progress: each part that arrives counts as a sign of life, as first event and as evidence that the answer has begun, so that a long answer gets no second run.

--- a/core/duty/dogwoodrelay/forward.go
+++ b/core/duty/dogwoodrelay/forward.go
@@ -23,10 +23,10 @@
 		if err != nil {
 			return attempt.runEnded(ctx, run, err), nil
 		}
-		if attempt.request.isPlain() {
+		if !attempt.request.isStreamed() {
 			return attempt.forwardAnswer(ctx, run, event.raw), nil
 		}
-		attempt.recordEvent(ctx, run)
+		attempt.recordEvent(run)
 		if err := attempt.forwardEvent(ctx, run.response, event); err != nil {
 			return tryResult{err: err}, nil
 		}
--- a/core/duty/dogwoodrelay/hedge.go
+++ b/core/duty/dogwoodrelay/hedge.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-
-	"dogwoodmux.example/core/decision/dogwoodroute"
 )
 
 const (
@@ -78,9 +76,7 @@
 
 func (attempt *attempt) newHedge(ctx context.Context, run *run) *hedge {
 	hedge := &hedge{attempt: attempt, first: run, limit: run.firstEventLimit()}
-	// A plain call that is not idempotent is read whole and may take any time.
-	unbounded := attempt.request.isPlain() && attempt.request.Route.Repeat != dogwoodroute.Idempotent
-	if attempt.mayHedge() && !unbounded {
+	if attempt.mayHedge() {
 		hedge.timer = time.AfterFunc(unarmed, func() { hedge.onTimer(ctx) })
 		hedge.timer.Stop() // beginWait resets it
 	}
@@ -89,8 +85,8 @@
 
 // pauseLimit returns the silence that is allowed after an event, and after a failed second run.
 func (hedge *hedge) pauseLimit() time.Duration {
-	if hedge.attempt.request.isPlain() {
-		return hedge.first.firstEventLimit()
+	if !hedge.attempt.request.isStreamed() {
+		return hedge.first.firstEventLimit() // the whole answer counts as one event
 	}
 	return max(pauseFactor*hedge.attempt.request.Route.Pause, minPauseLimit)
 }
--- a/core/duty/dogwoodrelay/lateness.go
+++ b/core/duty/dogwoodrelay/lateness.go
@@ -39,7 +39,7 @@
 	route := request.Route
 	lateFirst := route.Aim > 0 && lateness.firstEvent > route.Aim
 	latePause := route.Pause > 0 && lateness.longestPause > route.Pause
-	if request.isPlain() || lateness.lastAt.IsZero() {
+	if !request.isStreamed() || lateness.lastAt.IsZero() {
 		return
 	}
 	label := fmt.Sprintf("Rank%dRoute%d", boundedRank(request.Rank), boundedRank(route.Rank))
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -87,7 +87,13 @@
 
 // isPlain reports whether the request is a call with a single whole answer, neither a prompt nor on a route for streams.
 func (request *Request) isPlain() bool {
-	return request.Prompt == 0 && request.Route.Repeat != dogwoodroute.Stream
+	return request.Prompt == 0 && !request.isStreamed()
+}
+
+// isStreamed reports whether the answer is forwarded as it arrives. Only the route decides this: any other answer, also to a
+// prompt, is held until it is whole, so that another run may replace it.
+func (request *Request) isStreamed() bool {
+	return request.Route.Repeat == dogwoodroute.Stream
 }
 
 // Answer receives the response to the caller. It is called by one goroutine at a time, which is not that of Serve. An Answer
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -30,7 +30,7 @@
 	errUnusable = errors.New("the endpoint did not begin or failed")
 )
 
-// run is a request at one endpoint. The whole answer of a plain call is returned as one event.
+// run is a request at one endpoint. An answer that is not streamed is returned whole, as one event.
 type run struct {
 	*preparedTry
 	// send sends the request; it is called once. cause returns why the run was cancelled. These are
@@ -40,6 +40,8 @@
 	cancel context.CancelCauseFunc
 	// free releases the slot and the memory.
 	free func()
+	// reportBegun tells the other daemons that the endpoint has lived on after the answer began at a time.
+	reportBegun func(begun time.Time)
 	// sentAt is when the request was sent.
 	sentAt   time.Time
 	response *Response
@@ -68,8 +70,13 @@
 }
 
 func newRun(ctx context.Context, preparedTry *preparedTry) *run {
+	attemptContext := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	run := &run{preparedTry: preparedTry, cancel: cancel, sentAt: time.Now()}
+	run.reportBegun = func(begun time.Time) {
+		attempt := preparedTry.attempt
+		attempt.relay.options.Suspects.Began(attemptContext, &attempt.subject, begun)
+	}
 	run.cause = func() error { return context.Cause(ctx) }
 	run.free = func() { preparedTry.close(ctx) }
 	run.send = func() (*Response, error) {
@@ -130,7 +137,7 @@
 		}
 	}
 	read := run.events.next
-	if run.attempt.request.isPlain() {
+	if !run.attempt.request.isStreamed() {
 		read = run.readWhole
 	}
 	next, err := read()
@@ -143,10 +150,14 @@
 	return next, nil
 }
 
-// readWhole reads a plain answer. Of an answer larger than maxHeldBytes it reads one byte more than that.
+// readWhole reads an answer that is not streamed. Of an answer larger than maxHeldBytes it reads one byte more than that.
 func (run *run) readWhole() (event, error) {
 	length, _ := strconv.ParseInt(run.response.Header.Get("Content-Length"), 10, 64) // 0 if there is none
-	data, err := dogwoodbuffer.ReadAll(io.LimitReader(run.response.Body, maxHeldBytes+1), min(length, maxHeldBytes), func(bytes int64) error {
+	body := io.LimitReader(run.response.Body, maxHeldBytes+1)
+	if run.answered && run.attempt.request.Prompt > 0 {
+		body = &progressReader{Reader: body, run: run}
+	}
+	data, err := dogwoodbuffer.ReadAll(body, min(length, maxHeldBytes), func(bytes int64) error {
 		err := run.attempt.buffer.account.ReserveWhole(bytes)
 		if err == nil {
 			run.held += bytes
@@ -159,6 +170,21 @@
 	return event{raw: data}, err
 }
 
+// progressReader records the progress of an engine's answer that is held until it is whole.
+type progressReader struct {
+	io.Reader
+	run *run
+}
+
+// Read reads a part of the answer.
+func (reader *progressReader) Read(target []byte) (int, error) {
+	count, err := reader.Reader.Read(target)
+	if count > 0 {
+		reader.run.recordProgress()
+	}
+	return count, err //nolint:wrapcheck // io.EOF must stay itself
+}
+
 // open sends the request. It returns errUnusable if the response is not an answer.
 func (run *run) open() error {
 	run.mayHaveRun = true
@@ -227,7 +253,7 @@
 	switch {
 	case response.NotRun, response.OtherInstance, success && !response.Genuine:
 		return false
-	case request.isPlain():
+	case !request.isStreamed():
 		return response.Status < http.StatusInternalServerError || !request.Repeatable()
 	default:
 		return response.Status == http.StatusOK
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -240,7 +240,7 @@
 		tryResult, replacement := attempt.forwardRun(ctx, run)
 		if replacement == nil {
 			if tryResult.done {
-				attempt.recordAnswered(ctx, run)
+				run.recordAnswered()
 			}
 			return tryResult
 		}
--- a/core/duty/dogwoodrelay/stream.go
+++ b/core/duty/dogwoodrelay/stream.go
@@ -19,43 +19,49 @@
 }
 
 // recordEvent updates the endpoint's liveness, pace and predictions from an event's arrival time.
-func (attempt *attempt) recordEvent(ctx context.Context, run *run) {
-	places, endpoint := attempt.relay.options.Places, run.placement.Endpoint.ID
+func (attempt *attempt) recordEvent(run *run) {
+	endpoint := run.placement.Endpoint.ID
 	attempt.runState = dogwoodfleet.WasRun
-	attempt.relay.liveness.record(time.Now(), endpoint)
 	attempt.lateness.record(time.Now(), attempt.request.Arrived, endpoint)
 	if pause, ok := run.pace.record(time.Now()); ok {
-		places.RecordPace(endpoint, pause)
+		attempt.relay.options.Places.RecordPace(endpoint, pause)
 	}
+	run.recordProgress()
+}
+
+// recordProgress updates the endpoint's liveness and predictions from the arrival time of a part of its answer.
+func (run *run) recordProgress() {
+	relay, request, endpoint := run.attempt.relay, run.attempt.request, run.placement.Endpoint.ID
+	relay.liveness.record(time.Now(), endpoint)
 	if !run.firstEventAt.IsZero() {
-		attempt.recordBegun(ctx, run)
+		run.recordBegun()
 		return
 	}
 	run.firstEventAt = time.Now()
 	seen := time.Since(run.sentAt)
-	attempt.relay.options.Metrics.Observe(metricFirstEvent, lengthLabel(attempt.request.Prompt), seen)
-	places.Writes(run.id, run.placement.Predicted, seen)
-	attempt.relay.options.Logger.Info(dogwoodlog.FirstEvent, "request", attempt.request.ID,
+	relay.options.Metrics.Observe(metricFirstEvent, lengthLabel(request.Prompt), seen)
+	relay.options.Places.Writes(run.id, run.placement.Predicted, seen)
+	relay.options.Logger.Info(dogwoodlog.FirstEvent, "request", request.ID,
 		"predicted", run.placement.Predicted, "seen", seen, "endpoint", endpoint)
 }
 
 // recordBegun records once that the endpoint has lived on after the answer began.
-func (attempt *attempt) recordBegun(ctx context.Context, run *run) {
+func (run *run) recordBegun() {
 	if run.begun || time.Since(run.firstEventAt) < minBegunTime {
 		return
 	}
 	run.begun = true
-	attempt.relay.options.Suspects.Began(ctx, &attempt.subject, run.firstEventAt)
+	run.reportBegun(run.firstEventAt)
 }
 
 // recordAnswered records a whole answer that was too short to count as begun before.
-func (attempt *attempt) recordAnswered(ctx context.Context, run *run) {
-	hasContent := attempt.request.isPlain() || !run.firstEventAt.IsZero()
+func (run *run) recordAnswered() {
+	hasContent := !run.attempt.request.isStreamed() || !run.firstEventAt.IsZero()
 	if run.begun || !hasContent || run.response.Status >= http.StatusMultipleChoices {
 		return
 	}
 	run.begun = true
-	attempt.relay.options.Suspects.Began(ctx, &attempt.subject, time.Now())
+	run.reportBegun(time.Now())
 }
 
 // finishStream ends a stream. It sends the headers even if there were no events.
