Deliver streamed answers whole that are no series of events

On a route for streams a text, or lines of JSON, whose last bytes are no empty line was answered 502 or cut, and so was a stream of events whose end the endpoint had marked but whose last event lacked its empty line.

Cause: each streamed answer was split at empty lines, whatever its media type, and an end inside an event counted as broken off, whatever the end of the body said.

Only an answer that says that it is a stream of events, or that names no media type, is read as one. Any other is forwarded in the parts in which it arrives. A body whose end is marked by its length or its last chunk is whole at that end; one that ends with its connection counts as broken off inside an event, as before, since an endpoint that ends closes its connections.

TestUnmarkedEndInsideAnEventIsBrokenOff held before and holds.

--- a/core/duty/dogwoodrelay/events.go
+++ b/core/duty/dogwoodrelay/events.go
@@ -17,24 +17,32 @@
 // eventReader splits a stream into whole events without changing a byte.
 type eventReader struct {
 	reader *bufio.Reader
-	raw    []byte
+	// endMarked is true if the stream's end is marked, so that its last event may lack the final empty line.
+	endMarked bool
+	raw       []byte
 }
 
 // eventBufferSize is enough for several events of a few hundred bytes.
 const eventBufferSize = 2 << 10
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(body, eventBufferSize)}
+func newEventReader(response *Response) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(response.Body, eventBufferSize), endMarked: response.EndMarked}
 }
 
-// next returns the next whole event, or io.EOF after the last one. If the stream ends within
-// an event, it returns io.ErrUnexpectedEOF.
+// next returns the next whole event, or io.EOF after the last one. If the stream ends within an event and its end is not marked,
+// it returns io.ErrUnexpectedEOF.
 func (eventReader *eventReader) next() (event, error) {
 	current := event{raw: eventReader.raw[:0]}
 	for {
 		line, err := eventReader.readLine()
 		if err != nil {
-			if errors.Is(err, io.EOF) && (len(current.raw) > 0 || len(line) > 0) {
+			ended := errors.Is(err, io.EOF) && (len(current.raw) > 0 || len(line) > 0)
+			switch {
+			case ended && eventReader.endMarked:
+				current.raw = append(current.raw, line...)
+				eventReader.raw = current.raw
+				return current, nil
+			case ended:
 				return event{}, io.ErrUnexpectedEOF
 			}
 			return event{}, err
@@ -54,11 +62,21 @@
 // eventStream is the content type of a stream of events.
 const eventStream = "text/event-stream"
 
-// endsInsideEvent reports whether a body that ends with some data is a stream of events without the end of its last one. An
-// answer without a length ends with its connection, also that of an endpoint that has ended.
-func (response *Response) endsInsideEvent(end []byte) bool {
+// hasEvents reports whether the answer says that it is a stream of events.
+func (response *Response) hasEvents() bool {
 	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
-	if err != nil || mediaType != eventStream || len(end) == 0 {
+	return err == nil && mediaType == eventStream
+}
+
+// isSeries reports whether a streamed answer is a stream of events. One that names no content type counts as such.
+func (response *Response) isSeries() bool {
+	return response.Header.Get("Content-Type") == "" || response.hasEvents()
+}
+
+// endsInsideEvent reports whether a body that ends with some data and whose end is not marked is a stream of events without the
+// end of its last one.
+func (response *Response) endsInsideEvent(end []byte) bool {
+	if response.EndMarked || !response.hasEvents() || len(end) == 0 {
 		return false
 	}
 	lastLine, found := bytes.CutSuffix(end, []byte("\n"))
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -128,6 +128,9 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// EndMarked is true if the end of the body is marked by its length or by a last chunk. The end of any other body is that
+	// of its connection, also of one that an endpoint closes as it ends.
+	EndMarked bool
 	// NotRun is true if the endpoint reported that it did not begin the request and never will.
 	NotRun bool
 	// OtherInstance is true if the address now belongs to another endpoint.
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -45,8 +45,10 @@
 	// sentAt is when the request was sent.
 	sentAt   time.Time
 	response *Response
-	events   *eventReader
-	pace     pace
+	// events reads a stream of events, part holds the last part of another stream; nil before they are needed.
+	events *eventReader
+	part   []byte
+	pace   pace
 	// firstEventAt is when the first event arrived; zero before it.
 	firstEventAt time.Time
 	// answered is true once the endpoint has answered.
@@ -136,11 +138,7 @@
 			return event{}, err
 		}
 	}
-	read := run.events.next
-	if !run.attempt.request.isStreamed() {
-		read = run.readWhole
-	}
-	next, err := read()
+	next, err := run.read()
 	switch {
 	case errors.Is(err, io.EOF):
 		return event{}, errStreamEnded
@@ -150,6 +148,35 @@
 	return next, nil
 }
 
+// read reads a whole answer, the next event of a stream of events, or the next part of another stream.
+func (run *run) read() (event, error) {
+	switch {
+	case !run.attempt.request.isStreamed():
+		return run.readWhole()
+	case !run.response.isSeries():
+		return run.readPart()
+	case run.events == nil:
+		run.events = newEventReader(run.response)
+	}
+	return run.events.next()
+}
+
+// readPart reads the next part of a stream that has no events.
+func (run *run) readPart() (event, error) {
+	if run.part == nil {
+		run.part = make([]byte, eventBufferSize)
+	}
+	for {
+		count, err := run.response.Body.Read(run.part)
+		if count > 0 {
+			return event{raw: run.part[:count]}, nil // the next read returns the error again
+		}
+		if err != nil {
+			return event{}, err //nolint:wrapcheck // io.EOF must stay itself
+		}
+	}
+}
+
 // readWhole reads an answer that is not streamed. Of an answer larger than maxHeldBytes it reads one byte more than that.
 func (run *run) readWhole() (event, error) {
 	length, _ := strconv.ParseInt(run.response.Header.Get("Content-Length"), 10, 64) // 0 if there is none
@@ -197,7 +224,7 @@
 	if err != nil {
 		return run.withCause(err)
 	}
-	run.response, run.events = response, newEventReader(response.Body)
+	run.response = response
 	run.mayHaveRun = !response.NotRun && !response.OtherInstance
 	run.recordLimit()
 	run.recordBackoff()
