Continue a stream at another endpoint by its event IDs only

A stream whose events have no IDs, or whose last event has none, was continued by a run that began anew when its endpoint broke off or fell silent: the caller got the start of one run and the whole of another, with 200 and a regular end. The same happened after an answer that is no series of events, and with a second run that sends no IDs or a text.

Cause: checkRetry and the hedge asked whether the route allows another run, not whether the answer says where it goes on, and forwardEvent compared IDs only where both events have one.

The relay tracks now whether the last thing that it has sent has an ID. If not, no other run follows, and the answer is cut. A run that continues an answer must be a series of events and begin with an event that has an ID; a second run that does not is dropped while the first one may still go on. Comments have no content and change nothing.

--- a/core/duty/dogwoodrelay/events.go
+++ b/core/duty/dogwoodrelay/events.go
@@ -12,6 +12,8 @@
 type event struct {
 	raw []byte
 	id  string
+	// isComment is true if it has neither data nor an ID, so that no caller misses it.
+	isComment bool
 }
 
 // eventReader splits a stream into whole events without changing a byte.
@@ -32,14 +34,14 @@
 // next returns the next whole event, or io.EOF after the last one. If the stream ends within an event and its end is not marked,
 // it returns io.ErrUnexpectedEOF.
 func (eventReader *eventReader) next() (event, error) {
-	current := event{raw: eventReader.raw[:0]}
+	current := event{raw: eventReader.raw[:0], isComment: true}
 	for {
 		line, err := eventReader.readLine()
 		if err != nil {
 			ended := errors.Is(err, io.EOF) && (len(current.raw) > 0 || len(line) > 0)
 			switch {
 			case ended && eventReader.endMarked:
-				current.raw = append(current.raw, line...)
+				current.raw, current.isComment = append(current.raw, line...), false
 				eventReader.raw = current.raw
 				return current, nil
 			case ended:
@@ -56,6 +58,9 @@
 		if id, ok := bytes.CutPrefix(content, []byte("id:")); ok {
 			current.id = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
+		if content[0] != ':' {
+			current.isComment = false
+		}
 	}
 }
 
--- a/core/duty/dogwoodrelay/forward.go
+++ b/core/duty/dogwoodrelay/forward.go
@@ -13,10 +13,10 @@
 	for {
 		hedge.beginWait()
 		event, err := run.next()
-		if !run.continues(err) {
+		if !run.succeeds(err) {
 			run.releaseEngines(ctx) // a second run may take seconds to begin
 		}
-		if replacement := hedge.settle(run.continues(err)); replacement != nil {
+		if replacement := hedge.settle(run.succeeds(err)); replacement != nil {
 			attempt.recordReplaced(ctx, run, err)
 			return tryResult{}, replacement
 		}
@@ -27,7 +27,7 @@
 			return attempt.forwardAnswer(ctx, run, event.raw), nil
 		}
 		attempt.recordEvent(run)
-		if err := attempt.forwardEvent(ctx, run.response, event); err != nil {
+		if err := attempt.forwardEvent(ctx, run, event); err != nil {
 			return tryResult{err: err}, nil
 		}
 	}
--- a/core/duty/dogwoodrelay/hedge.go
+++ b/core/duty/dogwoodrelay/hedge.go
@@ -94,7 +94,7 @@
 // mayHedge reports whether the request may have another run while the current one is in progress.
 func (attempt *attempt) mayHedge() bool {
 	request := attempt.request
-	return request.Repeatable() && attempt.possibleRuns+1 < request.Route.Attempts && attempt.reachedTries+1 < maxTries &&
+	return request.Repeatable() && !attempt.stream.unnumbered && attempt.possibleRuns+1 < request.Route.Attempts && attempt.reachedTries+1 < maxTries &&
 		time.Until(request.Deadline) >= minResumeTime
 }
 
--- a/core/duty/dogwoodrelay/joined_test.go
+++ b/core/duty/dogwoodrelay/joined_test.go
@@ -143,3 +143,57 @@
 	body.closed = true
 	return nil
 }
+
+// Guards against a stream without IDs, or with only some, that is continued by another run, which may repeat what was sent.
+func TestStreamsAreContinuedByIDsOnly(t *testing.T) {
+	const (
+		text     = "text/plain; charset=utf-8"
+		numbered = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+		last     = "id: 3\ndata: c\n\n"
+		without  = "data: a\n\ndata: b\n\n"
+		comment  = ": keep-alive\n\n"
+	)
+	tests := []struct {
+		name          string
+		first, second step
+		// want is what the caller gets. The answer is cut unless it is whole.
+		want  string
+		whole bool
+		sends int
+	}{
+		{"IDs", typed(eventStream, breaksOff(numbered)), typed(eventStream, responds(200, last)), numbered + last, true, 2},
+		{"IDs, the answer before again", typed(eventStream, breaksOff(numbered)), typed(eventStream, responds(200, numbered+last)), numbered + last, true, 2},
+		{"no IDs", typed(eventStream, breaksOff(without)), typed(eventStream, responds(200, without+without)), without, false, 1},
+		{"no IDs, silent", typed(eventStream, fallsSilent(without)), typed(eventStream, responds(200, without+without)), without, false, 1},
+		{"the last event has no ID", typed(eventStream, breaksOff(numbered+"data: c\n\n")), typed(eventStream, responds(200, last)), numbered + "data: c\n\n", false, 1},
+		{"the last event has no ID, silent", typed(eventStream, fallsSilent(numbered+"data: c\n\n")), typed(eventStream, responds(200, last)), numbered + "data: c\n\n", false, 1},
+		{"a comment after an ID", typed(eventStream, breaksOff(numbered+comment)), typed(eventStream, responds(200, comment+last)), numbered + comment + last, true, 2},
+		{"a comment before a break", typed(eventStream, breaksOff(comment)), typed(eventStream, responds(200, without)), comment + without, true, 2},
+		{"the second run has no IDs", typed(eventStream, breaksOff(numbered)), typed(eventStream, responds(200, without+"data: c\n\n")), numbered, false, 2},
+		{"the second run has no IDs, silent", typed(eventStream, fallsSilent(numbered)), typed(eventStream, responds(200, without+"data: c\n\n")), numbered, false, 2},
+		{"the second run's first event has no ID", typed(eventStream, breaksOff(numbered)), typed(eventStream, responds(200, "data: b\n\n"+last)), numbered, false, 2},
+		{"the second run is a text", typed(eventStream, breaksOff(numbered)), typed(text, responds(200, last)), numbered, false, 2},
+		{"the second run is an empty text", typed(eventStream, breaksOff(numbered)), typed(text, responds(200, "")), numbered, false, 2},
+		{"the second run is a text, silent", typed(eventStream, fallsSilent(numbered)), typed(text, responds(200, last)), numbered, false, 2},
+		{"the second run fails in part", typed(eventStream, breaksOff(numbered)), failsInPart(last), numbered, false, 2},
+		{"text", typed(text, breaksOff(halfParagraphs)), typed(text, responds(200, paragraphs)), halfParagraphs, false, 1},
+		{"text, silent", typed(text, fallsSilent(halfParagraphs)), typed(text, responds(200, paragraphs)), halfParagraphs, false, 1},
+		{"text, the second run has events", typed(text, breaksOff(halfParagraphs)), typed(eventStream, responds(200, numbered)), halfParagraphs, false, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runRelayTest(t, testEngine, []step{test.first, test.second}, func(t *testing.T, fixture *fixture) {
+				err := fixture.relay.Serve(t.Context(), streamRequest(), fixture.answer)
+				if got := fixture.answer.body.String(); got != test.want {
+					t.Errorf("got %q, want %q", got, test.want)
+				}
+				if test.whole && err != nil || !test.whole && !errors.Is(err, ErrCut) {
+					t.Errorf("got %v, want a whole answer %t", err, test.whole)
+				}
+				if got := len(fixture.endpoints.sends); got != test.sends {
+					t.Errorf("got %d sends, want %d", got, test.sends)
+				}
+			})
+		})
+	}
+}
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -51,6 +51,8 @@
 	pace   pace
 	// firstEventAt is when the first event arrived; zero before it.
 	firstEventAt time.Time
+	// forwarded is true once a part of its answer is in the buffer for the caller.
+	forwarded bool
 	// answered is true once the endpoint has answered.
 	answered bool
 	// begun is true once the endpoint has lived on after the answer began.
@@ -283,13 +285,13 @@
 	case !request.isStreamed():
 		return response.Status < http.StatusInternalServerError || !request.Repeatable()
 	default:
-		return response.Status == http.StatusOK
+		return response.Status == http.StatusOK && (!run.attempt.stream.begun || response.isSeries())
 	}
 }
 
-// continues reports whether err, as returned by next, belongs to an answer that continues or is complete.
+// succeeds reports whether err, as returned by next, belongs to an answer that goes on or is complete.
 // It returns false for a run that has failed.
-func (run *run) continues(err error) bool {
+func (run *run) succeeds(err error) bool {
 	return err == nil || errors.Is(err, errStreamEnded) || run.rejected(err)
 }
 
--- a/core/duty/dogwoodrelay/secondrun.go
+++ b/core/duty/dogwoodrelay/secondrun.go
@@ -47,6 +47,9 @@
 		}
 	}()
 	err := attempt.peekSecond(run)
+	if err == nil && run.continues(&attempt.stream) && run.peeked.event.id == "" && !run.peeked.event.isComment {
+		err = &Broken{Cause: errNotContinued} // the first run may still go on
+	}
 	if err == nil || errors.Is(err, errStreamEnded) {
 		attempt.reachedTries++
 		succeeded = true
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -169,6 +169,8 @@
 		return "it was tried too often"
 	case attempt.runState != dogwoodfleet.NotRun && !request.Repeatable():
 		return "it may have run and may not be repeated"
+	case attempt.stream.unnumbered:
+		return "a part of its answer was sent, and no ID says where it goes on"
 	case attempt.possibleRuns >= max(request.Route.Attempts, 1):
 		return "it was sent to as many endpoints as its route allows"
 	case time.Until(request.Deadline) < minTimeLeft:
--- a/core/duty/dogwoodrelay/stream.go
+++ b/core/duty/dogwoodrelay/stream.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,11 +15,17 @@
 // progress tracks what was put into the buffer of a stream for its caller, who may not have received it yet.
 type progress struct {
 	begun bool
-	// lastEvent is the ID of the last event in the buffer, or the one that the caller asked to
+	// lastEvent is the ID of the last event in the buffer that has one, or the one that the caller asked to
 	// resume after.
 	lastEvent string
+	// hasContent is true if something other than comments is in the buffer, unnumbered if the last of it has no ID, so that none
+	// says where another run goes on.
+	hasContent, unnumbered bool
 }
 
+// errNotContinued means that a run does not go on where the answer that has begun needs it.
+var errNotContinued = errors.New("the endpoint's events have no IDs that continue the answer")
+
 // recordEvent updates the endpoint's liveness, pace and predictions from an event's arrival time.
 func (attempt *attempt) recordEvent(run *run) {
 	endpoint := run.placement.Endpoint.ID
@@ -86,23 +94,41 @@
 	return nil
 }
 
-// forwardEvent forwards an event unless the caller already gets it.
-func (attempt *attempt) forwardEvent(ctx context.Context, response *Response, event event) error {
-	if event.id != "" && !after(event.id, attempt.stream.lastEvent) {
+// forwardEvent forwards an event unless the caller already gets it. The first event that a further run adds to an answer must
+// have an ID, since without one it may repeat what another run has sent.
+func (attempt *attempt) forwardEvent(ctx context.Context, run *run, event event) error {
+	stream := &attempt.stream
+	switch {
+	case event.id != "" && !after(event.id, stream.lastEvent):
 		return nil
+	case run.continues(stream) && event.isComment:
+		return nil // a later event shows whether the run goes on where it should
+	case run.continues(stream) && event.id == "":
+		attempt.relay.options.Logger.Warn("An answer is cut, since no ID says where it goes on.", "request", attempt.request.ID,
+			"endpoint", run.placement.Endpoint.ID, "after", stream.lastEvent)
+		return fmt.Errorf("%w: %w", ErrCut, errNotContinued)
 	}
-	if err := attempt.beginStream(response); err != nil {
+	if err := attempt.beginStream(run.response); err != nil {
 		return err
 	}
 	if err := attempt.buffer.write(ctx, event.raw); err != nil {
 		return err
 	}
+	run.forwarded = true
 	if event.id != "" {
-		attempt.stream.lastEvent = event.id
+		stream.lastEvent = event.id
+	}
+	if !event.isComment {
+		stream.hasContent, stream.unnumbered = true, event.id == ""
 	}
 	return nil
 }
 
+// continues reports whether the run's next event is the first that it adds to what another run has sent.
+func (run *run) continues(stream *progress) bool {
+	return stream.hasContent && !run.forwarded
+}
+
 // after reports whether the event with the given ID comes after the last one. IDs are increasing
 // numbers; other IDs can't be ordered and count as new if they differ from the last one.
 func after(id, last string) bool {
