Forward a failure that is too large to be held before its run is closed

A 500 of more than 1 MiB from an endpoint of an idempotent route reached its caller cut after 1 MiB: its rest was read when no further try was allowed, by when the run and its connection were closed. The test used a body that can be read after Close.

Such a failure is forwarded at once, as other answers are that are too large to be held. TestLargeFailureIsForwardedWhole, with a body that ends when it is closed, failed before ("invalid Read on closed Body").

--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -344,6 +344,24 @@
 	}
 }
 
+// closableBody can't be read once it is closed, as the body of a connection.
+type closableBody struct {
+	io.Reader
+	closed bool
+}
+
+func (body *closableBody) Read(buffer []byte) (int, error) {
+	if body.closed {
+		return 0, http.ErrBodyReadAfterClose
+	}
+	return body.Reader.Read(buffer)
+}
+
+func (body *closableBody) Close() error {
+	body.closed = true
+	return nil
+}
+
 // silentBody returns some bytes and then blocks until its context ends.
 type silentBody struct {
 	reader io.Reader
--- a/core/duty/dogwoodrelay/forward.go
+++ b/core/duty/dogwoodrelay/forward.go
@@ -45,7 +45,11 @@
 		}
 		return attempt.forwardAnswer(ctx, run, event.raw)
 	}
-	return attempt.classify(ctx, run, err)
+	tryResult := attempt.classify(ctx, run, err)
+	if tryResult.tooLarge != nil && !attempt.stream.begun {
+		return attempt.forwardLarge(ctx, run, tryResult.tooLarge) // the rest can't be read once the run is closed
+	}
+	return tryResult
 }
 
 // recordReplaced records the result of a run when another one takes over the request.
--- a/core/duty/dogwoodrelay/relay_test.go
+++ b/core/duty/dogwoodrelay/relay_test.go
@@ -215,7 +215,12 @@
 // Guards against a failure that is forwarded only in part because it is too large to be held.
 func TestLargeFailureIsForwardedWhole(t *testing.T) {
 	large := strings.Repeat("x", 2*maxHeldBytes)
-	runRelayTest(t, nil, []step{responds(500, large)}, func(t *testing.T, fixture *fixture) {
+	fails := func(ctx context.Context) (*Response, error) {
+		response, err := responds(500, large)(ctx)
+		response.Body = &closableBody{Reader: response.Body}
+		return response, err
+	}
+	runRelayTest(t, nil, []step{fails}, func(t *testing.T, fixture *fixture) {
 		if err := fixture.relay.Serve(t.Context(), plainRequest(dogwoodroute.Idempotent), fixture.answer); err != nil {
 			t.Fatal(err)
 		}
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -75,6 +75,8 @@
 	reached    bool // the try reached an endpoint, so the next one counts as a retry
 	finalError func() error
 	reason     string
+	// tooLarge is the start of a failure that is too large to be held for finalError; nil for none.
+	tooLarge []byte
 }
 
 // tryNumber makes the IDs of this process's tries unique.
--- a/core/duty/dogwoodrelay/tryresult.go
+++ b/core/duty/dogwoodrelay/tryresult.go
@@ -27,12 +27,16 @@
 	if err != nil {
 		return attempt.sendFailed(ctx, run, run.withCause(&Broken{Cause: err}))
 	}
-	return attempt.endpointFailed(run.placement, run.response, func() error {
+	tryResult := attempt.endpointFailed(run.placement, run.response, func() error {
 		if attempt.stream.begun {
 			return ErrCut
 		}
-		return attempt.forwardAnswer(ctx, run, event.raw).err
+		return attempt.sendAnswer(run, event.raw)
 	})
+	if len(event.raw) > maxHeldBytes {
+		tryResult.tooLarge = event.raw
+	}
+	return tryResult
 }
 
 // endpointFailed records a run that the endpoint answered with a failure, and returns its result.
