Bound an event and count what runs read of answers

One answer without the end of an event took a process over its memory: at 40 MB a second the process had more than 284 MB after three seconds and was killed, and with it 10 to 14 requests that sound endpoints had run got no answer. A thousand events of some size did the same.

Cause: eventReader appended lines to the event until an empty one. A line was bounded, an event was not, and its bytes were counted nowhere. The silence of the stream did not end it, as its endpoint was heard of on other streams.

An event has maxEventBytes at most. Beyond that the run counts as one that broke off: its connection is closed, the endpoint has failed it, and the request is sent elsewhere or answered 502 as its route allows. What an event takes above 16 KiB, as a line or as a whole, is counted in the daemon's budget by an account of its run, and so is an answer that is held until it is whole. When the daemon is at its bound, the runs that hold most are ended; their callers get a clear failure or another run, where the connection was closed without an answer before. A failure that is kept for the case that no further try succeeds stays counted.

TestEventWithoutEndIsBounded: 60 MB read before, 1 MiB now.

--- a/core/duty/dogwoodrelay/answerbuffer.go
+++ b/core/duty/dogwoodrelay/answerbuffer.go
@@ -37,7 +37,7 @@
 
 // answerBuffer passes an answer from the task that reads it at the endpoint to a task that writes it to the caller, so that
 // a caller that reads slowly delays neither the reading nor the end of the run. It holds the answer in chunks of whole
-// events. The bytes of all chunks, and of the answers that runs have read in part, are counted in the account.
+// events. The bytes of all chunks are counted in the account.
 type answerBuffer struct {
 	relay   *Relay
 	request string
@@ -208,9 +208,9 @@
 	return err
 }
 
-// writeWhole adds data without a copy. Its first reserved bytes are reserved already.
-func (buffer *answerBuffer) writeWhole(data []byte, reserved int64) error {
-	if err := buffer.account.ReserveWhole(int64(cap(data)) - reserved); err != nil {
+// writeWhole adds data without a copy.
+func (buffer *answerBuffer) writeWhole(data []byte) error {
+	if err := buffer.account.ReserveWhole(int64(cap(data))); err != nil {
 		return buffer.failure()
 	}
 	if len(data) == 0 {
--- a/core/duty/dogwoodrelay/counters.go
+++ b/core/duty/dogwoodrelay/counters.go
@@ -7,7 +7,7 @@
 )
 
 // counters are published under "Relay": Answered, Cut, CallerGone, Failed, one for each
-// Failure reason, Retries, RetriesForbidden, NotBegun, Conflicts, Silent, Panics.
+// Failure reason, Retries, RetriesForbidden, NotBegun, Conflicts, Silent, EndedForMemory, Panics.
 var counters = expvar.NewMap("Relay")
 
 // bufferCuts counts the answers that were cut, by the bound that was reached.
--- a/core/duty/dogwoodrelay/forward.go
+++ b/core/duty/dogwoodrelay/forward.go
@@ -46,12 +46,29 @@
 		return attempt.forwardAnswer(ctx, run, event.raw)
 	}
 	tryResult := attempt.classify(ctx, run, err)
-	if tryResult.tooLarge != nil && !attempt.stream.begun {
-		return attempt.forwardLarge(ctx, run, tryResult.tooLarge) // the rest can't be read once the run is closed
+	switch {
+	case len(tryResult.failure) > maxHeldBytes && !attempt.stream.begun:
+		return attempt.forwardLarge(ctx, run, tryResult.failure) // the rest can't be read once the run is closed
+	case tryResult.failure != nil:
+		attempt.keepFailure(run)
 	}
 	return tryResult
 }
 
+// keepFailure keeps counting a failure that is held for the case that no further try succeeds, and drops the one before.
+func (attempt *attempt) keepFailure(run *run) {
+	attempt.dropFailure()
+	attempt.failure, run.account = run.account, nil
+}
+
+// dropFailure takes the bytes of a failure that was held off the account.
+func (attempt *attempt) dropFailure() {
+	if attempt.failure != nil {
+		attempt.failure.Close()
+		attempt.failure = nil
+	}
+}
+
 // recordReplaced records the result of a run when another one takes over the request.
 func (attempt *attempt) recordReplaced(ctx context.Context, run *run, err error) {
 	if err == nil {
--- a/core/duty/dogwoodrelay/plain.go
+++ b/core/duty/dogwoodrelay/plain.go
@@ -28,9 +28,8 @@
 	if err := attempt.buffer.begin(run.response.Status, run.response.Header); err != nil {
 		return err
 	}
-	held := run.held
-	run.held = 0
-	return attempt.buffer.writeWhole(data, held)
+	run.releaseAll() // the buffer counts the data from now on
+	return attempt.buffer.writeWhole(data)
 }
 
 // forwardLarge forwards the start of an answer that is too large to be held, then the rest of the
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -24,6 +24,8 @@
 
 var (
 	errSilent = errors.New("the endpoint fell silent")
+	// errDaemonFull means that this daemon holds as much of answers as it may.
+	errDaemonFull = errors.New("this daemon holds too much of answers")
 	// errStreamEnded means that a stream has ended normally.
 	errStreamEnded = errors.New("the stream has ended")
 	// errUnusable means that the endpoint answered, but did not begin or failed.
@@ -59,8 +61,9 @@
 	begun bool
 	// peeked is the event that peek read; nil for none.
 	peeked *peekedEvent
-	// held is the capacity of the answer that was read whole and is not in the buffer for the caller.
-	held int64
+	// account counts what was read and is not in the buffer for the caller: an answer that is read whole, or a large event; nil if
+	// nothing was.
+	account *dogwoodbuffer.Answer
 	// unusedTimer ends a run whose helpers' memory stays unused; nil if no memory is reserved.
 	unusedTimer *time.Timer
 	// memoryUsed is true once the memory is used or about to be released.
@@ -98,8 +101,9 @@
 		closeBody(run.response)
 	}
 	run.cancel(nil)
-	run.attempt.buffer.account.Release(run.held)
-	run.held = 0
+	if run.account != nil {
+		run.account.Close()
+	}
 	run.retry.Return()
 	if run.answered {
 		attempt := run.attempt
@@ -158,7 +162,7 @@
 	case !run.response.isSeries():
 		return run.readPart()
 	case run.events == nil:
-		run.events = newEventReader(run.response)
+		run.events = newEventReader(run.response, run)
 	}
 	return run.events.next()
 }
@@ -186,19 +190,47 @@
 	if run.answered && run.attempt.request.Prompt > 0 {
 		body = &progressReader{Reader: body, run: run}
 	}
-	data, err := dogwoodbuffer.ReadAll(body, min(length, maxHeldBytes), func(bytes int64) error {
-		err := run.attempt.buffer.account.ReserveWhole(bytes)
-		if err == nil {
-			run.held += bytes
-		}
-		return err
-	})
+	data, err := dogwoodbuffer.ReadAll(body, min(length, maxHeldBytes), run.reserve)
 	if err == nil && len(data) <= maxHeldBytes && run.response.endsInsideEvent(data) {
 		err = io.ErrUnexpectedEOF
 	}
 	return event{raw: data}, err
 }
 
+// reserve counts bytes that the run reads before any of them is in the buffer for the caller. If the daemon would hold too much,
+// the runs and answers that hold most are ended, of which this one may be one.
+func (run *run) reserve(bytes int64) error {
+	if bytes == 0 {
+		return nil
+	}
+	if run.account == nil {
+		run.account = run.attempt.relay.options.Buffers.NewAnswer(func(held int64) {
+			counters.Add("EndedForMemory", 1)
+			run.attempt.relay.options.Logger.Warn("A run was ended, since too much of its answer has to be held.", "request", run.attempt.request.ID,
+				"endpoint", run.placement.Endpoint.ID, "bytes", held)
+			run.cancel(errDaemonFull)
+		})
+	}
+	if run.account.ReserveWhole(bytes) != nil {
+		return errDaemonFull
+	}
+	return nil
+}
+
+// release takes bytes off that reserve has counted.
+func (run *run) release(bytes int64) {
+	if run.account != nil {
+		run.account.Release(bytes)
+	}
+}
+
+// releaseAll takes all bytes off that reserve has counted.
+func (run *run) releaseAll() {
+	if run.account != nil {
+		run.account.Release(run.account.Held())
+	}
+}
+
 // progressReader records the progress of an engine's answer that is held until it is whole.
 type progressReader struct {
 	io.Reader
@@ -309,10 +341,10 @@
 	return max(firstEventFactor*run.placement.Predicted, minFirstEventLimit)
 }
 
-// withCause returns err, or a Broken error with errSilent as its cause if the run was cancelled because of silence.
+// withCause returns err, or a Broken error with the reason for which the run was cancelled.
 func (run *run) withCause(err error) error {
-	if errors.Is(run.cause(), errSilent) {
-		return &Broken{Cause: errSilent}
+	if cause := run.cause(); errors.Is(cause, errSilent) || errors.Is(cause, errDaemonFull) {
+		return &Broken{Cause: cause}
 	}
 	return err
 }
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"dogwoodmux.example/core/decision/dogwoodbuffer"
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/decision/dogwoodretry"
 	"dogwoodmux.example/core/decision/dogwoodsuspect"
@@ -56,6 +57,8 @@
 	runState       dogwoodfleet.RunState
 	// notified is closed once the other daemons know of the last run that broke off; nil if none did.
 	notified <-chan struct{}
+	// failure counts an endpoint's failure that is held until another try succeeds; nil for none.
+	failure *dogwoodbuffer.Answer
 	// stream tracks what the caller has received of a stream.
 	stream progress
 	// lateness tracks the delays of a stream.
@@ -75,8 +78,8 @@
 	reached    bool // the try reached an endpoint, so the next one counts as a retry
 	finalError func() error
 	reason     string
-	// tooLarge is the start of a failure that is too large to be held for finalError; nil for none.
-	tooLarge []byte
+	// failure is the body of the endpoint's failure, or a part of more than maxHeldBytes of it; nil if there was none.
+	failure []byte
 }
 
 // tryNumber makes the IDs of this process's tries unique.
@@ -115,6 +118,7 @@
 	}}
 	attempt.stream.lastEvent = request.LastEventID
 	defer attempt.returnRetry()
+	defer attempt.dropFailure()
 	for {
 		tryResult := attempt.try(ctx)
 		if tryResult.done {
--- a/core/duty/dogwoodrelay/tryresult.go
+++ b/core/duty/dogwoodrelay/tryresult.go
@@ -31,11 +31,10 @@
 		if attempt.stream.begun {
 			return ErrCut
 		}
+		attempt.dropFailure() // the buffer counts the data from now on
 		return attempt.sendAnswer(run, event.raw)
 	})
-	if len(event.raw) > maxHeldBytes {
-		tryResult.tooLarge = event.raw
-	}
+	tryResult.failure = event.raw
 	return tryResult
 }
 
@@ -63,7 +62,7 @@
 		attempt.reportHang(ctx, placement)
 		return tryResult{err: contextError(ctx, attempt.runState)}
 	}
-	if !errors.Is(err, errSilent) {
+	if !errors.Is(err, errSilent) && !errors.Is(err, errDaemonFull) {
 		attempt.reportBroken(ctx, run)
 	}
 	return attempt.tryUnanswered(placement, err)
