--- a/core/edge/dogwoodengine/engine.go
+++ b/core/edge/dogwoodengine/engine.go
@@ -32,6 +32,9 @@
 // they have nothing else to send, so four comments in a row must be missing.
 const DefaultSilenceTimeout = 2 * time.Second
 
+// maxHeadBytes bounds the head of an engine's answer, which has a few hundred bytes.
+const maxHeadBytes = 12 << 10
+
 // Options configure a client.
 type Options struct {
 	// Dial opens connections; nil means TCP.
@@ -71,6 +74,8 @@
 		DialContext:        options.Dial,
 		DisableKeepAlives:  true, // see the package comment
 		DisableCompression: true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	client := resty.NewWithClient(&http.Client{Transport: transport}).
 		SetRetryCount(0).
--- a/core/edge/dogwoodplatform/client.go
+++ b/core/edge/dogwoodplatform/client.go
@@ -52,6 +52,8 @@
 	breakerOpenTimeout = time.Second
 	// maxIdleConnections covers the concurrent calls of one daemon.
 	maxIdleConnections = 32
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 16 << 10
 )
 
 // Dialer opens connections. net.Dialer implements it; tests use pipes.
@@ -130,6 +132,8 @@
 		},
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 		// With a proxy, a failure to connect to the platform could not be distinguished from a
 		// failure after the call was sent.
 		Proxy: nil,
