Bound heads at 8 KiB

Under the race detector 200 heads of 12 KiB with the shortest lines took 132,646 bytes each, above the 128 KiB that are set aside for a request in progress. With 8 KiB TestManyHeadsFitTheirShares passes with and without the race detector. Another daemon's head may have 16 KiB.

--- a/core/edge/dogwoodengine/engine.go
+++ b/core/edge/dogwoodengine/engine.go
@@ -33,7 +33,7 @@
 const DefaultSilenceTimeout = 2 * time.Second
 
 // maxHeadBytes bounds the head of an engine's answer, which has a few hundred bytes.
-const maxHeadBytes = 12 << 10
+const maxHeadBytes = 8 << 10
 
 // Options configure a client.
 type Options struct {
