Let the soak's endpoints spoil answers

The soak passed over answers that were joined and over bytes without end: its endpoints spoilt no answer, and no prompt was answered with a text.

Further callers send prompts that are answered with a text on an idempotent route.

--- a/dogwoodload/dogwoodsoak/endpoint.go
+++ b/dogwoodload/dogwoodsoak/endpoint.go
@@ -130,6 +130,10 @@
 		return site.keepState(ctx, endpoint, asksForBackoff, step.For)
 	case dogwoodsoakplan.EndpointLeaves:
 		return site.leaveByAnswers(ctx, endpoint, step.For)
+	case dogwoodsoakplan.EndpointGarbles:
+		return site.recordFault(&endpoint.linkMutex, site.endpointFault(endpoint), func() error {
+			return site.keepState(ctx, endpoint, dogwoodstandin.EndpointState{Garbles: true}, step.For)
+		})
 	case dogwoodsoakplan.EntryLapsed:
 		return site.expireEntry(ctx, endpoint, step.For)
 	default:
--- a/dogwoodload/dogwoodsoak/loads.go
+++ b/dogwoodload/dogwoodsoak/loads.go
@@ -33,6 +33,9 @@
 	for number := range callerCount {
 		run(func() { site.callers.Run(ctx, number, seed) })
 	}
+	for number := range textCallerCount {
+		run(func() { site.callers.RunText(ctx, number, seed) })
+	}
 	engines, _, _ := site.processCounts()
 	hotCallers := min(engines*engineSlots, maxHotCallers)
 	for number := range slowCallerCount + hotCallers {
--- a/dogwoodload/dogwoodsoak/parameters.go
+++ b/dogwoodload/dogwoodsoak/parameters.go
@@ -60,6 +60,8 @@
 const (
 	// slowCallerCount is the number of callers that read slowly.
 	slowCallerCount = 6
+	// textCallerCount is the number of callers that send prompts which are answered with a whole text.
+	textCallerCount = 3
 	// maxHotCallers bounds the callers of the hot customer. There is one for each slot of the engines, so that they take all.
 	maxHotCallers = 96
 	// routeRank is the rank of the prompts' route while ranks differ. It holds for the customers that have none.
@@ -101,6 +103,11 @@
 	},
 }
 
+// textKind is the kind of prompts that are answered with a text, on a route whose answers are not streamed.
+var textKind = dogwoodsoakcaller.Kind{
+	Kind: dogwoodsoakcheck.Lookup, Service: engineName, Prefix: "/note/", Wait: 10 * time.Second, Events: streamEvents, PromptTokens: []int{5_000},
+}
+
 // crashingKind is the kind of requests that crash engines.
 var crashingKind = dogwoodsoakcaller.Kind{
 	Kind: dogwoodsoakcheck.Prompt, Service: engineName, Prefix: "/draft/", Wait: 10 * time.Second, Events: streamEvents, PromptTokens: []int{5_000},
@@ -109,6 +116,7 @@
 var routes = []dogwoodstandin.Route{
 	{Name: "hold", Host: host, Prefix: "/hold/", Service: deskName, Repeat: dogwoodstandin.Once, Timeout: 4 * time.Second, Aim: 300 * time.Millisecond, Attempts: 3},
 	{Name: "stock", Host: host, Prefix: "/stock/", Service: deskName, Repeat: dogwoodstandin.Idempotent, Timeout: 4 * time.Second, Aim: 300 * time.Millisecond, Attempts: 3},
+	{Name: "note", Host: host, Prefix: "/note/", Service: engineName, Repeat: dogwoodstandin.Idempotent, Timeout: 10 * time.Second, Aim: 2 * time.Second, Attempts: 3},
 	{Name: "draft", Host: host, Prefix: "/draft/", Service: engineName, Repeat: dogwoodstandin.Stream, Timeout: 10 * time.Second, Aim: time.Second, Pause: 300 * time.Millisecond, Attempts: 3, Resumable: true},
 }
 
--- a/dogwoodload/dogwoodsoak/soak.go
+++ b/dogwoodload/dogwoodsoak/soak.go
@@ -184,7 +184,10 @@
 	}
 	steps := options.steps
 	if steps == nil {
-		steps = dogwoodsoakplan.Draw(options.Seed, site.shape(), warmUp, options.For-tail)
+		steps = slices.Concat(
+			dogwoodsoakplan.Draw(options.Seed, site.shape(), warmUp, options.For-tail),
+			dogwoodsoakplan.DrawGarbles(options.Seed, site.shape(), warmUp, options.For-tail),
+		)
 	}
 	var loads []dogwoodsoakplan.Step
 	if options.steps == nil && !options.steadyLoad {
--- a/dogwoodload/dogwoodsoakcaller/caller.go
+++ b/dogwoodload/dogwoodsoakcaller/caller.go
@@ -58,6 +58,8 @@
 	// Crashing is the kind of requests that crash endpoints, and CrashingKey their key.
 	Crashing    Kind
 	CrashingKey string
+	// Text is the kind of prompts that are answered with a text.
+	Text Kind
 	// SlowBytes are the sizes of the answers that slow callers ask for; each is equally likely.
 	SlowBytes []int
 }
--- a/dogwoodload/dogwoodsoakcaller/load.go
+++ b/dogwoodload/dogwoodsoakcaller/load.go
@@ -86,6 +86,32 @@
 	}
 }
 
+// RunText runs one further caller that sends prompts which are answered with a text, as Run does. It draws from a random source of
+// its own.
+func (callers *Callers) RunText(ctx context.Context, number int, seed uint64) {
+	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}
+	defer transport.CloseIdleConnections()
+	caller := callers.newCaller(number, rand.New(rand.NewPCG(seed, ^uint64(number))), transport)
+	kind := &callers.options.Text
+	for dogwoodkernel.Sleep(ctx, time.Duration(caller.random.ExpFloat64()*float64(callers.options.MeanInterval))) {
+		caller.refreshAddresses(ctx)
+		daemon, ok := Daemon{}, false
+		if len(caller.addresses) > 0 {
+			daemon, ok = caller.pickDaemon()
+		}
+		if !ok {
+			continue // as in call
+		}
+		caller.sent++
+		call := dogwoodsoakcheck.Call{
+			ID: fmt.Sprintf("t%d-%d", number, caller.sent), Kind: kind.Kind, Service: kind.Service, Daemon: daemon.Name,
+			Key: callers.options.Keys[caller.random.IntN(len(callers.options.Keys))], Wait: kind.Wait,
+		}
+		target := dogwoodstandin.TextTarget(fmt.Sprintf("%s%d?q=%d", kind.Prefix, number, caller.sent))
+		caller.send(context.WithoutCancel(ctx), &call, kind, daemon.ProxyAddress, target, "x")
+	}
+}
+
 func dialWithSmallBuffer(ctx context.Context, network, address string) (net.Conn, error) {
 	var dialer net.Dialer
 	connection, err := dialer.DialContext(ctx, network, address)
--- a/dogwoodload/dogwoodsoakplan/plan.go
+++ b/dogwoodload/dogwoodsoakplan/plan.go
@@ -57,6 +57,8 @@
 	// ServiceBacksOff makes all endpoints of a service turn requests away and ask for a back-off, ServiceSheds without asking for it.
 	ServiceBacksOff Kind = "ServiceBacksOff"
 	ServiceSheds    Kind = "ServiceSheds"
+	// EndpointGarbles makes an endpoint spoil some of its answers: it breaks off, or sends bytes that are no answer, some without end.
+	EndpointGarbles Kind = "EndpointGarbles"
 	// EntryLapsed removes an endpoint's entry and restores it after the duration.
 	EntryLapsed Kind = "EntryLapsed"
 	// CrashingCalls makes callers send copies of a request that crashes each endpoint that runs it.
@@ -163,6 +165,11 @@
 	{ServiceSheds, Service, 2, 2 * second, 5 * second, 0},
 }
 
+// garbleKinds lists the kinds that DrawGarbles draws, so that the faults of a seed stay as they were before.
+var garbleKinds = []traits{
+	{EndpointGarbles, Endpoint, 1, 3 * second, 6 * second, second},
+}
+
 // loadKinds lists the kinds that change the load. They are drawn by DrawLoads, independently of all others, so that the faults of
 // a seed stay as they were before there were such kinds.
 var loadKinds = []traits{
@@ -227,6 +234,9 @@
 	// loadInterval and loadSeriesShare correspond to stepInterval and seriesShare for loadKinds.
 	loadInterval    = 2500 * time.Millisecond
 	loadSeriesShare = 0.25
+	// garbleInterval and garbleSeriesShare correspond to stepInterval and seriesShare for garbleKinds.
+	garbleInterval    = 6 * time.Second
+	garbleSeriesShare = 0.5
 	// calmShare is the probability of each of calmKinds after the last fault.
 	calmShare = 0.7
 )
@@ -246,6 +256,14 @@
 	return steps
 }
 
+// DrawGarbles returns the times at which endpoints spoil answers, in order of time. All of them start and end between from and until.
+func DrawGarbles(seed uint64, shape Shape, from, until time.Duration) []Step {
+	garbles := sequence{rand.New(rand.NewPCG(seed+2, seed)), garbleKinds, garbleInterval, garbleSeriesShare}
+	steps := garbles.draw(shape, from, until)
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
+
 // DrawLoads returns the changes of a seed's load in order of time. Those beside the faults start and end between from and calm,
 // and those after the last fault between calm and until.
 func DrawLoads(seed uint64, shape Shape, from, calm, until time.Duration) []Step {
@@ -310,7 +328,7 @@
 
 // SubjectOf returns what a kind of step acts on.
 func SubjectOf(kind Kind) Subject {
-	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds, loadKinds) {
+	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds, garbleKinds, loadKinds) {
 		if candidate.kind == kind {
 			return candidate.subject
 		}
