Look at an answer's media type once for each run

The reader of a streamed answer parsed the media type for each event, since the reader of events was chosen anew each time.

--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -157,13 +157,14 @@
 // read reads a whole answer, the next event of a stream of events, or the next part of another stream.
 func (run *run) read() (event, error) {
 	switch {
+	case run.events != nil:
+		return run.events.next()
 	case !run.attempt.request.isStreamed():
 		return run.readWhole()
-	case !run.response.isSeries():
+	case run.part != nil || !run.response.isSeries():
 		return run.readPart()
-	case run.events == nil:
-		run.events = newEventReader(run.response, run)
 	}
+	run.events = newEventReader(run.response, run)
 	return run.events.next()
 }
 
