Pass on no denial that is not an endpoint's own

A redirect or client error from an endpoint's address was passed to the caller also without the endpoint's seal: a 401, 403 or 404 of whatever answers there looks like a denial by the text (DENIED, CONFIG), and a 408 or 429 promises that the request has not run (REFUSED). No "Refused." line is written. No caller is known to have got one; it was found on listing all places from which a denial can come.

Only a success had to bear the seal. Now a redirect or client error must too, unless the endpoint says that it did not run the request; otherwise it counts as no answer: what may be repeated is sent to another endpoint, and the rest ends with an unknown outcome. Server errors are passed on as before. A sealed client error with a content encoding stays an answer.

Evidence: TestUnsealedDenialIsNoAnswer, before: "call that may be repeated: got status 404, error <nil>, want status 200", likewise 401 to a stream and 302; "call that may not: got status 404, want a failure of unknown outcome".

--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -135,7 +135,7 @@
 	NotRun bool
 	// OtherInstance is true if the address now belongs to another endpoint.
 	OtherInstance bool
-	// Genuine is false for a success without the endpoint's seal. Its body is not the answer.
+	// Genuine is false for a response without the endpoint's seal, and for a success whose body is not as the endpoint wrote it.
 	Genuine bool
 	// Limit is what the endpoint says about the requests that it takes. LimitError is set if that can't be read.
 	Limit      dogwoodpacking.NamedLimit
@@ -150,6 +150,13 @@
 	FaultyHelper netip.AddrPort
 }
 
+// isForeign reports whether the response is no answer of an endpoint although it has the status of one: a success, a redirect or a
+// client error that is not genuine. Whatever sent it may have passed the request on.
+func (response *Response) isForeign() bool {
+	return response.Status >= http.StatusOK && response.Status < http.StatusInternalServerError &&
+		!response.Genuine && !response.NotRun && !response.OtherInstance
+}
+
 // Endpoints sends requests to endpoints. Its errors are *NotSent and *Broken.
 type Endpoints interface {
 	Send(ctx context.Context, endpointRequest *EndpointRequest) (*Response, error)
--- a/core/duty/dogwoodrelay/relay_test.go
+++ b/core/duty/dogwoodrelay/relay_test.go
@@ -197,6 +197,45 @@
 	}
 }
 
+// Guards against a caller that is denied its request by what answers at an endpoint's address without being one: a client error
+// without the endpoint's seal is no answer, and may stand for a run.
+func TestUnsealedDenialIsNoAnswer(t *testing.T) {
+	tests := []struct {
+		name    string
+		request func() *Request
+		status  int
+		genuine bool
+		// want is the status that the caller gets, 0 for a failure of unknown outcome.
+		want int
+	}{
+		{name: "call that may be repeated", request: func() *Request { return plainRequest(dogwoodroute.Idempotent) }, status: 404, want: 200},
+		{name: "call that may not", request: func() *Request { return plainRequest(dogwoodroute.Once) }, status: 404},
+		{name: "stream", request: streamRequest, status: 401, want: 200},
+		{name: "redirect", request: func() *Request { return plainRequest(dogwoodroute.Idempotent) }, status: 302, want: 200},
+		{name: "an endpoint's own", request: func() *Request { return plainRequest(dogwoodroute.Once) }, status: 404, genuine: true, want: 404},
+		{name: "an endpoint's own to a stream", request: streamRequest, status: 404, genuine: true, want: 404},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			denies := func(ctx context.Context) (*Response, error) {
+				response, err := responds(test.status, "denied")(ctx)
+				response.Genuine = test.genuine
+				return response, err
+			}
+			runRelayTest(t, nil, []step{denies, responds(200, "id: 1\ndata: a\n\n")}, func(t *testing.T, fixture *fixture) {
+				err := fixture.relay.Serve(t.Context(), test.request(), fixture.answer)
+				if got := fixture.answer.status; got != test.want {
+					t.Errorf("got status %d, error %v, want status %d", got, err, test.want)
+				}
+				var failure *Failure
+				if test.want == 0 && (!errors.As(err, &failure) || failure.Run != dogwoodfleet.RunUnknown) {
+					t.Errorf("got error %v, want a failure of unknown outcome", err)
+				}
+			})
+		})
+	}
+}
+
 // Both servers answer an idempotent call with a failure. The caller must get it unchanged.
 func TestServerFailureIsForwarded(t *testing.T) {
 	runRelayTest(t, nil, []step{responds(500, "failed")}, func(t *testing.T, fixture *fixture) {
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -274,9 +274,8 @@
 // recordLimit records what the response says about its endpoint's limit.
 func (run *run) recordLimit() {
 	response, relay, endpoint := run.response, run.attempt.relay, run.placement.Endpoint.ID
-	success := response.Status >= 200 && response.Status < 300
 	switch {
-	case response.OtherInstance, success && !response.Genuine:
+	case response.OtherInstance, response.isForeign():
 	case response.LimitError != nil:
 		if relay.invalidLimits.add(endpoint) {
 			relay.options.Logger.Warn("An endpoint's limit can't be read and is ignored.", "endpoint", endpoint, "error", response.LimitError)
@@ -311,9 +310,8 @@
 // be tried is none, and neither is an error status in place of a stream.
 func (run *run) isAnswer() bool {
 	response, request := run.response, run.attempt.request
-	success := response.Status >= 200 && response.Status < 300
 	switch {
-	case response.NotRun, response.OtherInstance, success && !response.Genuine:
+	case response.NotRun, response.OtherInstance, response.isForeign():
 		return false
 	case !request.isStreamed():
 		return response.Status < http.StatusInternalServerError || !request.Repeatable()
@@ -330,7 +328,7 @@
 
 // rejected reports whether the endpoint rejected the request as invalid. Other endpoints would reject it too.
 func (run *run) rejected(err error) bool {
-	return errors.Is(err, errUnusable) && !run.response.NotRun && !run.response.OtherInstance &&
+	return errors.Is(err, errUnusable) && !run.response.NotRun && !run.response.OtherInstance && !run.response.isForeign() &&
 		run.response.Status >= http.StatusMultipleChoices && run.response.Status < http.StatusInternalServerError
 }
 
--- a/core/duty/dogwoodrelay/tryresult.go
+++ b/core/duty/dogwoodrelay/tryresult.go
@@ -92,9 +92,8 @@
 }
 
 // declined returns the result of a response that is not an answer: the endpoint did not begin,
-// or its success is not genuine. The second value is false for other responses.
+// or it is not the endpoint's. The second value is false for other responses.
 func (attempt *attempt) declined(endpointRequest *EndpointRequest, placement dogwoodpacking.Placement, response *Response) (tryResult, bool) {
-	success := response.Status >= 200 && response.Status < 300
 	switch {
 	case response.OtherInstance:
 		attempt.relay.options.Places.Avoid(time.Now(), placement.Endpoint.ID, avoidOtherInstanceFor)
@@ -103,7 +102,7 @@
 			attempt.relay.options.Places.Failed(time.Now(), placement.Endpoint.ID)
 		}
 		attempt.avoidFaultyHelper(placement, response)
-	case success && !response.Genuine:
+	case response.isForeign():
 		return attempt.tryUnanswered(placement, errNotGenuine), true
 	default:
 		return tryResult{}, false
@@ -129,4 +128,4 @@
 // by another one. It is long enough for the store to report the change, even if it is slow.
 const avoidOtherInstanceFor = 10 * time.Second
 
-var errNotGenuine = errors.New("the success is not the endpoint's own")
+var errNotGenuine = errors.New("the response is not the endpoint's own")
