Read no answer of the platform whose end is not marked

A row or an object is the body of an answer. If the answer has neither a length nor chunks, it ends with its connection, which a service that ends closes too: a row that broke off was read as a shorter one, or as an empty one if nothing followed the head, with the version of the whole one. Lists and other JSON were safe, since no beginning of an object is one.

An answer below 500 whose end is not marked has an unknown outcome now. Compressed answers mark their end themselves.

TestAnswerThatBreaksOffIsNotRead cuts rows, lists, objects, VMs, weights and answers to transactions after each byte, with a length, in chunks and up to the end of the connection. Before, it failed for rows and objects without a length: "got 0 and <nil>, want 18" and "got 0 and <nil>, want 22".

--- a/core/edge/dogwoodplatform/client.go
+++ b/core/edge/dogwoodplatform/client.go
@@ -238,10 +238,18 @@
 		return &Unavailable{Cause: Error.New("answered %d", status)}
 	case status >= http.StatusInternalServerError:
 		return &Unknown{Cause: Error.New("answered %d", status)}
+	case !isEndMarked(response.RawResponse):
+		return &Unknown{Cause: Error.New("the end of the answer is not marked")}
 	}
 	return nil
 }
 
+// isEndMarked reports whether the end of an answer is marked by its length, by a last chunk or by its compression. Another
+// answer ends with its connection, which a service that ends closes too, so that a row which breaks off looks like a shorter one.
+func isEndMarked(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Uncompressed
+}
+
 // discardLogger drops the log lines of resty; failures are returned, and callers log them.
 type discardLogger struct{}
 
