Read an engine's answer as JSON whatever its content type

resty decodes an answer only if its head says that it is JSON. A 200 whose head names no content type was read as an empty list or report: an engine without requests and without reserved memory, which the owner reconciles with. An empty answer that ends with its connection was read in the same way.

The client decodes the body itself, so that what is no whole object is an error.

--- a/core/edge/dogwoodengine/engine.go
+++ b/core/edge/dogwoodengine/engine.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -211,15 +212,15 @@
 	if body != nil {
 		call.SetBody(body).SetHeader("Content-Type", "application/json")
 	}
-	if answer != nil {
-		call.SetResult(answer)
-	}
 	response, err := call.Execute(method, endpointURL(endpoint, path))
 	if err != nil {
 		return nil, Error.New("%s %s at %s: %w", method, path, endpoint.ID, err)
 	}
 	if response.IsSuccess() {
-		return response.Header(), nil
+		if answer != nil { // resty would leave it empty if the content type is missing
+			err = json.Unmarshal(response.Body(), answer)
+		}
+		return response.Header(), Error.Wrap(err)
 	}
 	return response.Header(), responseError(response.StatusCode(), response.Header(), &refused)
 }
--- /dev/null
+++ b/core/edge/dogwoodservice/brokenanswer_test.go
@@ -0,0 +1,80 @@
+package dogwoodservice
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+)
+
+// Guards against an answer that breaks off and is taken for a whole one or for one with a shorter value in its head, and against a
+// call that may have run and counts as not sent.
+func TestAnswerThatBreaksOffIsNeverWhole(t *testing.T) {
+	const body = "the whole answer"
+	tests := []struct {
+		name, head, payload string
+		// unframed is true if the end of the answer can't be told from that of its connection.
+		unframed bool
+	}{
+		{name: "length", head: "HTTP/1.1 200 OK\r\nX-Value: 1234\r\nContent-Length: 16\r\n\r\n", payload: body},
+		{name: "chunks", head: "HTTP/1.1 200 OK\r\nX-Value: 1234\r\nTransfer-Encoding: chunked\r\n\r\n", payload: "3\r\nthe\r\nd\r\n whole answer\r\n0\r\nX-End: 1\r\n\r\n"},
+		{name: "connection", head: "HTTP/1.1 200 OK\r\nX-Value: 1234\r\n\r\n", payload: body, unframed: true},
+		{name: "hints before it", head: "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nX-Value: 1234\r\nContent-Length: 16\r\n\r\n", payload: body},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			answer := test.head + test.payload
+			for bytes := range len(answer) + 1 {
+				synctest.Test(t, func(t *testing.T) {
+					var group sync.WaitGroup
+					defer group.Wait()
+					client := New(func(context.Context, string, string) (net.Conn, error) {
+						near, far := net.Pipe()
+						group.Go(func() { answerOnce(far, answer[:bytes]) })
+						return near, nil
+					})
+					got, value, err := call(t, client)
+					isWhole := bytes == len(answer) || test.unframed && bytes >= len(test.head)
+					var broken *BrokenError
+					switch {
+					case bytes < len(test.head) && !errors.As(err, &broken):
+						t.Errorf("after %q: got %q and %v, want a BrokenError", answer[:bytes], got, err)
+					case isWhole != (err == nil):
+						t.Errorf("after %q: got %q and %v, want it whole %t", answer[:bytes], got, err, isWhole)
+					case err == nil && (value != "1234" || !test.unframed && got != body):
+						t.Errorf("after %q: got %q and the value %q", answer[:bytes], got, value)
+					}
+				})
+			}
+		})
+	}
+}
+
+// answerOnce reads a request and closes the connection after some bytes.
+func answerOnce(conn net.Conn, answer string) {
+	defer func() { _ = conn.Close() }() // the answer may be cut
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err == nil {
+		_, _ = io.WriteString(conn, answer) // the client may have closed it
+	}
+}
+
+// call sends a call and returns the body and a header of its answer.
+func call(t *testing.T, client *Client) (body, value string, err error) {
+	t.Helper()
+	response, err := client.Do(t.Context(), endpoint, Request{Method: http.MethodPost, Target: "/holds", Body: []byte("{}")})
+	if err != nil {
+		return "", "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	read, err := io.ReadAll(response.Body)
+	return string(read), response.Header.Get("X-Value"), err
+}
