Name no empty length in the answer to HEAD

A plain service that answers HEAD without a length reached the caller with the header "Content-Length: " and no number, which Go's client takes for a malformed answer. The header was set to the endpoint's value, which is empty if there is none.

The answer to HEAD keeps the endpoint's headers now, and other answers get the length of their body as before.

TestLengthOfAnAnswerWithoutBody reads raw bytes. Before, it failed for HEAD without a length: "which is no answer: invalid empty Content-Length".

--- a/core/edge/dogwoodcaller/service.go
+++ b/core/edge/dogwoodcaller/service.go
@@ -94,9 +94,8 @@
 		header[name] = values
 	}
 	header.Set(HeaderRequestID, string(exchange.id))
-	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
-	if exchange.request.Method == http.MethodHead {
-		header.Set("Content-Length", answer.Header.Get("Content-Length"))
+	if exchange.request.Method != http.MethodHead { // the answer to HEAD keeps the length that the endpoint names, if it does
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	}
 	if answer.Stored {
 		header.Set(HeaderStoredAnswer, "true")
