Serve requests while all endpoints pause

Sound endpoints that all stand still for 1 to 1.3 s ended requests. Callers got "503 NoEndpoint (NotRun): this daemon reaches no endpoint, and no other daemon can serve", at once, until the endpoints went on.

Cause: a daemon takes itself for cut off once four endpoints give no report within 350 ms, which a pause of all looks like to every daemon. Each then refused what reached it, forwarded to daemons that refused as well, and answered the platform's readiness checks with 503. A request whose time limit ended in the pause, or a second run that was silent too, was enough to start a round of questions.

If no daemon has taken a request, it is sent to an endpoint here, for the first 3 s of a cut. A request that another daemon may have sent, or that may have run, is not.

--- a/core/duty/dogwoodreach/reach.go
+++ b/core/duty/dogwoodreach/reach.go
@@ -5,6 +5,8 @@
 // all endpoints of a rack. So the daemon then tries some endpoints chosen at random, of all data centres, all at once. If none
 // can be reached, it is cut off, and other daemons serve its callers. While it is cut off it tries again at intervals,
 // until it reaches at least half of the endpoints of a round. Endpoints are tried only after a failure.
+//
+// All endpoints may also pause at once, for a second or a little longer. No daemon can tell that from a cut before it ends.
 package dogwoodreach
 
 import (
@@ -34,6 +36,8 @@
 	// maxRoundTime is the longest time of a round that says anything. It exceeds the time limit for a connection; a
 	// daemon whose round takes longer stood still.
 	maxRoundTime = 600 * time.Millisecond
+	// maxPause is the time from the beginning of a cut for which it may be a pause of all endpoints.
+	maxPause = 3 * time.Second
 	// recentlyReached is the age of the last answer up to which a failure starts no round.
 	recentlyReached = 100 * time.Millisecond
 )
@@ -53,7 +57,9 @@
 	suspected chan struct{}
 	// reachedAt is when an endpoint last answered, in nanoseconds since started.
 	reachedAt atomic.Int64
-	started   time.Time
+	// cutOffAt is when the present cut was found, in nanoseconds since started.
+	cutOffAt atomic.Int64
+	started  time.Time
 
 	mutex sync.Mutex
 	// endpoints holds the addresses of the endpoints in force, by data centre.
@@ -87,6 +93,12 @@
 // IsCutOff reports whether this daemon reaches no endpoint.
 func (duty *Duty) IsCutOff() bool { return duty.cutOff.Load() }
 
+// MayBePause reports whether this daemon was found to be cut off so recently that the endpoints may only pause. A request that
+// no other daemon serves is then best sent to an endpoint all the same.
+func (duty *Duty) MayBePause() bool {
+	return duty.IsCutOff() && time.Since(duty.started)-time.Duration(duty.cutOffAt.Load()) < maxPause
+}
+
 // RecordReached records that an endpoint has answered.
 func (duty *Duty) RecordReached() {
 	duty.reachedAt.Store(int64(time.Since(duty.started)))
@@ -138,7 +150,9 @@
 	duty.mostFailed = 2*reached < len(tried)
 	switch {
 	case len(tried) == 0:
-	case reached == 0 && !duty.cutOff.Swap(true):
+	case reached == 0 && !duty.IsCutOff():
+		duty.cutOffAt.Store(int64(time.Since(duty.started)))
+		duty.cutOff.Store(true)
 		counters.Add("CutOff", 1)
 		duty.options.Logger.Warn("Cut off from the endpoints.", "tried", len(tried))
 	case !duty.mostFailed && duty.cutOff.Swap(false):
--- a/core/duty/dogwoodreach/reach_test.go
+++ b/core/duty/dogwoodreach/reach_test.go
@@ -111,6 +111,30 @@
 	}
 }
 
+// Guards against requests that are refused because all endpoints pause for a second, and against those that wait for endpoints
+// which are cut off for long.
+func TestOnlyAYoungCutMayBeAPause(t *testing.T) {
+	run(t, 19, func(t *testing.T, duty *Duty, links *links) {
+		for range 2 {
+			if duty.MayBePause() {
+				t.Error("got a pause while the endpoints are reached, want none")
+			}
+			links.kill(19, 350*time.Millisecond)
+			duty.RecordUnreachable()
+			time.Sleep(2 * time.Second)
+			if !duty.IsCutOff() || !duty.MayBePause() {
+				t.Error("got no possible pause 2 s after the first failure, want one")
+			}
+			time.Sleep(2 * time.Second)
+			if !duty.IsCutOff() || duty.MayBePause() {
+				t.Error("got a possible pause 4 s after the first failure, want a cut")
+			}
+			links.kill(0, 0)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // Guards against a daemon that takes the crash of some endpoints for a cut of its own, and refuses what it could serve.
 func TestCrashedEndpointsAreNoCut(t *testing.T) {
 	tests := []struct {
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -71,6 +71,8 @@
 	Keyed bool
 	// Counted is true if another daemon, which forwarded the request, has counted its first try.
 	Counted bool
+	// LastResort is true if no other daemon can serve the request. It is then sent also while this daemon may be cut off.
+	LastResort bool
 }
 
 // Repeatable reports whether the request can safely run more than once.
@@ -252,7 +254,9 @@
 	Fresh func() bool
 	// CutOff reports whether this daemon reaches no endpoint; nil for never.
 	CutOff func() bool
-	Place  dogwoodfleet.Place
+	// MayBePause reports whether the endpoints may only pause while CutOff is true; nil for never.
+	MayBePause func() bool
+	Place      dogwoodfleet.Place
 	// UnusedMemoryTimeout is how long reserved memory may stay unused; 0 for no limit.
 	UnusedMemoryTimeout time.Duration
 	// Metrics records latencies; nil for none.
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -325,7 +325,7 @@
 			Detail: "the store has not confirmed the keys for too long",
 		}}
 	}
-	if relay.options.CutOff != nil && relay.options.CutOff() {
+	if relay.isCutOff(request) {
 		return nil, tryResult{err: attempt.newFailure(dogwoodfleet.ReasonNoEndpoint, dogwoodkernel.Jittered(noEndpointRetryAfter), "this daemon reaches no endpoint")}
 	}
 	waitStart := time.Now()
@@ -350,6 +350,15 @@
 	}, tryResult{}
 }
 
+// isCutOff reports whether a request is refused because this daemon reaches no endpoint.
+func (relay *Relay) isCutOff(request *Request) bool {
+	options := &relay.options
+	if options.CutOff == nil || !options.CutOff() {
+		return false
+	}
+	return !request.LastResort || options.MayBePause == nil || !options.MayBePause()
+}
+
 func (attempt *attempt) newFailure(reason dogwoodfleet.Reason, retryAfter time.Duration, detail string) error {
 	return &Failure{Reason: reason, Run: attempt.runState, RetryAfter: retryAfter, Detail: detail}
 }
--- a/core/duty/dogwoodrelay/silence_test.go
+++ b/core/duty/dogwoodrelay/silence_test.go
@@ -280,3 +280,35 @@
 		}
 	})
 }
+
+// Guards against requests that are refused while all endpoints pause, and against those that are sent by a daemon that is cut off
+// for long, or although another daemon can serve them.
+func TestPauseOfAllEndpointsRefusesNoRequest(t *testing.T) {
+	tests := []struct {
+		name                   string
+		lastResort, mayBePause bool
+		want                   bool // want is true if it is answered
+	}{
+		{name: "no other daemon can serve it", lastResort: true, mayBePause: true, want: true},
+		{name: "another daemon may serve it", mayBePause: true},
+		{name: "the cut is no pause", lastResort: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			late := delayed(time.Second, responds(200, "whole"))
+			runRelayTest(t, nil, []step{late}, func(t *testing.T, fixture *fixture) {
+				fixture.relay.options.CutOff = func() bool { return true }
+				fixture.relay.options.MayBePause = func() bool { return test.mayBePause }
+				request := plainRequest(dogwoodroute.Once)
+				request.LastResort = test.lastResort
+				err := fixture.relay.Serve(t.Context(), request, fixture.answer)
+				if test.want != (err == nil) {
+					t.Errorf("got %v, want answered %t", err, test.want)
+				}
+				if !test.want && failureOf(t, err).Reason != dogwoodfleet.ReasonNoEndpoint {
+					t.Errorf("got %v, want the reason %s", err, dogwoodfleet.ReasonNoEndpoint)
+				}
+			})
+		})
+	}
+}
