Ask for some time whether a prompt's memory is used

A joint prompt that prefilled for longer than memory may stay unused was ended while its engines stood still for a second: "EndpointDied (Unknown): broke off: the endpoint fell silent". Its engines would have answered; the caller of a prompt that may run once got a 502.

If none came, and the prompt had taken twice its predicted time, its memory was taken for unused.

Now they are asked from 2 s before that moment on, until one answer says that the memory is used. The verdict falls at the same time as before, so that memory which stays unused is released as early.

--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -18,6 +18,10 @@
 // can't say whether it is. An engine that prefills uses that memory but sends no event in the meantime.
 const prefillFactor = 2
 
+// maxEnginePause is the time for which helpers are asked whether their memory is used. Sound engines may answer nothing for somewhat
+// less.
+const maxEnginePause = 2 * time.Second
+
 // minBegunTime is how long after its first event a further one shows that the answer has begun. An endpoint that ends as it
 // begins an answer may still send some of it.
 const minBegunTime = 100 * time.Millisecond
@@ -359,20 +363,28 @@
 	run.unusedTimer = time.AfterFunc(unarmed, func() {
 		run.attempt.relay.runTask("unused memory", run.attempt.request.ID, func() { run.checkMemoryUse(ctx) })
 	})
-	run.unusedTimer.Reset(limit - releaseTimeout - checkTimeout - time.Since(run.reservation.reserved)) // armed only now because the function uses the timer
+	run.unusedTimer.Reset(time.Until(run.unusedMemoryEnd()) - maxEnginePause) // armed only now because the function uses the timer
+}
+
+// unusedMemoryEnd returns the last time at which helpers are asked before their memory has been unused for too long.
+func (run *run) unusedMemoryEnd() time.Time {
+	return run.reservation.reserved.Add(run.attempt.relay.options.UnusedMemoryTimeout - releaseTimeout - checkTimeout)
 }
 
-// checkMemoryUse ends the run if its memory is unused. If the helpers can't say, it does so once the memory should have been
-// used for long and its endpoint sends no events of other streams.
+// checkMemoryUse asks whether the run's memory is used, and ends the run at unusedMemoryEnd if it isn't. If the helpers have not
+// said by then, it does so once the memory should have been used for long and its endpoint sends no events of other streams.
 func (run *run) checkMemoryUse(ctx context.Context) {
 	if run.memoryUsed.Load() {
 		return
 	}
+	isLast := !time.Now().Before(run.unusedMemoryEnd())
 	used, err := run.reservation.isUsed(ctx)
 	late := time.Since(run.sentAt) >= prefillFactor*run.placement.Predicted
 	switch {
 	case err == nil && used:
 		run.markMemoryUsed()
+	case !isLast:
+		run.unusedTimer.Reset(max(min(time.Until(run.unusedMemoryEnd()), silenceRecheck), 0))
 	case err == nil, late && !run.attempt.relay.liveness.seenRecently(time.Now(), run.placement.Endpoint.ID):
 		run.attempt.relay.options.Logger.Warn("Memory stayed unused and is released.", "request", run.attempt.request.ID,
 			"ticket", run.reservation.ticket, "for", time.Since(run.reservation.reserved), "error", err)
