Tell callers whether requests ran when dogwoodmuxd ends them

When the time to shut down was over, the connections of requests that still ran were closed without an answer, also of those that waited for a slot or were half read and certainly did not run. Their lines said "the caller left", and the process could end before they were written.

Cause: http.Server.Close cancels the requests' contexts as a caller's leaving does, and does not wait for handlers.

Half a second before that time the daemon now ends the requests itself: each gets a problem with the reason Shutdown that says whether it ran, a stream that has begun an "error" event. It then waits until they are answered and logged. The same holds when a background task fails. A second signal still closes all connections at once, but the lines of the requests name the daemon, not the callers.

--- a/core/dogwooddaemon/daemon.go
+++ b/core/dogwooddaemon/daemon.go
@@ -44,6 +44,8 @@
 	adminKey   string
 	peerKey    string
 	leaveHooks *leaveHooks
+	// cutHooks are called before a daemon that is killed closes its connections.
+	cutHooks *leaveHooks
 }
 
 // Daemon is a running daemon.
@@ -98,6 +100,7 @@
 		adminKey:   adminKey,
 		peerKey:    peerKey,
 		leaveHooks: &leaveHooks{},
+		cutHooks:   &leaveHooks{},
 	}, nil
 }
 
@@ -124,6 +127,7 @@
 // Kill ends the daemon at once, as a crash does: all connections close, and no other process
 // is notified.
 func (daemon *Daemon) Kill() {
+	daemon.environment.cutHooks.run()
 	daemon.environment.network.sever()
 	daemon.cancel()
 	cancelled, cancel := context.WithCancel(context.Background())
@@ -148,14 +152,14 @@
 	return conn, err // not wrapped: net/http checks for errors of package net
 }
 
-// leaveHooks holds the functions to call when the daemon begins to shut down.
+// leaveHooks holds the functions to call once, when the daemon begins to shut down or when it is killed.
 type leaveHooks struct {
 	mutex sync.Mutex
 	done  bool
 	hooks []func()
 }
 
-// add registers a function to call when the daemon begins to shut down.
+// add registers a function.
 func (leaveHooks *leaveHooks) add(hook func()) {
 	leaveHooks.mutex.Lock()
 	defer leaveHooks.mutex.Unlock()
--- a/core/dogwooddaemon/serve.go
+++ b/core/dogwooddaemon/serve.go
@@ -35,45 +35,77 @@
 		return nil, err
 	}
 	server := edge.Server()
+	environment.cutHooks.add(edge.Cut)
 	kernel.Go("callers", func(ctx context.Context) error {
 		// Until the daemon has the operators' latest changes, it might admit requests under a
 		// text that was replaced long ago. Callers wait in the listener's backlog meanwhile.
 		select {
 		case <-changes.duty.Ready():
-			return serveUntil(ctx, server, listener)
+			return serveCallers(ctx, edge, server, listener)
 		case <-ctx.Done():
 			return Error.Wrap(listener.Close())
 		}
 	})
 	return &dogwoodkernel.ValuePart[*http.Server]{Value: server, OnStop: func(ctx context.Context) error {
-		return drain(ctx, server)
+		return drain(ctx, edge, server)
 	}}, nil
 }
 
 // serveHTTP starts a background task that runs a server until the kernel stops.
 func serveHTTP(kernel *dogwoodkernel.Kernel, name string, server *http.Server, listener net.Listener) {
-	kernel.Go(name, func(ctx context.Context) error { return serveUntil(ctx, server, listener) })
+	kernel.Go(name, func(ctx context.Context) error {
+		return serveUntil(ctx, server, listener, func() { _ = server.Close() })
+	})
+}
+
+// serveCallers serves callers until the context ends, then ends their requests.
+func serveCallers(ctx context.Context, edge *dogwoodcaller.Edge, server *http.Server, listener net.Listener) error {
+	return serveUntil(ctx, server, listener, func() { _ = endRequests(ctx, edge, server) })
 }
 
-func serveUntil(ctx context.Context, server *http.Server, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && ctx.Err() == nil {
+// serveUntil runs a server until the context ends, and then end, which closes it.
+func serveUntil(ctx context.Context, server *http.Server, listener net.Listener, end func()) error {
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		end()
+	})
+	err := server.Serve(listener)
+	if !stop() {
+		<-ended
+	}
+	if !errors.Is(err, http.ErrServerClosed) && ctx.Err() == nil {
 		return Error.Wrap(err)
 	}
 	return nil
 }
 
+// answerTime is the time in which the callers of requests that are ended get their answers.
+const answerTime = 500 * time.Millisecond
+
 // drain keeps serving until the address given to callers has expired, then accepts no new
-// requests and waits for the running ones.
-func drain(ctx context.Context, server *http.Server) error {
-	select {
-	case <-time.After(entryTTL):
-	case <-ctx.Done():
-		return Error.Wrap(server.Close())
+// requests and waits for the running ones. Those that still run shortly before the context ends are ended.
+func drain(ctx context.Context, edge *dogwoodcaller.Edge, server *http.Server) error {
+	finishing, cancel := context.WithCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		finishing, cancel = context.WithDeadline(ctx, deadline.Add(-answerTime))
 	}
-	if err := server.Shutdown(ctx); err != nil {
-		return errors.Join(Error.Wrap(err), server.Close())
+	defer cancel()
+	dogwoodkernel.Sleep(finishing, entryTTL)
+	if err := server.Shutdown(finishing); err != nil {
+		return errors.Join(Error.Wrap(err), endRequests(ctx, edge, server))
 	}
 	return nil
 }
+
+// endRequests ends the requests in progress, waits until their callers have been told so and closes all connections. It
+// returns once all requests are logged, since the process may end then.
+func endRequests(ctx context.Context, edge *dogwoodcaller.Edge, server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
+	defer cancel()
+	edge.EndRequests()
+	_ = server.Shutdown(ctx) // what has not ended by then is closed
+	err := server.Close()
+	edge.Await(ctx)
+	return Error.Wrap(err)
+}
--- a/core/edge/dogwoodcaller/answer.go
+++ b/core/edge/dogwoodcaller/answer.go
@@ -21,7 +21,7 @@
 		return nil
 	}
 	if answer.Begun() {
-		encoded, marshalErr := json.Marshal(exchange.problem(asFailure(err)))
+		encoded, marshalErr := json.Marshal(exchange.problem(edge.explainEnd(exchange, asFailure(err))))
 		if marshalErr != nil {
 			return Error.Wrap(marshalErr)
 		}
--- a/core/edge/dogwoodcaller/caller.go
+++ b/core/edge/dogwoodcaller/caller.go
@@ -101,11 +101,13 @@
 	options Options
 	mux     *http.ServeMux
 	keys    keyring
+	// requests are those in progress.
+	requests requests
 }
 
 // New returns an Edge with a handler for each path of the API.
 func New(options Options) *Edge {
-	edge := &Edge{options: options, mux: http.NewServeMux()}
+	edge := &Edge{options: options, mux: http.NewServeMux(), requests: requests{running: map[*exchange]func(){}}}
 	edge.mux.Handle("GET "+PathEntry, edge.handle(edge.serveEntry))
 	edge.mux.Handle("POST "+PathChat, edge.handle(edge.servePrompt))
 	edge.mux.Handle("POST "+PathCompletions, edge.handle(edge.servePrompt))
--- /dev/null
+++ b/core/edge/dogwoodcaller/ending.go
@@ -0,0 +1,128 @@
+package dogwoodcaller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/duty/dogwooddispatch"
+)
+
+// endingRetryAfter is the wait sent to a caller whose request this daemon has ended. Other daemons serve it at once.
+const endingRetryAfter = time.Second
+
+// requests tracks the requests in progress.
+type requests struct {
+	mutex sync.Mutex
+	// closing is true once answers close their connections, ended once requests are ended, and cut once the daemon closes all
+	// connections.
+	closing, ended, cut bool
+	running             map[*exchange]func()
+	// idle is closed when no request is in progress; nil while nothing waits for that.
+	idle chan struct{}
+}
+
+// begin adds a request that end ends.
+func (requests *requests) begin(exchange *exchange, end func()) {
+	requests.mutex.Lock()
+	defer requests.mutex.Unlock()
+	requests.running[exchange] = end
+	if requests.ended {
+		end()
+	}
+}
+
+func (requests *requests) finish(exchange *exchange) {
+	requests.mutex.Lock()
+	defer requests.mutex.Unlock()
+	delete(requests.running, exchange)
+	if len(requests.running) == 0 && requests.idle != nil {
+		close(requests.idle)
+		requests.idle = nil
+	}
+}
+
+func (requests *requests) isClosing() bool {
+	requests.mutex.Lock()
+	defer requests.mutex.Unlock()
+	return requests.closing
+}
+
+func (requests *requests) isCut() bool {
+	requests.mutex.Lock()
+	defer requests.mutex.Unlock()
+	return requests.cut
+}
+
+// DisableKeepAlives makes each further answer close its connection, so that callers use another daemon next.
+func (edge *Edge) DisableKeepAlives() {
+	edge.requests.mutex.Lock()
+	defer edge.requests.mutex.Unlock()
+	edge.requests.closing = true
+}
+
+// Cut records that this daemon closes all connections, so that requests that end with theirs are not taken for those of callers
+// that left.
+func (edge *Edge) Cut() {
+	edge.requests.mutex.Lock()
+	defer edge.requests.mutex.Unlock()
+	edge.requests.cut = true
+}
+
+// EndRequests ends the requests in progress and all further ones. Their callers are told whether they ran.
+func (edge *Edge) EndRequests() {
+	edge.requests.mutex.Lock()
+	defer edge.requests.mutex.Unlock()
+	edge.requests.closing, edge.requests.ended = true, true
+	for _, end := range edge.requests.running {
+		end()
+	}
+}
+
+// Await waits until no request is in progress or the context ends.
+func (edge *Edge) Await(ctx context.Context) {
+	edge.requests.mutex.Lock()
+	if len(edge.requests.running) == 0 {
+		edge.requests.mutex.Unlock()
+		return
+	}
+	if edge.requests.idle == nil {
+		edge.requests.idle = make(chan struct{})
+	}
+	idle := edge.requests.idle
+	edge.requests.mutex.Unlock()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+}
+
+// begin makes EndRequests end the exchange with cancel, until the returned function is called.
+func (edge *Edge) begin(exchange *exchange, cancel context.CancelFunc) (finish func()) {
+	edge.requests.begin(exchange, func() {
+		exchange.ended.Store(true)
+		cancel()
+		_ = exchange.controller.SetReadDeadline(time.Now()) // unsupported by the writers of some tests
+	})
+	return func() {
+		cancel()
+		edge.requests.finish(exchange)
+	}
+}
+
+// explainEnd returns the failure of a request, with its true reason if this daemon has ended it.
+func (edge *Edge) explainEnd(exchange *exchange, failure *dogwooddispatch.Failure) *dogwooddispatch.Failure {
+	if failure == nil || failure.Reason != dogwoodfleet.ReasonCancelled || !exchange.ended.Load() && !edge.requests.isCut() {
+		return failure
+	}
+	return endedFailure(failure.Run)
+}
+
+func endedFailure(run dogwoodfleet.RunState) *dogwooddispatch.Failure {
+	failure := &dogwooddispatch.Failure{Reason: dogwoodfleet.ReasonShutdown, Run: run, Detail: "this daemon is ending"}
+	if run == dogwoodfleet.NotRun {
+		failure.RetryAfter = endingRetryAfter
+	}
+	return failure
+}
--- a/core/edge/dogwoodcaller/exchange.go
+++ b/core/edge/dogwoodcaller/exchange.go
@@ -1,9 +1,11 @@
 package dogwoodcaller
 
 import (
+	"context"
 	"errors"
 	"expvar"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodburn"
@@ -26,6 +28,8 @@
 	// call is the dispatched call; nil if the request was rejected before its dispatch.
 	call       *dogwooddispatch.Call
 	firstToken time.Duration
+	// ended is true once this daemon has ended the request.
+	ended atomic.Bool
 	// bodyRead reports whether the request's body was read to its end.
 	bodyRead   bool
 	status     int
@@ -51,12 +55,21 @@
 			controller: http.NewResponseController(writer),
 		}
 		exchange.setReadDeadline()
+		ctx, cancel := context.WithCancel(request.Context())
+		exchange.request = request.WithContext(ctx)
+		defer edge.begin(exchange, cancel)()
 		writer.Header().Set(HeaderRequestID, string(exchange.id))
+		if edge.requests.isClosing() {
+			writer.Header().Set("Connection", "close")
+		}
 		err := edge.authenticate(exchange)
+		if err == nil && exchange.ended.Load() {
+			err = endedFailure(dogwoodfleet.NotRun)
+		}
 		if err == nil {
 			err = serve(exchange)
 		}
-		failure := asFailure(err)
+		failure := edge.explainEnd(exchange, asFailure(err))
 		if failure != nil {
 			exchange.writeFailure(failure)
 		}
--- a/core/edge/dogwoodcaller/request.go
+++ b/core/edge/dogwoodcaller/request.go
@@ -47,6 +47,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, &dogwooddispatch.Failure{Reason: dogwoodfleet.ReasonTooLarge, Run: dogwoodfleet.NotRun, Detail: "the body is over the limit"}
 	}
+	if err != nil && exchange.ended.Load() {
+		return nil, endedFailure(dogwoodfleet.NotRun)
+	}
 	if err != nil {
 		return nil, badRequest("the body could not be read in time: " + err.Error())
 	}
