Close kept connections of callers before dogwoodmuxd's server ends

Calls on kept connections were closed unread at a graceful shutdown of dogwoodmuxd: http.Server.Shutdown closes connections that are idle, also those on which the next call is on its way, and callers had not been told that their connections end.

A call that is first sent on an idle connection in the moment in which the server ends can still be closed unread; it has not run.

--- a/core/dogwooddaemon/serve.go
+++ b/core/dogwooddaemon/serve.go
@@ -86,6 +86,7 @@
 // drain keeps serving until the address given to callers has expired, then accepts no new
 // requests and waits for the running ones. Those that still run shortly before the context ends are ended.
 func drain(ctx context.Context, edge *dogwoodcaller.Edge, server *http.Server) error {
+	edge.DisableKeepAlives()
 	finishing, cancel := context.WithCancel(ctx)
 	if deadline, ok := ctx.Deadline(); ok {
 		finishing, cancel = context.WithDeadline(ctx, deadline.Add(-answerTime))
--- a/core/dogwooddaemon/serve_test.go
+++ b/core/dogwooddaemon/serve_test.go
@@ -238,3 +238,47 @@
 		}
 	}
 }
+
+// answeringDispatcher answers each call at once.
+type answeringDispatcher struct{ hangingDispatcher }
+
+func (*answeringDispatcher) Service(context.Context, *dogwooddispatch.Call) (*dogwooddispatch.WholeAnswer, error) {
+	return &dogwooddispatch.WholeAnswer{Status: http.StatusOK, Header: http.Header{}, Body: []byte("whole")}, nil
+}
+
+// Guards against calls on kept connections that are closed unread because the server closes idle connections: callers must have
+// learned before that their connections end.
+func TestShutdownCutsNoCallOnAKeptConnection(t *testing.T) {
+	const callers = 40
+	fixture := startCallerFixture(t.Context(), t, &answeringDispatcher{})
+	var group sync.WaitGroup
+	var answered, unanswered atomic.Int64
+	for range callers {
+		conn := fixture.send(t, "")
+		group.Go(func() {
+			reader := bufio.NewReader(conn)
+			for {
+				_, _ = io.WriteString(conn, request("/services/desk/holds", "x", 1)) // a failure shows as no response
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					unanswered.Add(1)
+					return
+				}
+				_, _ = io.Copy(io.Discard, response.Body) // the body is short
+				_ = response.Body.Close()
+				answered.Add(1)
+				if response.Close {
+					return
+				}
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), answerTime+300*time.Millisecond)
+	defer cancel()
+	_ = drain(ctx, fixture.edge, fixture.server) // requests may run at its end
+	group.Wait()
+	if got := unanswered.Load(); got > 0 {
+		t.Errorf("got %d calls without an answer beside %d answered, want none", got, answered.Load())
+	}
+}
