Test calls between daemons at the end of either

A call in progress at the end of the caller or of the daemon that it calls ends with an error that says that it may have run. Nothing held that; it passed as written, twice with the race detector.

--- a/core/edge/dogwoodpeer/peer_test.go
+++ b/core/edge/dogwoodpeer/peer_test.go
@@ -292,3 +292,47 @@
 		}
 	})
 }
+
+// Guards against a call in progress when either daemon ends that is reported as one that did not run, after which it would be
+// made again.
+func TestCallInProgressAtTheEndOfADaemonMayHaveRun(t *testing.T) {
+	for _, callerEnds := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			serverContext, endServer := context.WithCancel(ctx)
+			network, receiver := newPipeNetwork(), &testReceiver{release: make(chan struct{})}
+			server := NewServer("secret", hclog.NewNullLogger())
+			if err := server.Register("Test", receiver); err != nil {
+				t.Fatal(err)
+			}
+			var group sync.WaitGroup
+			group.Go(func() { _ = server.Serve(serverContext, network) })
+			client := NewClient(ctx, "secret", network, hclog.NewNullLogger())
+			var err error
+			var call sync.WaitGroup
+			call.Go(func() {
+				var reply int
+				err = client.Call(ctx, peerAddress, "Test.Wait", 1, &reply)
+			})
+			synctest.Wait()
+			if callerEnds {
+				client.Close()
+			} else {
+				endServer()
+			}
+			call.Wait()
+			var unreachable *UnreachableError
+			if !errors.As(err, &unreachable) || !unreachable.Sent {
+				t.Errorf("caller ends %t: got %v, want an UnreachableError that may have been sent", callerEnds, err)
+			}
+			if got := receiver.calls.Load(); got != 1 {
+				t.Errorf("caller ends %t: got %d calls, want 1", callerEnds, got)
+			}
+			close(receiver.release)
+			endServer()
+			cancel()
+			client.Close()
+			group.Wait()
+		})
+	}
+}
