Answer operators' requests at the end of a shutdown

An operator's change that was in progress when the time to shut down had been used up by callers' requests, or when a background task failed, was cut without an answer, although it was made.

Cause: the admin server was shut down with a context that had ended, and closed at once.

It now waits for half a second beyond that for the requests in progress. A change that takes longer, as with a store that is slow, is still closed without an answer; dogwoodctl then asks another daemon, and the change's ID keeps it from being made twice.

TestChangeInProgressIsAnsweredAtTheEndOfAShutdown with the former way of closing: "got EOF, want an answer".

--- a/core/dogwooddaemon/admin.go
+++ b/core/dogwooddaemon/admin.go
@@ -68,10 +68,7 @@
 	}
 	serveHTTP(kernel, pluginAdmin, server, listener)
 	return &dogwoodkernel.ValuePart[*http.Server]{Value: server, OnStop: func(ctx context.Context) error {
-		if err := server.Shutdown(ctx); err != nil {
-			return errors.Join(Error.Wrap(err), server.Close())
-		}
-		return nil
+		return closeServer(ctx, server)
 	}}, nil
 }
 
--- a/core/dogwooddaemon/serve_test.go
+++ b/core/dogwooddaemon/serve_test.go
@@ -282,3 +282,44 @@
 		t.Errorf("got %d calls without an answer beside %d answered, want none", got, answered.Load())
 	}
 }
+
+// Guards against an operator whose change is cut without an answer, although it is in force, because the time to shut down was
+// used up by callers' requests.
+func TestChangeInProgressIsAnsweredAtTheEndOfAShutdown(t *testing.T) {
+	begun := make(chan struct{})
+	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(writer, "accepted") // the caller's end is checked
+	})}
+	var config net.ListenConfig
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { _ = server.Serve(listener) })
+	answered := make(chan error, 1)
+	group.Go(func() {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+listener.Addr().String(), http.NoBody)
+		if err != nil {
+			answered <- err
+			return
+		}
+		response, err := (&http.Transport{}).RoundTrip(request)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		answered <- err
+	})
+	<-begun
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := closeServer(ended, server); err != nil {
+		t.Errorf("got %v, want a server whose requests are all answered", err)
+	}
+	if err := <-answered; err != nil {
+		t.Errorf("got %v, want an answer", err)
+	}
+}
