Log the state and the cause of requests that a shutdown ends

What callers saw: connections that were closed around a SIGTERM, for which the daemon's log named no request, or named the caller as the cause.

Cause: http.Server.Close cancels the contexts of requests as a caller does that disconnects, so the relay reported "the caller is gone". Close doesn't wait for handlers, and the process ended before some had written their lines. net/http runs no handler for a request whose head it has only partly read, so nothing was logged for it.

--- a/core/duty/dogwoodrelay/failure.go
+++ b/core/duty/dogwoodrelay/failure.go
@@ -33,6 +33,9 @@
 // ErrCallerGone means that the caller has disconnected.
 var ErrCallerGone = errors.New("the caller is gone")
 
+// ErrShutdown is the cause with which a daemon that shuts down ends the contexts of its requests.
+var ErrShutdown = errors.New("the daemon shuts down")
+
 // NotSent means that no byte of a request was sent.
 type NotSent struct {
 	Cause error
@@ -60,5 +63,13 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &Failure{Reason: dogwoodfleet.ReasonDeadline, Run: run, Detail: "the time limit passed"}
 	}
+	return EndedError(ctx)
+}
+
+// EndedError returns why the context of a request, which is that of its caller's connection, has ended.
+func EndedError(ctx context.Context) error {
+	if errors.Is(context.Cause(ctx), ErrShutdown) {
+		return fmt.Errorf("%w: %w", ErrCut, ErrShutdown)
+	}
 	return ErrCallerGone
 }
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -71,8 +71,20 @@
 	Keyed bool
 	// Counted is true if another daemon, which forwarded the request, has counted its first try.
 	Counted bool
+	// Stage is how far the request has come. It is valid once Serve has returned.
+	Stage Stage
 }
 
+// Stage is how far a request has come.
+type Stage string
+
+// The stages, in their order. Another try takes a request back to StageWaiting until its answer has begun.
+const (
+	StageWaiting   Stage = "waiting"   // for an endpoint
+	StageSent      Stage = "sent"      // to an endpoint
+	StageAnswering Stage = "answering" // the caller gets the answer
+)
+
 // Repeatable reports whether the request can safely run more than once.
 func (request *Request) Repeatable() bool {
 	switch request.Route.Repeat {
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -102,7 +102,7 @@
 	defer cancel()
 	buffer := newAnswerBuffer(relay, request.ID, answer, cancel)
 	defer buffer.close()
-	defer context.AfterFunc(callerContext, func() { buffer.stop(ErrCallerGone) })()
+	defer context.AfterFunc(callerContext, func() { buffer.stop(EndedError(callerContext)) })()
 	err := relay.serveTries(ctx, request, buffer)
 	if request.BodySent != nil && buffer.hasBegun() {
 		request.BodySent()
@@ -236,8 +236,16 @@
 	}
 }
 
+// enter records how far the request has come.
+func (attempt *attempt) enter(stage Stage) {
+	if attempt.request.Stage != StageAnswering {
+		attempt.request.Stage = stage
+	}
+}
+
 // try places the request, sends it and forwards the answer. Another run may take over.
 func (attempt *attempt) try(ctx context.Context) tryResult {
+	attempt.enter(StageWaiting)
 	preparedTry, failed := attempt.prepare(ctx)
 	if preparedTry == nil {
 		return failed
