Answer requests that a shutdown ends before their answers have begun

What callers saw: at 0.93 of the grace period the connections of all requests that still ran were closed, also of those that waited for an endpoint, waited between two tries, or had sent nothing to their callers. Such a caller does not learn that its request has not run.

Cause: the relay takes the end of a request's context for a caller that has left, so it returns no failure, and the front closes the connection.

An answer that has begun is cut as before, visibly.

--- a/core/duty/dogwoodrelay/answerbuffer.go
+++ b/core/duty/dogwoodrelay/answerbuffer.go
@@ -242,7 +242,7 @@
 			buffer.cut(boundAnswer, buffer.account.Held())
 			return buffer.failure()
 		case <-ctx.Done():
-			return contextError(ctx, dogwoodfleet.WasRun)
+			return ContextError(ctx, dogwoodfleet.WasRun)
 		}
 	}
 }
@@ -357,6 +357,18 @@
 	return true
 }
 
+// endCaller ends the answer after the end of its caller's context. If the daemon shuts down, an answer that has not begun still
+// goes to the caller, and so does a failure in its place.
+func (buffer *answerBuffer) endCaller(ctx context.Context) {
+	if !IsShutdown(ctx) {
+		buffer.stop(ErrCallerGone)
+		return
+	}
+	if buffer.hasBegun() {
+		buffer.stop(fmt.Errorf("%w: %w", ErrCut, ErrShutdown))
+	}
+}
+
 // cut stops the answer since a bound of the memory for slow callers is reached.
 func (buffer *answerBuffer) cut(bound string, held int64) {
 	buffer.mutex.Lock()
--- a/core/duty/dogwoodrelay/failure.go
+++ b/core/duty/dogwoodrelay/failure.go
@@ -58,18 +58,19 @@
 // Unwrap returns the cause.
 func (broken *Broken) Unwrap() error { return broken.Cause }
 
-// contextError returns the error of an attempt whose context has ended.
-func contextError(ctx context.Context, run dogwoodfleet.RunState) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+// ContextError returns the outcome of an attempt whose caller has received nothing, and whose context has ended. run tells
+// whether a try of it began.
+func ContextError(ctx context.Context, run dogwoodfleet.RunState) error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &Failure{Reason: dogwoodfleet.ReasonDeadline, Run: run, Detail: "the time limit passed"}
+	case IsShutdown(ctx):
+		return &Failure{Reason: dogwoodfleet.ReasonShutdown, Run: run, Detail: ErrShutdown.Error()}
 	}
-	return EndedError(ctx)
+	return ErrCallerGone
 }
 
-// EndedError returns why the context of a request, which is that of its caller's connection, has ended.
-func EndedError(ctx context.Context) error {
-	if errors.Is(context.Cause(ctx), ErrShutdown) {
-		return fmt.Errorf("%w: %w", ErrCut, ErrShutdown)
-	}
-	return ErrCallerGone
+// IsShutdown reports whether a context has ended since the daemon shuts down.
+func IsShutdown(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), ErrShutdown)
 }
--- a/core/duty/dogwoodrelay/place.go
+++ b/core/duty/dogwoodrelay/place.go
@@ -94,7 +94,7 @@
 		case <-ctx.Done():
 		}
 		if queue.remove(waiter) {
-			return dogwoodpacking.Placement{}, contextError(ctx, attempt.runState)
+			return dogwoodpacking.Placement{}, ContextError(ctx, attempt.runState)
 		}
 		return attempt.takeResult(waiter)
 	}
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -102,7 +102,7 @@
 	defer cancel()
 	buffer := newAnswerBuffer(relay, request.ID, answer, cancel)
 	defer buffer.close()
-	defer context.AfterFunc(callerContext, func() { buffer.stop(EndedError(callerContext)) })()
+	defer context.AfterFunc(callerContext, func() { buffer.endCaller(callerContext) })()
 	err := relay.serveTries(ctx, request, buffer)
 	if request.BodySent != nil && buffer.hasBegun() {
 		request.BodySent()
@@ -129,7 +129,7 @@
 			return attempt.finish(tryResult.err)
 		}
 		if ctx.Err() != nil {
-			return attempt.finish(contextError(ctx, attempt.runState))
+			return attempt.finish(ContextError(ctx, attempt.runState))
 		}
 		if why := attempt.checkRetry(tryResult); why != "" {
 			counters.Add("RetriesForbidden", 1)
@@ -319,7 +319,7 @@
 	case errors.As(err, &refused):
 		return nil, attempt.newFailure(dogwoodfleet.ReasonSuspect, refused.RetryAfter, refused.Error())
 	case err != nil:
-		return nil, contextError(ctx, attempt.runState)
+		return nil, ContextError(ctx, attempt.runState)
 	}
 	return permit, nil
 }
--- /dev/null
+++ b/core/duty/dogwoodrelay/shutdown_test.go
@@ -0,0 +1,77 @@
+package dogwoodrelay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"dogwoodmux.example/core/decision/dogwoodroute"
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+// Guards against a daemon that shuts down and reports its requests as left by their callers, or with a wrong run state, and
+// against an answer that it cuts without a sign of that.
+func TestShutdownEndsAttempt(t *testing.T) {
+	var pool *fixture
+	withoutEndpoints := func(then step) step {
+		return func(ctx context.Context) (*Response, error) {
+			pool.setEndpoints(0, nil) // the next try waits
+			return then(ctx)
+		}
+	}
+	hangs := func(ctx context.Context) (*Response, error) {
+		<-ctx.Done()
+		return nil, &Broken{Cause: ctx.Err()}
+	}
+	broken := fails(&Broken{Cause: errors.New("reset")})
+	tests := []struct {
+		name      string
+		endpoints int
+		request   func() *Request
+		script    []step
+		want      dogwoodfleet.RunState
+		stage     Stage
+		cut       bool
+	}{
+		{"waits", 0, func() *Request { return plainRequest(dogwoodroute.Once) }, []step{hangs}, dogwoodfleet.NotRun, StageWaiting, false},
+		{"waits after an endpoint did not begin", 3, func() *Request { return plainRequest(dogwoodroute.Once) }, []step{withoutEndpoints(notRun(503))}, dogwoodfleet.NotRun, StageWaiting, false},
+		{"waits after a run broke off", 3, func() *Request { return plainRequest(dogwoodroute.Idempotent) }, []step{withoutEndpoints(broken)}, dogwoodfleet.RunUnknown, StageWaiting, false},
+		{"sent", 3, func() *Request { return plainRequest(dogwoodroute.Once) }, []step{hangs}, dogwoodfleet.RunUnknown, StageSent, false},
+		{"a part of an answer that is held", 3, func() *Request { return plainRequest(dogwoodroute.Idempotent) }, []step{fallsSilent("half")}, dogwoodfleet.RunUnknown, StageSent, false},
+		{"a stream that has begun", 3, streamRequest, []step{fallsSilent(firstEvents)}, "", StageAnswering, true},
+		{"a stream that waits to go on", 3, streamRequest, []step{withoutEndpoints(breaksOff(firstEvents))}, "", StageAnswering, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runRelayTest(t, nil, test.script, func(t *testing.T, fixture *fixture) {
+				t.Helper()
+				pool = fixture
+				fixture.setEndpoints(test.endpoints, nil)
+				ctx, end := context.WithCancelCause(t.Context())
+				request := test.request()
+				var group sync.WaitGroup
+				var err error
+				group.Go(func() { err = fixture.relay.Serve(ctx, request, fixture.answer) })
+				synctest.Wait()
+				end(ErrShutdown)
+				group.Wait()
+				var failure *Failure
+				switch {
+				case errors.Is(err, ErrCallerGone) || test.cut != errors.Is(err, ErrCut):
+					t.Errorf("got %v, want that the answer was cut: %t", err, test.cut)
+				case test.cut && (fixture.answer.status != http.StatusOK || !strings.Contains(err.Error(), ErrShutdown.Error())):
+					t.Errorf("got status %d and %v, want the start of the answer and the cause", fixture.answer.status, err)
+				case !test.cut && (!errors.As(err, &failure) || failure.Reason != dogwoodfleet.ReasonShutdown || failure.Run != test.want || fixture.answer.status != 0):
+					t.Errorf("got %v after status %d, want a failure for the shutdown with run state %q and no answer", err, fixture.answer.status, test.want)
+				}
+				if request.Stage != test.stage {
+					t.Errorf("got stage %q, want %q", request.Stage, test.stage)
+				}
+			})
+		})
+	}
+}
--- a/core/duty/dogwoodrelay/tryresult.go
+++ b/core/duty/dogwoodrelay/tryresult.go
@@ -52,7 +52,7 @@
 	var unsent *NotSent
 	if errors.As(err, &unsent) {
 		if ctx.Err() != nil {
-			return tryResult{err: contextError(ctx, attempt.runState)}
+			return tryResult{err: ContextError(ctx, attempt.runState)}
 		}
 		attempt.keepRetry(run)
 		return attempt.endpointUnreachable(placement, err)
@@ -60,7 +60,7 @@
 	if ctx.Err() != nil {
 		attempt.runState = dogwoodfleet.RunUnknown
 		attempt.reportHang(ctx, placement)
-		return tryResult{err: contextError(ctx, attempt.runState)}
+		return tryResult{err: ContextError(ctx, attempt.runState)}
 	}
 	if !errors.Is(err, errSilent) && !errors.Is(err, errDaemonFull) {
 		attempt.reportBroken(ctx, run)
