Refuse at once what can't be answered before a shutdown ends

What callers saw: a request that waited for an endpoint of a daemon that leaves was kept until the end of the grace period, although no run could end by then, and lost the time in which another daemon could have served it.

Cause: requests waited by their own time limits alone.

A request that waits is refused, not run, once less than the shortest of its service's latest runs is left, and a placement whose answer would begin after the end isn't sent. Requests that still can be answered wait on, and so does a stream that has begun, until the end.

--- /dev/null
+++ b/core/duty/dogwoodrelay/drain.go
@@ -0,0 +1,72 @@
+package dogwoodrelay
+
+import (
+	"sync"
+	"time"
+
+	"dogwoodmux.example/core/decision/dogwoodpacking"
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+// drain is the end of a daemon that shuts down.
+type drain struct {
+	mutex sync.Mutex
+	// begun is closed once the end is known.
+	begun chan struct{}
+	end   time.Time
+}
+
+func newDrain() *drain {
+	return &drain{begun: make(chan struct{})}
+}
+
+// Drain makes the relay refuse requests that can't be answered until the end, when the daemon ends what still runs. Only the
+// first call has an effect.
+func (relay *Relay) Drain(end time.Time) {
+	drain := relay.drain
+	drain.mutex.Lock()
+	defer drain.mutex.Unlock()
+	if drain.end.IsZero() {
+		drain.end = end
+		close(drain.begun)
+	}
+}
+
+// endTime returns the end, and false if there is none yet.
+func (drain *drain) endTime() (time.Time, bool) {
+	drain.mutex.Lock()
+	defer drain.mutex.Unlock()
+	return drain.end, !drain.end.IsZero()
+}
+
+// latestPlacement returns until when the attempt can be placed and still be answered before the end. An answer that has begun
+// waits until the end itself, as the rest of it may be short.
+func (attempt *attempt) latestPlacement() time.Time {
+	end, _ := attempt.relay.drain.endTime()
+	if attempt.stream.begun {
+		return end
+	}
+	return end.Add(-attempt.relay.queue.shortestRun(attempt.request.Service))
+}
+
+// checkDrain returns a failure, and cancels the placement, if the answer would begin after the end.
+func (attempt *attempt) checkDrain(id dogwoodpacking.WorkID, placement *dogwoodpacking.Placement) error {
+	end, drains := attempt.relay.drain.endTime()
+	if !drains || time.Until(end) >= placement.Predicted {
+		return nil
+	}
+	attempt.relay.options.Places.Cancel(id)
+	return attempt.refuseDrained()
+}
+
+// refuseDrained returns the failure of an attempt that can't be answered before the end.
+func (attempt *attempt) refuseDrained() error {
+	return attempt.newFailure(dogwoodfleet.ReasonShutdown, 0, "it can't be answered before the daemon shuts down")
+}
+
+// shortestRun returns how long the shortest of the latest runs of a service took, 0 if none is known.
+func (queue *queue) shortestRun(service dogwoodfleet.Service) time.Duration {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	return queue.shortestRuns.Of(service)
+}
--- a/core/duty/dogwoodrelay/place.go
+++ b/core/duty/dogwoodrelay/place.go
@@ -44,6 +44,9 @@
 		placementRequest := attempt.placementRequest()
 		placement, err := attempt.awaitPlacement(ctx, placementRequest, waitUntil)
 		window := places.ConflictWindow(placementRequest.Prompt)
+		if err == nil {
+			err = attempt.checkDrain(placementRequest.ID, &placement)
+		}
 		if err != nil || window == 0 || conflicts == maxConflicts {
 			return placementRequest, placement, err
 		}
@@ -79,8 +82,19 @@
 	}
 	maxWait := time.NewTimer(time.Until(waitUntil))
 	defer maxWait.Stop()
+	var drained <-chan time.Time // nil until the relay drains
+	drainBegun := attempt.relay.drain.begun
 	for {
 		select {
+		case <-drainBegun:
+			drainBegun = nil
+			drained = time.After(time.Until(attempt.latestPlacement()))
+			continue
+		case <-drained:
+			if queue.remove(waiter) {
+				return dogwoodpacking.Placement{}, attempt.refuseDrained()
+			}
+			return attempt.takeResult(waiter)
 		case placementResult := <-waiter.result:
 			waiter.repeatPanic()
 			return placementResult.placement, attempt.resultError(&placementResult)
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -278,6 +278,7 @@
 	options  Options
 	queue    queue
 	liveness liveness
+	drain    *drain
 	// invalidLimits and invalidBackoffs are the endpoints whose invalid limits and back-offs were logged.
 	invalidLimits, invalidBackoffs loggedEndpoints
 	background                     errgroup.Group
@@ -291,7 +292,7 @@
 	if options.Buffers == nil {
 		options.Buffers = dogwoodbuffer.New(dogwoodbuffer.NewBounds(0))
 	}
-	return &Relay{options: options, queue: queue{places: options.Places, minimums: dogwoodwaiting.Minimums{FirstTurn: rand.Float64()}}}
+	return &Relay{options: options, drain: newDrain(), queue: queue{places: options.Places, minimums: dogwoodwaiting.Minimums{FirstTurn: rand.Float64()}}}
 }
 
 // Run places waiting tries until the context ends.
--- a/core/duty/dogwoodrelay/shutdown_test.go
+++ b/core/duty/dogwoodrelay/shutdown_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"dogwoodmux.example/core/decision/dogwoodroute"
 	"dogwoodmux.example/core/dogwoodfleet"
@@ -75,3 +76,69 @@
 		})
 	}
 }
+
+// Guards against requests that wait at a daemon that shuts down although they can't be answered any more, and against a refusal of
+// those that still can.
+func TestDrainRefusesWhatCannotBeAnswered(t *testing.T) {
+	const run, end = 2 * time.Second, 5 * time.Second
+	const never, refused, answered = time.Hour, false, true
+	tests := []struct {
+		name string
+		// drainAfter is when the drain begins, endpointAfter when there is an endpoint.
+		drainAfter, endpointAfter time.Duration
+		prompt                    int
+		want                      bool
+		after                     time.Duration
+	}{
+		{"until the last time at which a run can end", time.Second, never, 0, refused, end - run},
+		{"at once after that time", -4 * time.Second, never, 0, refused, 0},
+		{"an endpoint in time", time.Second, 2 * time.Second, 0, answered, 2 * time.Second},
+		{"the answer would begin after the end", -4 * time.Second, 0, 50_000, refused, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			slow := *testEngine
+			slow.TokensPerSecond = 10_000
+			runRelayTest(t, &slow, []step{responds(http.StatusOK, "answer")}, func(t *testing.T, fixture *fixture) {
+				t.Helper()
+				if test.endpointAfter > 0 {
+					fixture.setEndpoints(0, nil)
+					fixture.relay.queue.recordRun("s", run)
+				}
+				time.Sleep(max(0, -test.drainAfter))
+				began := time.Now()
+				ends := began.Add(end + min(0, test.drainAfter))
+				var group sync.WaitGroup
+				group.Go(func() {
+					time.Sleep(max(0, test.drainAfter))
+					fixture.relay.Drain(ends)
+				})
+				if test.drainAfter < 0 {
+					group.Wait()
+				}
+				if test.endpointAfter > 0 && test.endpointAfter < never {
+					group.Go(func() {
+						time.Sleep(test.endpointAfter)
+						fixture.setEndpoints(3, nil)
+					})
+				}
+				request := plainRequest(dogwoodroute.Once)
+				request.Prompt, request.Deadline, request.Route.Aim = test.prompt, began.Add(time.Minute), 20*time.Second
+				err := fixture.relay.Serve(t.Context(), request, fixture.answer)
+				taken := time.Since(began)
+				group.Wait()
+				if test.want == refused {
+					failure := failureOf(t, err)
+					if failure.Reason != dogwoodfleet.ReasonShutdown || failure.Run != dogwoodfleet.NotRun {
+						t.Errorf("got %v, want a refusal for the shutdown", err)
+					}
+				} else if err != nil {
+					t.Errorf("got %v, want an answer", err)
+				}
+				if taken < test.after || taken > test.after+100*time.Millisecond {
+					t.Errorf("got the outcome after %s, want %s", taken, test.after)
+				}
+			})
+		})
+	}
+}
