--- a/core/duty/dogwoodrelay/failure.go
+++ b/core/duty/dogwoodrelay/failure.go
@@ -33,6 +33,9 @@
 // ErrCallerGone means that the caller has disconnected.
 var ErrCallerGone = errors.New("the caller is gone")
 
+// ErrShutdown is the cause with which a daemon that shuts down ends the contexts of its requests.
+var ErrShutdown = errors.New("the daemon shuts down")
+
 // NotSent means that no byte of a request was sent.
 type NotSent struct {
 	Cause error
@@ -55,10 +58,19 @@
 // Unwrap returns the cause.
 func (broken *Broken) Unwrap() error { return broken.Cause }
 
-// contextError returns the error of an attempt whose context has ended.
-func contextError(ctx context.Context, run dogwoodfleet.RunState) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+// ContextError returns the outcome of an attempt whose caller has received nothing, and whose context has ended. run tells
+// whether a try of it began.
+func ContextError(ctx context.Context, run dogwoodfleet.RunState) error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &Failure{Reason: dogwoodfleet.ReasonDeadline, Run: run, Detail: "the time limit passed"}
+	case IsShutdown(ctx):
+		return &Failure{Reason: dogwoodfleet.ReasonShutdown, Run: run, Detail: ErrShutdown.Error()}
 	}
 	return ErrCallerGone
 }
+
+// IsShutdown reports whether a context has ended since the daemon shuts down.
+func IsShutdown(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), ErrShutdown)
+}
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -73,8 +73,20 @@
 	Counted bool
 	// LastResort is true if no other daemon can serve the request. It is then sent also while this daemon may be cut off.
 	LastResort bool
+	// Stage is how far the request has come. It is valid once Serve has returned.
+	Stage Stage
 }
 
+// Stage is how far a request has come.
+type Stage string
+
+// The stages, in their order. Another try takes a request back to StageWaiting until its answer has begun.
+const (
+	StageWaiting   Stage = "waiting"   // for an endpoint
+	StageSent      Stage = "sent"      // to an endpoint
+	StageAnswering Stage = "answering" // the caller gets the answer
+)
+
 // Repeatable reports whether the request can safely run more than once.
 func (request *Request) Repeatable() bool {
 	switch request.Route.Repeat {
@@ -277,6 +289,7 @@
 	options  Options
 	queue    queue
 	liveness liveness
+	drain    *drain
 	// invalidLimits and invalidBackoffs are the endpoints whose invalid limits and back-offs were logged.
 	invalidLimits, invalidBackoffs loggedEndpoints
 	background                     errgroup.Group
@@ -290,7 +303,7 @@
 	if options.Buffers == nil {
 		options.Buffers = dogwoodbuffer.New(dogwoodbuffer.NewBounds(0))
 	}
-	return &Relay{options: options, queue: queue{places: options.Places, minimums: dogwoodwaiting.Minimums{FirstTurn: rand.Float64()}}}
+	return &Relay{options: options, drain: newDrain(), queue: queue{places: options.Places, minimums: dogwoodwaiting.Minimums{FirstTurn: rand.Float64()}}}
 }
 
 // Run places waiting tries until the context ends.
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -102,7 +102,7 @@
 	defer cancel()
 	buffer := newAnswerBuffer(relay, request.ID, answer, cancel)
 	defer buffer.close()
-	defer context.AfterFunc(callerContext, func() { buffer.stop(ErrCallerGone) })()
+	defer context.AfterFunc(callerContext, func() { buffer.endCaller(callerContext) })()
 	err := relay.serveTries(ctx, request, buffer)
 	if request.BodySent != nil && buffer.hasBegun() {
 		request.BodySent()
@@ -129,7 +129,7 @@
 			return attempt.finish(tryResult.err)
 		}
 		if ctx.Err() != nil {
-			return attempt.finish(contextError(ctx, attempt.runState))
+			return attempt.finish(ContextError(ctx, attempt.runState))
 		}
 		if why := attempt.checkRetry(tryResult); why != "" {
 			counters.Add("RetriesForbidden", 1)
@@ -236,8 +236,16 @@
 	}
 }
 
+// enter records how far the request has come.
+func (attempt *attempt) enter(stage Stage) {
+	if attempt.request.Stage != StageAnswering {
+		attempt.request.Stage = stage
+	}
+}
+
 // try places the request, sends it and forwards the answer. Another run may take over.
 func (attempt *attempt) try(ctx context.Context) tryResult {
+	attempt.enter(StageWaiting)
 	preparedTry, failed := attempt.prepare(ctx)
 	if preparedTry == nil {
 		return failed
@@ -311,7 +319,7 @@
 	case errors.As(err, &refused):
 		return nil, attempt.newFailure(dogwoodfleet.ReasonSuspect, refused.RetryAfter, refused.Error())
 	case err != nil:
-		return nil, contextError(ctx, attempt.runState)
+		return nil, ContextError(ctx, attempt.runState)
 	}
 	return permit, nil
 }
