Tell callers when to come back after a refusal for the shutdown

Callers that a daemon refused because it leaves got Retry-After: 0.000. While it still accepted requests they could spend their retries at the same daemon.

The refusals name the 50 ms of other refusals after which the connection to this daemon is closed. A stream that has begun is placed until the end itself, as its wait for a placement allows already.

TestDrainRefusesWhatCannotBeAnswered and TestShutdownEndsAttempt failed before: "got a wait of 0s, want one in which the caller can leave this daemon".

--- a/core/duty/dogwoodrelay/drain.go
+++ b/core/duty/dogwoodrelay/drain.go
@@ -8,6 +8,10 @@
 	"dogwoodmux.example/core/dogwoodfleet"
 )
 
+// leavingRetryAfter is how long a caller waits before it tries another daemon when this one shuts down. Its connection to this
+// daemon is closed first.
+const leavingRetryAfter = 50 * time.Millisecond
+
 // drain is the end of a daemon that shuts down.
 type drain struct {
 	mutex sync.Mutex
@@ -49,10 +53,11 @@
 	return end.Add(-attempt.relay.queue.shortestRun(attempt.request.Service))
 }
 
-// checkDrain returns a failure, and cancels the placement, if the answer would begin after the end.
+// checkDrain returns a failure, and cancels the placement, if the answer would begin after the end. One that has begun goes on
+// until then.
 func (attempt *attempt) checkDrain(id dogwoodpacking.WorkID, placement *dogwoodpacking.Placement) error {
 	end, drains := attempt.relay.drain.endTime()
-	if !drains || time.Until(end) >= placement.Predicted {
+	if !drains || attempt.stream.begun || time.Until(end) >= placement.Predicted {
 		return nil
 	}
 	attempt.relay.options.Places.Cancel(id)
@@ -61,7 +66,7 @@
 
 // refuseDrained returns the failure of an attempt that can't be answered before the end.
 func (attempt *attempt) refuseDrained() error {
-	return attempt.newFailure(dogwoodfleet.ReasonShutdown, 0, "it can't be answered before the daemon shuts down")
+	return attempt.newFailure(dogwoodfleet.ReasonShutdown, leavingRetryAfter, "it can't be answered before the daemon shuts down")
 }
 
 // shortestRun returns how long the shortest of the latest runs of a service took, 0 if none is known.
--- a/core/duty/dogwoodrelay/failure.go
+++ b/core/duty/dogwoodrelay/failure.go
@@ -65,7 +65,7 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &Failure{Reason: dogwoodfleet.ReasonDeadline, Run: run, Detail: "the time limit passed"}
 	case IsShutdown(ctx):
-		return &Failure{Reason: dogwoodfleet.ReasonShutdown, Run: run, Detail: ErrShutdown.Error()}
+		return &Failure{Reason: dogwoodfleet.ReasonShutdown, Run: run, RetryAfter: leavingRetryAfter, Detail: ErrShutdown.Error()}
 	}
 	return ErrCallerGone
 }
--- a/core/duty/dogwoodrelay/shutdown_test.go
+++ b/core/duty/dogwoodrelay/shutdown_test.go
@@ -69,6 +69,9 @@
 				case !test.cut && (!errors.As(err, &failure) || failure.Reason != dogwoodfleet.ReasonShutdown || failure.Run != test.want || fixture.answer.status != 0):
 					t.Errorf("got %v after status %d, want a failure for the shutdown with run state %q and no answer", err, fixture.answer.status, test.want)
 				}
+				if failure != nil && failure.RetryAfter <= 0 {
+					t.Errorf("got a wait of %s, want one in which the caller can leave this daemon", failure.RetryAfter)
+				}
 				if request.Stage != test.stage {
 					t.Errorf("got stage %q, want %q", request.Stage, test.stage)
 				}
@@ -132,6 +135,9 @@
 					if failure.Reason != dogwoodfleet.ReasonShutdown || failure.Run != dogwoodfleet.NotRun {
 						t.Errorf("got %v, want a refusal for the shutdown", err)
 					}
+					if failure.RetryAfter <= 0 {
+						t.Errorf("got a wait of %s, want one in which the caller can leave this daemon", failure.RetryAfter)
+					}
 				} else if err != nil {
 					t.Errorf("got %v, want an answer", err)
 				}
