Make the soak's endpoints take time for prompts and record their work

The soak passed on daemons that cut requests as they end. One reason: its endpoints took half a second for every request, so nothing was left of it at the end of a grace period of 8 s, and nobody knew whether an endpoint was at work on a request when it was cut.

An endpoint prefills a prompt at the rate that the text states, sends as many events as the target asks for, and records when its work on a request ended.

TestPromptTakesTimeOfItsTokens on paused time: 100 ms for 100 tokens at 1,000 a second, 8 s for 8,000, 50 events of 40 ms, and the recorded span is that time.

--- a/dogwoodload/dogwoodsoak/endpoint.go
+++ b/dogwoodload/dogwoodsoak/endpoint.go
@@ -82,6 +82,7 @@
 		standinFlag{dogwoodstandinrun.FlagSlots, fmt.Sprint(slots)},
 		standinFlag{dogwoodstandinrun.FlagEvents, fmt.Sprint(events)},
 		standinFlag{dogwoodstandinrun.FlagWork, work.String()},
+		standinFlag{dogwoodstandinrun.FlagReadPerSecond, fmt.Sprint(dogwoodstandin.EngineReadPerSecond)},
 		standinFlag{dogwoodstandinrun.FlagCold, cold.String()},
 		standinFlag{dogwoodstandinrun.FlagCrashPath, crashPath},
 		standinFlag{dogwoodstandinrun.FlagCrashPart, crashPart},
--- a/dogwoodload/dogwoodsoak/history.go
+++ b/dogwoodload/dogwoodsoak/history.go
@@ -77,6 +77,7 @@
 	if err != nil {
 		return err
 	}
+	first := len(history.Arrivals)
 	for _, record := range records {
 		if record.Left != nil {
 			history.Leavings = append(history.Leavings, dogwoodsoakcheck.Leaving{Endpoint: id, At: *record.Left})
@@ -102,6 +103,19 @@
 				AskedBackoff: arrival.AskedBackoff, SaidLeaving: arrival.SaidLeaving,
 			})
 		}
+		if done := record.Done; done != nil {
+			setUntil(history.Arrivals[first:], done)
+		}
 	}
 	return nil
 }
+
+// setUntil sets the end of the work on the request of one of an endpoint's arrivals.
+func setUntil(arrivals []dogwoodsoakcheck.Arrival, done *dogwoodstandin.Done) {
+	for i := len(arrivals) - 1; i >= 0; i-- { // it is one of the last ones
+		if arrivals[i].RequestID == done.RequestID && arrivals[i].At.Equal(done.Arrived) {
+			arrivals[i].Until = done.At
+			return
+		}
+	}
+}
--- a/dogwoodload/dogwoodsoakcheck/history.go
+++ b/dogwoodload/dogwoodsoakcheck/history.go
@@ -128,7 +128,9 @@
 	Endpoint, DataCentre, Service string
 	RequestID                     string
 	At                            time.Time
-	Ran, Cold, KeySeen            bool
+	// Until is when the endpoint had ended its work on the request; zero if it was rejected, or if the endpoint ended before.
+	Until              time.Time
+	Ran, Cold, KeySeen bool
 	// AskedBackoff is true if the endpoint turned the request away and asked for a back-off, SaidLeaving if it said that it leaves.
 	AskedBackoff, SaidLeaving bool
 }
--- a/dogwoodload/dogwoodstandinrun/run.go
+++ b/dogwoodload/dogwoodstandinrun/run.go
@@ -37,6 +37,7 @@
 	FlagSlots            = "slots"
 	FlagEvents           = "events"
 	FlagWork             = "work"
+	FlagReadPerSecond    = "readpersecond"
 	FlagCold             = "cold"
 	FlagDrain            = "drain"
 	FlagCrashPath        = "crashpath"
@@ -97,6 +98,7 @@
 	flags.IntVar(&options.Endpoint.Slots, FlagSlots, 1, "`requests` at once")
 	flags.IntVar(&options.Endpoint.Events, FlagEvents, 0, "`events` of a stream; 0 answers plainly")
 	flags.DurationVar(&options.Endpoint.Work, FlagWork, 0, "`time` of a plain answer, and between two events")
+	flags.IntVar(&options.Endpoint.ReadPerSecond, FlagReadPerSecond, 0, "`tokens` of a prompt that it prefills in a second; 0 for any")
 	flags.DurationVar(&options.Endpoint.ColdFor, FlagCold, 0, "`time` for which it is cold")
 	flags.StringVar(&options.Endpoint.CrashPart, FlagCrashPart, "", "`prefix` of the IDs of parts whose prompts crash it; none if empty")
 	flags.StringVar(&options.Endpoint.CrashPath, FlagCrashPath, "", "`path` of requests that crash it; none if empty")
@@ -126,6 +128,7 @@
 	options.Endpoint.AnnouncedAddress = options.Announced
 	options.Endpoint.EventInterval, options.Endpoint.MemoryTokens = options.Endpoint.Work, dogwoodstandin.EngineMemoryTokens
 	options.Endpoint.Record = func(arrival dogwoodstandin.Arrival) { running.record(dogwoodstandin.Record{Arrival: &arrival}) }
+	options.Endpoint.Done = func(done dogwoodstandin.Done) { running.record(dogwoodstandin.Record{Done: &done}) }
 	options.Endpoint.Crash = func(crash dogwoodstandin.Crash) {
 		running.record(dogwoodstandin.Record{Crash: &crash})
 		os.Exit(crashExitCode)
