Shut daemons down in waves in the soak while nothing else fails

The soak passed on daemons that cut requests as they end. Its shutdowns were drawn beside faults, which excuse cut requests; nothing waited for a slot; and its callers stopped using a daemon once the directory no longer named it.

After the last fault and the time to recover, 26 s follow with planned work alone: SIGTERM of daemons in turn, some of them twice, some just after SIGHUP or a change of the text, while all endpoints of a service are silent for 1 to 1.3 s now and then. Further callers keep a connection to one daemon each, whatever the directory answers, until it is closed; they send two fifths of their requests in two parts with a pause, and ask for streams of 2 to 14 s, more at once than there are slots. A prompt may wait longer than half of the grace period on the new route.

--- a/dogwoodload/dogwoodsoak/backoffs.go
+++ b/dogwoodload/dogwoodsoak/backoffs.go
@@ -15,8 +15,11 @@
 // asksForBackoff is the state of an endpoint that turns requests away and asks for a back-off.
 var asksForBackoff = dogwoodstandin.EndpointState{Shedding: true, RetryAfter: fmt.Sprint(checkBounds.Backoff.Seconds())}
 
-// serviceStep makes all endpoints of a service turn requests away.
+// serviceStep makes all endpoints of a service turn requests away, or busy.
 func (site *site) serviceStep(ctx context.Context, step dogwoodsoakplan.Step, service string) error {
+	if step.Kind == dogwoodsoakplan.ServiceBusy {
+		return site.makeServiceBusy(ctx, service, step.For)
+	}
 	state := asksForBackoff
 	if step.Kind == dogwoodsoakplan.ServiceSheds {
 		state.RetryAfter = ""
--- a/dogwoodload/dogwoodsoak/daemon.go
+++ b/dogwoodload/dogwoodsoak/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -97,7 +98,9 @@
 	case dogwoodsoakplan.DaemonKilled:
 		return site.recordFault(&daemon.processMutex, daemonFault(daemon), func() error { return site.killDaemon(ctx, daemon, step.For) })
 	case dogwoodsoakplan.DaemonStopped:
-		return site.stopDaemon(ctx, daemon, step.For)
+		return site.stopDaemon(ctx, daemon, step.For, 0)
+	case dogwoodsoakplan.DaemonStoppedTwice:
+		return site.stopDaemon(ctx, daemon, step.For, 2*step.For)
 	case dogwoodsoakplan.DaemonFrozen:
 		return site.recordFault(&daemon.processMutex, daemonFault(daemon), func() error {
 			return freeze(ctx, daemon.process.Signal, step.For)
@@ -151,8 +154,8 @@
 }
 
 // stopDaemon shuts a daemon down gracefully and starts it again. If it exceeds its grace period, it is killed and
-// the stop is reported as a finding.
-func (site *site) stopDaemon(ctx context.Context, daemon *daemon, downtime time.Duration) error {
+// the stop is reported as a finding. If again is not 0, it is signalled a second time after that.
+func (site *site) stopDaemon(ctx context.Context, daemon *daemon, downtime, again time.Duration) error {
 	stop := dogwoodsoakcheck.Stop{Daemon: daemon.name}
 	fault := daemonFault(daemon)
 	fault.Planned = true
@@ -164,6 +167,11 @@
 		}
 		graceContext, cancel := context.WithTimeout(ctx, daemonBounds.Grace)
 		defer cancel()
+		if again > 0 && !daemon.endsWithin(graceContext, again) {
+			if err := daemon.process.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+				return err
+			}
+		}
 		if !daemon.process.Wait(graceContext) && ctx.Err() == nil {
 			stop.Killed = true
 			return site.killDaemon(ctx, daemon, downtime)
@@ -181,6 +189,13 @@
 	return err
 }
 
+// endsWithin reports whether the daemon's process ends within a duration.
+func (daemon *daemon) endsWithin(ctx context.Context, duration time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	return daemon.process.Wait(ctx)
+}
+
 // reload changes a bound in the daemon's settings, too little to affect the checks, and signals the daemon.
 func (site *site) reload(ctx context.Context, daemon *daemon) error {
 	const factor = 0.999
--- a/dogwoodload/dogwoodsoak/parameters.go
+++ b/dogwoodload/dogwoodsoak/parameters.go
@@ -62,6 +62,8 @@
 	slowCallerCount = 6
 	// textCallerCount is the number of callers that send prompts which are answered with a whole text.
 	textCallerCount = 3
+	// keptCallersPerDaemon is the number of callers that keep a connection to a daemon. Together they take more slots than there are.
+	keptCallersPerDaemon = 6
 	// maxHotCallers bounds the callers of the hot customer. There is one for each slot of the engines, so that they take all.
 	maxHotCallers = 96
 	// routeRank is the rank of the prompts' route while ranks differ. It holds for the customers that have none.
@@ -117,6 +119,7 @@
 	{Name: "hold", Host: host, Prefix: "/hold/", Service: deskName, Repeat: dogwoodstandin.Once, Timeout: 4 * time.Second, Aim: 300 * time.Millisecond, Attempts: 3},
 	{Name: "stock", Host: host, Prefix: "/stock/", Service: deskName, Repeat: dogwoodstandin.Idempotent, Timeout: 4 * time.Second, Aim: 300 * time.Millisecond, Attempts: 3},
 	{Name: "note", Host: host, Prefix: "/note/", Service: engineName, Repeat: dogwoodstandin.Idempotent, Timeout: 10 * time.Second, Aim: 2 * time.Second, Attempts: 3},
+	{Name: "essay", Host: host, Prefix: "/essay/", Service: engineName, Repeat: dogwoodstandin.Stream, Timeout: 20 * time.Second, Aim: 3 * time.Second, Pause: 300 * time.Millisecond, Attempts: 3, Resumable: true},
 	{Name: "draft", Host: host, Prefix: "/draft/", Service: engineName, Repeat: dogwoodstandin.Stream, Timeout: 10 * time.Second, Aim: time.Second, Pause: 300 * time.Millisecond, Attempts: 3, Resumable: true},
 }
 
@@ -131,6 +134,15 @@
 // last one is larger than what the kernel holds beside.
 var slowBytes = []int{128 << 10, 512 << 10, 4 * megabyte, 16 * megabyte}
 
+// longKind is the kind of prompts with a long answer. With its time limit and aim a prompt may wait for a slot for more than half of
+// the grace period.
+var longKind = dogwoodsoakcaller.Kind{
+	Kind: dogwoodsoakcheck.Prompt, Service: engineName, Prefix: "/essay/", Wait: 20 * time.Second, PromptTokens: []int{5_000, 45_000, 260_000},
+}
+
+// longEvents are the lengths of long answers. The longest one takes most of the time limit.
+var longEvents = []int{50, 100, 200, 350}
+
 // customers returns one customer for each key. A customer whose key is withdrawn has no key. Customers have the ranks of their keys,
 // if these have any.
 func customers(withdrawn map[string]bool, ranks map[string]int) []dogwoodstandin.Customer {
--- a/dogwoodload/dogwoodsoak/site.go
+++ b/dogwoodload/dogwoodsoak/site.go
@@ -122,7 +122,7 @@
 	site.callers = dogwoodsoakcaller.New(dogwoodsoakcaller.Options{
 		Host: host, DataCentres: dataCentres, Daemons: daemonAddresses, Kinds: callKinds, Keys: keys, MeanInterval: callInterval,
 		Crashing: crashingKind, CrashingKey: keys[len(keys)-1], // this key is never withdrawn
-		SlowBytes: slowBytes, Text: textKind,
+		SlowBytes: slowBytes, Long: longKind, LongEvents: longEvents, Text: textKind,
 	})
 	return nil
 }
--- a/dogwoodload/dogwoodsoak/soak.go
+++ b/dogwoodload/dogwoodsoak/soak.go
@@ -44,6 +44,8 @@
 
 	// steps replace the steps that are drawn from the seed, in tests of single faults.
 	steps []dogwoodsoakplan.Step
+	// planned replace the steps of the time in which nothing fails, which is left out if only steps are given.
+	planned []dogwoodsoakplan.Step
 	// steadyLoad leaves out the changes of the load that are drawn from the seed.
 	steadyLoad bool
 }
@@ -56,6 +58,8 @@
 	tail = recovery + 4*time.Second
 	// minDuration leaves time for faults between warmUp and tail.
 	minDuration = warmUp + tail + 4*time.Second
+	// plannedFor is how long callers send after that while daemons are only shut down and changed.
+	plannedFor = 26 * time.Second
 	// maxProcesses limits the load on the machine.
 	maxProcesses = 300
 	// minProcesses are a store, two engines, two plain endpoints and two daemons.
@@ -81,7 +85,7 @@
 		Examples: []string{"dogwoodload soak -seed 1 -for 1m", "dogwoodload soak -seed 7 -for 2m -processes 200 -keep /tmp/soak"},
 		SetFlags: func(flags *flag.FlagSet) {
 			flags.Uint64Var(&options.Seed, "seed", 1, "`number` that faults and requests are drawn from")
-			flags.DurationVar(&options.For, "for", time.Minute, "how long callers send")
+			flags.DurationVar(&options.For, "for", time.Minute, "how long callers send until daemons are only shut down and changed")
 			flags.IntVar(&options.Processes, "processes", 15, "`number` of processes")
 			flags.StringVar(&options.Keep, "keep", "", "empty `directory` for logs and records, kept in any case")
 			flags.StringVar(&options.Daemon, "daemon", "", "the daemon's `program`; built from this workspace if not given")
@@ -213,6 +217,8 @@
 	// Steps that waited for others end later than drawn; time to recover must remain after them.
 	dogwoodkernel.Sleep(ctx, max(time.Until(started.Add(options.For)), options.tail()))
 	stepsErr = errors.Join(stepsErr, changes.Wait())
+	planned := options.plannedSteps(site.shape())
+	stepsErr = errors.Join(stepsErr, site.runPlanned(ctx, planned))
 	stopSending()
 	_ = callers.Wait() // callers return no error
 	stopSupervising()
@@ -227,7 +233,7 @@
 		return nil, err
 	}
 	report := &Report{
-		Seed: options.Seed, For: options.For, Daemons: len(site.daemons), Endpoints: len(site.endpoints), Steps: len(steps),
+		Seed: options.Seed, For: options.For, Daemons: len(site.daemons), Endpoints: len(site.endpoints), Steps: len(steps) + len(planned),
 		Summary: dogwoodsoakcheck.Summarise(history), Findings: dogwoodsoakcheck.Check(history, checkBounds),
 	}
 	return report, nil
@@ -242,6 +248,14 @@
 	return last
 }
 
+// plannedSteps returns the steps of the time in which nothing fails.
+func (options *Options) plannedSteps(shape dogwoodsoakplan.Shape) []dogwoodsoakplan.Step {
+	if options.planned != nil || options.steps != nil {
+		return options.planned
+	}
+	return dogwoodsoakplan.DrawPlanned(options.Seed, shape, 0, plannedFor)
+}
+
 // tail returns how long callers keep sending after the last fault; tests of single faults need no recovery.
 func (options *Options) tail() time.Duration {
 	if options.steps != nil {
--- a/dogwoodload/dogwoodsoakcaller/caller.go
+++ b/dogwoodload/dogwoodsoakcaller/caller.go
@@ -8,9 +8,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -62,6 +64,10 @@
 	Text Kind
 	// SlowBytes are the sizes of the answers that slow callers ask for; each is equally likely.
 	SlowBytes []int
+	// Long is the kind of prompts with a long answer that kept callers send, and LongEvents the lengths of these answers; each is
+	// equally likely.
+	Long       Kind
+	LongEvents []int
 }
 
 const (
@@ -90,6 +96,8 @@
 	// slow is true while further callers read slowly, and hotKey the key of the hot customer; empty for none.
 	slow   bool
 	hotKey string
+	// kept is true while kept callers send.
+	kept bool
 }
 
 // New returns callers.
@@ -256,13 +264,26 @@
 // send sends a request and records its result.
 func (caller *caller) send(ctx context.Context, call *dogwoodsoakcheck.Call, kind *Kind, address netip.AddrPort, target, body string) {
 	call.Sent = time.Now()
-	caller.exchange(ctx, call, kind, address, target, body)
+	var written atomic.Pointer[time.Time]
+	caller.exchange(withWritten(ctx, &written), call, kind, address, target, body)
 	call.Ended = time.Now()
+	if at := written.Load(); at != nil {
+		call.Written = *at
+	}
 	caller.mutex.Lock()
 	defer caller.mutex.Unlock()
 	caller.calls = append(caller.calls, *call)
 }
 
+// withWritten returns a context for a request that stores the time at which its last byte had been sent.
+func withWritten(ctx context.Context, written *atomic.Pointer[time.Time]) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if now := time.Now(); info.Err == nil {
+			written.Store(&now)
+		}
+	}})
+}
+
 // unrepeatableBody is a request body that net/http can't resend, so that each request is one attempt.
 type unrepeatableBody struct{ io.Reader }
 
--- a/dogwoodload/dogwoodsoakcheck/daemons.go
+++ b/dogwoodload/dogwoodsoakcheck/daemons.go
@@ -19,7 +19,7 @@
 	sent, served := 0, 0
 	for i := range analysis.Calls {
 		call := &analysis.Calls[i]
-		if !call.Sent.After(from) {
+		if !call.Sent.After(from) || !analysis.Planned.IsZero() && call.Sent.After(analysis.Planned) {
 			continue
 		}
 		sent++
--- a/dogwoodload/dogwoodsoakcheck/history.go
+++ b/dogwoodload/dogwoodsoakcheck/history.go
@@ -74,6 +74,8 @@
 	// Daemon is the daemon that the caller connected to.
 	Daemon      string
 	Sent, Ended time.Time
+	// Written is when the caller had sent the last byte of the request; zero if it had not.
+	Written time.Time
 	// Wait is the time limit that the caller set.
 	Wait time.Duration
 	// Status is 0 if no answer began.
@@ -260,8 +262,8 @@
 	Memory      []Memory
 	Wrong       []Span
 	Ranks       []Ranks
-	// Calm is the time when the last fault ended.
-	Calm time.Time
+	// Calm is the time when the last fault ended, Planned that from which daemons were only shut down and changed; zero for never.
+	Calm, Planned time.Time
 }
 
 // daemonUnaffected reports whether no fault affected a daemon between from, less stability, and until.
--- a/dogwoodload/dogwoodsoakplan/plan.go
+++ b/dogwoodload/dogwoodsoakplan/plan.go
@@ -18,6 +18,8 @@
 	DaemonKilled Kind = "DaemonKilled"
 	// DaemonStopped shuts a daemon down gracefully and starts it again.
 	DaemonStopped Kind = "DaemonStopped"
+	// DaemonStoppedTwice shuts a daemon down gracefully and signals it once more meanwhile.
+	DaemonStoppedTwice Kind = "DaemonStoppedTwice"
 	// DaemonFrozen suspends a daemon's process for a while.
 	DaemonFrozen Kind = "DaemonFrozen"
 	// DaemonReloaded changes a daemon's settings file and signals the daemon to reload it.
@@ -48,6 +50,8 @@
 	EndpointSlow Kind = "EndpointSlow"
 	// EndpointBusy makes an endpoint send nothing for a while and then continue, which doesn't count as a fault.
 	EndpointBusy Kind = "EndpointBusy"
+	// ServiceBusy makes all endpoints of a service busy at once, which doesn't count as a fault.
+	ServiceBusy Kind = "ServiceBusy"
 	// EndpointLimited makes an endpoint name a limit in its answers, change it halfway and take it back.
 	EndpointLimited Kind = "EndpointLimited"
 	// EndpointBacksOff makes an endpoint turn requests away and ask for a back-off.
@@ -328,7 +332,7 @@
 
 // SubjectOf returns what a kind of step acts on.
 func SubjectOf(kind Kind) Subject {
-	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds, garbleKinds, loadKinds) {
+	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds, garbleKinds, loadKinds, plannedKinds) {
 		if candidate.kind == kind {
 			return candidate.subject
 		}
--- a/dogwoodload/dogwoodsoakplan/plan_test.go
+++ b/dogwoodload/dogwoodsoakplan/plan_test.go
@@ -23,6 +23,9 @@
 		if !slices.Equal(got, want) {
 			t.Errorf("seed %d: got %v, then %v", seed, got, want)
 		}
+		if !slices.Equal(DrawPlanned(seed, shape, from, until), DrawPlanned(seed, shape, from, until)) {
+			t.Errorf("seed %d: got other planned steps the second time", seed)
+		}
 		if other := Draw(seed+1, shape, from, until); slices.Equal(got, other) {
 			t.Errorf("seeds %d and %d: got the same steps", seed, seed+1)
 		}
@@ -49,7 +52,16 @@
 			}
 		}
 	}
-	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds, garbleKinds, loadKinds) {
+	for seed := range uint64(20) {
+		planned := DrawPlanned(seed, shape, from, until)
+		for i, step := range planned {
+			drawn[step.Kind] = true
+			if step.At < from || step.At+waveSpan > until || step.Target < 0 || step.Target >= shape.count(SubjectOf(step.Kind)) || i > 0 && step.At < planned[i-1].At {
+				t.Errorf("seed %d: %+v is not between %s and %s, has no target or comes too late", seed, step, from, until)
+			}
+		}
+	}
+	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds, garbleKinds, loadKinds, plannedKinds) {
 		if !drawn[candidate.kind] {
 			t.Errorf("no seed of 200 draws %s", candidate.kind)
 		}
