Judge requests that a shutdown cuts as the users' rules do

The soak's check passed over requests that a daemon cut as it ended: those sent later than 2 s after the signal, and those of which any endpoint had had a fault while they were under way, whether it still worked on them or not.

CutByStop now counts each request that was sent as a whole and ends without a complete answer or refusal while its daemon stops, if an endpoint received it or if it ended later than 200 ms after its last byte; unless its time limit was reached, its last endpoint had a fault while it worked on it (for one without an answer, in the last second), or that endpoint was still at work in the last sixth of the grace period on a request sent up to 3 s after the signal.

Two histories of TestChecks wanted no finding for a request that an endpoint had received and that was cut 2.5 s after the signal. Thirteen histories with one planted fault are new, and three careless daemons, for CutByStop and StopTooLong, which had none.

The soak's two other tests of the real daemon leave planned work out, as before.

--- a/dogwoodload/dogwoodsoak/careless_test.go
+++ b/dogwoodload/dogwoodsoak/careless_test.go
@@ -13,6 +13,7 @@
 	"os/signal"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,6 +56,9 @@
 	processDied      fault = "ProcessDied"
 	cutByChange      fault = "CutByChange"
 	cutByReload      fault = "CutByChange-reload"
+	cutByStop        fault = "CutByStop"
+	cutWaiting       fault = "CutByStop-waiting"
+	stopTooLong      fault = "StopTooLong"
 	cutWithoutCause  fault = "CutWithoutCause"
 	daemonMemory     fault = "DaemonMemory"
 	endpointMemory   fault = "EndpointMemory"
@@ -85,6 +89,7 @@
 	version   int64                            // of the operators' text
 	changedAt time.Time                        // time of the latest change that makes it cut requests
 	held      []byte                           // what it holds needlessly
+	stopping  atomic.Bool                      // it has been told to stop
 }
 
 // runCareless runs a careless daemon with the settings that the subcommand "serve" of the platform would read.
@@ -106,6 +111,11 @@
 	})
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return careless.poll(ctx, dogwoodstore.New(settings.Store)) })
+	stops := make(chan os.Signal, 1)
+	if fault == cutWaiting || fault == stopTooLong {
+		signal.Notify(stops, syscall.SIGTERM)
+	}
+	group.Go(func() error { return careless.stop(ctx, stops) })
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	group.Go(func() error { return careless.reload(ctx, signals) })
@@ -148,6 +158,22 @@
 	}
 }
 
+// stop answers all but the requests that wait, late in the grace period, or goes on for longer, if one of that is the fault. Otherwise
+// SIGTERM ends the process at once.
+func (careless *careless) stop(ctx context.Context, signals <-chan os.Signal) error {
+	select {
+	case <-signals:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	careless.stopping.Store(true)
+	time.Sleep(daemonBounds.Grace * 9 / 10)
+	if careless.fault == cutWaiting {
+		os.Exit(0)
+	}
+	return nil
+}
+
 // recordChange starts a period in which requests are cut, if the given fault is that of the daemon. The first request
 // of the period is the first one cut: on a busy machine there may be fewer than ten. The caller holds the mutex.
 func (careless *careless) recordChange(fault fault) {
@@ -271,6 +297,8 @@
 	switch {
 	case careless.triggers(answeredLate, number):
 		time.Sleep(time.Minute)
+	case careless.fault == cutWaiting && careless.stopping.Load() && number%10 == 0:
+		time.Sleep(time.Minute)
 	case careless.triggers(processDied, number):
 		os.Exit(1)
 	case careless.triggers(cutWithoutCause, number), careless.recentlyChanged() && careless.triggers(careless.fault, number):
--- a/dogwoodload/dogwoodsoak/parameters.go
+++ b/dogwoodload/dogwoodsoak/parameters.go
@@ -89,7 +89,7 @@
 		Backoff: 2 * time.Second, BackoffDelay: 500 * time.Millisecond, BackoffLimit: 2,
 		CrashesToLearn: 3, PartCrashesToLearn: 5, LateRetries: 3, AnswerSlack: time.Second, DeliverySlack: 2 * time.Second,
 		ChangeWindow: 2 * time.Second, TextSlack: time.Second,
-		StopSlack: 200 * time.Millisecond, AcceptsFor: 2 * time.Second,
+		Grace: daemonBounds.Grace, AcceptsFor: 3 * time.Second, StopSlack: 200 * time.Millisecond, RefusalSlack: time.Second,
 		Recovery: recovery, ServedShare: 0.25,
 		DaemonMemory: daemonMemoryMB * megabyte, AnswerBuffer: daemonMemoryMB * megabyte / 8 / 16,
 		StarvationWindow: 5 * time.Second, StarvationCalls: 10, StarvationServed: 4, StarvationShare: 0.1,
--- a/dogwoodload/dogwoodsoak/soak_test.go
+++ b/dogwoodload/dogwoodsoak/soak_test.go
@@ -96,6 +96,9 @@
 		{cutByChange, nil},
 		{cutByReload, []dogwoodsoakplan.Step{step(dogwoodsoakplan.DaemonReloaded, 5*time.Second, 0)}},
 		{cutWithoutCause, nil},
+		{cutByStop, nil},
+		{cutWaiting, nil},
+		{stopTooLong, nil},
 		{withdrawnKeyRan, []dogwoodsoakplan.Step{step(dogwoodsoakplan.KeyWithdrawn, 0, 8*time.Second)}},
 		{sentAfterLeaving, []dogwoodsoakplan.Step{step(dogwoodsoakplan.EndpointReplaced, 0, 0)}},
 		{daemonMemory, nil},
@@ -115,6 +118,10 @@
 			}
 			options := newOptions(daemon, warmUp+20*time.Second)
 			options.steps = append([]dogwoodsoakplan.Step{step(dogwoodsoakplan.TextChanged, 0, 0)}, test.extraSteps...)
+			if slices.Contains([]fault{cutByStop, cutWaiting, stopTooLong}, test.fault) {
+				options.For = warmUp + 2*time.Second
+				options.planned = []dogwoodsoakplan.Step{{Kind: dogwoodsoakplan.DaemonStopped, At: 3 * time.Second, For: time.Second}}
+			}
 			report, err := soak(t.Context(), options, directory)
 			if err != nil {
 				t.Fatal(err)
@@ -133,6 +140,21 @@
 // and ranks differ.
 func TestDaemonServesChangingLoad(t *testing.T) { soakDaemon(t, false) }
 
+// Guards against a daemon that cuts requests as it ends, or ends too late: those that wait or stream when the signal comes and when the
+// grace period ends, on connections that are used until the process is gone, while endpoints are silent.
+func TestDaemonAnswersDuringShutdowns(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts fifteen processes for a minute")
+	}
+	t.Parallel()
+	options := newOptions(buildDaemon(t), warmUp+recovery)
+	options.steps, options.Processes = []dogwoodsoakplan.Step{}, 15
+	_, _, daemons := newSite(options, "", "", "").processCounts()
+	shape := dogwoodsoakplan.Shape{Daemons: daemons, Services: len(services)}
+	options.planned = dogwoodsoakplan.DrawPlanned(options.Seed, shape, 0, plannedFor)
+	reportFindings(t, options)
+}
+
 // soakDaemon runs a soak of the real daemon, with a steady load or one that changes, and reports each finding.
 func soakDaemon(t *testing.T, steadyLoad bool) {
 	t.Helper()
@@ -140,14 +162,25 @@
 		t.Skip("starts nine processes for half a minute")
 	}
 	t.Parallel()
-	directory := t.TempDir()
-	daemon := filepath.Join(directory, "platform")
+	options := newOptions(buildDaemon(t), 45*time.Second)
+	options.steadyLoad, options.planned = steadyLoad, []dogwoodsoakplan.Step{}
+	reportFindings(t, options)
+}
+
+// buildDaemon builds the real daemon and returns its path.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	daemon := filepath.Join(t.TempDir(), "platform")
 	if output, err := exec.CommandContext(t.Context(), "go", "build", "-o", daemon, "dogwoodmux.example/platform").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, output)
 	}
-	options := newOptions(daemon, 45*time.Second)
-	options.steadyLoad = steadyLoad
-	report, err := soak(t.Context(), options, directory)
+	return daemon
+}
+
+// reportFindings runs a soak and reports each finding.
+func reportFindings(t *testing.T, options *Options) {
+	t.Helper()
+	report, err := soak(t.Context(), options, t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/dogwoodload/dogwoodsoakcheck/check_test.go
+++ b/dogwoodload/dogwoodsoakcheck/check_test.go
@@ -22,7 +22,8 @@
 	Backoff: 5 * time.Second, BackoffDelay: 500 * time.Millisecond, BackoffLimit: 2,
 	CrashesToLearn: 3, PartCrashesToLearn: 5, LateRetries: 3, AnswerSlack: time.Second,
 	ChangeWindow: 2 * time.Second, TextSlack: time.Second,
-	AcceptsFor: 2 * time.Second, Recovery: 12 * time.Second, ServedShare: 0.25,
+	Grace: 6 * time.Second, AcceptsFor: 3 * time.Second, StopSlack: 200 * time.Millisecond, RefusalSlack: time.Second,
+	Recovery: 12 * time.Second, ServedShare: 0.25,
 	DeliverySlack: 2 * time.Second, DaemonMemory: 1000, AnswerBuffer: 500,
 	StarvationWindow: 5 * time.Second, StarvationCalls: 5, StarvationServed: 3, StarvationShare: 0.2,
 }
@@ -34,7 +35,7 @@
 		for _, kind := range []CallKind{Once, Lookup, Prompt} {
 			call := Call{
 				ID: fmt.Sprintf("%s-%d", kind, second), Kind: kind, Service: "s", Key: "k", Daemon: "d",
-				Sent: after(float64(second)), Ended: after(float64(second) + 0.1), Wait: 4 * time.Second,
+				Sent: after(float64(second)), Written: after(float64(second) + 0.005), Ended: after(float64(second) + 0.1), Wait: 4 * time.Second,
 				Status: 200, Whole: true, Sealed: true,
 			}
 			history.Calls = append(history.Calls, call)
@@ -119,6 +120,26 @@
 	}
 }
 
+// stop shuts the daemon down between 18.8 and 24.5 s: the last sixth of its grace period begins at 23.8 s.
+func (history *History) stop() {
+	history.Stops = []Stop{{Daemon: "d", From: after(18.8), To: after(24.5)}}
+	history.fault(Fault{Daemon: "d", Planned: true}, 18.8, 25)
+}
+
+// wait makes a request that no endpoint received end without an answer at a time.
+func (history *History) wait(id string, until float64) {
+	history.work(id, 0, until)
+	history.Arrivals = slices.DeleteFunc(history.Arrivals, func(arrival Arrival) bool { return arrival.RequestID == id })
+}
+
+// work makes a request end without an answer at a time, after its endpoint worked on it until another one.
+func (history *History) work(id string, worked, until float64) {
+	history.cut(id)
+	call := history.call(id)
+	call.Ended, call.Wait = after(until), 10*time.Second
+	history.arrival(id).Until = after(worked)
+}
+
 // cut makes a request end without an answer.
 func (history *History) cut(id string) {
 	call := history.call(id)
@@ -381,11 +402,74 @@
 			history.fault(Fault{Endpoint: "e"}, 20.06, 21)
 			history.cut("Once-20")
 		}, ""},
-		{"a request was sent long after the signal", func(history *History) {
+		{"a shutdown cuts a request that was sent long after the signal", func(history *History) {
 			history.Stops = []Stop{{Daemon: "d", From: after(17.5), To: after(24)}}
 			history.fault(Fault{Daemon: "d", Planned: true}, 17.5, 25)
 			history.cut("Once-20")
+		}, "CutByStop"},
+		{"a request that no endpoint received crosses the end of its connection", func(history *History) {
+			history.stop()
+			history.wait("Once-20", 20.1)
+		}, ""},
+		{"a request was not sent as a whole", func(history *History) {
+			history.stop()
+			history.cut("Once-20")
+			history.call("Once-20").Written = time.Time{}
 		}, ""},
+		{"a request waits at a daemon that ends", func(history *History) {
+			history.stop()
+			history.wait("Once-20", 24)
+		}, "CutByStop"},
+		{"a request that its endpoint rejected waits at a daemon that ends", func(history *History) {
+			history.stop()
+			history.work("Once-20", 0, 24)
+			history.arrival("Once-20").Ran = false
+		}, "CutByStop"},
+		{"a request waits at a daemon that ends, during a fault of the store", func(history *History) {
+			history.stop()
+			history.wait("Once-20", 24)
+			history.fault(Fault{Daemon: AllDaemons}, 16, 18)
+		}, ""},
+		{"a request waits at a daemon that ends until its time limit", func(history *History) {
+			history.stop()
+			history.wait("Lookup-20", 24)
+			history.call("Lookup-20").Wait = 4 * time.Second
+		}, ""},
+		{"a daemon that ends cuts a request on which an endpoint is at work late in the grace period", func(history *History) {
+			history.stop()
+			history.work("Prompt-20", 24, 24)
+		}, ""},
+		{"a daemon that ends cuts a request on which an endpoint is at work too early", func(history *History) {
+			history.stop()
+			history.work("Prompt-20", 22, 22)
+		}, "CutByStop"},
+		{"a daemon that ends cuts a request whose endpoint had done its work", func(history *History) {
+			history.stop()
+			history.work("Prompt-20", 23, 24)
+		}, "CutByStop"},
+		{"a daemon that ends cuts a request that was sent late and on which an endpoint is at work", func(history *History) {
+			history.stop()
+			history.work("Prompt-22", 24, 24)
+		}, "CutByStop"},
+		{"a request waits for another endpoint since its own one broke off, and is cut without an answer", func(history *History) {
+			history.stop()
+			history.work("Once-20", 21, 24)
+			history.fault(Fault{Endpoint: "e"}, 21, 22)
+		}, "CutByStop"},
+		{"an endpoint breaks a stream off at a daemon that ends", func(history *History) {
+			history.stop()
+			history.work("Prompt-20", 21, 24)
+			history.call("Prompt-20").Status = 200
+			history.fault(Fault{Endpoint: "e"}, 21, 22)
+		}, ""},
+		{"a request is cut at its second endpoint, since whose first one broke off", func(history *History) {
+			history.stop()
+			history.work("Prompt-20", 20.05, 22)
+			second := arrival("Prompt-20", 20.5)
+			second.Endpoint, second.Until = "other", after(22)
+			history.Arrivals = append(history.Arrivals, second)
+			history.fault(Fault{Endpoint: "e"}, 20.05, 23)
+		}, "CutByStop"},
 		{"a change cuts a request", func(history *History) {
 			history.change(AllDaemons, 20.05)
 			history.cut("Prompt-20")
@@ -439,7 +523,7 @@
 			history.Stops = []Stop{{Daemon: "d", From: after(17.5), To: after(24)}}
 			history.fault(Fault{Daemon: "d", Planned: true}, 17.5, 25)
 			history.cut("Once-20")
-		}, ""},
+		}, "CutByStop"},
 		{"changed settings cut a request", func(history *History) {
 			history.change("d", 20.05)
 			history.cut("Once-20")
--- a/dogwoodload/dogwoodsoakcheck/history.go
+++ b/dogwoodload/dogwoodsoakcheck/history.go
@@ -34,9 +34,13 @@
 	// ChangeWindow is how long after a change a daemon may still be applying it. For the operators' rows,
 	// TextSlack is added.
 	ChangeWindow, TextSlack time.Duration
-	// AcceptsFor is how long after the signal to stop a daemon still accepts requests, StopSlack by how much
-	// a request may outlast it.
-	AcceptsFor, StopSlack time.Duration
+	// Grace is the time from the signal to stop until a daemon must have ended. In its last sixth it may cut requests on which an
+	// endpoint is still at work and that were sent up to AcceptsFor after the signal.
+	Grace, AcceptsFor time.Duration
+	// StopSlack is how long before the end of its connection a request must have been sent to count as read by a daemon that stops.
+	StopSlack time.Duration
+	// RefusalSlack is how long after the fault of an endpoint a request that had no answer yet may end without one.
+	RefusalSlack time.Duration
 	// Recovery is the time after the last fault by which requests must be served again, ServedShare the
 	// minimum share of them.
 	Recovery    time.Duration
--- a/dogwoodload/dogwoodsoakcheck/requests.go
+++ b/dogwoodload/dogwoodsoakcheck/requests.go
@@ -72,23 +72,6 @@
 	})
 }
 
-// cutByStop finds requests that a daemon accepted before or shortly after its signal to stop and that ended without
-// an answer, if only the shutdown can explain it.
-func cutByStop(analysis *analysis) []Finding {
-	return analysis.checkCalls(func(call *Call) string {
-		if call.Whole {
-			return ""
-		}
-		for _, stop := range analysis.Stops {
-			accepted := stop.Daemon == call.Daemon && call.Sent.Before(stop.From.Add(analysis.bounds.AcceptsFor)) && call.Ended.After(stop.From)
-			if accepted && !stop.Killed && !analysis.hasOtherCause(call) {
-				return fmt.Sprintf("was cut by the shutdown of %s, %s after the signal: %s", call.Daemon, call.Ended.Sub(stop.From).Round(time.Millisecond), call.Error)
-			}
-		}
-		return ""
-	})
-}
-
 // cutByChange finds requests that ended without an answer during a change, although no fault explains it.
 func cutByChange(analysis *analysis) []Finding {
 	return analysis.checkCalls(func(call *Call) string {
@@ -143,14 +126,21 @@
 	return !call.Whole && !analysis.hasOtherCause(call) && analysis.daemonUnaffected(call.Daemon, call.Sent, call.Ended, analysis.bounds.Stability)
 }
 
+// endedByCaller reports whether a request ended at its time limit, or asked for an answer that may be cut since its caller read slowly.
+func (analysis *analysis) endedByCaller(call *Call) bool {
+	return call.Ended.Sub(call.Sent) >= call.Wait || call.Slow && call.LargeBytes > analysis.bounds.AnswerBuffer
+}
+
+// noUnplannedFault reports whether no fault but a shutdown affected a request's daemon.
+func (analysis *analysis) noUnplannedFault(call *Call) bool {
+	return analysis.noFault(call.Sent.Add(-analysis.bounds.Stability), call.Ended, func(fault *Fault) bool {
+		return !fault.Planned && (fault.Daemon == call.Daemon || fault.Daemon == AllDaemons)
+	})
+}
+
 // hasOtherCause reports whether something other than a graceful shutdown may have ended a request.
 func (analysis *analysis) hasOtherCause(call *Call) bool {
-	if call.Ended.Sub(call.Sent) >= call.Wait || call.Slow && call.LargeBytes > analysis.bounds.AnswerBuffer {
-		return true
-	}
-	if !analysis.noFault(call.Sent.Add(-analysis.bounds.Stability), call.Ended, func(fault *Fault) bool {
-		return !fault.Planned && (fault.Daemon == call.Daemon || fault.Daemon == AllDaemons)
-	}) {
+	if analysis.endedByCaller(call) || !analysis.noUnplannedFault(call) {
 		return true
 	}
 	return slices.ContainsFunc(analysis.arrivals[call.ID], func(arrival *Arrival) bool {
