Check in the soak that a text is in force in time

The soak's text always had the same routes, and no check compared an answer with the text in force. So a daemon that denied a request which the text allowed for 9 s passed.

Each version of the text now has a route of its own. Four callers with a random source of their own ask all daemons, whatever the directory answers, for the route of the latest version and of the one before. OldText finds requests sent later than 2 s after a text was accepted that a daemon without a fault in the 3 s before denied (401, 403, 404), although that text and all later ones allow route and key, or that ran by a route that none of them has. Denied finds requests that any daemon denied although all texts allow them.

Ten histories with one planted fault, and three careless daemons: one that denies by its first text now and then, one that serves its routes, one that denies. All are found.

--- a/dogwoodload/dogwoodsoak/careless_test.go
+++ b/dogwoodload/dogwoodsoak/careless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -56,6 +57,9 @@
 	processDied      fault = "ProcessDied"
 	cutByChange      fault = "CutByChange"
 	cutByReload      fault = "CutByChange-reload"
+	oldText          fault = "OldText"
+	oldRoute         fault = "OldText-route"
+	denied           fault = "Denied"
 	cutByStop        fault = "CutByStop"
 	cutWaiting       fault = "CutByStop-waiting"
 	stopTooLong      fault = "StopTooLong"
@@ -83,6 +87,7 @@
 	mutex     sync.Mutex
 	table     *dogwoodroute.Table
 	servers   map[string]dogwoodview.Server
+	first     *dogwoodroute.Table // of the first text that it knew
 	takenOut  map[string]bool
 	keys      map[string]dogwoodfleet.Customer // all keys that were ever valid
 	received  int                              // number of the latest request
@@ -193,7 +198,7 @@
 			continue
 		}
 		if table, err := dogwoodwire.Text(row.Value); err == nil {
-			careless.table = table
+			careless.table, careless.first = table, cmp.Or(careless.first, table)
 			if row.Version != careless.version {
 				careless.version = row.Version
 				careless.recordChange(cutByChange)
@@ -246,13 +251,22 @@
 	return customer, known
 }
 
-func (careless *careless) route(received *http.Request) (*dogwoodroute.Route, bool) {
+// route returns the route of a request by the text, or by the first one that it knew, if that is the fault. Without a route it
+// returns the status of the answer.
+func (careless *careless) route(received *http.Request, number int) (*dogwoodroute.Route, int) {
 	careless.mutex.Lock()
 	defer careless.mutex.Unlock()
 	if careless.table == nil {
-		return nil, false
+		return nil, http.StatusServiceUnavailable
 	}
-	return careless.table.Route(received.Host, received.URL.Path)
+	route, ok := careless.table.Route(received.Host, received.URL.Path)
+	if old, found := careless.first.Route(received.Host, received.URL.Path); careless.triggers(oldText, number) && !found || careless.fault == oldRoute && found {
+		route, ok = old, found
+	}
+	if !ok || careless.triggers(denied, number) {
+		return nil, http.StatusNotFound
+	}
+	return route, http.StatusOK
 }
 
 // nextNumber returns the number of a request that arrives.
@@ -283,9 +297,9 @@
 		return
 	}
 	number := careless.nextNumber()
-	route, ok := careless.route(received)
-	if !ok {
-		writer.WriteHeader(http.StatusServiceUnavailable)
+	route, status := careless.route(received, number)
+	if status != http.StatusOK {
+		writer.WriteHeader(status)
 		return
 	}
 	customer, known := careless.customer(dogwoodwire.Key(received.Header))
--- a/dogwoodload/dogwoodsoak/loads.go
+++ b/dogwoodload/dogwoodsoak/loads.go
@@ -36,6 +36,9 @@
 	for number := range textCallerCount {
 		run(func() { site.callers.RunText(ctx, number, seed) })
 	}
+	for number := range versionCallerCount {
+		run(func() { site.callers.RunVersions(ctx, number, seed) })
+	}
 	for number := range keptCallersPerDaemon * len(site.daemons) {
 		run(func() { site.callers.RunKept(ctx, number, seed) })
 	}
--- a/dogwoodload/dogwoodsoak/parameters.go
+++ b/dogwoodload/dogwoodsoak/parameters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"os"
@@ -64,6 +65,8 @@
 	textCallerCount = 3
 	// keptCallersPerDaemon is the number of callers that keep a connection to a daemon. Together they take more slots than there are.
 	keptCallersPerDaemon = 6
+	// versionCallerCount is the number of callers that ask all daemons for the routes of the latest versions of the text.
+	versionCallerCount = 4
 	// maxHotCallers bounds the callers of the hot customer. There is one for each slot of the engines, so that they take all.
 	maxHotCallers = 96
 	// routeRank is the rank of the prompts' route while ranks differ. It holds for the customers that have none.
@@ -140,6 +143,17 @@
 	Kind: dogwoodsoakcheck.Prompt, Service: engineName, Prefix: "/essay/", Wait: 20 * time.Second, PromptTokens: []int{5_000, 45_000, 260_000},
 }
 
+// versionKind is the kind of requests on the route that only one version of the text has.
+var versionKind = dogwoodsoakcaller.Kind{Kind: dogwoodsoakcheck.Lookup, Service: deskName, Prefix: "/version/", Wait: 4 * time.Second}
+
+// versionRoute returns the route that only one version of the text has.
+func versionRoute(version int64) dogwoodstandin.Route {
+	return dogwoodstandin.Route{
+		Name: fmt.Sprintf("version-%d", version), Host: host, Prefix: dogwoodsoakcaller.VersionPrefix(&versionKind, version), Service: deskName,
+		Repeat: dogwoodstandin.Idempotent, Timeout: versionKind.Wait, Aim: 300 * time.Millisecond, Attempts: 3,
+	}
+}
+
 // longEvents are the lengths of long answers. The longest one takes most of the time limit.
 var longEvents = []int{50, 100, 200, 350}
 
--- a/dogwoodload/dogwoodsoak/site.go
+++ b/dogwoodload/dogwoodsoak/site.go
@@ -122,7 +122,7 @@
 	site.callers = dogwoodsoakcaller.New(dogwoodsoakcaller.Options{
 		Host: host, DataCentres: dataCentres, Daemons: daemonAddresses, Kinds: callKinds, Keys: keys, MeanInterval: callInterval,
 		Crashing: crashingKind, CrashingKey: keys[len(keys)-1], // this key is never withdrawn
-		SlowBytes: slowBytes, Long: longKind, LongEvents: longEvents, Text: textKind,
+		SlowBytes: slowBytes, Long: longKind, LongEvents: longEvents, Version: versionKind, LatestVersion: site.latestText, Text: textKind,
 	})
 	return nil
 }
@@ -170,11 +170,34 @@
 		change()
 	}
 	site.version++
-	text := dogwoodstandin.Text{Version: site.version, Routes: slices.Clone(routes), Services: services, Customers: customers(site.withdrawn, site.ranks)}
+	published := dogwoodsoakcheck.Text{Version: site.version, From: time.Now()}
+	text := dogwoodstandin.Text{Version: site.version, Routes: slices.Concat([]dogwoodstandin.Route{versionRoute(site.version)}, routes), Services: services, Customers: customers(site.withdrawn, site.ranks)}
 	if site.ranks != nil {
-		text.Routes[len(routes)-1].Rank = routeRank // the prompts'
+		text.Routes[len(text.Routes)-1].Rank = routeRank // the prompts'
 	}
-	return site.recordChange(dogwoodsoakcheck.AllDaemons, func() error { return text.Publish(ctx, site.control) })
+	for key, withdrawn := range site.withdrawn {
+		if withdrawn {
+			published.Withdrawn = append(published.Withdrawn, key)
+		}
+	}
+	if err := site.recordChange(dogwoodsoakcheck.AllDaemons, func() error { return text.Publish(ctx, site.control) }); err != nil {
+		return err
+	}
+	published.To = time.Now()
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	site.recorded.Texts = append(site.recorded.Texts, published)
+	return nil
+}
+
+// latestText returns the version of the text that was published last; 0 if none was.
+func (site *site) latestText() int64 {
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	if len(site.recorded.Texts) == 0 {
+		return 0
+	}
+	return site.recorded.Texts[len(site.recorded.Texts)-1].Version
 }
 
 // retryUntil calls operation until it succeeds or the timeout has passed.
--- a/dogwoodload/dogwoodsoakcaller/caller.go
+++ b/dogwoodload/dogwoodsoakcaller/caller.go
@@ -68,6 +68,10 @@
 	// equally likely.
 	Long       Kind
 	LongEvents []int
+	// Version is the kind of requests on routes that only one version of the operators' text has, and LatestVersion returns the
+	// version that was published last.
+	Version       Kind
+	LatestVersion func() int64
 }
 
 const (
--- a/dogwoodload/dogwoodsoakcheck/check.go
+++ b/dogwoodload/dogwoodsoakcheck/check.go
@@ -28,6 +28,8 @@
 	{"UnaskedRun", unaskedRun},
 	{"KeyPassedOn", keyPassedOn},
 	{"WithdrawnKeyRan", withdrawnKeyRan},
+	{"OldText", oldText},
+	{"Denied", denied},
 	{"SentAfterLeaving", sentAfterLeaving},
 	{"SentAfterAnswer", sentAfterAnswer},
 	{"SentAfterTakeOut", sentAfterTakeOut},
--- a/dogwoodload/dogwoodsoakcheck/check_test.go
+++ b/dogwoodload/dogwoodsoakcheck/check_test.go
@@ -120,6 +120,22 @@
 	}
 }
 
+// publish adds versions 2 and 3 of the text, which the store accepted at the times given, after version 1.
+func (history *History) publish(second, third float64) {
+	for i, accepted := range []float64{0, second, third} {
+		history.Texts = append(history.Texts, Text{Version: int64(i + 1), From: after(accepted - 0.1), To: after(accepted)})
+	}
+}
+
+// deny makes a daemon deny a lookup, whose route version 2 of the text has alone.
+func (history *History) deny(second, third float64) {
+	history.publish(second, third)
+	const id = "Lookup-20"
+	call := history.call(id)
+	call.RouteOf, call.Status, call.Sealed = 2, 404, false
+	history.Arrivals = slices.DeleteFunc(history.Arrivals, func(arrival Arrival) bool { return arrival.RequestID == id })
+}
+
 // stop shuts the daemon down between 18.8 and 24.5 s: the last sixth of its grace period begins at 23.8 s.
 func (history *History) stop() {
 	history.Stops = []Stop{{Daemon: "d", From: after(18.8), To: after(24.5)}}
@@ -231,6 +247,39 @@
 			history.Leavings = []Leaving{{Endpoint: "e", At: after(36.5)}}
 			history.fault(Fault{Endpoint: "e"}, 36, 39)
 		}, ""},
+		{"a request is denied although its route was added in time", func(history *History) { history.deny(17.9, 30) }, "OldText"},
+		{"a request is denied whose route was added within the bound", func(history *History) { history.deny(18, 30) }, ""},
+		{"a request is denied whose route may have been dropped again", func(history *History) { history.deny(10, 20.05) }, ""},
+		{"a request is denied since its daemon could not read the text", func(history *History) {
+			history.deny(17.9, 30)
+			history.fault(Fault{Daemon: "d"}, 16, 17.5)
+		}, ""},
+		{"a request is denied long after its daemon could not read the text", func(history *History) {
+			history.deny(14, 30)
+			history.fault(Fault{Daemon: "d"}, 13, 16.5)
+		}, "OldText"},
+		{"a request is denied although its key was restored in time", func(history *History) {
+			history.deny(17.9, 30)
+			history.call("Lookup-20").RouteOf = 0
+			history.Texts[0].Withdrawn = []string{"k"}
+		}, "OldText"},
+		{"a request is denied since its key is withdrawn", func(history *History) {
+			history.deny(10, 30)
+			history.Texts[1].Withdrawn = []string{"k"}
+		}, ""},
+		{"a request runs by a route that was dropped", func(history *History) {
+			history.publish(10, 17.9)
+			history.call("Lookup-20").RouteOf = 2
+		}, "OldText"},
+		{"a request runs by a route that was dropped within the bound", func(history *History) {
+			history.publish(10, 18)
+			history.call("Lookup-20").RouteOf = 2
+		}, ""},
+		{"a request is denied that all texts allow", func(history *History) {
+			history.deny(19, 30)
+			history.call("Lookup-20").RouteOf = 0
+			history.fault(Fault{Daemon: "d"}, 16, 20)
+		}, "Denied"},
 		{"a request reaches a data centre that was taken out", func(history *History) {
 			history.TakeOuts = []TakeOut{{DataCentre: "a", From: after(20), To: after(26)}}
 		}, "SentAfterTakeOut"},
--- a/dogwoodload/dogwoodsoakcheck/history.go
+++ b/dogwoodload/dogwoodsoakcheck/history.go
@@ -3,6 +3,7 @@
 package dogwoodsoakcheck
 
 import (
+	"slices"
 	"time"
 )
 
@@ -92,6 +93,8 @@
 	Wrong string
 	// Error is the reason why there is no complete answer.
 	Error string
+	// RouteOf is the version of the text that alone has the call's route; 0 for a route that all have.
+	RouteOf int64
 	// Crashing is what crashes each endpoint that runs the call; empty for other calls.
 	Crashing Crashing
 	// Slow is true if the caller read the answer slowly. Paused is the sum of the times for which it did not read: the kernel may
@@ -220,6 +223,24 @@
 	From, To time.Time
 }
 
+// Text is a version of the operators' text.
+type Text struct {
+	Version int64
+	// From is just before it was sent, To when the store had accepted it.
+	From, To time.Time
+	// Withdrawn are the keys that no customer has.
+	Withdrawn []string
+}
+
+// allows reports whether a daemon that goes by the text lets a call pass.
+func (text *Text) allows(call *Call) bool {
+	return text.hasRoute(call) && !slices.Contains(text.Withdrawn, call.Key)
+}
+
+func (text *Text) hasRoute(call *Call) bool {
+	return call.RouteOf == 0 || call.RouteOf == text.Version
+}
+
 // Leaving is an endpoint that announced that it leaves, or whose entry was removed for good.
 type Leaving struct {
 	Endpoint string
@@ -257,6 +278,7 @@
 	Withdrawals []Withdrawal
 	TakeOuts    []TakeOut
 	Changes     []Change
+	Texts       []Text
 	Leavings    []Leaving
 	Stops       []Stop
 	Held        []Held
