Don't end the soak if a daemon ends just after its grace period

A trial of cut-offs that read /proc/net/tcp for each connection kept the machine's processors busy (a load of 25 to 47 on 8 cores). The daemon wrote "Stopped." 7.46 s after SIGTERM, its process had not been reaped at 8 s, and it had ended before SIGKILL was sent. There is no test: the moment can't be brought about from outside.

--- a/dogwoodload/dogwoodsoak/daemon.go
+++ b/dogwoodload/dogwoodsoak/daemon.go
@@ -174,7 +174,10 @@
 		}
 		if !daemon.process.Wait(graceContext) && ctx.Err() == nil {
 			stop.Killed = true
-			return site.killDaemon(ctx, daemon, downtime)
+			if err := daemon.process.Signal(syscall.SIGKILL); err != nil && !errors.Is(err, os.ErrProcessDone) { // it may end just now
+				return err
+			}
+			daemon.process.Wait(ctx)
 		}
 		stop.To = time.Now()
 		dogwoodkernel.Sleep(ctx, downtime)
