Cut daemons off from the endpoints in the soak

No daemon of the soak was ever cut off from all endpoints, so none forwarded a request, and nothing of what the operators saw beside a rejected forward could happen.

A proxy of an endpoint now holds back the data of connections from some sources. All daemons share these proxies, so a connection is attributed to the process that has its socket, by the kernel's sock_diag for its inode and /proc/PID/fd. Daemons are cut off for 5 to 8 s beside the faults, with further new texts, and while others restart in the waves of shutdowns. Both are drawn from sources of their own. A cut-off daemon still reads the text, so OldText judges it; the other checks take it for a daemon with a fault.

Tried first: reading /proc/net/tcp for each connection.

--- a/dogwoodload/dogwoodsoak/daemon.go
+++ b/dogwoodload/dogwoodsoak/daemon.go
@@ -35,6 +35,7 @@
 	sampled      atomic.Pointer[dogwoodsoakprocess.Process]
 	storeMutex   sync.Mutex // held while its connection to the store is broken
 	callersMutex sync.Mutex // held while its callers' connections are broken
+	cutOffMutex  sync.Mutex // held while it is cut off from the endpoints
 }
 
 func (site *site) addDaemon(ctx context.Context, number int) error {
@@ -107,6 +108,8 @@
 		})
 	case dogwoodsoakplan.DaemonReloaded:
 		return site.reload(ctx, daemon)
+	case dogwoodsoakplan.DaemonCutOff:
+		return site.cutOffDaemon(ctx, daemon, step.For)
 	case dogwoodsoakplan.StoreUnreachable:
 		return site.breakDaemonLink(ctx, &daemon.storeMutex, daemon, daemon.storeProxy, dogwoodsoakproxy.Fault{Refused: true}, step.For)
 	case dogwoodsoakplan.StoreMute:
--- a/dogwoodload/dogwoodsoak/planned.go
+++ b/dogwoodload/dogwoodsoak/planned.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -42,3 +44,32 @@
 	}
 	return group.Wait()
 }
+
+// cutOffDaemon makes all connections of a daemon to endpoints silent for a while, so that it forwards requests to other daemons.
+func (site *site) cutOffDaemon(ctx context.Context, daemon *daemon, duration time.Duration) error {
+	fault := dogwoodsoakcheck.Fault{Daemon: daemon.name, FromEndpoints: true}
+	return site.recordFault(&daemon.cutOffMutex, fault, func() error {
+		site.setCutOff(daemon, true)
+		dogwoodkernel.Sleep(ctx, duration)
+		site.setCutOff(daemon, false)
+		return nil
+	})
+}
+
+// setCutOff sets whether a daemon is cut off from the endpoints. All daemons share the endpoints' proxies, so a connection is
+// attributed to a daemon by the process that has its socket.
+func (site *site) setCutOff(changed *daemon, cutOff bool) {
+	site.mutex.Lock()
+	defer site.mutex.Unlock()
+	site.cutOff = slices.DeleteFunc(slices.Clone(site.cutOff), func(other *daemon) bool { return other == changed })
+	if cutOff {
+		site.cutOff = append(site.cutOff, changed)
+	}
+	daemons := site.cutOff
+	isCutOff := func(source, proxy netip.AddrPort) bool {
+		return slices.ContainsFunc(daemons, func(daemon *daemon) bool { return daemon.sampled.Load().HasSocket(source, proxy) })
+	}
+	for _, endpoint := range site.endpoints {
+		endpoint.proxy.SetCutOff(isCutOff)
+	}
+}
--- a/dogwoodload/dogwoodsoak/site.go
+++ b/dogwoodload/dogwoodsoak/site.go
@@ -50,7 +50,8 @@
 	crashing crashing
 	loads    loads
 
-	mutex    sync.Mutex // guards recorded, and the endpoints' ids
+	mutex    sync.Mutex // guards recorded, cutOff and the endpoints' ids
+	cutOff   []*daemon  // from the endpoints
 	recorded dogwoodsoakcheck.History
 }
 
--- a/dogwoodload/dogwoodsoak/soak.go
+++ b/dogwoodload/dogwoodsoak/soak.go
@@ -186,17 +186,7 @@
 	if err := site.start(ctx); err != nil {
 		return nil, err
 	}
-	steps := options.steps
-	if steps == nil {
-		steps = slices.Concat(
-			dogwoodsoakplan.Draw(options.Seed, site.shape(), warmUp, options.For-tail),
-			dogwoodsoakplan.DrawGarbles(options.Seed, site.shape(), warmUp, options.For-tail),
-		)
-	}
-	var loads []dogwoodsoakplan.Step
-	if options.steps == nil && !options.steadyLoad {
-		loads = dogwoodsoakplan.DrawLoads(options.Seed, site.shape(), warmUp, lastEnd(steps), lastEnd(steps)+recovery-time.Second)
-	}
+	steps, loads := options.drawSteps(site.shape())
 	bar := options.newProgressBar(len(steps))
 	started := time.Now()
 	if err := writeSteps(filepath.Join(directory, "steps"), started, slices.Concat(steps, loads)); err != nil {
@@ -239,6 +229,21 @@
 	return report, nil
 }
 
+// drawSteps returns the steps of the time in which something fails, and the changes of the load. These don't depend on the cut-offs.
+func (options *Options) drawSteps(shape dogwoodsoakplan.Shape) (steps, loads []dogwoodsoakplan.Step) {
+	if options.steps != nil {
+		return options.steps, nil
+	}
+	steps = slices.Concat(
+		dogwoodsoakplan.Draw(options.Seed, shape, warmUp, options.For-tail),
+		dogwoodsoakplan.DrawGarbles(options.Seed, shape, warmUp, options.For-tail),
+	)
+	if !options.steadyLoad {
+		loads = dogwoodsoakplan.DrawLoads(options.Seed, shape, warmUp, lastEnd(steps), lastEnd(steps)+recovery-time.Second)
+	}
+	return slices.Concat(steps, dogwoodsoakplan.DrawCutOffs(options.Seed, shape, warmUp, options.For-tail)), loads
+}
+
 // lastEnd returns the time at which the last of the steps ends.
 func lastEnd(steps []dogwoodsoakplan.Step) time.Duration {
 	last := warmUp
--- a/dogwoodload/dogwoodsoakcheck/check_test.go
+++ b/dogwoodload/dogwoodsoakcheck/check_test.go
@@ -254,6 +254,10 @@
 			history.deny(17.9, 30)
 			history.fault(Fault{Daemon: "d"}, 16, 17.5)
 		}, ""},
+		{"a request is denied by a daemon that is cut off from the endpoints", func(history *History) {
+			history.deny(17.9, 30)
+			history.fault(Fault{Daemon: "d", FromEndpoints: true}, 16, 25)
+		}, "OldText"},
 		{"a request is denied long after its daemon could not read the text", func(history *History) {
 			history.deny(14, 30)
 			history.fault(Fault{Daemon: "d"}, 13, 16.5)
--- a/dogwoodload/dogwoodsoakcheck/history.go
+++ b/dogwoodload/dogwoodsoakcheck/history.go
@@ -195,8 +195,8 @@
 	Daemon   string
 	Endpoint string
 	From, To time.Time
-	// Planned is true for a graceful shutdown.
-	Planned bool
+	// Planned is true for a graceful shutdown, FromEndpoints for a daemon that reaches no endpoint but still all else.
+	Planned, FromEndpoints bool
 }
 
 // AllDaemons stands for all daemons where a fault or a change names the one that it affects.
--- a/dogwoodload/dogwoodsoakcheck/texts.go
+++ b/dogwoodload/dogwoodsoakcheck/texts.go
@@ -17,7 +17,7 @@
 // withdrawnKeyRan.
 func oldText(analysis *analysis) []Finding {
 	return analysis.checkCalls(func(call *Call) string {
-		if !call.denied() && len(analysis.runs[call.ID]) == 0 || !analysis.daemonUnaffected(call.Daemon, call.Sent, call.Ended, analysis.bounds.Stability) {
+		if !call.denied() && len(analysis.runs[call.ID]) == 0 || !analysis.couldReadText(call) {
 			return ""
 		}
 		texts := analysis.textsInForce(call)
@@ -35,6 +35,13 @@
 	})
 }
 
+// couldReadText reports whether no fault kept a request's daemon from reading the text shortly before or during the request.
+func (analysis *analysis) couldReadText(call *Call) bool {
+	return analysis.noFault(call.Sent.Add(-analysis.bounds.Stability), call.Ended, func(fault *Fault) bool {
+		return !fault.FromEndpoints && (fault.Daemon == call.Daemon || fault.Daemon == AllDaemons)
+	})
+}
+
 // textsInForce returns the texts by which a request may have been judged, in order of their versions: the latest one that was
 // accepted ChangeWindow before the request was sent, and all later ones. It returns none if none was.
 func (analysis *analysis) textsInForce(call *Call) []Text {
--- a/dogwoodload/dogwoodsoakplan/plan.go
+++ b/dogwoodload/dogwoodsoakplan/plan.go
@@ -20,6 +20,8 @@
 	DaemonStopped Kind = "DaemonStopped"
 	// DaemonStoppedTwice shuts a daemon down gracefully and signals it once more meanwhile.
 	DaemonStoppedTwice Kind = "DaemonStoppedTwice"
+	// DaemonCutOff makes all connections of a daemon to endpoints fall silent, but not those of other daemons.
+	DaemonCutOff Kind = "DaemonCutOff"
 	// DaemonFrozen suspends a daemon's process for a while.
 	DaemonFrozen Kind = "DaemonFrozen"
 	// DaemonReloaded changes a daemon's settings file and signals the daemon to reload it.
@@ -174,6 +176,12 @@
 	{EndpointGarbles, Endpoint, 1, 3 * second, 6 * second, second},
 }
 
+// cutOffKinds lists the kinds that DrawCutOffs draws, so that the faults of a seed stay as they were before.
+var cutOffKinds = []traits{
+	{DaemonCutOff, Daemon, 2, 5 * second, 8 * second, second},
+	{TextChanged, Store, 3, 0, 0, 0},
+}
+
 // loadKinds lists the kinds that change the load. They are drawn by DrawLoads, independently of all others, so that the faults of
 // a seed stay as they were before there were such kinds.
 var loadKinds = []traits{
@@ -241,6 +249,9 @@
 	// garbleInterval and garbleSeriesShare correspond to stepInterval and seriesShare for garbleKinds.
 	garbleInterval    = 6 * time.Second
 	garbleSeriesShare = 0.5
+	// cutOffInterval and cutOffSeriesShare correspond to stepInterval and seriesShare for cutOffKinds.
+	cutOffInterval    = 3 * time.Second
+	cutOffSeriesShare = 0.25
 	// calmShare is the probability of each of calmKinds after the last fault.
 	calmShare = 0.7
 )
@@ -268,6 +279,15 @@
 	return steps
 }
 
+// DrawCutOffs returns the times at which daemons are cut off from all endpoints and texts change, so that requests are forwarded to
+// daemons that have faults, in order of time. All of them start and end between from and until.
+func DrawCutOffs(seed uint64, shape Shape, from, until time.Duration) []Step {
+	cutOffs := sequence{rand.New(rand.NewPCG(seed+5, seed)), cutOffKinds, cutOffInterval, cutOffSeriesShare}
+	steps := cutOffs.draw(shape, from, until)
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
+
 // DrawLoads returns the changes of a seed's load in order of time. Those beside the faults start and end between from and calm,
 // and those after the last fault between calm and until.
 func DrawLoads(seed uint64, shape Shape, from, calm, until time.Duration) []Step {
@@ -332,7 +352,7 @@
 
 // SubjectOf returns what a kind of step acts on.
 func SubjectOf(kind Kind) Subject {
-	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds, garbleKinds, loadKinds, plannedKinds) {
+	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds, garbleKinds, loadKinds, cutOffKinds, plannedKinds) {
 		if candidate.kind == kind {
 			return candidate.subject
 		}
--- a/dogwoodload/dogwoodsoakplan/planned.go
+++ b/dogwoodload/dogwoodsoakplan/planned.go
@@ -23,18 +23,21 @@
 	// maxSignalInterval bounds the time between two signals of a wave, maxChangeLead that from a change to the signal after it.
 	maxSignalInterval = 1500 * time.Millisecond
 	maxChangeLead     = second
+	// cutOffDelay is the time from the beginning of a wave until some daemons are cut off, so that they are while others restart.
+	cutOffDelay = 3 * time.Second
 	// twiceShare is the share of the shutdowns in which a daemon is signalled twice.
 	twiceShare = 0.3
 )
 
 // DrawPlanned returns the steps of the time in which nothing fails, in order of time: waves of shutdowns of up to half of the
 // daemons in turn, some just after a change of the text or of their settings, while all endpoints of a service fall silent and the
-// text changes now and then. All steps begin between from and until.
+// text changes now and then, and some daemons are cut off from the endpoints. All steps begin between from and until.
 func DrawPlanned(seed uint64, shape Shape, from, until time.Duration) []Step {
-	random := rand.New(rand.NewPCG(seed+3, seed))
+	random, cutOffs := rand.New(rand.NewPCG(seed+3, seed)), rand.New(rand.NewPCG(seed+4, seed))
 	var steps []Step
 	for at := from + second; at+waveInterval <= until; at += waveInterval {
 		steps = append(steps, drawWave(random, shape, at)...)
+		steps = append(steps, drawCutOffs(cutOffs, shape, at+cutOffDelay)...)
 	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
@@ -71,3 +74,16 @@
 	}
 	return steps
 }
+
+// drawCutOffs returns the steps that cut some daemons off from all endpoints, from a time on.
+func drawCutOffs(random *rand.Rand, shape Shape, at time.Duration) []Step {
+	const share = 4 // one in so many daemons at most
+	cutOff := cutOffKinds[0]
+	first := random.IntN(shape.Daemons)
+	steps := make([]Step, 1+random.IntN(max(1, shape.Daemons/share)))
+	for number := range steps {
+		duration := cutOff.minDuration + time.Duration(random.Float64()*float64(cutOff.maxDuration-cutOff.minDuration))
+		steps[number] = Step{At: at, For: duration, Kind: DaemonCutOff, Target: (first + number) % shape.Daemons}
+	}
+	return steps
+}
--- a/dogwoodload/dogwoodsoakprocess/process_test.go
+++ b/dogwoodload/dogwoodsoakprocess/process_test.go
@@ -1,7 +1,10 @@
 package dogwoodsoakprocess
 
 import (
+	"net"
+	"net/netip"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -86,3 +89,37 @@
 		t.Errorf("got a peak of %d bytes of a process that has ended, want an error", got)
 	}
 }
+
+// Guards against a cut that strikes another daemon: a socket belongs to the process that has opened it, and to no other.
+func TestHasSocket(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	connection, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	local, remote := netip.MustParseAddrPort(connection.LocalAddr().String()), netip.MustParseAddrPort(connection.RemoteAddr().String())
+	var group Group
+	other, err := group.Start(t.Context(), Spec{Name: "sleep", Path: "/bin/sh", Arguments: []string{"-c", "exec sleep 60"}, Log: filepath.Join(t.TempDir(), "log")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer group.KillAll()
+	process, err := os.FindProcess(os.Getpid())
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := &Process{command: &exec.Cmd{Process: process}}
+	if got := own.HasSocket(local, remote); !got {
+		t.Errorf("got %t for a connection of the process, want true", got)
+	}
+	if got := other.HasSocket(local, remote); got {
+		t.Errorf("got %t for a connection of another process, want false", got)
+	}
+	if got := own.HasSocket(remote, netip.AddrPortFrom(local.Addr(), 1)); got {
+		t.Errorf("got %t for a connection that does not exist, want false", got)
+	}
+}
--- a/dogwoodload/dogwoodsoakproxy/proxy.go
+++ b/dogwoodload/dogwoodsoakproxy/proxy.go
@@ -49,7 +49,8 @@
 
 	mutex       sync.Mutex
 	fault       Fault
-	changed     chan struct{} // closed when the fault changes
+	isCutOff    func(source, proxy netip.AddrPort) bool // nil if no source is
+	changed     chan struct{}                           // closed when the fault or isCutOff changes
 	connections map[net.Conn]struct{}
 }
 
@@ -87,6 +88,16 @@
 	proxy.changed = make(chan struct{})
 }
 
+// SetCutOff holds back all data, in both directions, of the connections from some sources from now on, besides the fault that is
+// set. With nil it holds back none.
+func (proxy *Proxy) SetCutOff(isCutOff func(source, proxy netip.AddrPort) bool) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.isCutOff = isCutOff
+	close(proxy.changed)
+	proxy.changed = make(chan struct{})
+}
+
 // Reset resets all connections.
 func (proxy *Proxy) Reset() {
 	proxy.mutex.Lock()
@@ -104,10 +115,27 @@
 	_ = connection.Close() // as above
 }
 
-func (proxy *Proxy) current() (Fault, <-chan struct{}) {
+// source is where a connection comes from, and whether it was cut off when the proxy's state last changed.
+type source struct {
+	address netip.AddrPort
+
+	mutex     sync.Mutex
+	decidedAt <-chan struct{} // the channel that closes at the next change
+	cutOff    bool
+}
+
+// current returns the fault for connections from a source, and a channel that closes when it changes.
+func (proxy *Proxy) current(source *source) (Fault, <-chan struct{}) {
 	proxy.mutex.Lock()
-	defer proxy.mutex.Unlock()
-	return proxy.fault, proxy.changed
+	fault, isCutOff, changed := proxy.fault, proxy.isCutOff, proxy.changed
+	proxy.mutex.Unlock()
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	if source.decidedAt != changed {
+		source.decidedAt, source.cutOff = changed, isCutOff != nil && isCutOff(source.address, proxy.Address())
+	}
+	fault.Mute = fault.Mute || source.cutOff
+	return fault, changed
 }
 
 func (proxy *Proxy) add(connection net.Conn) {
@@ -146,7 +174,11 @@
 func (proxy *Proxy) forward(ctx context.Context, from net.Conn) {
 	proxy.add(from)
 	defer proxy.remove(from)
-	if fault, _ := proxy.current(); fault.Refused {
+	source := &source{}
+	if address, err := netip.ParseAddrPort(from.RemoteAddr().String()); err == nil {
+		source.address = address
+	}
+	if fault, _ := proxy.current(source); fault.Refused {
 		reset(from)
 		return
 	}
@@ -162,17 +194,17 @@
 		return
 	}
 	var group errgroup.Group
-	group.Go(func() error { return proxy.copy(ctx, to, from, false) })
-	group.Go(func() error { return proxy.copy(ctx, from, to, true) })
+	group.Go(func() error { return proxy.copy(ctx, source, to, from, false) })
+	group.Go(func() error { return proxy.copy(ctx, source, from, to, true) })
 	_ = group.Wait() // the copies return no error; the peers see how the connection ended
 }
 
 // copy forwards data in one direction. It forwards an orderly end as such, and an error as a reset.
-func (proxy *Proxy) copy(ctx context.Context, to, from net.Conn, fromTarget bool) error {
+func (proxy *Proxy) copy(ctx context.Context, source *source, to, from net.Conn, fromTarget bool) error {
 	chunk := make([]byte, chunkBytes)
 	for {
 		count, err := from.Read(chunk)
-		if !proxy.waitToForward(ctx, fromTarget) {
+		if !proxy.waitToForward(ctx, source, fromTarget) {
 			reset(to)
 			return nil
 		}
@@ -196,9 +228,9 @@
 }
 
 // waitToForward waits until data may be forwarded. It returns false if the context ends first.
-func (proxy *Proxy) waitToForward(ctx context.Context, fromTarget bool) bool {
+func (proxy *Proxy) waitToForward(ctx context.Context, source *source, fromTarget bool) bool {
 	for {
-		fault, changed := proxy.current()
+		fault, changed := proxy.current(source)
 		if !fault.Mute && (!fault.MuteFromTarget || !fromTarget) {
 			return fault.Delay == 0 || dogwoodkernel.Sleep(ctx, fault.Delay)
 		}
--- a/dogwoodload/dogwoodsoakproxy/proxy_test.go
+++ b/dogwoodload/dogwoodsoakproxy/proxy_test.go
@@ -122,6 +122,32 @@
 	}
 }
 
+// A cut holds back the data of the sources that are cut off, of connections opened before and meanwhile, and of no others.
+func TestCutOffHoldsBackDataOfItsSources(t *testing.T) {
+	proxy, before := startProxy(t)
+	other, meanwhile := dial(t, proxy), dial(t, proxy)
+	for _, client := range []*client{before, other} {
+		if got, err := client.exchange("one", readTimeout); err != nil || got != "one\n" {
+			t.Fatalf("got %q and %v, want the line", got, err)
+		}
+	}
+	proxy.SetCutOff(func(source, _ netip.AddrPort) bool { return source.String() != other.LocalAddr().String() })
+	if got, err := other.exchange("two", readTimeout); err != nil || got != "two\n" {
+		t.Errorf("got %q and %v from a source that is not cut off, want the line", got, err)
+	}
+	for _, client := range []*client{before, meanwhile} {
+		if got, err := client.exchange("two", silenceTimeout); err == nil {
+			t.Errorf("got %q, want nothing", got)
+		}
+	}
+	proxy.SetCutOff(nil)
+	for _, client := range []*client{before, meanwhile} {
+		if got, err := client.read(readTimeout); err != nil || got != "two\n" {
+			t.Errorf("got %q and %v, want the line that was held back", got, err)
+		}
+	}
+}
+
 // A reset reaches the peer as a reset and not as an orderly end: an answer without a length must not look complete.
 func TestResetIsNotOrderlyEnd(t *testing.T) {
 	proxy, client := startProxy(t)
