--- a/dogwoodload/dogwoodsoakcheck/check_test.go
+++ b/dogwoodload/dogwoodsoakcheck/check_test.go
@@ -380,6 +380,10 @@
 			history.OutOfMemory = []OutOfMemory{{Endpoint: "e", At: after(20)}}
 			history.fault(Fault{Endpoint: "e"}, 17, 19)
 		}, ""},
+		{"requests that a daemon could not cancel, since it was cut off, end an endpoint", func(history *History) {
+			history.OutOfMemory = []OutOfMemory{{Endpoint: "e", At: after(20)}}
+			history.fault(Fault{Daemon: "d", FromEndpoints: true}, 12, 18)
+		}, ""},
 		{"a daemon does not read an answer", func(history *History) { history.write(true) }, "SlowAnswer"},
 		{"a daemon that is frozen does not read an answer", func(history *History) {
 			history.write(true)
