--- a/dogwoodload/dogwoodsoak/soak_test.go
+++ b/dogwoodload/dogwoodsoak/soak_test.go
@@ -158,6 +158,28 @@
 	reportFindings(t, options)
 }
 
+// Guards against a denial by a daemon that has just started, of a request that another one forwards to it: it knows neither the text
+// nor the key of the daemons yet. One daemon is cut off from the endpoints, and the others are killed and started in turn
+// while the store is slow.
+func TestForwardedRequestsAreNotDenied(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts nine processes for a minute")
+	}
+	t.Parallel()
+	const cutOffFor = 22 * time.Second
+	options := newOptions(buildDaemon(t), warmUp+recovery)
+	options.steps = []dogwoodsoakplan.Step{}
+	options.planned = []dogwoodsoakplan.Step{
+		{Kind: dogwoodsoakplan.DaemonCutOff, For: cutOffFor}, {Kind: dogwoodsoakplan.StoreSlow, At: time.Second, For: cutOffFor},
+	}
+	_, _, daemons := newSite(options, "", "", "").processCounts()
+	for at, number := 2*time.Second, 0; at < cutOffFor; at, number = at+1500*time.Millisecond, number+1 {
+		step := dogwoodsoakplan.Step{Kind: dogwoodsoakplan.DaemonKilled, At: at, For: 100 * time.Millisecond, Target: 1 + number%(daemons-1)}
+		options.planned = append(options.planned, step)
+	}
+	reportFindings(t, options)
+}
+
 // soakDaemon runs a soak of the real daemon, with a steady load or one that changes, and reports each finding.
 func soakDaemon(t *testing.T, steadyLoad bool) {
 	t.Helper()
