Connect the soak's kept callers to daemons without a proxy

In a run of all tests of the package with -race beside a load of 56, CutByStop named three requests that had been sent 256 to 322 ms before their connection was reset, 4.65 to 7.66 s after the signal, when the daemon takes no connections any more. The proxy had taken them, and its own connection to the daemon was refused late, so they looked read.

Callers that send whatever the directory answers now connect to the daemon itself. Its proxy's faults are excused anyway, and there are none in the time of planned work.

--- a/dogwoodload/dogwoodsoakcaller/caller.go
+++ b/dogwoodload/dogwoodsoakcaller/caller.go
@@ -27,7 +27,8 @@
 // Daemon holds the addresses of a daemon that callers use.
 type Daemon struct {
 	Name string
-	// Address is the address that the directory returns; callers connect to the proxy at ProxyAddress instead.
+	// Address is the address that the directory returns; callers connect to the proxy at ProxyAddress instead, except for those that
+	// send whatever the directory answers: a proxy takes a request also where the daemon no longer takes a connection.
 	Address, ProxyAddress netip.AddrPort
 	// Directory is the address of the daemon's directory, which callers query without a proxy.
 	Directory netip.AddrPort
--- a/dogwoodload/dogwoodsoakcaller/kept.go
+++ b/dogwoodload/dogwoodsoakcaller/kept.go
@@ -73,7 +73,7 @@
 		target = dogwoodstandin.LongTarget(target, kind.Events)
 	}
 	split.draw(caller.random)
-	caller.send(ctx, &call, &kind, daemon.ProxyAddress, target, strings.Repeat("x", 1+caller.random.IntN(maxSplitBody)))
+	caller.send(ctx, &call, &kind, daemon.Address, target, strings.Repeat("x", 1+caller.random.IntN(maxSplitBody)))
 }
 
 // maxSplitBody bounds the bodies of kept callers. The head of a request is of about that size.
--- a/dogwoodload/dogwoodsoakcaller/version.go
+++ b/dogwoodload/dogwoodsoakcaller/version.go
@@ -38,6 +38,6 @@
 			Key: callers.options.Keys[caller.random.IntN(len(callers.options.Keys))], RouteOf: max(1, version),
 		}
 		target := fmt.Sprintf("%s%d?q=%d", VersionPrefix(kind, call.RouteOf), number, caller.sent)
-		caller.send(context.WithoutCancel(ctx), &call, kind, daemon.ProxyAddress, target, "x")
+		caller.send(context.WithoutCancel(ctx), &call, kind, daemon.Address, target, "x")
 	}
 }
