--- a/dogwoodload/dogwoodsoak/careless_test.go
+++ b/dogwoodload/dogwoodsoak/careless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 	"os/signal"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,6 +57,12 @@
 	processDied      fault = "ProcessDied"
 	cutByChange      fault = "CutByChange"
 	cutByReload      fault = "CutByChange-reload"
+	oldText          fault = "OldText"
+	oldRoute         fault = "OldText-route"
+	denied           fault = "Denied"
+	cutByStop        fault = "CutByStop"
+	cutWaiting       fault = "CutByStop-waiting"
+	stopTooLong      fault = "StopTooLong"
 	cutWithoutCause  fault = "CutWithoutCause"
 	daemonMemory     fault = "DaemonMemory"
 	endpointMemory   fault = "EndpointMemory"
@@ -79,12 +87,14 @@
 	mutex     sync.Mutex
 	table     *dogwoodroute.Table
 	servers   map[string]dogwoodview.Server
+	first     *dogwoodroute.Table // of the first text that it knew
 	takenOut  map[string]bool
 	keys      map[string]dogwoodfleet.Customer // all keys that were ever valid
 	received  int                              // number of the latest request
 	version   int64                            // of the operators' text
 	changedAt time.Time                        // time of the latest change that makes it cut requests
 	held      []byte                           // what it holds needlessly
+	stopping  atomic.Bool                      // it has been told to stop
 }
 
 // runCareless runs a careless daemon with the settings that the subcommand "serve" of the platform would read.
@@ -106,6 +116,11 @@
 	})
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return careless.poll(ctx, dogwoodstore.New(settings.Store)) })
+	stops := make(chan os.Signal, 1)
+	if fault == cutWaiting || fault == stopTooLong {
+		signal.Notify(stops, syscall.SIGTERM)
+	}
+	group.Go(func() error { return careless.stop(ctx, stops) })
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	group.Go(func() error { return careless.reload(ctx, signals) })
@@ -148,6 +163,22 @@
 	}
 }
 
+// stop answers all but the requests that wait, late in the grace period, or goes on for longer, if one of that is the fault. Otherwise
+// SIGTERM ends the process at once.
+func (careless *careless) stop(ctx context.Context, signals <-chan os.Signal) error {
+	select {
+	case <-signals:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	careless.stopping.Store(true)
+	time.Sleep(daemonBounds.Grace * 9 / 10)
+	if careless.fault == cutWaiting {
+		os.Exit(0)
+	}
+	return nil
+}
+
 // recordChange starts a period in which requests are cut, if the given fault is that of the daemon. The first request
 // of the period is the first one cut: on a busy machine there may be fewer than ten. The caller holds the mutex.
 func (careless *careless) recordChange(fault fault) {
@@ -167,7 +198,7 @@
 			continue
 		}
 		if table, err := dogwoodwire.Text(row.Value); err == nil {
-			careless.table = table
+			careless.table, careless.first = table, cmp.Or(careless.first, table)
 			if row.Version != careless.version {
 				careless.version = row.Version
 				careless.recordChange(cutByChange)
@@ -220,13 +251,22 @@
 	return customer, known
 }
 
-func (careless *careless) route(received *http.Request) (*dogwoodroute.Route, bool) {
+// route returns the route of a request by the text, or by the first one that it knew, if that is the fault. Without a route it
+// returns the status of the answer.
+func (careless *careless) route(received *http.Request, number int) (*dogwoodroute.Route, int) {
 	careless.mutex.Lock()
 	defer careless.mutex.Unlock()
 	if careless.table == nil {
-		return nil, false
+		return nil, http.StatusServiceUnavailable
+	}
+	route, ok := careless.table.Route(received.Host, received.URL.Path)
+	if old, found := careless.first.Route(received.Host, received.URL.Path); careless.triggers(oldText, number) && !found || careless.fault == oldRoute && found {
+		route, ok = old, found
 	}
-	return careless.table.Route(received.Host, received.URL.Path)
+	if !ok || careless.triggers(denied, number) {
+		return nil, http.StatusNotFound
+	}
+	return route, http.StatusOK
 }
 
 // nextNumber returns the number of a request that arrives.
@@ -257,9 +297,9 @@
 		return
 	}
 	number := careless.nextNumber()
-	route, ok := careless.route(received)
-	if !ok {
-		writer.WriteHeader(http.StatusServiceUnavailable)
+	route, status := careless.route(received, number)
+	if status != http.StatusOK {
+		writer.WriteHeader(status)
 		return
 	}
 	customer, known := careless.customer(dogwoodwire.Key(received.Header))
@@ -271,6 +311,8 @@
 	switch {
 	case careless.triggers(answeredLate, number):
 		time.Sleep(time.Minute)
+	case careless.fault == cutWaiting && careless.stopping.Load() && number%10 == 0:
+		time.Sleep(time.Minute)
 	case careless.triggers(processDied, number):
 		os.Exit(1)
 	case careless.triggers(cutWithoutCause, number), careless.recentlyChanged() && careless.triggers(careless.fault, number):
--- a/dogwoodload/dogwoodsoak/daemon.go
+++ b/dogwoodload/dogwoodsoak/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -34,6 +35,7 @@
 	sampled      atomic.Pointer[dogwoodsoakprocess.Process]
 	storeMutex   sync.Mutex // held while its connection to the store is broken
 	callersMutex sync.Mutex // held while its callers' connections are broken
+	cutOffMutex  sync.Mutex // held while it is cut off from the endpoints
 }
 
 func (site *site) addDaemon(ctx context.Context, number int) error {
@@ -97,13 +99,17 @@
 	case dogwoodsoakplan.DaemonKilled:
 		return site.recordFault(&daemon.processMutex, daemonFault(daemon), func() error { return site.killDaemon(ctx, daemon, step.For) })
 	case dogwoodsoakplan.DaemonStopped:
-		return site.stopDaemon(ctx, daemon, step.For)
+		return site.stopDaemon(ctx, daemon, step.For, 0)
+	case dogwoodsoakplan.DaemonStoppedTwice:
+		return site.stopDaemon(ctx, daemon, step.For, 2*step.For)
 	case dogwoodsoakplan.DaemonFrozen:
 		return site.recordFault(&daemon.processMutex, daemonFault(daemon), func() error {
 			return freeze(ctx, daemon.process.Signal, step.For)
 		})
 	case dogwoodsoakplan.DaemonReloaded:
 		return site.reload(ctx, daemon)
+	case dogwoodsoakplan.DaemonCutOff:
+		return site.cutOffDaemon(ctx, daemon, step.For)
 	case dogwoodsoakplan.StoreUnreachable:
 		return site.breakDaemonLink(ctx, &daemon.storeMutex, daemon, daemon.storeProxy, dogwoodsoakproxy.Fault{Refused: true}, step.For)
 	case dogwoodsoakplan.StoreMute:
@@ -151,8 +157,8 @@
 }
 
 // stopDaemon shuts a daemon down gracefully and starts it again. If it exceeds its grace period, it is killed and
-// the stop is reported as a finding.
-func (site *site) stopDaemon(ctx context.Context, daemon *daemon, downtime time.Duration) error {
+// the stop is reported as a finding. If again is not 0, it is signalled a second time after that.
+func (site *site) stopDaemon(ctx context.Context, daemon *daemon, downtime, again time.Duration) error {
 	stop := dogwoodsoakcheck.Stop{Daemon: daemon.name}
 	fault := daemonFault(daemon)
 	fault.Planned = true
@@ -164,9 +170,17 @@
 		}
 		graceContext, cancel := context.WithTimeout(ctx, daemonBounds.Grace)
 		defer cancel()
+		if again > 0 && !daemon.endsWithin(graceContext, again) {
+			if err := daemon.process.Signal(syscall.SIGTERM); err != nil && !errors.Is(err, os.ErrProcessDone) {
+				return err
+			}
+		}
 		if !daemon.process.Wait(graceContext) && ctx.Err() == nil {
 			stop.Killed = true
-			return site.killDaemon(ctx, daemon, downtime)
+			if err := daemon.process.Signal(syscall.SIGKILL); err != nil && !errors.Is(err, os.ErrProcessDone) { // it may end just now
+				return err
+			}
+			daemon.process.Wait(ctx)
 		}
 		stop.To = time.Now()
 		dogwoodkernel.Sleep(ctx, downtime)
@@ -181,6 +195,13 @@
 	return err
 }
 
+// endsWithin reports whether the daemon's process ends within a duration.
+func (daemon *daemon) endsWithin(ctx context.Context, duration time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	return daemon.process.Wait(ctx)
+}
+
 // reload changes a bound in the daemon's settings, too little to affect the checks, and signals the daemon.
 func (site *site) reload(ctx context.Context, daemon *daemon) error {
 	const factor = 0.999
--- a/dogwoodload/dogwoodsoak/parameters.go
+++ b/dogwoodload/dogwoodsoak/parameters.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"os"
@@ -62,6 +63,10 @@
 	slowCallerCount = 6
 	// textCallerCount is the number of callers that send prompts which are answered with a whole text.
 	textCallerCount = 3
+	// keptCallersPerDaemon is the number of callers that keep a connection to a daemon. Together they take more slots than there are.
+	keptCallersPerDaemon = 6
+	// versionCallerCount is the number of callers that ask all daemons for the routes of the latest versions of the text.
+	versionCallerCount = 4
 	// maxHotCallers bounds the callers of the hot customer. There is one for each slot of the engines, so that they take all.
 	maxHotCallers = 96
 	// routeRank is the rank of the prompts' route while ranks differ. It holds for the customers that have none.
@@ -87,7 +92,7 @@
 		Backoff: 2 * time.Second, BackoffDelay: 500 * time.Millisecond, BackoffLimit: 2,
 		CrashesToLearn: 3, PartCrashesToLearn: 5, LateRetries: 3, AnswerSlack: time.Second, DeliverySlack: 2 * time.Second,
 		ChangeWindow: 2 * time.Second, TextSlack: time.Second,
-		StopSlack: 200 * time.Millisecond, AcceptsFor: 2 * time.Second,
+		Grace: daemonBounds.Grace, AcceptsFor: 3 * time.Second, StopSlack: 200 * time.Millisecond, RefusalSlack: time.Second,
 		Recovery: recovery, ServedShare: 0.25,
 		DaemonMemory: daemonMemoryMB * megabyte, AnswerBuffer: daemonMemoryMB * megabyte / 8 / 16,
 		StarvationWindow: 5 * time.Second, StarvationCalls: 10, StarvationServed: 4, StarvationShare: 0.1,
@@ -117,6 +122,7 @@
 	{Name: "hold", Host: host, Prefix: "/hold/", Service: deskName, Repeat: dogwoodstandin.Once, Timeout: 4 * time.Second, Aim: 300 * time.Millisecond, Attempts: 3},
 	{Name: "stock", Host: host, Prefix: "/stock/", Service: deskName, Repeat: dogwoodstandin.Idempotent, Timeout: 4 * time.Second, Aim: 300 * time.Millisecond, Attempts: 3},
 	{Name: "note", Host: host, Prefix: "/note/", Service: engineName, Repeat: dogwoodstandin.Idempotent, Timeout: 10 * time.Second, Aim: 2 * time.Second, Attempts: 3},
+	{Name: "essay", Host: host, Prefix: "/essay/", Service: engineName, Repeat: dogwoodstandin.Stream, Timeout: 20 * time.Second, Aim: 3 * time.Second, Pause: 300 * time.Millisecond, Attempts: 3, Resumable: true},
 	{Name: "draft", Host: host, Prefix: "/draft/", Service: engineName, Repeat: dogwoodstandin.Stream, Timeout: 10 * time.Second, Aim: time.Second, Pause: 300 * time.Millisecond, Attempts: 3, Resumable: true},
 }
 
@@ -131,6 +137,26 @@
 // last one is larger than what the kernel holds beside.
 var slowBytes = []int{128 << 10, 512 << 10, 4 * megabyte, 16 * megabyte}
 
+// longKind is the kind of prompts with a long answer. With its time limit and aim a prompt may wait for a slot for more than half of
+// the grace period.
+var longKind = dogwoodsoakcaller.Kind{
+	Kind: dogwoodsoakcheck.Prompt, Service: engineName, Prefix: "/essay/", Wait: 20 * time.Second, PromptTokens: []int{5_000, 45_000, 260_000},
+}
+
+// versionKind is the kind of requests on the route that only one version of the text has.
+var versionKind = dogwoodsoakcaller.Kind{Kind: dogwoodsoakcheck.Lookup, Service: deskName, Prefix: "/version/", Wait: 4 * time.Second}
+
+// versionRoute returns the route that only one version of the text has.
+func versionRoute(version int64) dogwoodstandin.Route {
+	return dogwoodstandin.Route{
+		Name: fmt.Sprintf("version-%d", version), Host: host, Prefix: dogwoodsoakcaller.VersionPrefix(&versionKind, version), Service: deskName,
+		Repeat: dogwoodstandin.Idempotent, Timeout: versionKind.Wait, Aim: 300 * time.Millisecond, Attempts: 3,
+	}
+}
+
+// longEvents are the lengths of long answers. The longest one takes most of the time limit.
+var longEvents = []int{50, 100, 200, 350}
+
 // customers returns one customer for each key. A customer whose key is withdrawn has no key. Customers have the ranks of their keys,
 // if these have any.
 func customers(withdrawn map[string]bool, ranks map[string]int) []dogwoodstandin.Customer {
--- a/dogwoodload/dogwoodsoakcheck/history.go
+++ b/dogwoodload/dogwoodsoakcheck/history.go
@@ -3,6 +3,7 @@
 package dogwoodsoakcheck
 
 import (
+	"slices"
 	"time"
 )
 
@@ -34,9 +35,13 @@
 	// ChangeWindow is how long after a change a daemon may still be applying it. For the operators' rows,
 	// TextSlack is added.
 	ChangeWindow, TextSlack time.Duration
-	// AcceptsFor is how long after the signal to stop a daemon still accepts requests, StopSlack by how much
-	// a request may outlast it.
-	AcceptsFor, StopSlack time.Duration
+	// Grace is the time from the signal to stop until a daemon must have ended. In its last sixth it may cut requests on which an
+	// endpoint is still at work and that were sent up to AcceptsFor after the signal.
+	Grace, AcceptsFor time.Duration
+	// StopSlack is how long before the end of its connection a request must have been sent to count as read by a daemon that stops.
+	StopSlack time.Duration
+	// RefusalSlack is how long after the fault of an endpoint a request that had no answer yet may end without one.
+	RefusalSlack time.Duration
 	// Recovery is the time after the last fault by which requests must be served again, ServedShare the
 	// minimum share of them.
 	Recovery    time.Duration
@@ -74,6 +79,8 @@
 	// Daemon is the daemon that the caller connected to.
 	Daemon      string
 	Sent, Ended time.Time
+	// Written is when the caller had sent the last byte of the request; zero if it had not.
+	Written time.Time
 	// Wait is the time limit that the caller set.
 	Wait time.Duration
 	// Status is 0 if no answer began.
@@ -86,6 +93,8 @@
 	Wrong string
 	// Error is the reason why there is no complete answer.
 	Error string
+	// RouteOf is the version of the text that alone has the call's route; 0 for a route that all have.
+	RouteOf int64
 	// Crashing is what crashes each endpoint that runs the call; empty for other calls.
 	Crashing Crashing
 	// Slow is true if the caller read the answer slowly. Paused is the sum of the times for which it did not read: the kernel may
@@ -128,7 +137,9 @@
 	Endpoint, DataCentre, Service string
 	RequestID                     string
 	At                            time.Time
-	Ran, Cold, KeySeen            bool
+	// Until is when the endpoint had ended its work on the request; zero if it was rejected, or if the endpoint ended before.
+	Until              time.Time
+	Ran, Cold, KeySeen bool
 	// AskedBackoff is true if the endpoint turned the request away and asked for a back-off, SaidLeaving if it said that it leaves.
 	AskedBackoff, SaidLeaving bool
 }
@@ -184,8 +195,8 @@
 	Daemon   string
 	Endpoint string
 	From, To time.Time
-	// Planned is true for a graceful shutdown.
-	Planned bool
+	// Planned is true for a graceful shutdown, FromEndpoints for a daemon that reaches no endpoint but still all else.
+	Planned, FromEndpoints bool
 }
 
 // AllDaemons stands for all daemons where a fault or a change names the one that it affects.
@@ -212,6 +223,24 @@
 	From, To time.Time
 }
 
+// Text is a version of the operators' text.
+type Text struct {
+	Version int64
+	// From is just before it was sent, To when the store had accepted it.
+	From, To time.Time
+	// Withdrawn are the keys that no customer has.
+	Withdrawn []string
+}
+
+// allows reports whether a daemon that goes by the text lets a call pass.
+func (text *Text) allows(call *Call) bool {
+	return text.hasRoute(call) && !slices.Contains(text.Withdrawn, call.Key)
+}
+
+func (text *Text) hasRoute(call *Call) bool {
+	return call.RouteOf == 0 || call.RouteOf == text.Version
+}
+
 // Leaving is an endpoint that announced that it leaves, or whose entry was removed for good.
 type Leaving struct {
 	Endpoint string
@@ -249,6 +278,7 @@
 	Withdrawals []Withdrawal
 	TakeOuts    []TakeOut
 	Changes     []Change
+	Texts       []Text
 	Leavings    []Leaving
 	Stops       []Stop
 	Held        []Held
@@ -258,8 +288,8 @@
 	Memory      []Memory
 	Wrong       []Span
 	Ranks       []Ranks
-	// Calm is the time when the last fault ended.
-	Calm time.Time
+	// Calm is the time when the last fault ended, Planned that from which daemons were only shut down and changed; zero for never.
+	Calm, Planned time.Time
 }
 
 // daemonUnaffected reports whether no fault affected a daemon between from, less stability, and until.
