--- a/core/duty/dogwoodrelay/answerbuffer.go
+++ b/core/duty/dogwoodrelay/answerbuffer.go
@@ -357,9 +357,9 @@
 	return true
 }
 
-// endCaller ends the answer after the end of its caller's context. If the daemon shuts down, an answer that has not begun still
+// endForCaller ends the answer after the end of its caller's context. If the daemon shuts down, an answer that has not begun still
 // goes to the caller, and so does a failure in its place.
-func (buffer *answerBuffer) endCaller(ctx context.Context) {
+func (buffer *answerBuffer) endForCaller(ctx context.Context) {
 	if !IsShutdown(ctx) {
 		buffer.stop(ErrCallerGone)
 		return
--- a/core/duty/dogwoodrelay/forward.go
+++ b/core/duty/dogwoodrelay/forward.go
@@ -8,7 +8,7 @@
 // forwardRun forwards a run's events until it ends or another run takes over. It returns that run, or nil
 // and the result of the try.
 func (attempt *attempt) forwardRun(ctx context.Context, run *run) (tryResult, *run) {
-	attempt.enter(StageSent)
+	attempt.setStage(StageSent)
 	hedge := attempt.newHedge(ctx, run)
 	defer hedge.stop()
 	for {
--- a/core/duty/dogwoodrelay/plain.go
+++ b/core/duty/dogwoodrelay/plain.go
@@ -28,7 +28,7 @@
 	if err := attempt.buffer.begin(run.response.Status, run.response.Header); err != nil {
 		return err
 	}
-	attempt.enter(StageAnswering)
+	attempt.setStage(StageAnswering)
 	run.releaseAll() // the buffer counts the data from now on
 	return attempt.buffer.writeWhole(data)
 }
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -102,7 +102,7 @@
 	defer cancel()
 	buffer := newAnswerBuffer(relay, request.ID, answer, cancel)
 	defer buffer.close()
-	defer context.AfterFunc(callerContext, func() { buffer.endCaller(callerContext) })()
+	defer context.AfterFunc(callerContext, func() { buffer.endForCaller(callerContext) })()
 	err := relay.serveTries(ctx, request, buffer)
 	if request.BodySent != nil && buffer.hasBegun() {
 		request.BodySent()
@@ -236,8 +236,8 @@
 	}
 }
 
-// enter records how far the request has come.
-func (attempt *attempt) enter(stage Stage) {
+// setStage records how far the request has come. An answer that has begun stays so beside further tries.
+func (attempt *attempt) setStage(stage Stage) {
 	if attempt.request.Stage != StageAnswering {
 		attempt.request.Stage = stage
 	}
@@ -245,7 +245,7 @@
 
 // try places the request, sends it and forwards the answer. Another run may take over.
 func (attempt *attempt) try(ctx context.Context) tryResult {
-	attempt.enter(StageWaiting)
+	attempt.setStage(StageWaiting)
 	preparedTry, failed := attempt.prepare(ctx)
 	if preparedTry == nil {
 		return failed
--- a/core/duty/dogwoodrelay/stream.go
+++ b/core/duty/dogwoodrelay/stream.go
@@ -91,7 +91,7 @@
 		return err
 	}
 	attempt.stream.begun = true
-	attempt.enter(StageAnswering)
+	attempt.setStage(StageAnswering)
 	return nil
 }
 
--- a/core/edge/dogwoodplatform/client.go
+++ b/core/edge/dogwoodplatform/client.go
@@ -244,8 +244,8 @@
 	return nil
 }
 
-// isEndMarked reports whether the end of an answer is marked by its length, by a last chunk or by its compression. Another
-// answer ends with its connection, which a service that ends closes too, so that a row which breaks off looks like a shorter one.
+// isEndMarked reports whether the end of an answer is marked by its length, by a last chunk or by its compression. The
+// end of any other answer is that of its connection, which may also break off: a part of a row would be taken for the whole.
 func isEndMarked(response *http.Response) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Uncompressed
 }
