--- a/dogwoodload/dogwoodsoakplan/plan.go
+++ b/dogwoodload/dogwoodsoakplan/plan.go
@@ -171,12 +171,12 @@
 	{ServiceSheds, Service, 2, 2 * second, 5 * second, 0},
 }
 
-// garbleKinds lists the kinds that DrawGarbles draws, so that the faults of a seed stay as they were before.
+// garbleKinds lists the kinds that DrawGarbles draws, from a random source of their own.
 var garbleKinds = []traits{
 	{EndpointGarbles, Endpoint, 1, 3 * second, 6 * second, second},
 }
 
-// cutOffKinds lists the kinds that DrawCutOffs draws, so that the faults of a seed stay as they were before.
+// cutOffKinds lists the kinds that DrawCutOffs draws, from a random source of their own.
 var cutOffKinds = []traits{
 	{DaemonCutOff, Daemon, 2, 5 * second, 8 * second, second},
 	{TextChanged, Store, 3, 0, 0, 0},
