Measure one program's memory in TestResidentBytes

The test started a shell that executed sleep; a sample of the shell, then the exec, then the peak of the new program, whose peak starts anew. The program that the test is about never executes another one.

The bounds are the same.

--- a/dogwoodload/dogwoodsoakprocess/process_test.go
+++ b/dogwoodload/dogwoodsoakprocess/process_test.go
@@ -63,8 +63,13 @@
 // Guards against a memory check that reads a wrong field, or a dead process's: this process's own resident set is read, and one
 // that has ended has none.
 func TestResidentBytes(t *testing.T) {
+	// A shell that executes the program would do so between two samples, and a new program has a new peak.
+	path, err := exec.LookPath("sleep")
+	if err != nil {
+		t.Fatal(err)
+	}
 	var group Group
-	process, err := group.Start(t.Context(), Spec{Name: "sleep", Path: "/bin/sh", Arguments: []string{"-c", "exec sleep 60"}, Log: filepath.Join(t.TempDir(), "log")})
+	process, err := group.Start(t.Context(), Spec{Name: "sleep", Path: path, Arguments: []string{"60"}, Log: filepath.Join(t.TempDir(), "log")})
 	if err != nil {
 		t.Fatal(err)
 	}
