Refuse a passed deadline as one before the context's timer has fired

Now only a context that was cancelled does.

The test failed before in every run; the other callers of this reason in core and platform ask only once the context has ended.

--- a/core/duty/dogwooddispatch/dispatch_test.go
+++ b/core/duty/dogwooddispatch/dispatch_test.go
@@ -263,3 +263,40 @@
 		}
 	}
 }
+
+// Guards against a refusal that says that the caller has left if the deadline has passed, and the timer of the context has not
+// fired yet.
+func TestPassedDeadlineIsNoCallerThatLeft(t *testing.T) {
+	tests := []struct {
+		name string
+		// left is true if the caller has left, expired if the context's timer has fired.
+		left, expired bool
+		remaining     time.Duration
+		want          dogwoodfleet.Reason
+	}{
+		{"the deadline has passed", false, false, 0, dogwoodfleet.ReasonDeadline},
+		{"the deadline has passed, and the timer has fired", false, true, 0, dogwoodfleet.ReasonDeadline},
+		{"the caller has left", true, false, time.Minute, dogwoodfleet.ReasonCancelled},
+		{"the caller has left, and the deadline has passed", true, false, 0, dogwoodfleet.ReasonCancelled},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			if test.left {
+				leave()
+			}
+			deadline := time.Now().Add(test.remaining)
+			if test.expired {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithDeadline(ctx, deadline)
+				defer cancel()
+			}
+			_, err := (&fakes{}).dispatcher().acquire(ctx, &dogwoodfleet.Request{Service: "desk", Deadline: deadline}, nil, 1)
+			var got *dogwoodowner.Refusal
+			if !errors.As(err, &got) || got.Reason != test.want || !got.NotRun {
+				t.Errorf("got %v, want %s, not run", err, test.want)
+			}
+		})
+	}
+}
--- a/core/duty/dogwooddispatch/failure.go
+++ b/core/duty/dogwooddispatch/failure.go
@@ -79,13 +79,13 @@
 	return &Failure{Reason: refusal.Reason, Run: run, RetryAfter: refusal.RetryAfter, Detail: refusal.Detail}
 }
 
-// contextFailure returns the failure of a request whose context ended, because of its
-// deadline or because the caller disconnected.
+// contextFailure returns the failure of a request whose deadline has passed, or whose caller disconnected. At a deadline that
+// has just passed, the context may not have ended yet.
 func contextFailure(ctx context.Context, run dogwoodfleet.RunState) *Failure {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return &Failure{Reason: dogwoodfleet.ReasonDeadline, Run: run, Detail: "the deadline passed"}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return &Failure{Reason: dogwoodfleet.ReasonCancelled, Run: run, Detail: "the caller left"}
 	}
-	return &Failure{Reason: dogwoodfleet.ReasonCancelled, Run: run, Detail: "the caller left"}
+	return &Failure{Reason: dogwoodfleet.ReasonDeadline, Run: run, Detail: "the deadline passed"}
 }
 
 // mergeRunStates returns the run state of a request after a try that ended in the state
