Hold long prompts until a started daemon knows its peers' work

A daemon holds long prompts until half of the others' work is on its board, but counted the peers that it knew.

Long prompts now wait for the first announcement of each peer known at the start, for a second at most. TestLongPromptWaitsForTheWorkOfThePeers failed before in the two cases with a missing announcement.

--- a/core/decision/dogwoodpacking/board.go
+++ b/core/decision/dogwoodpacking/board.go
@@ -115,7 +115,9 @@
 	owner   string
 	// seenShare is the share of the daemons whose work is on the board.
 	seenShare float64
-	senders   Senders
+	// awaitsPeers is true while daemons are known whose work is not on the board yet.
+	awaitsPeers bool
+	senders     Senders
 	// promptSends holds the times of the prompts sent within the last second by all daemons, ownSends those of
 	// all requests and ownRepeats those of the prompts that had been tried before, sent by this daemon.
 	promptSends, ownSends, ownRepeats timestamps
@@ -180,6 +182,16 @@
 	board.seenShare = min(float64(max(visible, 1))/float64(max(expected, 1)), 1)
 }
 
+// AwaitPeers makes long prompts wait while work of other daemons is missing on the board.
+func (board *Board) AwaitPeers(awaits bool) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	if board.awaitsPeers && !awaits {
+		board.notifyChange()
+	}
+	board.awaitsPeers = awaits
+}
+
 // Changed returns a channel that is closed when an endpoint or a slot of this daemon may have
 // become free. Slots freed by other daemons are not reported: that daemon's own requests use
 // them first, and all other daemons would otherwise send requests there at the same moment.
--- a/core/decision/dogwoodpacking/engines.go
+++ b/core/decision/dogwoodpacking/engines.go
@@ -160,7 +160,7 @@
 // will decode soon: an engine that only prefills now starts to decode once its own prompt is
 // prefilled.
 func (board *Board) chooseEngines(now time.Time, request *PlacementRequest, candidates []*endpointState) (Placement, Refusal) {
-	if board.seenShare < minSeenShare && request.CanWait && request.Prompt >= dogwoodenginetime.LongPrompt {
+	if (board.awaitsPeers || board.seenShare < minSeenShare) && request.CanWait && request.Prompt >= dogwoodenginetime.LongPrompt {
 		return Placement{}, Full
 	}
 	search := board.newSearch(now, request, candidates)
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -48,6 +48,9 @@
 	// reportTTL is how long a peer's announcement that it serves remains valid: several
 	// announcement intervals and the duration of one announcement.
 	reportTTL = 2 * time.Second
+	// maxPeerWait is how long a daemon that has started waits for the first announcements of its peers before it places
+	// long prompts.
+	maxPeerWait = time.Second
 )
 
 // Caller calls other daemons.
@@ -145,6 +148,10 @@
 	links       map[dogwoodfleet.InstanceID]*link
 	peerReports map[dogwoodfleet.InstanceID]peerReport
 	view        leafView
+	// peersSince is when the first peers were known. heardPeers is true once all of them have announced their work, or
+	// maxPeerWait has passed.
+	peersSince time.Time
+	heardPeers bool
 }
 
 // peerReport is the state that a peer last announced.
@@ -176,13 +183,14 @@
 	for {
 		changed := duty.options.Watch()
 		peers := duty.options.Peers()
+		duty.connect(ctx, group, peers)
+		duty.updateHeardPeers(time.Now())
 		duty.updateVisible(len(peers) + 1)
 		if duty.options.Senders != nil {
 			duty.options.Board.SetSenders(duty.options.Senders())
 		} else {
 			duty.options.Board.SetSenders(dogwoodpacking.Senders{Count: len(peers) + 1})
 		}
-		duty.connect(ctx, group, peers)
 		select {
 		case <-ctx.Done():
 			return group.Wait()
@@ -224,6 +232,27 @@
 	}
 }
 
+// updateHeardPeers makes long prompts wait until the peers that are known after the start have announced their work. A peer
+// is known before its work is: of a long prompt placed in between, an engine may run out of memory. A leaf goes by its view.
+func (duty *Duty) updateHeardPeers(now time.Time) {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	if duty.heardPeers || len(duty.links) == 0 || duty.isLeaf() {
+		return
+	}
+	if duty.peersSince.IsZero() {
+		duty.peersSince = now
+	}
+	missing := 0
+	for instance := range duty.links {
+		if duty.peerReports[instance].sequence == 0 {
+			missing++
+		}
+	}
+	duty.heardPeers = missing == 0 || now.Sub(duty.peersSince) >= maxPeerWait
+	duty.options.Board.AwaitPeers(!duty.heardPeers)
+}
+
 // updateVisible sets the number of daemons whose work the board holds. For a leaf with a
 // fresh view these are all daemons.
 func (duty *Duty) updateVisible(daemons int) {
--- /dev/null
+++ b/core/duty/dogwoodboard/start_test.go
@@ -0,0 +1,74 @@
+package dogwoodboard
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"dogwoodmux.example/core/decision/dogwoodenginetime"
+	"dogwoodmux.example/core/decision/dogwoodpacking"
+	"dogwoodmux.example/core/dogwoodfleet"
+)
+
+// Guards against an engine that runs out of memory under a long prompt: a daemon that has just started knows its peers, but not
+// their work, and places the prompt on an engine that they have filled.
+func TestLongPromptWaitsForTheWorkOfThePeers(t *testing.T) {
+	engine := &dogwoodenginetime.Engine{Slots: 16, MemoryTokens: 300_000, Step: 2 * time.Millisecond, TokensPerSecond: 150_000, Chunk: 2048, Stride: 34}
+	full := Item{Work: dogwoodpacking.Work{ID: "w", Holder: "1", Service: "models", Endpoint: "e", Tokens: 200_000, Prompt: 200_000}, Left: time.Minute}
+	tests := []struct {
+		name string
+		// announced are the peers' announcements before the prompt comes.
+		announced []Batch
+		prompt    int
+		waited    time.Duration
+		want      dogwoodpacking.Refusal
+	}{
+		{"no peer has announced its work", nil, 150_000, 0, dogwoodpacking.Full},
+		{"one of two has", []Batch{{From: "2", Sequence: 1, Whole: true}}, 150_000, 0, dogwoodpacking.Full},
+		{"both have, and the engine is full", []Batch{{From: "2", Sequence: 1, Whole: true}, {From: "1", Sequence: 1, Whole: true, Items: []Item{full}}}, 150_000, 0, dogwoodpacking.Full},
+		{"both have, and the engine is free", []Batch{{From: "2", Sequence: 1, Whole: true}, {From: "1", Sequence: 1, Whole: true}}, 150_000, 0, dogwoodpacking.Placed},
+		{"a short prompt does not wait", nil, dogwoodenginetime.LongPrompt / 2, 0, dogwoodpacking.Placed},
+		{"a peer that never announces anything holds nobody up for long", nil, 150_000, maxPeerWait + expireInterval, dogwoodpacking.Placed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				board := dogwoodpacking.NewBoard("0")
+				board.SetEndpoints([]dogwoodpacking.Endpoint{{
+					Endpoint: dogwoodfleet.Endpoint{ID: "e", Service: "models", Kind: dogwoodfleet.EnginePool, InForce: true}, Slots: engine.Slots, Engine: engine,
+				}})
+				duty := New(Options{
+					Self: "0", Board: board, Caller: &mesh{cut: true, calls: map[netip.AddrPort]int{}}, Serves: func() bool { return true },
+					Peers: func() []Peer {
+						return []Peer{{Instance: "1", Address: addressOf(1)}, {Instance: "2", Address: addressOf(2)}}
+					},
+					Watch: func() <-chan struct{} { return nil }, Expected: func() int { return 3 }, Logger: hclog.NewNullLogger(),
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				var group sync.WaitGroup
+				group.Go(func() { _ = duty.Run(ctx) })
+				synctest.Wait()
+				for _, batch := range test.announced {
+					var reply bool
+					_ = duty.Receiver().Tell(batch, &reply)
+				}
+				time.Sleep(test.waited)
+				now := time.Now()
+				_, got := duty.Place(now, &dogwoodpacking.PlacementRequest{
+					ID: "p", Service: "models", Prompt: test.prompt, Answer: 100, CanWait: true,
+					Aim: time.Minute, Pause: time.Second, Until: now.Add(5 * time.Minute),
+				})
+				if got != test.want {
+					t.Errorf("got %q, want %q", got, test.want)
+				}
+				cancel()
+				group.Wait()
+			})
+		})
+	}
+}
