Let a daemon that becomes a leaf place long prompts again

A daemon that began to wait for its peers' first announcements and became a leaf within a second would have held long prompts for good. Found by reading; the new case of TestLongPromptWaitsForTheWorkOfThePeers failed before.

--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -237,7 +237,11 @@
 func (duty *Duty) updateHeardPeers(now time.Time) {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
-	if duty.heardPeers || len(duty.links) == 0 || duty.isLeaf() {
+	if duty.heardPeers {
+		return
+	}
+	if len(duty.links) == 0 || duty.isLeaf() {
+		duty.options.Board.AwaitPeers(false)
 		return
 	}
 	if duty.peersSince.IsZero() {
--- a/core/duty/dogwoodboard/start_test.go
+++ b/core/duty/dogwoodboard/start_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,14 +27,17 @@
 		announced []Batch
 		prompt    int
 		waited    time.Duration
-		want      dogwoodpacking.Refusal
+		// becomesLeaf makes the daemon a leaf before it waits.
+		becomesLeaf bool
+		want        dogwoodpacking.Refusal
 	}{
-		{"no peer has announced its work", nil, 150_000, 0, dogwoodpacking.Full},
-		{"one of two has", []Batch{{From: "2", Sequence: 1, Whole: true}}, 150_000, 0, dogwoodpacking.Full},
-		{"both have, and the engine is full", []Batch{{From: "2", Sequence: 1, Whole: true}, {From: "1", Sequence: 1, Whole: true, Items: []Item{full}}}, 150_000, 0, dogwoodpacking.Full},
-		{"both have, and the engine is free", []Batch{{From: "2", Sequence: 1, Whole: true}, {From: "1", Sequence: 1, Whole: true}}, 150_000, 0, dogwoodpacking.Placed},
-		{"a short prompt does not wait", nil, dogwoodenginetime.LongPrompt / 2, 0, dogwoodpacking.Placed},
-		{"a peer that never announces anything holds nobody up for long", nil, 150_000, maxPeerWait + expireInterval, dogwoodpacking.Placed},
+		{"no peer has announced its work", nil, 150_000, 0, false, dogwoodpacking.Full},
+		{"one of two has", []Batch{{From: "2", Sequence: 1, Whole: true}}, 150_000, 0, false, dogwoodpacking.Full},
+		{"both have, and the engine is full", []Batch{{From: "2", Sequence: 1, Whole: true}, {From: "1", Sequence: 1, Whole: true, Items: []Item{full}}}, 150_000, 0, false, dogwoodpacking.Full},
+		{"both have, and the engine is free", []Batch{{From: "2", Sequence: 1, Whole: true}, {From: "1", Sequence: 1, Whole: true}}, 150_000, 0, false, dogwoodpacking.Placed},
+		{"a short prompt does not wait", nil, dogwoodenginetime.LongPrompt / 2, 0, false, dogwoodpacking.Placed},
+		{"a peer that never announces anything holds nobody up for long", nil, 150_000, maxPeerWait + expireInterval, false, dogwoodpacking.Placed},
+		{"a daemon that becomes a leaf goes by its view", nil, 150_000, maxPeerWait + expireInterval, true, dogwoodpacking.Placed},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -42,12 +46,13 @@
 				board.SetEndpoints([]dogwoodpacking.Endpoint{{
 					Endpoint: dogwoodfleet.Endpoint{ID: "e", Service: "models", Kind: dogwoodfleet.EnginePool, InForce: true}, Slots: engine.Slots, Engine: engine,
 				}})
+				var isLeaf atomic.Bool
 				duty := New(Options{
 					Self: "0", Board: board, Caller: &mesh{cut: true, calls: map[netip.AddrPort]int{}}, Serves: func() bool { return true },
 					Peers: func() []Peer {
 						return []Peer{{Instance: "1", Address: addressOf(1)}, {Instance: "2", Address: addressOf(2)}}
 					},
-					Watch: func() <-chan struct{} { return nil }, Expected: func() int { return 3 }, Logger: hclog.NewNullLogger(),
+					Watch: func() <-chan struct{} { return nil }, Expected: func() int { return 3 }, IsLeaf: isLeaf.Load, Logger: hclog.NewNullLogger(),
 				})
 				ctx, cancel := context.WithCancel(t.Context())
 				var group sync.WaitGroup
@@ -57,6 +62,7 @@
 					var reply bool
 					_ = duty.Receiver().Tell(batch, &reply)
 				}
+				isLeaf.Store(test.becomesLeaf)
 				time.Sleep(test.waited)
 				now := time.Now()
 				_, got := duty.Place(now, &dogwoodpacking.PlacementRequest{
