Send each request by the newest operators' text

Cause: the front looked a request up in the text when its headers had arrived, and everything after that used what it had found: customer, route, service, rank, time limit and bound for bodies. While the store answers nobody that a daemon knows, that text may be of any age. The relay asked before sending only whether the keys had been confirmed lately. If the store came back while the body arrived, or while the request waited for a place, that confirmation was of a text without the key, and the request went on by the one before. Retries, second runs and requests passed on to another daemon did the same.

Fix: a request is matched with the newest text once its body has arrived, before each try is placed, and is checked against it after the last wait before the sending: if a newer text is in force by then, it is matched and placed anew. A request of which a try runs or may have run can't become another one: it is sent again, or passed on, only if the newest text leads it to the same service as the same customer and the same kind of route. A text counts as confirmed if it was when the request arrived, so that a request accepted while the store was away waits for a confirmation when it is back.

--- a/core/dogwoodfleet/run.go
+++ b/core/dogwoodfleet/run.go
@@ -23,6 +23,7 @@
 	ReasonTooLarge      Reason = "TooLarge"      // the request fits no engine or gang
 	ReasonNoEndpoint    Reason = "NoEndpoint"    // no endpoint of the service is in force
 	ReasonDependency    Reason = "Dependency"    // a service that the requested one depends on is down
+	ReasonText          Reason = "Text"          // the operators' text does not allow the request any more
 	ReasonStore         Reason = "Store"         // the platform's table service is unreachable
 	ReasonEndpointDied  Reason = "EndpointDied"  // the endpoint died or the connection to it broke
 	ReasonEndpointError Reason = "EndpointError" // the endpoint answered with an error
--- a/core/duty/dogwoodrelay/failure.go
+++ b/core/duty/dogwoodrelay/failure.go
@@ -19,8 +19,13 @@
 	// RetryAfter is how long to wait before a retry; 0 for an immediate retry through another daemon.
 	RetryAfter time.Duration
 	Detail     string
+	// Cause is the error of Text for a request that it does not allow; nil for others.
+	Cause error
 }
 
+// Unwrap returns the cause.
+func (failure *Failure) Unwrap() error { return failure.Cause }
+
 // Error returns the reason, the run state and the detail.
 func (failure *Failure) Error() string {
 	return fmt.Sprintf("%s (%s): %s", failure.Reason, failure.Run, failure.Detail)
--- a/core/duty/dogwoodrelay/hedge.go
+++ b/core/duty/dogwoodrelay/hedge.go
@@ -189,7 +189,7 @@
 		hedge.logged = true
 		hedge.attempt.recordSilence(endpoint, time.Since(hedge.due))
 	}
-	if !hedge.attempt.mayHedge() || !hedge.attempt.keysFresh() || !hedge.attempt.takeSecondRetry() {
+	if !hedge.attempt.mayHedge() || !hedge.attempt.isAllowed() || !hedge.attempt.takeSecondRetry() {
 		hedge.reset(silenceRecheck)
 		return
 	}
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -73,6 +73,10 @@
 	Counted bool
 	// LastResort is true if no other daemon can serve the request. It is then sent also while this daemon may be cut off.
 	LastResort bool
+	// Text decides whether the request may be sent, and as what; nil for one that may be sent as it is. Version is that of the text
+	// by which the request has its fields.
+	Text    Text
+	Version int64
 	// Stage is how far the request has come. It is valid once Serve has returned.
 	Stage Stage
 }
--- a/core/duty/dogwoodrelay/secondrun.go
+++ b/core/duty/dogwoodrelay/secondrun.go
@@ -88,14 +88,14 @@
 	if attempt.possibleRuns+2 >= attempt.request.Route.Attempts {
 		return func() {}
 	}
-	options, endpoint := &attempt.relay.options, run.placement.Endpoint.ID
+	options, endpoint, service := &attempt.relay.options, run.placement.Endpoint.ID, attempt.request.Service
 	var timer *time.Timer
 	var stopped atomic.Bool
 	check := func() {
 		now := time.Now()
 		switch {
 		case stopped.Load():
-		case attempt.relay.liveness.seenRecently(now, endpoint), !options.Retries.Allows(now, attempt.request.Service):
+		case attempt.relay.liveness.seenRecently(now, endpoint), !options.Retries.Allows(now, service):
 			timer.Reset(silenceRecheck)
 		default:
 			run.cancel(errSilent)
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -63,6 +63,8 @@
 	stream progress
 	// lateness tracks the delays of a stream.
 	lateness lateness
+	// running is true while a run of it may be in progress.
+	running bool
 	// yielded is true once the request had to wait for engines that more urgent ones need.
 	yielded bool
 }
@@ -113,9 +115,7 @@
 // serveTries sends the request until it has an answer, or no further try is allowed. It returns once the answer has ended at
 // the endpoint, when the caller may not have read it yet.
 func (relay *Relay) serveTries(ctx context.Context, request *Request, buffer *answerBuffer) error {
-	attempt := &attempt{relay: relay, request: request, buffer: buffer, runState: dogwoodfleet.NotRun, subject: dogwoodsuspect.Subject{
-		Request: dogwoodfleet.RequestID(request.ID), Digest: request.Digest, Customer: request.Customer, Parts: request.Parts,
-	}}
+	attempt := &attempt{relay: relay, request: request, buffer: buffer, runState: dogwoodfleet.NotRun, subject: newSubject(request)}
 	attempt.stream.lastEvent = request.LastEventID
 	defer attempt.returnRetry()
 	defer attempt.dropFailure()
@@ -181,6 +181,8 @@
 		return "it was sent to as many endpoints as its route allows"
 	case time.Until(request.Deadline) < minTimeLeft:
 		return "no time is left"
+	case attempt.isFixed() && !request.Allowed():
+		return "the operators' text does not allow it"
 	case tryResult.reached && !attempt.takeRetry():
 		return "the retry budget is used up"
 	}
@@ -250,6 +252,8 @@
 	if preparedTry == nil {
 		return failed
 	}
+	attempt.running = true
+	defer func() { attempt.running = false }()
 	run := newRun(ctx, preparedTry)
 	defer func() { run.close() }()
 	for {
@@ -266,10 +270,14 @@
 }
 
 // prepare gets a permit if the request is a suspect, a placement and the memory that a try needs, and counts the try's retry as
-// sent, as nothing waits from then on. If it can't, it returns nil and the result of the try.
+// sent, as nothing waits from then on. What the text, the endpoints and the suspects say of the request is checked after the waits:
+// if that has changed, they begin anew. If it can't, it returns nil and the result of the try.
 func (attempt *attempt) prepare(ctx context.Context) (*preparedTry, tryResult) {
 	attempt.tries++
 	for {
+		if err := attempt.matchText(ctx); err != nil {
+			return nil, tryResult{err: err}
+		}
 		permit, err := attempt.admit(ctx)
 		if err != nil {
 			return nil, tryResult{err: err}
@@ -279,7 +287,7 @@
 			permit.Return(ctx)
 			return nil, failed
 		}
-		if attempt.relay.options.Suspects.StillAdmitted(permit, &attempt.subject) && attempt.isStillOpen(prepared.placement) {
+		if attempt.relay.options.Suspects.StillAdmitted(permit, &attempt.subject) && attempt.isStillOpen(prepared.placement) && attempt.isAllowed() {
 			if !attempt.retry.Send(time.Now()) {
 				prepared.close(ctx)
 				return nil, tryResult{err: attempt.refuseLateRetry()}
