Place a request again if its endpoint leaves before it is sent

Callers saw nothing that we know of. If the store said meanwhile that the endpoint leaves or is gone, or if its data centre was taken out, the request was sent there all the same.

Cause: the check before the sending knew back-offs and endpoints that had said themselves that they leave, but not those out of force.

Fix: IsOpen also asks whether the endpoint, as the same instance, is in force; the request is placed again if not.

Evidence: TestPlacedRequestIsPlacedAgainIfItsEndpointLeaves failed before, 2 of 2 cases, and passes after. TestBackoffsAreBounded asks for an endpoint that the board didn't know, which now counts as closed whatever its back-off, so the board knows it from now on.

--- a/core/decision/dogwoodpacking/availability.go
+++ b/core/decision/dogwoodpacking/availability.go
@@ -31,10 +31,11 @@
 	return now.Before(state.health.avoidUntil)
 }
 
-// IsOpen reports whether a request may be sent to an endpoint now: it has neither said that it leaves nor asked for a back-off.
+// IsOpen reports whether a request may be sent to an endpoint now: it is in force and has neither said that it leaves nor asked for a
+// back-off.
 func (board *Board) IsOpen(now time.Time, endpoint *dogwoodfleet.Endpoint) bool {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
-	_, leaving := board.leaving[instanceOf(endpoint)]
-	return !leaving && !board.isBackedOff(now, endpoint)
+	state := board.endpoints[endpoint.ID]
+	return state != nil && state.Instance == endpoint.Instance && state.takesRequests() && !board.isBackedOff(now, endpoint)
 }
--- a/core/decision/dogwoodpacking/backoff_test.go
+++ b/core/decision/dogwoodpacking/backoff_test.go
@@ -153,6 +153,7 @@
 		board.Backoff(now, &endpoint.Endpoint, now.Add(time.Duration(number+1)*time.Second))
 	}
 	last := backoffEndpoint(fmt.Sprint(2*maxBackoffs-1), "1")
+	board.SetEndpoints([]Endpoint{last})
 	if got := len(board.backoffs); got > maxBackoffs || board.IsOpen(now, &last.Endpoint) {
 		t.Errorf("got %d back-offs kept, the longest kept %t, want at most %d", got, !board.IsOpen(now, &last.Endpoint), maxBackoffs)
 	}
--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -397,7 +397,8 @@
 	}
 }
 
-// IsOpen reports whether a request may be sent to an endpoint now: it has neither said that it leaves nor asked for a back-off.
+// IsOpen reports whether a request may be sent to an endpoint now: it is in force and has neither said that it leaves nor asked
+// for a back-off.
 func (duty *Duty) IsOpen(now time.Time, endpoint *dogwoodfleet.Endpoint) bool {
 	return duty.options.Board.IsOpen(now, endpoint)
 }
--- a/core/duty/dogwoodrelay/backoff_test.go
+++ b/core/duty/dogwoodrelay/backoff_test.go
@@ -382,3 +382,53 @@
 		}
 	}
 }
+
+// outAfterPlacement takes an endpoint out of force, or away, as soon as a request was placed there for the first time.
+type outAfterPlacement struct {
+	places
+	fixture *fixture
+	gone    bool
+	out     dogwoodfleet.EndpointID
+}
+
+func (places *outAfterPlacement) Place(now time.Time, request *dogwoodpacking.PlacementRequest) (dogwoodpacking.Placement, dogwoodpacking.Refusal) {
+	placement, refusal := places.places.Place(now, request)
+	if refusal != dogwoodpacking.Placed || places.out != "" {
+		return placement, refusal
+	}
+	places.out = placement.Endpoint.ID
+	var endpoints []dogwoodpacking.Endpoint
+	for _, id := range []dogwoodfleet.EndpointID{"a", "b", "c"} {
+		if places.gone && id == places.out {
+			continue
+		}
+		endpoints = append(endpoints, dogwoodpacking.Endpoint{Endpoint: dogwoodfleet.Endpoint{ID: id, Service: "s", InForce: id != places.out}, Slots: 4})
+	}
+	places.fixture.board.SetEndpoints(endpoints)
+	return placement, refusal
+}
+
+// Guards against a request that reaches an endpoint which the store says leaves, or is gone, since the request was placed there.
+func TestPlacedRequestIsPlacedAgainIfItsEndpointLeaves(t *testing.T) {
+	tests := []struct {
+		name string
+		gone bool
+	}{
+		{name: "out of force"},
+		{name: "gone", gone: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runRelayTest(t, nil, []step{responds(http.StatusOK, "x")}, func(t *testing.T, fixture *fixture) {
+				out := &outAfterPlacement{places: places{fixture.board}, fixture: fixture, gone: test.gone}
+				fixture.relay.options.Places, fixture.relay.queue.places = out, out
+				if err := fixture.relay.Serve(t.Context(), plainRequest(dogwoodroute.Idempotent), fixture.answer); err != nil {
+					t.Fatal(err)
+				}
+				if got := fixture.endpoints.sent(); len(got) != 1 || got[0] == out.out {
+					t.Errorf("got sends to %v, want one to another endpoint than %s, which left", got, out.out)
+				}
+			})
+		})
+	}
+}
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -224,7 +224,8 @@
 	Backoff(now time.Time, endpoint *dogwoodfleet.Endpoint, until time.Time)
 	// Leave records that an endpoint has said that it leaves.
 	Leave(now time.Time, endpoint *dogwoodfleet.Endpoint)
-	// IsOpen reports whether a request may be sent to an endpoint now: it has neither said that it leaves nor asked for a back-off.
+	// IsOpen reports whether a request may be sent to an endpoint now: it is in force and has neither said that it leaves nor asked
+	// for a back-off.
 	IsOpen(now time.Time, endpoint *dogwoodfleet.Endpoint) bool
 	// Reopenings returns how a service's endpoints take requests again if all have asked for none; else nil.
 	Reopenings(now time.Time, service dogwoodfleet.Service) []dogwoodwaiting.Reopening
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -308,7 +308,8 @@
 	return attempt.newFailure(dogwoodfleet.ReasonLimit, dogwoodkernel.Jittered(fullRetryAfter), why)
 }
 
-// isStillOpen reports whether no endpoint of a placement has asked for a back-off or said that it leaves since.
+// isStillOpen reports whether all endpoints of a placement are still in force, and none has asked for a back-off or said that it
+// leaves since.
 func (attempt *attempt) isStillOpen(placement dogwoodpacking.Placement) bool {
 	places, now := attempt.relay.options.Places, time.Now()
 	for _, helper := range placement.Helpers {
