Ask the store again while silent daemons are asked

Callers saw nothing that we know of; found by a test. A daemon whose connections all go silent, those to the store and to other daemons, uses its text at any age until a query succeeds. After the store's silence (2.2 s) it asked up to three other daemons, one after the other, for up to 0.8 s each, before it asked the store again: a change took 4.6 s with the store sound on new connections.

Cause: one bound was paid for each connection that was kept.

Fix: after a query to which the store was silent, the store is asked again without a wait for changes while the other daemons are asked. The first answer counts and ends the other query, which is no failure of the daemon that was asked. It costs one call to the store for each such silence.

--- a/core/duty/dogwoodreader/reader.go
+++ b/core/duty/dogwoodreader/reader.go
@@ -29,9 +29,12 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
 
 	"dogwoodmux.example/core/decision/dogwoodfreshness"
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodkernel"
+	"dogwoodmux.example/core/dogwoodprogress"
 	"dogwoodmux.example/core/state/dogwoodcopy"
 )
 
@@ -150,7 +153,9 @@
 	if answer, _, ok := reader.queryPeer(ctx, table, noVersion); ok {
 		return answer, nil
 	}
-	return reader.queryStore(ctx, table, noVersion, func() (dogwoodcopy.Answer, error) { return reader.options.Store.Whole(ctx, table) })
+	return reader.queryStore(ctx, table, noVersion, 0, func(ctx context.Context, _ time.Duration) (dogwoodcopy.Answer, error) {
+		return reader.options.Store.Whole(ctx, table)
+	})
 }
 
 // Changes waits for changes of a table after a version: as fed if this daemon is fed, otherwise
@@ -169,34 +174,83 @@
 	} else if _, age := reader.Position(table); age > staleAfter {
 		wait = min(wait, staleWait)
 	}
-	return reader.queryStore(ctx, table, after, func() (dogwoodcopy.Answer, error) {
+	return reader.queryStore(ctx, table, after, wait, func(ctx context.Context, wait time.Duration) (dogwoodcopy.Answer, error) {
 		return reader.options.Store.Changes(ctx, table, after, wait)
 	})
 }
 
-// queryStore queries the store with a function. While the store fails, it queries the fallbacks: a daemon that
+// storeQuery queries the store for a table and waits up to the given time for a change.
+type storeQuery func(ctx context.Context, wait time.Duration) (dogwoodcopy.Answer, error)
+
+// queryStore queries the store. While the store fails, it queries the fallbacks: a daemon that
 // alone has lost the store would otherwise serve an old text, together with all daemons that it feeds.
-func (reader *Reader) queryStore(ctx context.Context, table string, after int64, query func() (dogwoodcopy.Answer, error)) (dogwoodcopy.Answer, error) {
+func (reader *Reader) queryStore(ctx context.Context, table string, after int64, wait time.Duration, query storeQuery) (dogwoodcopy.Answer, error) {
 	if reader.storeFailedRecently(time.Now()) {
 		if answer, ok := reader.queryFallbacks(ctx, table, after); ok {
 			return answer, nil
 		}
 	}
-	answer, err := query()
-	if err == nil {
-		reader.applyStoreAnswer(table, answer)
-		return answer, nil
-	}
-	if ctx.Err() != nil {
+	answer, err := reader.queryStoreOnce(ctx, table, wait, query)
+	switch {
+	case err == nil, ctx.Err() != nil:
 		return answer, err
+	case errors.Is(err, dogwoodprogress.ErrSilent):
+		return reader.queryAgain(ctx, table, after, query)
 	}
-	reader.recordStoreFailure(time.Now(), table)
 	if told, ok := reader.queryFallbacks(ctx, table, after); ok {
 		return told, nil
 	}
 	return answer, err
 }
 
+// queryStoreOnce queries the store and records whether it has answered.
+func (reader *Reader) queryStoreOnce(ctx context.Context, table string, wait time.Duration, query storeQuery) (dogwoodcopy.Answer, error) {
+	answer, err := query(ctx, wait)
+	switch {
+	case err == nil:
+		reader.applyStoreAnswer(table, answer)
+	case ctx.Err() == nil:
+		reader.recordStoreFailure(time.Now(), table)
+	}
+	return answer, err
+}
+
+// queryAgain queries the fallbacks after a query to which the store was silent, and at the same time the store, as only the
+// connection may have been silent. So may those to the fallbacks, each of which costs its time limit. It returns the first answer.
+func (reader *Reader) queryAgain(ctx context.Context, table string, after int64, query storeQuery) (dogwoodcopy.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var told, answer dogwoodcopy.Answer
+	var isTold bool
+	var err error
+	var group errgroup.Group
+	run := func(query func() bool) {
+		group.Go(func() error {
+			return dogwoodkernel.Recovered(func() error {
+				if query() {
+					cancel()
+				}
+				return nil
+			})
+		})
+	}
+	run(func() bool {
+		told, isTold = reader.queryFallbacks(ctx, table, after)
+		return isTold
+	})
+	run(func() bool {
+		answer, err = reader.queryStoreOnce(ctx, table, 0, query)
+		return err == nil
+	})
+	if panicked := group.Wait(); panicked != nil {
+		return answer, Error.Wrap(panicked)
+	}
+	if err != nil && isTold {
+		return told, nil
+	}
+	return answer, err
+}
+
 func (reader *Reader) storeFailedRecently(now time.Time) bool {
 	reader.mutex.Lock()
 	defer reader.mutex.Unlock()
@@ -225,6 +279,9 @@
 	}
 	fallbacks := reader.options.Fallbacks()
 	for range fallbacks {
+		if ctx.Err() != nil {
+			break
+		}
 		answer, queried, ok := reader.queryFirst(ctx, fallbacks, table, after)
 		if ok || !queried {
 			return answer, ok
@@ -264,7 +321,9 @@
 	}
 	answer, err := reader.query(ctx, peer, table, after)
 	if err != nil {
-		reader.backOff(peer, err)
+		if ctx.Err() == nil {
+			reader.backOff(peer, err)
+		}
 		return answer, true, false
 	}
 	reader.copyOf(table).Apply(answer, false)
