--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -73,6 +73,10 @@
 	Counted bool
 	// LastResort is true if no other daemon can serve the request. It is then sent also while this daemon may be cut off.
 	LastResort bool
+	// Text decides whether the request may be sent, and as what; nil for one that may be sent as it is. Version is that of the text
+	// by which the request has its fields.
+	Text    Text
+	Version int64
 	// Stage is how far the request has come. It is valid once Serve has returned.
 	Stage Stage
 }
@@ -220,7 +224,8 @@
 	Backoff(now time.Time, endpoint *dogwoodfleet.Endpoint, until time.Time)
 	// Leave records that an endpoint has said that it leaves.
 	Leave(now time.Time, endpoint *dogwoodfleet.Endpoint)
-	// IsOpen reports whether a request may be sent to an endpoint now: it has neither said that it leaves nor asked for a back-off.
+	// IsOpen reports whether a request may be sent to an endpoint now: it is in force and has neither said that it leaves nor asked
+	// for a back-off.
 	IsOpen(now time.Time, endpoint *dogwoodfleet.Endpoint) bool
 	// Reopenings returns how a service's endpoints take requests again if all have asked for none; else nil.
 	Reopenings(now time.Time, service dogwoodfleet.Service) []dogwoodwaiting.Reopening
