Start no retry that a shutdown would end

In the last moments before a daemon that shuts down ends its requests, retries and second runs still started whenever an endpoint had a free slot: the rule that a run has to fit before the end applied only to requests that wait. Endpoints worked for nothing, and callers waited for a 502 that was certain, or lost the failure that an endpoint had already sent.

A retry, a second run beside a silent one and a retry that is taken for another daemon now start only if the shortest of the service's latest runs still fits before the end, which is the rule for requests that wait. The rest of an answer that has begun may be shorter than any run, so it is exempt as before. A request of which no run began is refused as at the end of a wait, with the short Retry-After, so that its caller asks another daemon; all others get the outcome of their last try.

--- a/core/duty/dogwoodrelay/drain.go
+++ b/core/duty/dogwoodrelay/drain.go
@@ -43,14 +43,41 @@
 	return drain.end, !drain.end.IsZero()
 }
 
+// latestStart returns until when a run of a service can start and still be answered before the end, and false if there is no end yet.
+func (relay *Relay) latestStart(service dogwoodfleet.Service) (time.Time, bool) {
+	end, drains := relay.drain.endTime()
+	return end.Add(-relay.queue.shortestRun(service)), drains
+}
+
+// mayRun reports whether a run of a service that starts now can still be answered before the end.
+func (relay *Relay) mayRun(service dogwoodfleet.Service) bool {
+	latest, drains := relay.latestStart(service)
+	return !drains || !time.Now().After(latest)
+}
+
 // latestPlacement returns until when the attempt can be placed and still be answered before the end. An answer that has begun
 // waits until the end itself, as the rest of it may be short.
 func (attempt *attempt) latestPlacement() time.Time {
-	end, _ := attempt.relay.drain.endTime()
 	if attempt.stream.begun {
+		end, _ := attempt.relay.drain.endTime()
 		return end
 	}
-	return end.Add(-attempt.relay.queue.shortestRun(attempt.request.Service))
+	latest, _ := attempt.relay.latestStart(attempt.request.Service)
+	return latest
+}
+
+// mayRun reports whether a further run can still be answered before the end. The rest of an answer that has begun may be short.
+func (attempt *attempt) mayRun() bool {
+	return attempt.stream.begun || attempt.relay.mayRun(attempt.request.Service)
+}
+
+// finalError returns the outcome of an attempt after its last try. A request of which no run began, and which has no time for
+// another try, is refused as one that waits, so that its caller asks another daemon at once.
+func (attempt *attempt) finalError(tryResult tryResult) error {
+	if attempt.runState == dogwoodfleet.NotRun && !attempt.mayRun() {
+		return attempt.refuseDrained()
+	}
+	return tryResult.finalError()
 }
 
 // checkDrain returns a failure, and cancels the placement, if the answer would begin after the end. One that has begun goes on
--- a/core/duty/dogwoodrelay/hedge.go
+++ b/core/duty/dogwoodrelay/hedge.go
@@ -95,7 +95,7 @@
 func (attempt *attempt) mayHedge() bool {
 	request := attempt.request
 	return request.Repeatable() && !attempt.stream.unnumbered && attempt.possibleRuns+1 < request.Route.Attempts && attempt.reachedTries+1 < maxTries &&
-		time.Until(request.Deadline) >= minResumeTime
+		time.Until(request.Deadline) >= minResumeTime && attempt.mayRun()
 }
 
 // beginWait begins the wait for the first run's next event.
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -317,8 +317,12 @@
 	return relay.options.Retries.Left(time.Now())
 }
 
-// TakeRetry takes a retry for a request that another daemon is about to send again, and reports whether there was one.
+// TakeRetry takes a retry for a request that another daemon is about to send again, and reports whether there was one. There is none
+// if this daemon shuts down before the request can be answered.
 func (relay *Relay) TakeRetry(request *Request) bool {
+	if !relay.mayRun(request.Service) {
+		return false
+	}
 	retry := relay.options.Retries.Take(time.Now(), request.Service)
 	if retry == nil {
 		return false
--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -134,7 +134,7 @@
 		if why := attempt.checkRetry(tryResult); why != "" {
 			counters.Add("RetriesForbidden", 1)
 			relay.options.Logger.Info(dogwoodlog.NoFurtherTry, "request", request.ID, "why", why, "after", tryResult.reason)
-			return attempt.finish(tryResult.finalError())
+			return attempt.finish(attempt.finalError(tryResult))
 		}
 		counters.Add("Retries", 1)
 		relay.options.Logger.Info(dogwoodlog.TryingAgain, "request", request.ID, "try", attempt.tries+1, "after", tryResult.reason)
@@ -181,6 +181,8 @@
 		return "it was sent to as many endpoints as its route allows"
 	case time.Until(request.Deadline) < minTimeLeft:
 		return "no time is left"
+	case !attempt.mayRun():
+		return "it can't be answered before the daemon shuts down"
 	case tryResult.reached && !attempt.takeRetry():
 		return "the retry budget is used up"
 	}
--- a/core/duty/dogwoodrelay/shutdown_test.go
+++ b/core/duty/dogwoodrelay/shutdown_test.go
@@ -148,3 +148,100 @@
 		})
 	}
 }
+
+// Guards against retries that start in the last moments before a daemon that shuts down ends its requests: their answers are thrown
+// away, and callers wait for them in vain. Retries that still fit must start.
+func TestDrainStartsNoRetryThatCannotEnd(t *testing.T) {
+	const shortest, late, early = 2 * time.Second, 1900 * time.Millisecond, 20 * time.Second
+	idempotent := func() *Request { return plainRequest(dogwoodroute.Idempotent) }
+	once := func() *Request { return plainRequest(dogwoodroute.Once) }
+	broken, unsent := fails(&Broken{Cause: errors.New("reset")}), fails(&NotSent{Cause: errors.New("refused")})
+	answered := responds(http.StatusOK, "answer")
+	tests := []struct {
+		name    string
+		request func() *Request
+		first   step
+		// ends is the time from the arrival until requests are ended; 0 for a daemon that doesn't shut down.
+		ends      time.Duration
+		wantSends int
+		// wantStatus is 0 for a failure with wantReason and wantRun.
+		wantStatus int
+		wantReason dogwoodfleet.Reason
+		wantRun    dogwoodfleet.RunState
+	}{
+		{name: "broke off", request: idempotent, first: broken, ends: late, wantSends: 1, wantReason: dogwoodfleet.ReasonEndpointDied, wantRun: dogwoodfleet.RunUnknown},
+		{name: "did not begin", request: once, first: notRun(503), ends: late, wantSends: 1, wantReason: dogwoodfleet.ReasonShutdown, wantRun: dogwoodfleet.NotRun},
+		{name: "not reached", request: once, first: unsent, ends: late, wantSends: 1, wantReason: dogwoodfleet.ReasonShutdown, wantRun: dogwoodfleet.NotRun},
+		{name: "failed", request: idempotent, first: responds(http.StatusInternalServerError, "failure"), ends: late, wantSends: 1, wantStatus: http.StatusInternalServerError},
+		{name: "silent", request: idempotent, first: fallsSilent("ans"), ends: late, wantSends: 1, wantReason: dogwoodfleet.ReasonShutdown, wantRun: dogwoodfleet.RunUnknown},
+		{name: "silent until late", request: idempotent, first: fallsSilent("ans"), ends: late + 800*time.Millisecond, wantSends: 1, wantReason: dogwoodfleet.ReasonShutdown, wantRun: dogwoodfleet.RunUnknown},
+		{name: "broke off early", request: idempotent, first: broken, ends: early, wantSends: 2, wantStatus: http.StatusOK},
+		{name: "did not begin, early", request: once, first: notRun(503), ends: early, wantSends: 2, wantStatus: http.StatusOK},
+		{name: "silent early", request: idempotent, first: fallsSilent("ans"), ends: early, wantSends: 2, wantStatus: http.StatusOK},
+		{name: "broke off, no shutdown", request: idempotent, first: broken, wantSends: 2, wantStatus: http.StatusOK},
+		{name: "the rest of a stream", request: streamRequest, first: breaksOff(firstEvents), ends: late, wantSends: 2, wantStatus: http.StatusOK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			second := answered
+			if test.request().isStreamed() {
+				second = responds(http.StatusOK, lastEvents)
+			}
+			runRelayTest(t, nil, []step{test.first, second}, func(t *testing.T, fixture *fixture) {
+				t.Helper()
+				ctx, end := context.WithCancelCause(t.Context())
+				defer end(nil)
+				fixture.relay.queue.recordRun("s", shortest)
+				if test.ends > 0 {
+					fixture.relay.Drain(time.Now().Add(test.ends))
+					defer time.AfterFunc(test.ends, func() { end(ErrShutdown) }).Stop()
+				}
+				err := fixture.relay.Serve(ctx, test.request(), fixture.answer)
+				if got := len(fixture.endpoints.sent()); got != test.wantSends {
+					t.Errorf("got %d sends, want %d", got, test.wantSends)
+				}
+				if got := fixture.answer.status; got != test.wantStatus {
+					t.Errorf("got status %d (%v), want %d", got, err, test.wantStatus)
+				}
+				if test.wantStatus != 0 {
+					return
+				}
+				failure := failureOf(t, err)
+				if failure.Reason != test.wantReason || failure.Run != test.wantRun {
+					t.Errorf("got %v, want a failure for %s with run state %s", err, test.wantReason, test.wantRun)
+				}
+				if failure.Run == dogwoodfleet.NotRun && failure.RetryAfter != leavingRetryAfter {
+					t.Errorf("got a wait of %s, want %s", failure.RetryAfter, leavingRetryAfter)
+				}
+			})
+		})
+	}
+}
+
+// Guards against requests that are forwarded to other daemons again in the last moments before a daemon that shuts down ends them.
+func TestDrainTakesNoRetryForOtherDaemonsThatCannotEnd(t *testing.T) {
+	const shortest = 2 * time.Second
+	tests := []struct {
+		name string
+		left time.Duration // 0 for a daemon that doesn't shut down
+		want bool
+	}{
+		{"no shutdown", 0, true},
+		{"as much time as the shortest run took", shortest, true},
+		{"less", shortest - time.Millisecond, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runRelayTest(t, nil, []step{responds(http.StatusOK, "answer")}, func(t *testing.T, fixture *fixture) {
+				t.Helper()
+				fixture.relay.queue.recordRun("s", shortest)
+				if test.left > 0 {
+					fixture.relay.Drain(time.Now().Add(test.left))
+				}
+				if got := fixture.relay.TakeRetry(plainRequest(dogwoodroute.Idempotent)); got != test.want {
+					t.Errorf("got a retry: %t, want %t", got, test.want)
+				}
+			})
+		})
+	}
+}
