--- a/core/duty/dogwoodrelay/serve.go
+++ b/core/duty/dogwoodrelay/serve.go
@@ -134,7 +134,7 @@
 		if why := attempt.checkRetry(tryResult); why != "" {
 			counters.Add("RetriesForbidden", 1)
 			relay.options.Logger.Info(dogwoodlog.NoFurtherTry, "request", request.ID, "why", why, "after", tryResult.reason)
-			return attempt.finish(tryResult.finalError())
+			return attempt.finish(attempt.finalError(tryResult))
 		}
 		counters.Add("Retries", 1)
 		relay.options.Logger.Info(dogwoodlog.TryingAgain, "request", request.ID, "try", attempt.tries+1, "after", tryResult.reason)
@@ -183,6 +183,8 @@
 		return "no time is left"
 	case attempt.isFixed() && !request.Allowed():
 		return "the operators' text does not allow it"
+	case !attempt.mayRun():
+		return "it can't be answered before the daemon shuts down"
 	case tryResult.reached && !attempt.takeRetry():
 		return "the retry budget is used up"
 	}
