Pass on the targets of calls to plain services unchanged

Callers of dogwoodmuxd's plain services reached an endpoint with another path or query than they had sent, although docs/CALLERS.md says that the path is passed on: /%41! arrived as /A%21, /a? as /a, /a?b#c as /a?b, and a#b as a%23b.

The cause: the edge encoded the decoded path again, and the client of plain services parsed the result as a URL with a fragment. The edge now takes the target as net/url keeps it, and the client gives it to net/http as url.URL.Opaque, which is written as it is. A path with characters that a URL must encode, for which net/url keeps no bytes, gets a 400: endpoints read such a path in different ways, so that the rule for repeatable calls could be that of another path.

--- a/core/edge/dogwoodcaller/caller.go
+++ b/core/edge/dogwoodcaller/caller.go
@@ -119,7 +119,7 @@
 // ServeHTTP serves one request. It rejects unclean paths, because the mux would answer them
 // with a redirect, which a caller may follow with another method.
 func (edge *Edge) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	if !isCleanPath(request.URL) {
+	if !isCleanPath(request) {
 		edge.handle(rejectUncleanPath).ServeHTTP(writer, request)
 		return
 	}
--- a/core/edge/dogwoodcaller/request.go
+++ b/core/edge/dogwoodcaller/request.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"path"
 	"slices"
 	"strings"
@@ -20,20 +19,23 @@
 	return &dogwooddispatch.Failure{Reason: dogwoodfleet.ReasonBadRequest, Run: dogwoodfleet.NotRun, Detail: detail}
 }
 
-// isCleanPath reports whether the path has no empty, dotted or encoded segments. An endpoint
-// may interpret such a path differently, so that the rule for repeatable calls could be
+// isCleanPath reports whether the path has no empty, dotted or encoded segments, and no characters that a URL must encode. An
+// endpoint may interpret such a path differently, so that the rule for repeatable calls could be
 // chosen for a path other than the one that the endpoint serves.
-func isCleanPath(address *url.URL) bool {
+func isCleanPath(request *http.Request) bool {
+	address := request.URL
 	cleaned := path.Clean("/" + address.Path)
 	if strings.HasSuffix(address.Path, "/") && cleaned != "/" {
 		cleaned += "/"
 	}
-	encoded := strings.ToLower(address.EscapedPath())
-	return cleaned == address.Path && !strings.Contains(encoded, "%2f") && !strings.Contains(encoded, "%2e")
+	sent, _, _ := strings.Cut(request.RequestURI, "?")
+	encoded := address.EscapedPath()
+	lower := strings.ToLower(encoded)
+	return cleaned == address.Path && strings.HasSuffix(sent, encoded) && !strings.Contains(lower, "%2f") && !strings.Contains(lower, "%2e")
 }
 
 func rejectUncleanPath(*exchange) error {
-	return badRequest("the path has empty, dotted or encoded segments")
+	return badRequest("the path has empty, dotted or encoded segments, or characters that a URL must encode")
 }
 
 func rejectUnknownPath(exchange *exchange) error {
--- a/core/edge/dogwoodcaller/service.go
+++ b/core/edge/dogwoodcaller/service.go
@@ -31,7 +31,7 @@
 		return err
 	}
 	path := strings.TrimPrefix(exchange.request.URL.Path, PathServices+string(name))
-	call.Target = endpointTarget(exchange.request.URL, path)
+	call.Target = endpointTarget(exchange.request.URL)
 	call.Header = forwardedHeader(exchange.request.Header)
 	call.Request.Repeatable = repeatable(service, call.Method, path)
 	call.Request.Digest = digest(call.Request.Customer, body, string(name), call.Method, call.Target)
@@ -45,13 +45,10 @@
 	return nil
 }
 
-// endpointTarget returns the path and query of the request to the endpoint.
-func endpointTarget(address *url.URL, path string) string {
-	target := (&url.URL{Path: path}).EscapedPath()
-	if address.RawQuery != "" {
-		target += "?" + address.RawQuery
-	}
-	return target
+// endpointTarget returns the path and query of the request to the endpoint: what follows the service's name in a clean path.
+func endpointTarget(address *url.URL) string {
+	const servicePath = 3 // slashes up to the one after the name
+	return "/" + strings.SplitN(address.RequestURI(), "/", servicePath+1)[servicePath]
 }
 
 // forwardedHeader returns the headers that the endpoint receives: without those of this
--- a/core/edge/dogwoodservice/service.go
+++ b/core/edge/dogwoodservice/service.go
@@ -69,7 +69,7 @@
 type Request struct {
 	ID     dogwoodfleet.RequestID
 	Method string
-	// Target is the path and query, as the caller wrote them.
+	// Target is the path and query, as the caller wrote them. The path does not begin with two slashes.
 	Target string
 	Header http.Header
 	Body   []byte
@@ -117,10 +117,11 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	request, err := http.NewRequestWithContext(traced, call.Method, "http://"+endpoint.Address.String()+call.Target, bytes.NewReader(call.Body))
+	request, err := http.NewRequestWithContext(traced, call.Method, "http://"+endpoint.Address.String(), bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, Error.Wrap(&NotSentError{Endpoint: endpoint.ID, Err: err})
 	}
+	request.URL.Opaque = call.Target // net/http writes it as it is
 	request.Header = EndToEndHeader(call.Header)
 	request.Header.Set(HeaderRequestID, string(call.ID))
 	if _, given := request.Header["User-Agent"]; !given {
