Leave OPTIONS * to the handler of the callers' edge

Callers of dogwoodmuxd that sent OPTIONS * got a 200 without a key and although nothing had run, since net/http answers it before it calls the server's handler. Its general handler is now off, and the edge answers 400 as to any path that it does not know.

Evidence: the row OPTIONS * of TestServiceGetsTheTargetUnchanged failed before (1 of 1) and passes after.

--- a/core/edge/dogwoodcaller/caller.go
+++ b/core/edge/dogwoodcaller/caller.go
@@ -135,5 +135,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          edge.options.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		// net/http would answer OPTIONS * with a success of its own.
+		DisableGeneralOptionsHandler: true,
 	}
 }
--- a/core/edge/dogwoodcaller/target_test.go
+++ b/core/edge/dogwoodcaller/target_test.go
@@ -129,6 +129,7 @@
 		{"POST /services/desk/%2f", ""},
 		{"POST /services/desk/%zz", ""},
 		{"POST *", ""},
+		{"OPTIONS *", ""},
 	}
 	endpoint := &lineEndpoint{Listener: listen(t)}
 	fake := &sendingDispatcher{endpoint: dogwoodfleet.Endpoint{ID: "e", Address: netip.MustParseAddrPort(endpoint.Addr().String())}}
