Follow a changed retry budget at once

What callers saw: after SIGHUP with a lower retry_budget_ratio, repeats went on by the old one.

Cause: the budget got its ratio and window as numbers when the relay started. SIGHUP replaces the bounds of the daemon, of which only the allowance was read again, with up to 250 ms of delay.

The budget now asks for its terms (ratio, allowance, window) with each call and applies a change before it decides. A slot of the ledger keeps the least ratio that was in force since it began: a lower one cuts what was earned and not spent, a higher one is earned by first tries from then on only. The share is determined anew with the terms. With another window the ledgers begin anew as in a started process, with nothing at hand, so that a window which holds the change gets no second allowance; retries that wait stay counted, and one that was sent before is not counted out of the new slots.

Tests changed: constructors of budgets take functions; checkRepeats counts as before, by terms that are given. No bound was changed.

--- a/core/decision/dogwoodretry/fleet_test.go
+++ b/core/decision/dogwoodretry/fleet_test.go
@@ -111,7 +111,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				fleet := &fleet{}
 				for range daemons {
-					fleet.daemons = append(fleet.daemons, NewSharedBudget(time.Now(), ratio, testWindow, func() float64 { return allowance / daemons }))
+					fleet.daemons = append(fleet.daemons, NewSharedBudget(time.Now(), constant(ratio, float64(allowance)/daemons, testWindow), wholeShare))
 				}
 				fleet.load(test.load, test.wait)
 				time.Sleep(healthy)
--- a/core/decision/dogwoodretry/ledger.go
+++ b/core/decision/dogwoodretry/ledger.go
@@ -27,14 +27,31 @@
 type slot struct {
 	// first is the number of first tries, sent that of the retries sent.
 	first, sent int
+	// ratio is the number of retries that each of the first tries earns: the least that was in force since the slot began.
+	ratio float64
 	// peak is the most that was spent from any moment of the slot until its end, less what first tries earned from then on. It is
 	// what counts for a window that begins in the slot.
 	peak float64
 }
 
 // net returns what first tries earned for the windows that hold them, less what was spent.
-func (slot *slot) net(ratio float64) float64 {
-	return (1-laterPart)*ratio*float64(slot.first) - float64(slot.sent)
+func (slot *slot) net() float64 {
+	return (1-laterPart)*slot.ratio*float64(slot.first) - float64(slot.sent)
+}
+
+// later returns what first tries earned for the windows that begin half a window later.
+func (slot *slot) later() float64 {
+	return laterPart * slot.ratio * float64(slot.first)
+}
+
+// lowerRatio cuts what first tries earned to a lower ratio. The order of the slot's events is not known any more: each of its first
+// tries may have come after the retries.
+func (slot *slot) lowerRatio(ratio float64) {
+	if ratio >= slot.ratio {
+		return
+	}
+	lost := (1 - laterPart) * (slot.ratio - ratio) * float64(slot.first)
+	slot.peak, slot.ratio = min(slot.peak+lost, float64(slot.sent)), ratio
 }
 
 // ledger counts the first tries and the retries of one service by slots of time, and what is taken and not sent yet. Its zero
@@ -58,8 +75,25 @@
 	pending int
 }
 
-func newLedger(now time.Time, window time.Duration) ledger {
-	return ledger{length: max((window+slotsPerWindow-1)/slotsPerWindow, minSlot), epoch: now}
+func newLedger(now time.Time, terms Terms) ledger {
+	ledger := ledger{length: max((terms.Window+slotsPerWindow-1)/slotsPerWindow, minSlot), epoch: now}
+	ledger.at(0).ratio = terms.Ratio
+	return ledger
+}
+
+// restart begins the ledger anew, with nothing to spend, since its slots have another length from now on. Only the retries that are
+// pending stay counted.
+func (ledger *ledger) restart(now time.Time, terms Terms) {
+	pending := ledger.pending
+	*ledger = newLedger(now, terms)
+	ledger.pending = pending
+}
+
+// lowerRatio cuts what first tries earned to a lower ratio.
+func (ledger *ledger) lowerRatio(ratio float64) {
+	for number := range ledger.ring {
+		ledger.ring[number].lowerRatio(ratio)
+	}
 }
 
 // at returns a slot. Those before the first one are empty.
@@ -85,53 +119,48 @@
 	for range slots {
 		oldest := ledger.newest - slotsPerWindow
 		if oldest >= 0 {
-			credit := ledger.at(oldest).net(limits.ratio) + limits.later(ledger.at(oldest-halfSlots-1).first) + limits.perSlot
+			credit := ledger.at(oldest).net() + ledger.at(oldest-halfSlots-1).later() + limits.perSlot
 			ledger.carried = max(min(ledger.carried, limits.burst)+credit, 0)
 		}
 		ledger.newest++
-		*ledger.at(ledger.newest) = slot{}
+		*ledger.at(ledger.newest) = slot{ratio: limits.ratio}
 	}
 	ledger.carried = min(ledger.carried, limits.burst)
 }
 
-// later returns what first tries earn for the windows that begin half a window later.
-func (limits *limits) later(first int) float64 {
-	return laterPart * limits.ratio * float64(first)
-}
-
 // left returns how much may be sent now, with retries that are pending not counted. It may be negative after the
 // share has shrunk.
 func (ledger *ledger) left(limits *limits) float64 {
-	// windowFirst is the number of first tries of the slots that lie within the window that begins half a window
-	// earlier than one that begins in slot begin. The slot that holds the present is left out until it ends, so
+	// windowLater is what first tries earned for windows that begin in slot begin: those of the slots that lie within the window
+	// that begins half a window earlier. The slot that holds the present is left out until it ends, so
 	// that what may be sent at once is no more than the burst and what was earned before.
-	windowFirst := 0
+	windowLater := 0.0
 	for number := ledger.newest - halfSlots + 1; number < ledger.newest; number++ {
-		windowFirst += ledger.at(number).first
+		windowLater += ledger.at(number).later()
 	}
 	// since is the balance of the slots after begin.
 	since, least := 0.0, 0.0
 	for begin := ledger.newest; begin >= ledger.newest-slotsPerWindow; begin-- {
 		slot := ledger.at(begin)
-		left := limits.burst - slot.peak + since + limits.later(windowFirst)
+		left := limits.burst - slot.peak + since + windowLater
 		if begin == ledger.newest || left < least {
 			least = left
 		}
-		since += slot.net(limits.ratio)
+		since += slot.net()
 		if begin >= 0 && begin < ledger.newest {
 			since += limits.perSlot
 		}
-		windowFirst += ledger.at(begin - halfSlots).first
+		windowLater += ledger.at(begin - halfSlots).later()
 		if last := begin + halfSlots - 1; last < ledger.newest {
-			windowFirst -= ledger.at(last).first
+			windowLater -= ledger.at(last).later()
 		}
 	}
 	// Windows that began earlier. What their first tries earn for later windows counts half a window after them.
-	earlier := 0
+	earlier := 0.0
 	for number := ledger.newest - slotsPerWindow - halfSlots - 1; number < ledger.newest-halfSlots; number++ {
-		earlier += ledger.at(number).first
+		earlier += ledger.at(number).later()
 	}
-	return min(least, ledger.carried+since+limits.later(earlier))
+	return min(least, ledger.carried+since+earlier)
 }
 
 // available returns how much can be taken now.
@@ -140,10 +169,10 @@
 }
 
 // earn counts a first try.
-func (ledger *ledger) earn(limits *limits) {
+func (ledger *ledger) earn() {
 	slot := ledger.at(ledger.newest)
 	slot.first++
-	slot.peak = max(slot.peak-(1-laterPart)*limits.ratio, 0)
+	slot.peak = max(slot.peak-(1-laterPart)*slot.ratio, 0)
 }
 
 // send counts a pending retry as sent and returns the slot in which it is.
@@ -155,9 +184,12 @@
 	return ledger.newest
 }
 
-// unsend makes a retry pending again that was sent in a slot.
-func (ledger *ledger) unsend(number int) {
+// unsend makes a retry pending again that was sent in a slot of the ledger that began at an epoch.
+func (ledger *ledger) unsend(epoch time.Time, number int) {
 	ledger.pending++
+	if !epoch.Equal(ledger.epoch) {
+		return // the ledger has begun anew and counts it no more
+	}
 	if number < ledger.newest-slotsPerWindow {
 		return // it stays counted for the windows that hold the slot, none of which holds the present
 	}
--- a/core/decision/dogwoodretry/sharedbudget.go
+++ b/core/decision/dogwoodretry/sharedbudget.go
@@ -22,8 +22,15 @@
 	whole = 1 - 1e-9
 )
 
-// SharedBudget is one daemon's part of a retry budget that covers all daemons of a fleet: in any window a service may get
-// Ratio retries for each first try, and an allowance in addition.
+// Terms are what a retry budget that covers all daemons of a fleet grants to a service: in any Window, Ratio retries for each
+// first try, and Allowance retries in addition.
+type Terms struct {
+	Ratio, Allowance float64
+	// Window is taken for MinWindow if it is shorter.
+	Window time.Duration
+}
+
+// SharedBudget is one daemon's part of a retry budget that covers all daemons of a fleet.
 //
 // The daemon keeps a ledger for each service. A process sends in any window at most its share of the allowance and the retries that
 // its own first tries have earned, those of that window by one part and those of the window that began half a window earlier by the
@@ -31,12 +38,15 @@
 // Since a process begins with nothing, this holds for the processes of a VM together
 // whenever they end and start: what a process had spent needs to be known to none after it. The budget is kept as long as
 // the shares of the processes that run at the same time add up to no more than the allowance.
+//
+// The terms may change. A lower ratio or allowance also cuts what was earned and is not spent, a higher ratio is earned by first tries
+// from then on, and with another window the process begins with nothing again.
 type SharedBudget struct {
-	ratio    float64
-	window   time.Duration
-	getShare func() float64
+	getTerms func() Terms
+	getShare func(allowance float64) float64
 
 	mutex sync.Mutex
+	terms Terms
 	// share is the daemon's share of the allowance, as determined at sharedAt.
 	share    float64
 	sharedAt time.Time
@@ -45,19 +55,21 @@
 	idle ledger
 }
 
-// NewSharedBudget returns the budget of a process that starts now. Share returns this daemon's share of the allowance, in
-// retries per window. A window shorter than MinWindow is taken for that.
-func NewSharedBudget(now time.Time, ratio float64, window time.Duration, share func() float64) *SharedBudget {
-	window = max(window, MinWindow)
-	return &SharedBudget{ratio: ratio, window: window, getShare: share, ledgers: map[dogwoodfleet.Service]*ledger{}, idle: newLedger(now, window)}
+// NewSharedBudget returns the budget of a process that starts now. Terms returns the present terms, which are in force from the
+// next call on, and share this daemon's share of an allowance, in retries per window.
+func NewSharedBudget(now time.Time, terms func() Terms, share func(allowance float64) float64) *SharedBudget {
+	shared := &SharedBudget{getTerms: terms, getShare: share, ledgers: map[dogwoodfleet.Service]*ledger{}}
+	shared.terms = shared.presentTerms()
+	shared.idle = newLedger(now, shared.terms)
+	return shared
 }
 
 // First records the first try of a request.
 func (shared *SharedBudget) First(now time.Time, service dogwoodfleet.Service) {
 	shared.mutex.Lock()
 	defer shared.mutex.Unlock()
-	ledger, limits := shared.ledger(now, service)
-	ledger.earn(&limits)
+	ledger, _ := shared.ledger(now, service)
+	ledger.earn()
 }
 
 // Take takes one retry from this daemon's part, or returns nil if that is used up.
@@ -110,11 +122,35 @@
 // limits returns the present limits. With a share of at least one retry it must be possible to make one. The burst and what time adds
 // in a window are together no more than the share.
 func (shared *SharedBudget) limits(now time.Time) limits {
+	shared.follow(now)
 	if now.Sub(shared.sharedAt) >= shareInterval {
-		shared.share, shared.sharedAt = shared.getShare(), now
+		shared.share, shared.sharedAt = shared.getShare(shared.terms.Allowance), now
 	}
 	burst := max(burstPart*shared.share, min(shared.share, 1))
-	return limits{ratio: shared.ratio, burst: burst, perSlot: min(refillPart*shared.share, shared.share-burst) / slotsPerWindow}
+	return limits{ratio: shared.terms.Ratio, burst: burst, perSlot: min(refillPart*shared.share, shared.share-burst) / slotsPerWindow}
+}
+
+// follow applies the terms if they have changed.
+func (shared *SharedBudget) follow(now time.Time) {
+	before, terms := shared.terms, shared.presentTerms()
+	if terms == before {
+		return
+	}
+	shared.terms, shared.sharedAt = terms, time.Time{}
+	change := func(ledger *ledger) { ledger.lowerRatio(terms.Ratio) }
+	if terms.Window != before.Window {
+		change = func(ledger *ledger) { ledger.restart(now, terms) }
+	}
+	change(&shared.idle)
+	for _, ledger := range shared.ledgers {
+		change(ledger)
+	}
+}
+
+func (shared *SharedBudget) presentTerms() Terms {
+	terms := shared.getTerms()
+	terms.Window = max(terms.Window, MinWindow)
+	return terms
 }
 
 // retryState is what has become of a retry that was taken.
@@ -132,8 +168,9 @@
 	budget *SharedBudget
 	ledger *ledger
 	state  retryState
-	// sentIn is the slot in which it was sent.
+	// sentIn is the slot in which it was sent, of a ledger that began at epoch.
 	sentIn int
+	epoch  time.Time
 }
 
 // Send records that the retry is being sent. It returns false if that would exceed the budget by now, because what was earned
@@ -152,7 +189,7 @@
 	if retry.ledger.left(&limits) < whole {
 		return false
 	}
-	retry.state, retry.sentIn = retrySent, retry.ledger.send()
+	retry.state, retry.sentIn, retry.epoch = retrySent, retry.ledger.send(), retry.ledger.epoch
 	return true
 }
 
@@ -164,7 +201,7 @@
 	retry.budget.mutex.Lock()
 	defer retry.budget.mutex.Unlock()
 	retry.state = retryPending
-	retry.ledger.unsend(retry.sentIn)
+	retry.ledger.unsend(retry.epoch, retry.sentIn)
 }
 
 // Return gives the retry back if it was not sent.
--- a/core/decision/dogwoodretry/sharedbudget_test.go
+++ b/core/decision/dogwoodretry/sharedbudget_test.go
@@ -16,9 +16,17 @@
 // at once.
 const maxTakes = 200
 
+// constant returns a function that always returns the same terms.
+func constant(ratio, allowance float64, window time.Duration) func() Terms {
+	return func() Terms { return Terms{Ratio: ratio, Allowance: allowance, Window: window} }
+}
+
+// wholeShare gives a daemon the whole allowance.
+func wholeShare(allowance float64) float64 { return allowance }
+
 // newOldBudget returns the budget of a process that has run for long, with a constant share.
 func newOldBudget(now time.Time, ratio, share float64) *SharedBudget {
-	return NewSharedBudget(now.Add(-time.Hour), ratio, testWindow, func() float64 { return share })
+	return NewSharedBudget(now.Add(-time.Hour), constant(ratio, share, testWindow), wholeShare)
 }
 
 // takeAll takes and sends all retries that the budget allows, and returns their number.
@@ -124,7 +132,7 @@
 
 // kill ends a process and starts another one in its place.
 func (processes *processes) kill(now time.Time, process int) {
-	processes.budgets[process] = NewSharedBudget(now, processes.ratio, testWindow, func() float64 { return processes.share })
+	processes.budgets[process] = NewSharedBudget(now, constant(processes.ratio, processes.share, testWindow), wholeShare)
 	processes.frozenUntil[process] = time.Time{}
 	var held []heldRetry
 	for _, retry := range processes.held {
@@ -286,7 +294,7 @@
 	if got, want := takeAll(spent, now.Add(testWindow+time.Second), "s"), int(share*(burstPart+1.1*refillPart))-int(share*burstPart); got != want {
 		t.Errorf("got %d retries of an idle daemon more than a window after it had used its share, want %d, since it returns slowly", got, want)
 	}
-	started := NewSharedBudget(now, 0.2, testWindow, func() float64 { return share })
+	started := NewSharedBudget(now, constant(0.2, share, testWindow), wholeShare)
 	if got := takeAll(started, now, "s"); got != 0 {
 		t.Errorf("got %d retries of a daemon that has just started, want none", got)
 	}
@@ -478,7 +486,7 @@
 func TestWindowsThatCannotBeDivided(t *testing.T) {
 	for _, window := range []time.Duration{-time.Second, 0, 1, slotsPerWindow - 1, slotsPerWindow + 1, MinWindow - 1, MinWindow} {
 		now := time.Now()
-		shared := NewSharedBudget(now.Add(-time.Hour), 0.2, window, func() float64 { return 12 })
+		shared := NewSharedBudget(now.Add(-time.Hour), constant(0.2, 12, window), wholeShare)
 		shared.First(now, "s")
 		got := 0
 		for range 20 {
--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -212,8 +212,12 @@
 
 // newRetryBudget returns the budget of a daemon that has run for long, with a ratio and a share of the allowance.
 func newRetryBudget(ratio, share float64) *dogwoodretry.SharedBudget {
-	const window = time.Minute
-	return dogwoodretry.NewSharedBudget(time.Now().Add(-time.Hour), ratio, window, func() float64 { return share })
+	return newRetryBudgetOf(dogwoodretry.Terms{Ratio: ratio, Allowance: share, Window: time.Minute})
+}
+
+// newRetryBudgetOf returns the budget of the only daemon of a fleet, which has run for long.
+func newRetryBudgetOf(terms dogwoodretry.Terms) *dogwoodretry.SharedBudget {
+	return dogwoodretry.NewSharedBudget(time.Now().Add(-time.Hour), func() dogwoodretry.Terms { return terms }, func(allowance float64) float64 { return allowance })
 }
 
 // frozenCaller makes calls that get no answer.
--- a/core/duty/dogwoodrelay/retry_test.go
+++ b/core/duty/dogwoodrelay/retry_test.go
@@ -61,7 +61,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			var script [2]step
 			runRelayTest(t, testEngine, script[:], func(t *testing.T, fixture *fixture) {
-				fixture.relay.options.Retries = dogwoodretry.NewSharedBudget(time.Now().Add(-time.Hour), ratio, window, func() float64 { return 0 })
+				fixture.relay.options.Retries = newRetryBudgetOf(dogwoodretry.Terms{Ratio: ratio, Window: window})
 				fixture.endpoints.script[0] = delayed(50*time.Millisecond, func(context.Context) (*Response, error) {
 					fixture.takeSlots(t, test.slots)
 					time.AfterFunc(2*window, func() {
