Follow a changed bound for reserved memory

What callers and engines saw: after a lower idle_max_ms in the settings, memory of engines could stay reserved and unused for the time before, until the daemon was started again.

Cause: the bound was read once, when the relay started. It is read with each run now, and again each quarter of a second while a run's memory is not used yet, so that runs which were sent before the change keep to it too.

--- a/core/duty/dogwoodrelay/enginepause_test.go
+++ b/core/duty/dogwoodrelay/enginepause_test.go
@@ -154,7 +154,7 @@
 						prefill: test.prefill, events: test.events,
 					}
 					fixture.relay.options.Endpoints = engines
-					fixture.relay.options.UnusedMemoryTimeout = 9 * time.Second
+					fixture.relay.options.UnusedMemoryTimeout = always(9 * time.Second)
 					request := test.request()
 					request.Prompt, request.Route.Aim, request.Route.Attempts = 150_000, 10*time.Second, 3
 					request.Deadline = time.Now().Add(40 * time.Second)
--- a/core/duty/dogwoodrelay/fakes_test.go
+++ b/core/duty/dogwoodrelay/fakes_test.go
@@ -210,6 +210,11 @@
 	return fixture
 }
 
+// always returns a function that returns the same duration each time.
+func always(duration time.Duration) func() time.Duration {
+	return func() time.Duration { return duration }
+}
+
 // newRetryBudget returns the budget of a daemon that has run for long, with a ratio and a share of the allowance.
 func newRetryBudget(ratio, share float64) *dogwoodretry.SharedBudget {
 	return newRetryBudgetOf(dogwoodretry.Terms{Ratio: ratio, Allowance: share, Window: time.Minute})
--- a/core/duty/dogwoodrelay/random_test.go
+++ b/core/duty/dogwoodrelay/random_test.go
@@ -257,7 +257,7 @@
 		endpoints := &randomEndpoints{fakeEndpoints: fixture.endpoints, seed: seed}
 		randomCase := newRandomCase(rand.New(rand.NewPCG(seed, 0)))
 		options := &fixture.relay.options
-		options.Endpoints, options.UnusedMemoryTimeout = endpoints, randomCase.maxUnused
+		options.Endpoints, options.UnusedMemoryTimeout = endpoints, always(randomCase.maxUnused)
 		options.Retries = newRetryBudget(0, randomCase.allowance)
 		fixture.setEndpoints(6, testEngine)
 		fixture.takeSlots(t, randomCase.takenSlots)
--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -276,8 +276,8 @@
 	// MayBePause reports whether the endpoints may only pause while CutOff is true; nil for never.
 	MayBePause func() bool
 	Place      dogwoodfleet.Place
-	// UnusedMemoryTimeout is how long reserved memory may stay unused; 0 for no limit.
-	UnusedMemoryTimeout time.Duration
+	// UnusedMemoryTimeout returns how long reserved memory may stay unused, 0 for no limit; nil for always 0.
+	UnusedMemoryTimeout func() time.Duration
 	// Metrics records latencies; nil for none.
 	Metrics Metrics
 	// Logger receives one line for each decision.
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -355,18 +355,23 @@
 // limitUnusedMemory ends the run if its helpers' reserved memory stays unused for too long.
 func (run *run) limitUnusedMemory(ctx context.Context) {
 	limit := run.attempt.relay.options.UnusedMemoryTimeout
-	if limit <= 0 || !reservesMemory(run.placement) {
+	if limit == nil || limit() <= 0 || !reservesMemory(run.placement) {
 		return
 	}
 	run.unusedTimer = time.AfterFunc(unarmed, func() {
 		run.attempt.relay.runTask("unused memory", run.attempt.request.ID, func() { run.checkMemoryUse(ctx) })
 	})
-	run.unusedTimer.Reset(time.Until(run.unusedMemoryEnd()) - maxEnginePause) // armed only now because the function uses the timer
+	run.unusedTimer.Reset(min(run.memoryCheckWait(), silenceRecheck)) // armed only now because the function uses the timer
 }
 
 // unusedMemoryEnd returns the last time at which helpers are asked before their memory has been unused for too long.
 func (run *run) unusedMemoryEnd() time.Time {
-	return run.reservation.reserved.Add(run.attempt.relay.options.UnusedMemoryTimeout - releaseTimeout - checkTimeout)
+	return run.reservation.reserved.Add(run.attempt.relay.options.UnusedMemoryTimeout() - releaseTimeout - checkTimeout)
+}
+
+// memoryCheckWait returns the time until helpers are asked first. The bound may change meanwhile.
+func (run *run) memoryCheckWait() time.Duration {
+	return time.Until(run.unusedMemoryEnd()) - maxEnginePause
 }
 
 // checkMemoryUse asks whether the run's memory is used, and ends the run at unusedMemoryEnd if it isn't. If the helpers have not
@@ -375,6 +380,10 @@
 	if run.memoryUsed.Load() {
 		return
 	}
+	if wait := run.memoryCheckWait(); wait > 0 {
+		run.unusedTimer.Reset(min(wait, silenceRecheck))
+		return
+	}
 	isLast := !time.Now().Before(run.unusedMemoryEnd())
 	used, err := run.reservation.isUsed(ctx)
 	late := time.Since(run.sentAt) >= prefillFactor*run.placement.Predicted
--- a/core/duty/dogwoodrelay/unused_test.go
+++ b/core/duty/dogwoodrelay/unused_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,8 +37,16 @@
 
 func (test unusedMemoryTest) run(t *testing.T, maxUnused time.Duration) {
 	t.Helper()
+	test.runWithChange(t, maxUnused, maxUnused)
+}
+
+// runWithChange is run with a bound that is another one in the first second.
+func (test unusedMemoryTest) runWithChange(t *testing.T, before, maxUnused time.Duration) {
+	t.Helper()
+	var bound atomic.Int64
+	bound.Store(int64(before))
 	runRelayTest(t, test.engine, []step{fallsSilent("")}, func(t *testing.T, fixture *fixture) {
-		fixture.relay.options.UnusedMemoryTimeout = maxUnused
+		fixture.relay.options.UnusedMemoryTimeout = func() time.Duration { return time.Duration(bound.Load()) }
 		request := streamRequest()
 		request.Prompt, request.Route.Aim, request.Route.Attempts = 150_000, test.aim, test.attempts
 		request.Deadline = time.Now().Add(test.timeToLive)
@@ -51,6 +60,7 @@
 		if reserved == 0 {
 			t.Error("got no memory reserved, want some: the prompt needs several engines")
 		}
+		bound.Store(int64(maxUnused))
 		time.Sleep(maxUnused - time.Second)
 		fixture.endpoints.mutex.Lock()
 		for key := range fixture.endpoints.reservations {
@@ -62,6 +72,16 @@
 	})
 }
 
+// Guards against memory that stays reserved and unused by a bound that has been lowered since the run was sent.
+func TestUnusedMemoryIsReleasedByALoweredBound(t *testing.T) {
+	slow := *testEngine
+	slow.TokensPerSecond = 20_000
+	test := unusedMemoryTest{"another try is left", &slow, 10 * time.Second, 40 * time.Second, 3}
+	for _, before := range []time.Duration{30 * time.Second, 12 * time.Second} {
+		t.Run(before.String(), func(t *testing.T) { test.runWithChange(t, before, 9*time.Second) })
+	}
+}
+
 // Prefilling a prompt of nearly a million tokens takes longer than memory may stay unused. Its engines use the
 // memory during that time, so the caller must get the answer. The test uses a shorter prompt and slower engines.
 func TestLongPrefillDoesNotCountAsUnusedMemory(t *testing.T) {
@@ -70,7 +90,7 @@
 	const maxUnused, prefillTime = 9 * time.Second, 12 * time.Second
 	late := delayed(prefillTime, responds(200, firstEvents))
 	runRelayTest(t, &slow, []step{late}, func(t *testing.T, fixture *fixture) {
-		fixture.relay.options.UnusedMemoryTimeout = maxUnused
+		fixture.relay.options.UnusedMemoryTimeout = always(maxUnused)
 		fixture.endpoints.memoryUsed = true
 		request := streamRequest()
 		request.Prompt, request.Route.Aim = 150_000, 30*time.Second
