--- a/core/duty/dogwoodhub/fleet_test.go
+++ b/core/duty/dogwoodhub/fleet_test.go
@@ -144,7 +144,7 @@
 func (node *node) runHub(ctx context.Context, self dogwoodhubs.Daemon, known *tables) error {
 	hub := NewHub(HubOptions{
 		Self: self, Tables: known, TableNames: tableNames, Clock: known.clock, Hubs: node.fleet.hubs, OtherLeaves: node.otherLeaves,
-		Requests: node.fleet.requests, DataCentres: node.fleet.centres(), Logger: hclog.NewNullLogger(),
+		Requests: node.fleet.requests, DataCentres: node.fleet.centres, Logger: hclog.NewNullLogger(),
 	})
 	set := func(hub *Hub) {
 		node.mutex.Lock()
--- a/core/duty/dogwoodhub/hub.go
+++ b/core/duty/dogwoodhub/hub.go
@@ -66,8 +66,9 @@
 	// OtherLeaves returns how many leaves the other hubs have.
 	OtherLeaves func() int
 	// Requests returns how many requests each hub sent to endpoints within the last second.
-	Requests    func(now time.Time) map[dogwoodfleet.InstanceID]int
-	DataCentres int
+	Requests func(now time.Time) map[dogwoodfleet.InstanceID]int
+	// DataCentres returns how many data centres there are.
+	DataCentres func() int
 	// StoreAway reports whether the store answers no daemon, as far as this one knows; nil for never.
 	StoreAway func() bool
 	// RefusedVersion returns the version of this daemon's list of refused requests; nil if it has none.
@@ -164,7 +165,7 @@
 	hub.addRates(hubs, requests)
 	maps.DeleteFunc(hub.leaves, func(_ dogwoodfleet.InstanceID, leaf *leaf) bool { return now.Sub(leaf.lastPoll) > leafTTL })
 	needs := dogwoodhubs.Needs{
-		DataCentres: hub.options.DataCentres, Daemons: len(hubs) + len(hub.leaves) + otherLeaves,
+		DataCentres: hub.options.DataCentres(), Daemons: len(hubs) + len(hub.leaves) + otherLeaves,
 		Settled: now.Sub(hub.started) > settlingTime,
 	}
 	hub.publish(hubs, needs.Daemons)
@@ -267,7 +268,7 @@
 // isSpare reports whether this hub has not been needed for longer than spareAfter. Leaves of other
 // hubs are counted as if they were evenly distributed over the data centres.
 func (hub *Hub) isSpare(now time.Time, hubs []dogwoodhubs.Daemon, leaves, otherLeaves int, needs dogwoodhubs.Needs) bool {
-	needs.Leaves = leaves + otherLeaves/max(hub.options.DataCentres, 1)
+	needs.Leaves = leaves + otherLeaves/max(hub.options.DataCentres(), 1)
 	needs.RequestsPerSecond = hub.rate(hub.options.Self.Place)
 	if !dogwoodhubs.Spare(hub.options.Self, inPlace(hubs, hub.options.Self.Place), needs) {
 		hub.lastNeeded = now
