--- a/core/edge/dogwoodpeer/peer_test.go
+++ b/core/edge/dogwoodpeer/peer_test.go
@@ -273,6 +273,46 @@
 	})
 }
 
+// Guards against a connection that has gone silent and costs each of the calls on it a bound of its own: callers that give up sooner
+// than the silence is noticed, and call again, must reach the peer over a new connection as soon as one call that waits would.
+func TestSilentConnectionCostsItsCallsOneBound(t *testing.T) {
+	const (
+		callers, patience = 8, 400 * time.Millisecond
+		bound             = 2*silenceBeforePing + pingTimeout // the first part is noticed with the next tick
+	)
+	runWithClient(t, "secret", func(ctx context.Context, client *Client, _ *testReceiver, network *pipeNetwork) {
+		call := func() error {
+			ctx, cancel := context.WithTimeout(ctx, patience)
+			defer cancel()
+			var got int
+			return client.Call(ctx, peerAddress, "Test.Double", 1, &got)
+		}
+		if err := call(); err != nil {
+			t.Fatal(err)
+		}
+		network.silent.Store(true)
+		began := time.Now()
+		var group sync.WaitGroup
+		for range callers {
+			group.Go(func() {
+				for call() != nil {
+					if time.Since(began) > time.Minute {
+						t.Error("got no answer")
+						return
+					}
+				}
+				if got := time.Since(began); got > bound {
+					t.Errorf("got an answer %s after the silence began, want it after %s", got, bound)
+				}
+			})
+		}
+		group.Wait()
+		if got, want := network.dials.Load(), int64(2); got != want {
+			t.Errorf("got %d dials, want %d", got, want)
+		}
+	})
+}
+
 // A call that waits in a queue for a slot may take minutes. No other bytes arrive on the
 // connection meanwhile, but the peer answers pings, so the connection must be kept.
 func TestLongCallKeepsItsConnection(t *testing.T) {
