Move dogwoodserver to core and pass the ID's header as an option

dogwoodmuxd is to end its connections as the platform's daemon does, and core can't import platform. The package knew one wire name, that of the header with the request's ID, which is now an option.

It took *net.TCPConn and *net.TCPListener. dogwoodmuxd's connections are wrapped, and are pipes in some tests, so it now asks a connection for what it needs: a descriptor, CloseWrite, SetLinger, deadlines. No behaviour changes for sockets, except that net/http no longer finds ReadFrom, which no handler of platform uses.

The tests moved with it. They differ in the option, and in the header's name in one case of TestDrainEndsPartsOfRequests.

--- a/platform/dogwoodserver/connection.go
+++ b/core/edge/dogwoodserver/connection.go
@@ -8,8 +8,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"dogwoodmux.example/platform/dogwoodwire"
 )
 
 const (
@@ -21,7 +19,7 @@
 
 // connection is an accepted connection that counts the bytes of requests for which no handler runs.
 type connection struct {
-	*net.TCPConn
+	net.Conn
 
 	mutex sync.Mutex
 	// waiting is when the connection was accepted, or its last request ended.
@@ -45,10 +43,10 @@
 // Read counts what it reads while no handler runs. It fails on a connection that was released, unless bytes have arrived.
 func (connection *connection) Read(target []byte) (int, error) {
 	connection.setReading(len(target) > backgroundReadBytes)
-	count, err := connection.TCPConn.Read(target)
+	count, err := connection.Conn.Read(target)
 	if errors.Is(err, os.ErrDeadlineExceeded) && connection.isReleased() && connection.hasUnread() {
 		_ = connection.SetReadDeadline(time.Now().Add(maxArrival)) // the read fails if this does
-		count, err = connection.TCPConn.Read(target)
+		count, err = connection.Conn.Read(target)
 	}
 	connection.record(target[:count], err)
 	return count, err //nolint:wrapcheck // net/http asks for the error's type
@@ -81,7 +79,7 @@
 
 // Write records an answer that no handler writes.
 func (connection *connection) Write(data []byte) (int, error) {
-	count, err := connection.TCPConn.Write(data)
+	count, err := connection.Conn.Write(data)
 	connection.mutex.Lock()
 	connection.answered = connection.answered || !connection.handled && err == nil
 	connection.mutex.Unlock()
@@ -133,9 +131,31 @@
 	return time.Since(connection.waiting), connection.released
 }
 
-// hasUnread reports whether bytes have arrived that were not read.
+// CloseWrite closes the sending side, if the connection supports it. net/http does so before it closes a connection with unread
+// bytes, since the answer could be lost to the reset of a plain close.
+func (connection *connection) CloseWrite() error {
+	if closer, ok := connection.Conn.(interface{ CloseWrite() error }); ok {
+		return closer.CloseWrite() //nolint:wrapcheck // forwards the call
+	}
+	return nil
+}
+
+// SetLinger sets what a close does with bytes that were not sent, if the connection supports it.
+func (connection *connection) SetLinger(seconds int) error {
+	if lingerer, ok := connection.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return lingerer.SetLinger(seconds) //nolint:wrapcheck // forwards the call
+	}
+	return errors.ErrUnsupported
+}
+
+// hasUnread reports whether bytes have arrived that were not read. It is false for a connection without a descriptor: a pipe
+// holds no bytes.
 func (connection *connection) hasUnread() bool {
-	raw, err := connection.SyscallConn()
+	descriptors, ok := connection.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := descriptors.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -157,8 +177,8 @@
 // unhandledRequest is a request, or a part of one, that no handler had and nothing answered.
 type unhandledRequest struct {
 	received int
-	// id is empty if it is not among the bytes received.
-	id         string
+	// head holds the first of the bytes received.
+	head       []byte
 	callerGone bool
 }
 
@@ -169,15 +189,15 @@
 	if connection.handled || connection.answered {
 		return unhandledRequest{}
 	}
-	return unhandledRequest{received: connection.received, id: requestID(connection.head), callerGone: connection.callerGone}
+	return unhandledRequest{received: connection.received, head: connection.head, callerGone: connection.callerGone}
 }
 
-// requestID returns the ID of the request that begins with the given bytes, empty if they don't name it.
-func requestID(head []byte) string {
+// headerValue returns the value of a header of the request that begins with the given bytes, empty if it is not among them.
+func headerValue(head []byte, header string) string {
 	head, _, _ = bytes.Cut(head, []byte("\r\n\r\n"))
 	for line := range bytes.SplitSeq(head, []byte("\r\n")) {
 		name, value, found := bytes.Cut(line, []byte(":"))
-		if found && bytes.EqualFold(name, []byte(dogwoodwire.RequestID)) {
+		if found && bytes.EqualFold(name, []byte(header)) {
 			return string(bytes.TrimSpace(value))
 		}
 	}
--- a/platform/dogwoodserver/leftdeadline_test.go
+++ b/core/edge/dogwoodserver/leftdeadline_test.go
@@ -52,7 +52,7 @@
 // Guards against a connection on which a handler runs, and whose reads fail since it was released before.
 func TestBegunRequestIsNotReleased(t *testing.T) {
 	sending, accepted := newPair(t)
-	connection := &connection{TCPConn: accepted}
+	connection := &connection{Conn: accepted}
 	connection.idle()
 	connection.release() // the request is in the buffer of net/http by now
 	connection.begin()
--- a/platform/dogwoodserver/listener.go
+++ b/core/edge/dogwoodserver/listener.go
@@ -37,10 +37,15 @@
 	}
 }
 
+// deadlineSetter is a listener whose Accept can be made to return.
+type deadlineSetter interface {
+	SetDeadline(deadline time.Time) error
+}
+
 // setDeadline sets the time until which Accept waits. A listener without deadlines is closed.
 func (listener *listener) setDeadline(deadline time.Time) {
-	tcp, ok := listener.Listener.(*net.TCPListener)
-	if !ok || tcp.SetDeadline(deadline) != nil {
+	accepting, ok := listener.Listener.(deadlineSetter)
+	if !ok || accepting.SetDeadline(deadline) != nil {
 		listener.closed.Store(true)
 		_ = listener.Close() // it may be closed already
 	}
@@ -76,11 +81,7 @@
 		listener.closed.Store(true)
 		_ = listener.Close() // it may be closed already
 	}
-	tcp, ok := accepted.(*net.TCPConn)
-	if !ok {
-		return accepted
-	}
-	connection := &connection{TCPConn: tcp, waiting: time.Now()}
+	connection := &connection{Conn: accepted, waiting: time.Now()}
 	listener.server.add(connection)
 	return connection
 }
--- a/platform/dogwoodserver/server.go
+++ b/core/edge/dogwoodserver/server.go
@@ -35,8 +35,8 @@
 
 // Server is an HTTP server. It is safe for concurrent use.
 type Server struct {
-	server *http.Server
-	logger hclog.Logger
+	server  *http.Server
+	options Options
 	// end ends the contexts of all requests.
 	end func()
 	// running is the number of handlers that run.
@@ -51,11 +51,19 @@
 // connectionKey is the key of a request's connection in its context.
 type connectionKey struct{}
 
-// New returns a server that serves requests as server does. The contexts of its requests don't end with ctx. If the server ends
-// them, their cause is shutdown.
-func New(ctx context.Context, server *http.Server, shutdown error, logger hclog.Logger) *Server {
+// Options configures a Server.
+type Options struct {
+	// Shutdown is the cause with which the server ends the contexts of requests.
+	Shutdown error
+	// RequestID is the header by which callers name their requests, empty if there is none.
+	RequestID string
+	Logger    hclog.Logger
+}
+
+// New returns a server that serves requests as server does. The contexts of its requests don't end with ctx.
+func New(ctx context.Context, server *http.Server, options Options) *Server {
 	ctx, end := context.WithCancelCause(context.WithoutCancel(ctx))
-	wrapper := &Server{server: server, logger: logger, end: func() { end(shutdown) }, connections: map[*connection]struct{}{}}
+	wrapper := &Server{server: server, options: options, end: func() { end(options.Shutdown) }, connections: map[*connection]struct{}{}}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, received *http.Request) {
 		if connection, ok := received.Context().Value(connectionKey{}).(*connection); ok {
@@ -111,10 +119,11 @@
 		server.mutex.Unlock()
 		if request := connection.unhandled(); request.received > 0 {
 			unhandled.Add(1)
-			server.logger.Info("A connection was closed with a request that was not handled.", "request", request.id,
-				"from", connection.RemoteAddr(), "bytes", request.received, "leaving", server.isDraining(), "callergone", request.callerGone)
+			server.options.Logger.Info("A connection was closed with a request that was not handled.",
+				"request", headerValue(request.head, server.options.RequestID), "from", connection.RemoteAddr(),
+				"bytes", request.received, "leaving", server.isDraining(), "callergone", request.callerGone)
 		} else if waited, released := connection.waited(); released && waited < maxArrival {
-			server.logger.Debug("A connection was closed that waited for a request.", "from", connection.RemoteAddr(), "waited", waited)
+			server.options.Logger.Debug("A connection was closed that waited for a request.", "from", connection.RemoteAddr(), "waited", waited)
 		}
 	case http.StateNew, http.StateActive, http.StateHijacked:
 	}
--- a/platform/dogwoodserver/server_test.go
+++ b/core/edge/dogwoodserver/server_test.go
@@ -53,7 +53,8 @@
 	}
 	fixture := &fixture{address: accepting.Addr().String()}
 	logger := hclog.New(&hclog.LoggerOptions{Output: &fixture.log, JSONFormat: true})
-	fixture.Server = New(t.Context(), &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}, errLeaving, logger)
+	fixture.Server = New(t.Context(), &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute},
+		Options{Shutdown: errLeaving, RequestID: "Request-Id", Logger: logger})
 	var group sync.WaitGroup
 	group.Go(func() { _ = fixture.Serve(accepting) }) // it ends with the server
 	t.Cleanup(func() {
@@ -151,7 +152,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = accepted.Close() }()
-	connection := &connection{TCPConn: accepted.(*net.TCPConn)}
+	connection := &connection{Conn: accepted}
 	buffer := make([]byte, 10)
 	connection.expire()
 	if count, err := connection.Read(buffer); count != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -179,7 +180,7 @@
 		want       []string
 	}{
 		{"without an ID", "GET / HT", []string{`"request":""`, `"bytes":8`, `"leaving":true`, `"callergone":false`}},
-		{"with an ID", "GET / HTTP/1.1\r\ndogwoodmux-request-id:  r1\r\nHost: ", []string{`"request":"r1"`, `"leaving":true`}},
+		{"with an ID", "GET / HTTP/1.1\r\nrequest-id:  r1\r\nHost: ", []string{`"request":"r1"`, `"leaving":true`}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
