Refuse requests that arrive while dogwoodmuxd closes connections

Callers of dogwoodmuxd saw "unexpected EOF" for requests sent just after an answer or in parts around a shutdown, and "connection reset by peer" for those on connections that the daemon had not accepted yet. No line named them.

The cause is net/http's Shutdown, which counts a connection as idle between an answer and the whole head of the next request and closes it at once, and which closes the listener with the connections that wait there.

dogwoodmuxd now ends its connections by dogwoodserver, as the platform's daemon does. Once its address has expired it refuses new requests with listeners open, waits for the running ones, then accepts what waits, lets arriving requests arrive and releases connections by a read that fails. If the time is over it does the same after ending the requests. The header Connection: close, which the edge set, comes from dogwoodserver. A refusal no longer needs a known key.

The daemon's listeners and connections, which are wrapped so that all can be closed at once, now pass on a listener's deadline and a connection's descriptor.

The fixture's listener is now the daemon's wrapped one.

--- a/core/dogwooddaemon/network.go
+++ b/core/dogwooddaemon/network.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
+	"time"
 )
 
 // severableNetwork is a network whose listeners and connections can all be closed at once, as
@@ -101,6 +104,20 @@
 	return listener.network.trackConn(conn)
 }
 
+// deadlineSetter is a listener whose Accept can be made to return.
+type deadlineSetter interface {
+	SetDeadline(deadline time.Time) error
+}
+
+// SetDeadline sets the time until which Accept waits, if the listener supports it.
+func (listener *severableListener) SetDeadline(deadline time.Time) error {
+	setter, ok := listener.Listener.(deadlineSetter)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return setter.SetDeadline(deadline)
+}
+
 // Close closes the listener.
 func (listener *severableListener) Close() error {
 	listener.network.untrack(listener)
@@ -118,6 +135,14 @@
 	return conn.Conn.Close()
 }
 
+// SyscallConn returns the connection's descriptor, if it has one. A server that drains looks for unread bytes there.
+func (conn *severableConn) SyscallConn() (syscall.RawConn, error) {
+	if descriptors, ok := conn.Conn.(syscall.Conn); ok {
+		return descriptors.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // CloseWrite closes only the sending side, if the connection supports it. net/http does so
 // before it closes a connection with unread bytes: a plain close would reset the connection,
 // and the caller could lose the response just written, such as the rejection of a body that
--- a/core/dogwooddaemon/serve.go
+++ b/core/dogwooddaemon/serve.go
@@ -7,8 +7,11 @@
 	"net/http"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"dogwoodmux.example/core/dogwoodkernel"
 	"dogwoodmux.example/core/edge/dogwoodcaller"
+	"dogwoodmux.example/core/edge/dogwoodserver"
 )
 
 func init() {
@@ -17,7 +20,7 @@
 
 // startServe listens on the daemon's addresses, after the plug-ins that handle the requests
 // are started.
-func startServe(ctx context.Context, kernel *dogwoodkernel.Kernel, environment *environment) (*dogwoodkernel.ValuePart[*http.Server], error) {
+func startServe(ctx context.Context, kernel *dogwoodkernel.Kernel, environment *environment) (*dogwoodkernel.ValuePart[*dogwoodserver.Server], error) {
 	needs := dogwoodkernel.Needs{Kernel: kernel}
 	edge := dogwoodkernel.Need[*dogwoodcaller.Edge](&needs, pluginCaller)
 	peer := dogwoodkernel.Need[*peerRPC](&needs, pluginPeer)
@@ -34,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := edge.Server()
+	server := newCallersServer(ctx, edge, kernel.Named(pluginServe))
 	environment.cutHooks.add(edge.Cut)
 	kernel.Go("callers", func(ctx context.Context) error {
 		// Until the daemon has the operators' latest changes, it might admit requests under a
@@ -46,11 +49,23 @@
 			return Error.Wrap(listener.Close())
 		}
 	})
-	return &dogwoodkernel.ValuePart[*http.Server]{Value: server, OnStop: func(ctx context.Context) error {
+	return &dogwoodkernel.ValuePart[*dogwoodserver.Server]{Value: server, OnStop: func(ctx context.Context) error {
 		return drain(ctx, edge, server)
 	}}, nil
 }
 
+// errShutdown is the cause with which the contexts of requests end.
+var errShutdown = errors.New("this daemon is ending")
+
+func newCallersServer(ctx context.Context, edge *dogwoodcaller.Edge, logger hclog.Logger) *dogwoodserver.Server {
+	return dogwoodserver.New(ctx, edge.Server(), dogwoodserver.Options{Shutdown: errShutdown, Logger: logger})
+}
+
+// server serves the connections of a listener.
+type server interface {
+	Serve(listener net.Listener) error
+}
+
 // serveHTTP starts a background task that runs a server until the kernel stops.
 func serveHTTP(kernel *dogwoodkernel.Kernel, name string, server *http.Server, listener net.Listener) {
 	kernel.Go(name, func(ctx context.Context) error {
@@ -72,12 +87,12 @@
 }
 
 // serveCallers serves callers until the context ends, then ends their requests.
-func serveCallers(ctx context.Context, edge *dogwoodcaller.Edge, server *http.Server, listener net.Listener) error {
+func serveCallers(ctx context.Context, edge *dogwoodcaller.Edge, server *dogwoodserver.Server, listener net.Listener) error {
 	return serveUntil(ctx, server, listener, func() { _ = endRequests(ctx, edge, server) })
 }
 
 // serveUntil runs a server until the context ends, and then end, which closes it.
-func serveUntil(ctx context.Context, server *http.Server, listener net.Listener, end func()) error {
+func serveUntil(ctx context.Context, server server, listener net.Listener, end func()) error {
 	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(ended)
@@ -96,17 +111,21 @@
 // answerTime is the time in which the callers of requests that are ended get their answers.
 const answerTime = 500 * time.Millisecond
 
-// drain keeps serving until the address given to callers has expired, then accepts no new
-// requests and waits for the running ones. Those that still run shortly before the context ends are ended.
-func drain(ctx context.Context, edge *dogwoodcaller.Edge, server *http.Server) error {
-	edge.DisableKeepAlives()
+// drain keeps serving until the address given to callers has expired, then rejects new requests and waits for the running ones
+// and for the connections of callers. The requests that still run shortly before the context ends are ended.
+func drain(ctx context.Context, edge *dogwoodcaller.Edge, server *dogwoodserver.Server) error {
+	server.StartDraining()
 	finishing, cancel := context.WithCancel(ctx)
 	if deadline, ok := ctx.Deadline(); ok {
 		finishing, cancel = context.WithDeadline(ctx, deadline.Add(-answerTime))
 	}
 	defer cancel()
 	dogwoodkernel.Sleep(finishing, entryTTL)
-	if err := server.Shutdown(finishing); err != nil {
+	edge.RejectRequests()
+	if !edge.Await(finishing) {
+		return errors.Join(Error.Wrap(finishing.Err()), endRequests(ctx, edge, server))
+	}
+	if err := server.Drain(finishing); err != nil {
 		return errors.Join(Error.Wrap(err), endRequests(ctx, edge, server))
 	}
 	return nil
@@ -114,12 +133,12 @@
 
 // endRequests ends the requests in progress, waits until their callers have been told so and closes all connections. It
 // returns once all requests are logged, since the process may end then.
-func endRequests(ctx context.Context, edge *dogwoodcaller.Edge, server *http.Server) error {
+func endRequests(ctx context.Context, edge *dogwoodcaller.Edge, server *dogwoodserver.Server) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
 	defer cancel()
+	server.StartDraining()
 	edge.EndRequests()
-	_ = server.Shutdown(ctx) // what has not ended by then is closed
-	err := server.Close()
 	edge.Await(ctx)
-	return Error.Wrap(err)
+	_ = server.Drain(ctx) // what has not ended by then is closed
+	return Error.Wrap(server.Close(ctx))
 }
--- a/core/dogwooddaemon/serve_test.go
+++ b/core/dogwooddaemon/serve_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,7 @@
 	"dogwoodmux.example/core/dogwoodsettings"
 	"dogwoodmux.example/core/duty/dogwooddispatch"
 	"dogwoodmux.example/core/edge/dogwoodcaller"
+	"dogwoodmux.example/core/edge/dogwoodserver"
 )
 
 // hangingDispatcher holds each request until its context ends.
@@ -76,12 +78,17 @@
 // callerFixture is an edge that serves on a loopback address.
 type callerFixture struct {
 	edge     *dogwoodcaller.Edge
-	server   *http.Server
+	server   *dogwoodserver.Server
 	listener net.Listener
 	log      *lineBuffer
 }
 
 func startCallerFixture(ctx context.Context, t *testing.T, dispatcher dogwoodcaller.Dispatcher) *callerFixture {
+	t.Helper()
+	return startCallerFixtureOn(ctx, t, dispatcher, tcpNetwork{})
+}
+
+func startCallerFixtureOn(ctx context.Context, t *testing.T, dispatcher dogwoodcaller.Dispatcher, network Network) *callerFixture {
 	t.Helper()
 	digest := sha256.Sum256([]byte("key"))
 	text := &dogwoodsettings.Text{
@@ -92,13 +99,12 @@
 		Customers: []dogwoodsettings.Customer{{Name: "customer", KeySHA256: []string{hex.EncodeToString(digest[:])}}},
 	}
 	fixture := &callerFixture{log: &lineBuffer{}}
+	logger := hclog.New(&hclog.LoggerOptions{Output: fixture.log, JSONFormat: true})
 	fixture.edge = dogwoodcaller.New(dogwoodcaller.Options{
-		Text: func() *dogwoodsettings.Text { return text }, Dispatcher: dispatcher,
-		Logger: hclog.New(&hclog.LoggerOptions{Output: fixture.log, JSONFormat: true}),
+		Text: func() *dogwoodsettings.Text { return text }, Dispatcher: dispatcher, Logger: logger,
 	})
-	fixture.server = fixture.edge.Server()
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+	fixture.server = newCallersServer(ctx, fixture.edge, logger)
+	listener, err := newSeverableNetwork(network).Listen(ctx, netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -208,7 +214,7 @@
 	}{
 		{"the daemon is killed", func(fixture *callerFixture, _ net.Conn) {
 			fixture.edge.Cut()
-			_ = fixture.server.Close()
+			_ = fixture.server.Close(t.Context())
 		}, `"reason":"Shutdown"`},
 		{"the caller leaves", func(_ *callerFixture, conn net.Conn) { _ = conn.Close() }, `"reason":"Cancelled"`},
 	}
--- a/core/edge/dogwoodcaller/ending.go
+++ b/core/edge/dogwoodcaller/ending.go
@@ -15,22 +15,22 @@
 // requests tracks the requests in progress.
 type requests struct {
 	mutex sync.Mutex
-	// closing is true once answers close their connections, ended once requests are ended, and cut once the daemon closes all
-	// connections.
-	closing, ended, cut bool
-	running             map[*exchange]func()
+	// rejecting is true once new requests are rejected, and cut once the daemon closes all connections.
+	rejecting, cut bool
+	running        map[*exchange]func()
 	// idle is closed when no request is in progress; nil while nothing waits for that.
 	idle chan struct{}
 }
 
-// begin adds a request that end ends.
+// begin adds a request that end ends. A request that is rejected ends by itself.
 func (requests *requests) begin(exchange *exchange, end func()) {
 	requests.mutex.Lock()
 	defer requests.mutex.Unlock()
-	requests.running[exchange] = end
-	if requests.ended {
-		end()
+	exchange.rejected = requests.rejecting
+	if exchange.rejected {
+		end = func() {}
 	}
+	requests.running[exchange] = end
 }
 
 func (requests *requests) finish(exchange *exchange) {
@@ -43,23 +43,17 @@
 	}
 }
 
-func (requests *requests) isClosing() bool {
-	requests.mutex.Lock()
-	defer requests.mutex.Unlock()
-	return requests.closing
-}
-
 func (requests *requests) isCut() bool {
 	requests.mutex.Lock()
 	defer requests.mutex.Unlock()
 	return requests.cut
 }
 
-// DisableKeepAlives makes each further answer close its connection, so that callers use another daemon next.
-func (edge *Edge) DisableKeepAlives() {
+// RejectRequests rejects further requests. Their callers are told that they did not run.
+func (edge *Edge) RejectRequests() {
 	edge.requests.mutex.Lock()
 	defer edge.requests.mutex.Unlock()
-	edge.requests.closing = true
+	edge.requests.rejecting = true
 }
 
 // Cut records that this daemon closes all connections, so that requests that end with theirs are not taken for those of callers
@@ -70,22 +64,22 @@
 	edge.requests.cut = true
 }
 
-// EndRequests ends the requests in progress and all further ones. Their callers are told whether they ran.
+// EndRequests ends the requests in progress and rejects further ones. Their callers are told whether they ran.
 func (edge *Edge) EndRequests() {
 	edge.requests.mutex.Lock()
 	defer edge.requests.mutex.Unlock()
-	edge.requests.closing, edge.requests.ended = true, true
+	edge.requests.rejecting = true
 	for _, end := range edge.requests.running {
 		end()
 	}
 }
 
-// Await waits until no request is in progress or the context ends.
-func (edge *Edge) Await(ctx context.Context) {
+// Await waits until no request is in progress. It returns false if the context ends first.
+func (edge *Edge) Await(ctx context.Context) bool {
 	edge.requests.mutex.Lock()
 	if len(edge.requests.running) == 0 {
 		edge.requests.mutex.Unlock()
-		return
+		return true
 	}
 	if edge.requests.idle == nil {
 		edge.requests.idle = make(chan struct{})
@@ -94,7 +88,9 @@
 	edge.requests.mutex.Unlock()
 	select {
 	case <-idle:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/core/edge/dogwoodcaller/exchange.go
+++ b/core/edge/dogwoodcaller/exchange.go
@@ -28,6 +28,8 @@
 	// call is the dispatched call; nil if the request was rejected before its dispatch.
 	call       *dogwooddispatch.Call
 	firstToken time.Duration
+	// rejected is true if the request arrived after RejectRequests.
+	rejected bool
 	// ended is true once this daemon has ended the request.
 	ended atomic.Bool
 	// bodyRead reports whether the request's body was read to its end.
@@ -59,11 +61,8 @@
 		exchange.request = request.WithContext(ctx)
 		defer edge.begin(exchange, cancel)()
 		writer.Header().Set(HeaderRequestID, string(exchange.id))
-		if edge.requests.isClosing() {
-			writer.Header().Set("Connection", "close")
-		}
 		err := edge.authenticate(exchange)
-		if err == nil && exchange.ended.Load() {
+		if exchange.rejected || err == nil && exchange.ended.Load() {
 			err = endedFailure(dogwoodfleet.NotRun)
 		}
 		if err == nil {
