Read the body of a request refused at dogwoodmuxd's shutdown

Callers of dogwoodmuxd that read the answer once they have sent their bodies got "broken pipe" instead of the refusal: net/http closes a connection half a second after an answer beside an unread body of more than 256 KB, and the unread bytes reset it. The rest of a smaller body was read for up to 32 s, so that a caller that stopped in the middle of it held the shutdown up.

A request that is refused at the shutdown is now answered at once, and its body read and dropped for at most a second, as on the platform's daemon. Problems carry a length, so that they are whole when they are flushed. Such a request does not count as in progress; its connection is waited for.

--- a/core/dogwooddaemon/serve.go
+++ b/core/dogwooddaemon/serve.go
@@ -138,7 +138,6 @@
 	defer cancel()
 	server.StartDraining()
 	edge.EndRequests()
-	edge.Await(ctx)
 	_ = server.Drain(ctx) // what has not ended by then is closed
 	return Error.Wrap(server.Close(ctx))
 }
--- a/core/dogwooddaemon/shutdown_test.go
+++ b/core/dogwooddaemon/shutdown_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -231,3 +233,67 @@
 		})
 	}
 }
+
+// Guards against a refusal that its caller never reads, since the daemon closes the connection while the request's body arrives
+// and a reset destroys the answer.
+func TestRefusalArrivesBesideUnreadBody(t *testing.T) {
+	const parts = 10
+	tests := []struct {
+		name    string
+		target  string
+		bytes   int
+		chunked bool
+		pause   time.Duration
+	}{
+		{name: "a call of 30 KB", target: "/services/desk/holds", bytes: 30 << 10},
+		{name: "a call of 30 KB, slow", target: "/services/desk/holds", bytes: 30 << 10, pause: 30 * time.Millisecond},
+		{name: "a prompt of 900 KB", target: "/v1/completions", bytes: 900 << 10},
+		{name: "a prompt of 900 KB, slow", target: "/v1/completions", bytes: 900 << 10, pause: 60 * time.Millisecond},
+		{name: "a prompt of 900 KB in chunks", target: "/v1/completions", bytes: 900 << 10, chunked: true},
+		{name: "a prompt of 900 KB in chunks, slow", target: "/v1/completions", bytes: 900 << 10, chunked: true, pause: 60 * time.Millisecond},
+		{name: "a prompt of 8 MB", target: "/v1/completions", bytes: 8 << 20},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			fixture := startCallerFixture(t.Context(), t, &gatedDispatcher{})
+			fixture.server.StartDraining()
+			fixture.edge.RejectRequests()
+			length := fmt.Sprintf("Content-Length: %d", test.bytes/parts*parts)
+			if test.chunked {
+				length = "Transfer-Encoding: chunked"
+			}
+			conn := fixture.open(t, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer key\r\n%s\r\n\r\n", test.target, length))
+			// The caller reads the answer once it has sent the body.
+			for range parts {
+				time.Sleep(test.pause)
+				part := strings.Repeat("b", test.bytes/parts)
+				if test.chunked {
+					part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+				}
+				if _, err := io.WriteString(conn, part); err != nil {
+					t.Errorf("sending the body: %v", err)
+					break
+				}
+			}
+			if test.chunked {
+				_, _ = io.WriteString(conn, "0\r\n\r\n") // a failure shows as no answer
+			}
+			conn.checkRefusal(t)
+		})
+	}
+}
+
+// Guards against a shutdown that lasts until the body of a refused request has arrived.
+func TestShutdownWaitsForNoUnreadBody(t *testing.T) {
+	fixture := startCallerFixture(t.Context(), t, &gatedDispatcher{})
+	fixture.server.StartDraining()
+	fixture.edge.RejectRequests()
+	conn := fixture.open(t, request("/services/desk/holds", "x", 1000))
+	conn.checkRefusal(t)
+	ctx, cancel := context.WithTimeout(t.Context(), entryTTL+8*time.Second)
+	defer cancel()
+	if err := drain(ctx, fixture.edge, fixture.server); err != nil {
+		t.Errorf("got %v, want all connections closed before the body has arrived", err)
+	}
+}
--- a/core/dogwoodproblem/problem.go
+++ b/core/dogwoodproblem/problem.go
@@ -88,6 +88,7 @@
 	header := writer.Header()
 	header.Set("Content-Type", ContentType)
 	header.Set("Cache-Control", "no-store")
+	header.Set("Content-Length", strconv.Itoa(len(encoded))) // the response is whole once it is flushed
 	if problem.RetryAfter > 0 {
 		header.Set("Retry-After", RetryAfterSeconds(problem.RetryAfter))
 	}
--- a/core/edge/dogwoodcaller/ending.go
+++ b/core/edge/dogwoodcaller/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -12,25 +13,28 @@
 // endingRetryAfter is the wait sent to a caller whose request this daemon has ended. Other daemons serve it at once.
 const endingRetryAfter = time.Second
 
+// maxDiscardTime bounds the time for which the body of a refused request is read.
+const maxDiscardTime = time.Second
+
 // requests tracks the requests in progress.
 type requests struct {
 	mutex sync.Mutex
 	// rejecting is true once new requests are rejected, and cut once the daemon closes all connections.
 	rejecting, cut bool
-	running        map[*exchange]func()
+	// running holds the function that ends each request in progress. It has no requests that are rejected.
+	running map[*exchange]func()
 	// idle is closed when no request is in progress; nil while nothing waits for that.
 	idle chan struct{}
 }
 
-// begin adds a request that end ends. A request that is rejected ends by itself.
+// begin adds a request that end ends, unless it is rejected.
 func (requests *requests) begin(exchange *exchange, end func()) {
 	requests.mutex.Lock()
 	defer requests.mutex.Unlock()
 	exchange.rejected = requests.rejecting
-	if exchange.rejected {
-		end = func() {}
+	if !exchange.rejected {
+		requests.running[exchange] = end
 	}
-	requests.running[exchange] = end
 }
 
 func (requests *requests) finish(exchange *exchange) {
@@ -115,6 +119,18 @@
 	return endedFailure(failure.Run)
 }
 
+// discardBody sends the answer to a request whose body was not read, and reads what arrives of the body. Unread bytes would reset
+// the connection when it is closed, and its caller could lose the answer.
+func (exchange *exchange) discardBody() {
+	if exchange.bodyRead || exchange.request.ContentLength == 0 {
+		return
+	}
+	if exchange.controller.Flush() != nil || exchange.controller.SetReadDeadline(time.Now().Add(maxDiscardTime)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, exchange.request.Body, maxPromptBytes) // the caller may be gone
+}
+
 func endedFailure(run dogwoodfleet.RunState) *dogwooddispatch.Failure {
 	failure := &dogwooddispatch.Failure{Reason: dogwoodfleet.ReasonShutdown, Run: run, Detail: "this daemon is ending"}
 	if run == dogwoodfleet.NotRun {
--- a/core/edge/dogwoodcaller/exchange.go
+++ b/core/edge/dogwoodcaller/exchange.go
@@ -74,6 +74,9 @@
 		}
 		edge.recordOutcome(exchange, failure)
 		edge.logOutcome(exchange, failure)
+		if failure != nil && failure.Reason == dogwoodfleet.ReasonShutdown {
+			exchange.discardBody()
+		}
 	})
 }
 
