Refuse callers that wait for a dogwoodmuxd that is not ready

A daemon that has not learnt the operators' changes yet accepts no connections; callers wait at its listener. If it was stopped then, they got "connection reset by peer": the listener was closed without an accept.

It now serves its listener from the start of the shutdown and refuses all requests, also those with a key that it does not know yet.

TestDaemonThatIsNotReadyRefusesWaitingCallers failed without the start of the server at the shutdown, 4 of 4 runs, on all 20 connections of both cases, and passed 4 of 4 with it, under race.

--- a/core/dogwooddaemon/serve.go
+++ b/core/dogwooddaemon/serve.go
@@ -39,21 +39,38 @@
 	}
 	server := newCallersServer(ctx, edge, kernel.Named(pluginServe))
 	environment.cutHooks.add(edge.Cut)
+	ready, leaving := changes.duty.Ready(), make(chan struct{})
 	kernel.Go("callers", func(ctx context.Context) error {
-		// Until the daemon has the operators' latest changes, it might admit requests under a
-		// text that was replaced long ago. Callers wait in the listener's backlog meanwhile.
-		select {
-		case <-changes.duty.Ready():
-			return serveCallers(ctx, edge, server, listener)
-		case <-ctx.Done():
-			return Error.Wrap(listener.Close())
-		}
+		return serveOnceReady(ctx, ready, leaving, edge, server, listener)
 	})
 	return &dogwoodkernel.ValuePart[*dogwoodserver.Server]{Value: server, OnStop: func(ctx context.Context) error {
+		leave(ready, leaving, edge)
 		return drain(ctx, edge, server)
 	}}, nil
 }
 
+// serveOnceReady serves callers once the daemon is ready or leaves. Until it has the operators' latest changes, it might admit
+// requests under a text that was replaced long ago. Callers wait in the listener's backlog meanwhile.
+func serveOnceReady(ctx context.Context, ready, leaving <-chan struct{}, edge *dogwoodcaller.Edge, server *dogwoodserver.Server, listener net.Listener) error {
+	select {
+	case <-ready:
+	case <-leaving:
+	case <-ctx.Done():
+		return Error.Wrap(listener.Close())
+	}
+	return serveCallers(ctx, edge, server, listener)
+}
+
+// leave closes leaving. A daemon that is not ready rejects the callers that wait.
+func leave(ready <-chan struct{}, leaving chan<- struct{}, edge *dogwoodcaller.Edge) {
+	select {
+	case <-ready:
+	default:
+		edge.RejectRequests()
+	}
+	close(leaving)
+}
+
 // errShutdown is the cause with which the contexts of requests end.
 var errShutdown = errors.New("this daemon is ending")
 
--- a/core/dogwooddaemon/serve_test.go
+++ b/core/dogwooddaemon/serve_test.go
@@ -89,6 +89,30 @@
 }
 
 func startCallerFixtureOn(ctx context.Context, t *testing.T, dispatcher dogwoodcaller.Dispatcher, network Network) *callerFixture {
+	t.Helper()
+	fixture := newCallerFixture(ctx, t, dispatcher, network)
+	fixture.start(ctx, t, func(ctx context.Context) error {
+		return serveCallers(ctx, fixture.edge, fixture.server, fixture.listener)
+	})
+	return fixture
+}
+
+// start runs serve until the test ends, or stop is called.
+func (*callerFixture) start(ctx context.Context, t *testing.T, serve func(ctx context.Context) error) (stop func()) {
+	t.Helper()
+	var group sync.WaitGroup
+	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	group.Go(func() { _ = serve(serveCtx) })
+	stop = func() {
+		cancel()
+		group.Wait()
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+// newCallerFixture returns a fixture that listens and does not serve.
+func newCallerFixture(ctx context.Context, t *testing.T, dispatcher dogwoodcaller.Dispatcher, network Network) *callerFixture {
 	t.Helper()
 	digest := sha256.Sum256([]byte("key"))
 	text := &dogwoodsettings.Text{
@@ -109,13 +133,6 @@
 		t.Fatal(err)
 	}
 	fixture.listener = listener
-	var group sync.WaitGroup
-	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	group.Go(func() { _ = serveCallers(serveCtx, fixture.edge, fixture.server, listener) })
-	t.Cleanup(func() {
-		stop()
-		group.Wait()
-	})
 	return fixture
 }
 
--- a/core/dogwooddaemon/shutdown_test.go
+++ b/core/dogwooddaemon/shutdown_test.go
@@ -234,6 +234,32 @@
 	}
 }
 
+// Guards against callers that wait for a daemon that is not ready, and are denied or reset when it leaves.
+func TestDaemonThatIsNotReadyRefusesWaitingCallers(t *testing.T) {
+	for _, shutdown := range shutdowns {
+		t.Run(shutdown.name, func(t *testing.T) {
+			t.Parallel()
+			fixture := newCallerFixture(t.Context(), t, &gatedDispatcher{}, tcpNetwork{})
+			var waiting []*keptConn
+			for range 20 {
+				waiting = append(waiting, fixture.open(t, strings.Replace(call, "Bearer key", "Bearer unknown", 1)))
+			}
+			ready, leaving := make(chan struct{}), make(chan struct{})
+			stop := fixture.start(t.Context(), t, func(ctx context.Context) error {
+				return serveOnceReady(ctx, ready, leaving, fixture.edge, fixture.server, fixture.listener)
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), shutdown.grace)
+			defer cancel()
+			leave(ready, leaving, fixture.edge)
+			_ = drain(ctx, fixture.edge, fixture.server) // requests may run at its end
+			stop()
+			for _, conn := range waiting {
+				conn.checkRefusal(t)
+			}
+		})
+	}
+}
+
 // Guards against a refusal that its caller never reads, since the daemon closes the connection while the request's body arrives
 // and a reset destroys the answer.
 func TestRefusalArrivesBesideUnreadBody(t *testing.T) {
