Pass the time for which dogwoodmuxd still serves to its drain

The tests of a shutdown that ends in time waited for the 5 s after which an address expires, one after the other on one thread. Their daemons serve for 1 s now; the tests took 7 s a run on one thread under race instead of 37 s, beside a load of about 30. The daemon's own time is unchanged.

TestShutdownWaitsForNoUnreadBody drains the server without that wait. What the tests check is the same: on the code before the drain was changed, the cases of TestShutdownRefusesArrivingRequests and TestShutdownAcceptsWaitingConnections failed 4 of 4 again; without the code that each is about, the other three failed 2 of 2. All pass, 2 of 2, on one thread under race.

--- a/core/dogwooddaemon/serve.go
+++ b/core/dogwooddaemon/serve.go
@@ -45,7 +45,7 @@
 	})
 	return &dogwoodkernel.ValuePart[*dogwoodserver.Server]{Value: server, OnStop: func(ctx context.Context) error {
 		leave(ready, leaving, edge)
-		return drain(ctx, edge, server)
+		return drain(ctx, entryTTL, edge, server)
 	}}, nil
 }
 
@@ -130,14 +130,14 @@
 
 // drain keeps serving until the address given to callers has expired, then rejects new requests and waits for the running ones
 // and for the connections of callers. The requests that still run shortly before the context ends are ended.
-func drain(ctx context.Context, edge *dogwoodcaller.Edge, server *dogwoodserver.Server) error {
+func drain(ctx context.Context, expiry time.Duration, edge *dogwoodcaller.Edge, server *dogwoodserver.Server) error {
 	server.StartDraining()
 	finishing, cancel := context.WithCancel(ctx)
 	if deadline, ok := ctx.Deadline(); ok {
 		finishing, cancel = context.WithDeadline(ctx, deadline.Add(-answerTime))
 	}
 	defer cancel()
-	dogwoodkernel.Sleep(finishing, entryTTL)
+	dogwoodkernel.Sleep(finishing, expiry)
 	edge.RejectRequests()
 	if !edge.Await(finishing) {
 		return errors.Join(Error.Wrap(finishing.Err()), endRequests(ctx, edge, server))
--- a/core/dogwooddaemon/serve_test.go
+++ b/core/dogwooddaemon/serve_test.go
@@ -184,7 +184,7 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), answerTime+200*time.Millisecond)
 			defer cancel()
-			if err := drain(ctx, fixture.edge, fixture.server); err == nil {
+			if err := drain(ctx, entryTTL, fixture.edge, fixture.server); err == nil {
 				t.Error("got no error, want one: a request was ended")
 			}
 			if got := fixture.log.String(); !strings.Contains(got, `"reason":"Shutdown"`) || strings.Contains(got, "caller left") {
@@ -299,7 +299,7 @@
 	time.Sleep(200 * time.Millisecond)
 	ctx, cancel := context.WithTimeout(t.Context(), answerTime+300*time.Millisecond)
 	defer cancel()
-	_ = drain(ctx, fixture.edge, fixture.server) // requests may run at its end
+	_ = drain(ctx, entryTTL, fixture.edge, fixture.server) // requests may run at its end
 	group.Wait()
 	if got := unanswered.Load(); got > 0 {
 		t.Errorf("got %d calls without an answer beside %d answered, want none", got, answered.Load())
--- a/core/dogwooddaemon/shutdown_test.go
+++ b/core/dogwooddaemon/shutdown_test.go
@@ -104,13 +104,16 @@
 	}
 }
 
-// shutdowns are the ways in which a shutdown ends. Connections are closed soon after beforeClose.
+// servingTime is how long the daemons of these tests serve after the start of their shutdowns.
+const servingTime = time.Second
+
+// shutdowns are the ways in which a shutdown ends.
 var shutdowns = []struct {
-	name               string
-	grace, beforeClose time.Duration
+	name          string
+	grace, expiry time.Duration
 }{
-	{"requests end in time", entryTTL + 20*time.Second, entryTTL - time.Second},
-	{"requests are ended", answerTime + 200*time.Millisecond, 100 * time.Millisecond},
+	{"requests end in time", servingTime + 20*time.Second, servingTime},
+	{"requests are ended", servingTime + answerTime, entryTTL},
 }
 
 // call is a call to a plain service, without a body.
@@ -156,8 +159,8 @@
 				defer cancel()
 				var group sync.WaitGroup
 				defer group.Wait()
-				group.Go(func() { _ = drain(ctx, fixture.edge, fixture.server) }) // requests may run at its end
-				time.Sleep(shutdown.beforeClose)
+				group.Go(func() { _ = drain(ctx, shutdown.expiry, fixture.edge, fixture.server) }) // requests may run at its end
+				time.Sleep(servingTime / 5)
 				if conn == nil {
 					conn = fixture.open(t, "")
 				}
@@ -226,7 +229,7 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), shutdown.grace)
 			defer cancel()
-			_ = drain(ctx, fixture.edge, fixture.server) // requests may run at its end
+			_ = drain(ctx, shutdown.expiry, fixture.edge, fixture.server) // requests may run at its end
 			for _, conn := range waiting {
 				conn.checkRefusal(t)
 			}
@@ -251,7 +254,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), shutdown.grace)
 			defer cancel()
 			leave(ready, leaving, fixture.edge)
-			_ = drain(ctx, fixture.edge, fixture.server) // requests may run at its end
+			_ = drain(ctx, shutdown.expiry, fixture.edge, fixture.server) // requests may run at its end
 			stop()
 			for _, conn := range waiting {
 				conn.checkRefusal(t)
@@ -317,9 +320,9 @@
 	fixture.edge.RejectRequests()
 	conn := fixture.open(t, request("/services/desk/holds", "x", 1000))
 	conn.checkRefusal(t)
-	ctx, cancel := context.WithTimeout(t.Context(), entryTTL+8*time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
 	defer cancel()
-	if err := drain(ctx, fixture.edge, fixture.server); err != nil {
+	if err := fixture.server.Drain(ctx); err != nil {
 		t.Errorf("got %v, want all connections closed before the body has arrived", err)
 	}
 }
