Wait for the work of all peers known within a second of the start

Only the peers known first were waited for, so that a long prompt was placed before those known some milliseconds later had announced their work.

--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -48,8 +48,8 @@
 	// reportTTL is how long a peer's announcement that it serves remains valid: several
 	// announcement intervals and the duration of one announcement.
 	reportTTL = 2 * time.Second
-	// maxPeerWait is how long a daemon that has started waits for the first announcements of its peers before it places
-	// long prompts.
+	// maxPeerWait is the time after the first peers are known in which a daemon waits for the first announcement of each
+	// peer before it places long prompts.
 	maxPeerWait = time.Second
 )
 
@@ -148,8 +148,7 @@
 	links       map[dogwoodfleet.InstanceID]*link
 	peerReports map[dogwoodfleet.InstanceID]peerReport
 	view        leafView
-	// peersSince is when the first peers were known. heardPeers is true once all of them have announced their work, or
-	// maxPeerWait has passed.
+	// peersSince is when the first peers were known. heardPeers is true once maxPeerWait has passed since then.
 	peersSince time.Time
 	heardPeers bool
 }
@@ -247,14 +246,12 @@
 	if duty.peersSince.IsZero() {
 		duty.peersSince = now
 	}
-	missing := 0
+	duty.heardPeers = now.Sub(duty.peersSince) >= maxPeerWait
+	missing := false
 	for instance := range duty.links {
-		if duty.peerReports[instance].sequence == 0 {
-			missing++
-		}
+		missing = missing || duty.peerReports[instance].sequence == 0
 	}
-	duty.heardPeers = missing == 0 || now.Sub(duty.peersSince) >= maxPeerWait
-	duty.options.Board.AwaitPeers(!duty.heardPeers)
+	duty.options.Board.AwaitPeers(missing && !duty.heardPeers)
 }
 
 // updateVisible sets the number of daemons whose work the board holds. For a leaf with a
--- a/core/duty/dogwoodboard/start_test.go
+++ b/core/duty/dogwoodboard/start_test.go
@@ -78,3 +78,51 @@
 		})
 	}
 }
+
+// Guards against the same while peers become known one after the other: those known first have announced their work.
+func TestLongPromptWaitsForPeersThatBecomeKnownLater(t *testing.T) {
+	engine := &dogwoodenginetime.Engine{Slots: 16, MemoryTokens: 300_000, Step: 2 * time.Millisecond, TokensPerSecond: 150_000, Chunk: 2048, Stride: 34}
+	synctest.Test(t, func(t *testing.T) {
+		board := dogwoodpacking.NewBoard("0")
+		board.SetEndpoints([]dogwoodpacking.Endpoint{{
+			Endpoint: dogwoodfleet.Endpoint{ID: "e", Service: "models", Kind: dogwoodfleet.EnginePool, InForce: true}, Slots: engine.Slots, Engine: engine,
+		}})
+		var peers atomic.Pointer[[]Peer]
+		peers.Store(&[]Peer{{Instance: "1", Address: addressOf(1)}})
+		changed := make(chan struct{})
+		duty := New(Options{
+			Self: "0", Board: board, Caller: &mesh{cut: true, calls: map[netip.AddrPort]int{}}, Serves: func() bool { return true },
+			Peers: func() []Peer { return *peers.Load() }, Watch: func() <-chan struct{} { return changed },
+			Expected: func() int { return 3 }, Logger: hclog.NewNullLogger(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { _ = duty.Run(ctx) })
+		tell := func(peer dogwoodfleet.InstanceID) {
+			synctest.Wait()
+			var reply bool
+			_ = duty.Receiver().Tell(Batch{From: peer, Sequence: 1, Whole: true}, &reply)
+		}
+		place := func() dogwoodpacking.Refusal {
+			now := time.Now()
+			_, refusal := duty.Place(now, &dogwoodpacking.PlacementRequest{
+				ID: "p", Service: "models", Prompt: 150_000, Answer: 100, CanWait: true, Aim: time.Minute, Pause: time.Second, Until: now.Add(5 * time.Minute),
+			})
+			return refusal
+		}
+		tell("1")
+		time.Sleep(20 * time.Millisecond)
+		peers.Store(&[]Peer{{Instance: "1", Address: addressOf(1)}, {Instance: "2", Address: addressOf(2)}})
+		changed <- struct{}{}
+		synctest.Wait()
+		if got, want := place(), dogwoodpacking.Full; got != want {
+			t.Errorf("the second peer has announced nothing: got %q, want %q", got, want)
+		}
+		tell("2")
+		if got, want := place(), dogwoodpacking.Placed; got != want {
+			t.Errorf("both have announced their work: got %q, want %q", got, want)
+		}
+		cancel()
+		group.Wait()
+	})
+}
