--- a/core/edge/dogwoodserver/connection.go
+++ b/core/edge/dogwoodserver/connection.go
@@ -107,16 +107,17 @@
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
 	connection.handled, connection.received, connection.head, connection.answered = false, 0, connection.head[:0], false
-	connection.waiting = time.Now()
+	connection.waiting, connection.released = time.Now(), false
 }
 
 // release makes the server close the connection if it has waited for a request for maxFirstBytes. net/http closes it after a
 // read that fails, so no request is lost between its last byte and the close. A connection that net/http doesn't read at the
-// moment is left alone: a request may be in its buffer, and a read in the background that fails would end that request.
+// moment is left alone: a request may be in its buffer, and a read in the background that fails would end that request. So is one that
+// was released before: it may be reading what has arrived since.
 func (connection *connection) release() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	isWaiting := connection.reading && !connection.handled && connection.received == 0
+	isWaiting := connection.reading && !connection.handled && connection.received == 0 && !connection.released
 	if isWaiting && time.Since(connection.waiting) >= maxFirstBytes {
 		connection.expire()
 	}
--- a/core/edge/dogwoodserver/leftdeadline_test.go
+++ b/core/edge/dogwoodserver/leftdeadline_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -106,6 +107,43 @@
 	}
 }
 
+// Guards against a request that has arrived on a released connection, and whose read is ended by a second release.
+func TestSecondReleaseEndsNoRead(t *testing.T) {
+	sending, accepted := newPair(t)
+	hooked := &hookedConn{Conn: accepted}
+	connection := &connection{Conn: hooked}
+	hooked.beforeRead = func(number int) {
+		connection.release()
+		if number == 1 { // the read that fails for the release; the request arrives before it is known
+			_, _ = sending.Write([]byte("request"))
+			for !connection.hasUnread() {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+	buffer := make([]byte, 10)
+	if count, err := connection.Read(buffer); err != nil || string(buffer[:count]) != "request" {
+		t.Errorf("got %q, %v, want the request", buffer[:count], err)
+	}
+}
+
+// hookedConn calls a function before each read, with the read's number.
+type hookedConn struct {
+	net.Conn
+	reads      int
+	beforeRead func(number int)
+}
+
+func (hooked *hookedConn) SyscallConn() (syscall.RawConn, error) {
+	return hooked.Conn.(syscall.Conn).SyscallConn()
+}
+
+func (hooked *hookedConn) Read(target []byte) (int, error) {
+	hooked.reads++
+	hooked.beforeRead(hooked.reads)
+	return hooked.Conn.Read(target)
+}
+
 // newPair returns the two ends of a connection.
 func newPair(t *testing.T) (sending net.Conn, accepted *net.TCPConn) {
 	t.Helper()
