--- a/core/duty/dogwoodboard/board.go
+++ b/core/duty/dogwoodboard/board.go
@@ -148,9 +148,9 @@
 	links       map[dogwoodfleet.InstanceID]*link
 	peerReports map[dogwoodfleet.InstanceID]peerReport
 	view        leafView
-	// peersSince is when the first peers were known. heardPeers is true once maxPeerWait has passed since then.
-	peersSince time.Time
-	heardPeers bool
+	// peersSince is when the first peers were known. peersSettled is true once maxPeerWait has passed since then.
+	peersSince   time.Time
+	peersSettled bool
 }
 
 // peerReport is the state that a peer last announced.
@@ -183,7 +183,7 @@
 		changed := duty.options.Watch()
 		peers := duty.options.Peers()
 		duty.connect(ctx, group, peers)
-		duty.updateHeardPeers(time.Now())
+		duty.updateAwaitedPeers(time.Now())
 		duty.updateVisible(len(peers) + 1)
 		if duty.options.Senders != nil {
 			duty.options.Board.SetSenders(duty.options.Senders())
@@ -231,12 +231,12 @@
 	}
 }
 
-// updateHeardPeers makes long prompts wait until the peers that are known after the start have announced their work. A peer
-// is known before its work is: of a long prompt placed in between, an engine may run out of memory. A leaf goes by its view.
-func (duty *Duty) updateHeardPeers(now time.Time) {
+// updateAwaitedPeers makes long prompts wait while a peer that became known just after the start has not announced its work. An engine
+// may run out of memory under a prompt that is placed before. A leaf goes by its view.
+func (duty *Duty) updateAwaitedPeers(now time.Time) {
 	duty.mutex.Lock()
 	defer duty.mutex.Unlock()
-	if duty.heardPeers {
+	if duty.peersSettled {
 		return
 	}
 	if len(duty.links) == 0 || duty.isLeaf() {
@@ -246,12 +246,12 @@
 	if duty.peersSince.IsZero() {
 		duty.peersSince = now
 	}
-	duty.heardPeers = now.Sub(duty.peersSince) >= maxPeerWait
+	duty.peersSettled = now.Sub(duty.peersSince) >= maxPeerWait
 	missing := false
 	for instance := range duty.links {
 		missing = missing || duty.peerReports[instance].sequence == 0
 	}
-	duty.options.Board.AwaitPeers(missing && !duty.heardPeers)
+	duty.options.Board.AwaitPeers(missing && !duty.peersSettled)
 }
 
 // updateVisible sets the number of daemons whose work the board holds. For a leaf with a
--- a/core/duty/dogwoodboard/receiver.go
+++ b/core/duty/dogwoodboard/receiver.go
@@ -57,7 +57,7 @@
 		batch.Ended = append(batch.Ended, board.RemoveHolder(batch.From, listed)...)
 	}
 	duty.recordReport(now, &batch, works)
-	duty.updateHeardPeers(now)
+	duty.updateAwaitedPeers(now)
 	for _, id := range batch.Ended {
 		board.Remove(id)
 	}
