Track an accepted connection before its listener counts as closed

Callers whose connection a daemon accepted in the last moment of its shutdown could get a close or a reset in place of a refusal, and the log had no line of it.

Cause: a listener that stops and has accepted for longer than maxStopTime was marked as closed before the connection that it had just accepted was added to the server's set. A check of the drain in between found neither a listener nor a connection, and the daemon ended with the connection unread.

The test looks at the server as the listener closes: "got 0 open connections as the listener closes, want 1" before, 1 after. That this was the cause of that request is not shown.

--- a/core/edge/dogwoodserver/listener.go
+++ b/core/edge/dogwoodserver/listener.go
@@ -75,13 +75,14 @@
 	}
 }
 
-// track returns a connection that the server tracks. It makes the listener close if it has accepted for too long.
+// track returns a connection that the server tracks. It makes the listener close if it has accepted for too long; the server must
+// know the connection by then, since it takes its connections and listeners that are closed for all that there is.
 func (listener *listener) track(accepted net.Conn) net.Conn {
+	connection := &connection{Conn: accepted, waiting: time.Now()}
+	listener.server.add(connection)
 	if stopAt := listener.stopAt.Load(); stopAt != 0 && time.Now().UnixNano() > stopAt {
 		listener.closed.Store(true)
 		_ = listener.Close() // it may be closed already
 	}
-	connection := &connection{Conn: accepted, waiting: time.Now()}
-	listener.server.add(connection)
 	return connection
 }
--- a/core/edge/dogwoodserver/server_test.go
+++ b/core/edge/dogwoodserver/server_test.go
@@ -324,6 +324,42 @@
 	}
 }
 
+// closeHook is a listener that calls a function as it closes.
+type closeHook struct {
+	*net.TCPListener
+	hook func()
+}
+
+func (closeHook *closeHook) Close() error {
+	closeHook.hook()
+	return closeHook.TCPListener.Close()
+}
+
+// Guards against a drain that ends, and a process that exits, while a connection that was just accepted is not tracked yet.
+func TestDrainCountsConnectionThatStoppedListenerAccepts(t *testing.T) {
+	accepting, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := New(t.Context(), &http.Server{Handler: http.HandlerFunc(answers)}, Options{Logger: hclog.NewNullLogger()})
+	open := 0
+	stopped := newListener(&closeHook{TCPListener: accepting, hook: func() { open = server.release(false) }}, server)
+	caller, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", accepting.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	stopped.stopAt.Store(time.Now().Add(-maxStopTime).UnixNano())
+	accepted, err := stopped.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	if open != 1 {
+		t.Errorf("got %d open connections as the listener closes, want 1", open)
+	}
+}
+
 // Guards against a new connection that is closed before its caller, which has just opened it, can send its request.
 func TestDrainWaitsForFirstRequestOfNewConnections(t *testing.T) {
 	fixture := newFixture(t, answers)
