Begin a soak's callers once its daemons listen

Cause: the soak's callers began as soon as the daemons' processes had been started. They know the daemons' addresses from the soak, not from the directory, and no check excuses a daemon that does not listen yet; nothing was sent.

Change: the soak waits until each daemon accepts connections. The daemons still start under load: they have no text, and know neither endpoints nor each other then.

--- a/dogwoodload/dogwoodsoak/site.go
+++ b/dogwoodload/dogwoodsoak/site.go
@@ -114,6 +114,9 @@
 			return err
 		}
 	}
+	for _, daemon := range site.daemons {
+		waitUntilListening(ctx, daemon.settings.CallersAddress()) // callers would take a refused connection for a cut
+	}
 	daemonAddresses := make([]dogwoodsoakcaller.Daemon, len(site.daemons))
 	for i, daemon := range site.daemons {
 		daemonAddresses[i] = dogwoodsoakcaller.Daemon{
--- a/dogwoodload/dogwoodsoak/soak_test.go
+++ b/dogwoodload/dogwoodsoak/soak_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"flag"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -284,6 +285,33 @@
 	}
 }
 
+// Guards against callers that begin before a daemon listens: the connection that it refuses would count as a request that was cut.
+func TestDaemonsListenBeforeCallersBegin(t *testing.T) {
+	directory := t.TempDir()
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	daemon := filepath.Join(directory, carelessPrefix+string(twiceRun))
+	if err := os.Symlink(program, daemon); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	site := newSite(newOptions(daemon, minDuration), directory, daemon, program)
+	defer func() { _ = site.stop(cancel) }()
+	if err := site.start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	for _, daemon := range site.daemons {
+		connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", daemon.settings.CallersAddress().String())
+		if err != nil {
+			t.Errorf("%s: got %v, want a connection", daemon.name, err)
+			continue
+		}
+		_ = connection.Close()
+	}
+}
+
 // Records of an earlier soak in the same directory would count as runs of this soak's requests.
 func TestNonEmptyDirectoryIsRejected(t *testing.T) {
 	directory := t.TempDir()
