Write the line about idle connections that a drain closes at debug level again

Connections that a drain closes in order are no event for an operator, and the errors that the test of signals keeps now tell a reset from a close without it.

--- a/core/edge/dogwoodserver/server.go
+++ b/core/edge/dogwoodserver/server.go
@@ -123,7 +123,7 @@
 				"request", headerValue(request.head, server.options.RequestID), "from", connection.RemoteAddr(),
 				"bytes", request.received, "leaving", server.isDraining(), "callergone", request.callerGone)
 		} else if waited, released := connection.waited(); released && waited < maxArrival {
-			server.options.Logger.Info("A connection was closed that waited for a request.", "from", connection.RemoteAddr(), "waited", waited)
+			server.options.Logger.Debug("A connection was closed that waited for a request.", "from", connection.RemoteAddr(), "waited", waited)
 		}
 	case http.StateNew, http.StateActive, http.StateHijacked:
 	}
