Accept what waits after a pause of the process

What callers saw: their connections, which waited at the listener of a daemon that shut down, were reset with their requests unread.

Cause: a listener that stops accepts with a deadline of a millisecond and took a passed deadline for an empty queue. Go fails an accept whose deadline has passed before it asks the kernel, so that a process that was not run for a millisecond in between closed the listener with callers in its queue.

Before this change TestStoppedListenerAcceptsWaitingConnectionsAfterAPause printed "got 0, read tcp ...: read: connection reset by peer, want 200".

--- a/core/dogwooddaemon/network.go
+++ b/core/dogwooddaemon/network.go
@@ -118,6 +118,14 @@
 	return setter.SetDeadline(deadline)
 }
 
+// SyscallConn returns the listener's descriptor, if it has one. A server that drains looks for waiting connections there.
+func (listener *severableListener) SyscallConn() (syscall.RawConn, error) {
+	if descriptors, ok := listener.Listener.(syscall.Conn); ok {
+		return descriptors.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // Close closes the listener.
 func (listener *severableListener) Close() error {
 	listener.network.untrack(listener)
--- a/core/edge/dogwoodserver/listener.go
+++ b/core/edge/dogwoodserver/listener.go
@@ -6,7 +6,10 @@
 	"net/http"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -68,6 +71,8 @@
 			return nil, err //nolint:wrapcheck // net/http asks for the error's type
 		case stopAt == 0 && errors.Is(err, os.ErrDeadlineExceeded):
 			continue // it is to stop now
+		case time.Now().UnixNano() < stopAt && listener.hasWaiting():
+			continue // the deadline had passed before it was accepted
 		}
 		listener.closed.Store(true)
 		_ = listener.Close() // it may be closed already
@@ -75,6 +80,23 @@
 	}
 }
 
+// hasWaiting reports whether a connection waits. It is false for a listener without a descriptor.
+func (listener *listener) hasWaiting() bool {
+	descriptors, ok := listener.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := descriptors.SyscallConn()
+	if err != nil {
+		return false
+	}
+	count := 0
+	err = raw.Control(func(descriptor uintptr) {
+		count, _ = unix.Poll([]unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && count > 0
+}
+
 // track returns a connection that the server tracks. It makes the listener close if it has accepted for too long.
 func (listener *listener) track(accepted net.Conn) net.Conn {
 	if stopAt := listener.stopAt.Load(); stopAt != 0 && time.Now().UnixNano() > stopAt {
--- a/core/edge/dogwoodserver/server_test.go
+++ b/core/edge/dogwoodserver/server_test.go
@@ -324,6 +324,42 @@
 	}
 }
 
+// pausedListener pauses before its first accepts, for longer than their deadlines.
+type pausedListener struct {
+	*net.TCPListener
+	pauses int
+}
+
+func (paused *pausedListener) Accept() (net.Conn, error) {
+	if paused.pauses > 0 {
+		paused.pauses--
+		time.Sleep(2 * emptyQueueTime)
+	}
+	return paused.TCPListener.Accept()
+}
+
+// Guards against connections that wait at the listener when it closes, as the process was not run between setting the deadline and
+// accepting.
+func TestStoppedListenerAcceptsWaitingConnectionsAfterAPause(t *testing.T) {
+	fixture := newFixture(t, answers)
+	accepting, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fixture.address = accepting.Addr().String()
+	caller := fixture.dial(t)
+	caller.write(t, request)
+	paused := &pausedListener{TCPListener: accepting.(*net.TCPListener), pauses: 3}
+	stopped := newListener(paused, fixture.Server)
+	stopped.stop()
+	if err := fixture.server.Serve(stopped); !errors.Is(err, http.ErrServerClosed) {
+		t.Errorf("got %v, want that the listener has closed", err)
+	}
+	if status, err := caller.read(); status != http.StatusOK || err != nil {
+		t.Errorf("got %d, %v, want 200", status, err)
+	}
+}
+
 // Guards against a new connection that is closed before its caller, which has just opened it, can send its request.
 func TestDrainWaitsForFirstRequestOfNewConnections(t *testing.T) {
 	fixture := newFixture(t, answers)
