Refuse callers that wait for a daemon that fails

What callers saw: a dogwoodmuxd whose background task fails before it is ready reset the connections of callers that waited at its listener, with their requests unread. One that ended as it began to serve could do so as well.

Cause: it closed the listener. Beside that, a server knew its listener only from the start of Serve on, so that a drain that began before found nothing to wait for.

Evidence: before this change TestDaemonThatFailsBeforeItIsReadyRefusesWaitingCallers printed "got no answer: read tcp ...: connection reset by peer, want a refusal" for its callers.

The daemon now accepts and refuses them as at a stop, and its server tracks the listener from the beginning.

--- a/core/dogwooddaemon/serve.go
+++ b/core/dogwooddaemon/serve.go
@@ -38,6 +38,7 @@
 		return nil, err
 	}
 	server := newCallersServer(ctx, edge, kernel.Named(pluginServe))
+	listener = server.Track(listener)
 	environment.cutHooks.add(edge.Cut)
 	ready, leaving := changes.duty.Ready(), make(chan struct{})
 	kernel.Go("callers", func(ctx context.Context) error {
@@ -49,14 +50,16 @@
 	}}, nil
 }
 
-// serveOnceReady serves callers once the daemon is ready or leaves. Until it has the operators' latest changes, it might admit
+// serveOnceReady serves callers once the daemon is ready, and rejects those that wait if it leaves or the context ends before. Until it has the operators' latest changes, it might admit
 // requests under a text that was replaced long ago. Callers wait in the listener's backlog meanwhile.
 func serveOnceReady(ctx context.Context, ready, leaving <-chan struct{}, edge *dogwoodcaller.Edge, server *dogwoodserver.Server, listener net.Listener) error {
 	select {
 	case <-ready:
 	case <-leaving:
+		server.StartDraining()
 	case <-ctx.Done():
-		return Error.Wrap(listener.Close())
+		server.StartDraining()
+		edge.RejectRequests()
 	}
 	return serveCallers(ctx, edge, server, listener)
 }
--- a/core/dogwooddaemon/serve_test.go
+++ b/core/dogwooddaemon/serve_test.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	fixture.listener = listener
+	fixture.listener = fixture.server.Track(listener)
 	return fixture
 }
 
--- a/core/dogwooddaemon/shutdown_test.go
+++ b/core/dogwooddaemon/shutdown_test.go
@@ -263,6 +263,25 @@
 	}
 }
 
+// Guards against callers that wait for a daemon that is not ready, and are reset when it fails.
+func TestDaemonThatFailsBeforeItIsReadyRefusesWaitingCallers(t *testing.T) {
+	fixture := newCallerFixture(t.Context(), t, &gatedDispatcher{}, tcpNetwork{})
+	var waiting []*keptConn
+	for range 20 {
+		waiting = append(waiting, fixture.open(t, strings.Replace(call, "Bearer key", "Bearer unknown", 1)))
+	}
+	failed, fail := context.WithCancel(t.Context())
+	fail()
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		_ = serveOnceReady(failed, nil, nil, fixture.edge, fixture.server, fixture.listener) // the callers' answers are checked
+	})
+	for _, conn := range waiting {
+		conn.checkRefusal(t)
+	}
+}
+
 // Guards against a refusal that its caller never reads, since the daemon closes the connection while the request's body arrives
 // and a reset destroys the answer.
 func TestRefusalArrivesBesideUnreadBody(t *testing.T) {
--- a/core/edge/dogwoodserver/server.go
+++ b/core/edge/dogwoodserver/server.go
@@ -88,12 +88,22 @@
 	return wrapper
 }
 
-// Serve serves the connections of a listener until the server is closed.
-func (server *Server) Serve(accepting net.Listener) error {
+// Track returns a listener for Serve. Drain waits until what waits there has been accepted, also if Serve begins after it.
+func (server *Server) Track(accepting net.Listener) net.Listener {
 	tracked := newListener(accepting, server)
 	server.mutex.Lock()
+	defer server.mutex.Unlock()
 	server.listeners = append(server.listeners, tracked)
-	server.mutex.Unlock()
+	return tracked
+}
+
+// Serve serves the connections of a listener until the server is closed.
+func (server *Server) Serve(accepting net.Listener) error {
+	tracked, ok := accepting.(*listener)
+	if !ok {
+		return server.Serve(server.Track(accepting))
+	}
+	defer tracked.closed.Store(true)
 	return server.server.Serve(tracked) //nolint:wrapcheck // callers ask for http.ErrServerClosed
 }
 
