Refuse operators' requests that arrive at a shutdown

What callers saw: an operator whose request arrived while dogwoodmuxd closed its operators' listener, or waited there, got no answer: an end of file or a reset. A change of which a part had arrived ended in the same way.

Cause: that listener still ended by net/http's Shutdown, which counts a connection as idle until the whole head of its next request has arrived, and closes the listener with what waits.

The listener now ends by dogwoodserver. Requests that arrive after callers' requests have ended are refused with 503 and the new kind "leaving", not run; the operators' client asks the next daemon then, and names the refusal if there is none. A request counts as in progress once its body has arrived, so that a body that never ends holds nothing up. A report whose calls were ended is refused, since it would show daemons as silent.

--- a/core/dogwoodadminapi/client.go
+++ b/core/dogwoodadminapi/client.go
@@ -27,7 +27,7 @@
 // stops waiting for the store.
 const callTimeout = 10 * time.Second
 
-// Unreachable reports that no daemon answered.
+// Unreachable reports that no daemon answered, but for those that leave.
 type Unreachable struct {
 	Tried []netip.AddrPort
 	Last  error
@@ -47,7 +47,7 @@
 	return unreachable.Last
 }
 
-// Client calls the administration API of the first daemon that answers.
+// Client calls the administration API of the first daemon that answers and does not leave.
 type Client struct {
 	http      *resty.Client
 	addresses []netip.AddrPort
@@ -125,9 +125,9 @@
 	return call[T](ctx, client, http.MethodGet, path, nil)
 }
 
-// call sends the request to the daemons in turn until one answers. It is safe to continue
-// after a lost answer: reads have no effect, and a change carries an ID that the change log
-// uses to store it only once.
+// call sends the request to the daemons in turn until one answers that does not leave. It is
+// safe to continue after a lost answer: reads have no effect, and a change carries an ID that
+// the change log uses to store it only once.
 func call[T any](ctx context.Context, client *Client, method, path string, body any) (T, error) {
 	var value T
 	var lastErr error
@@ -141,7 +141,11 @@
 			lastErr = Error.Wrap(err)
 			continue
 		}
-		return value, decode(response, &value)
+		err = decode(response, &value)
+		if !isLeaving(err) {
+			return value, err
+		}
+		lastErr = err
 	}
 	if lastErr == nil {
 		lastErr = errors.New("no address given")
@@ -149,6 +153,12 @@
 	return value, &Unreachable{Tried: client.addresses, Last: lastErr}
 }
 
+// isLeaving reports whether an error is the refusal of a daemon that leaves.
+func isLeaving(err error) bool {
+	var problem *dogwoodproblem.Problem
+	return errors.As(err, &problem) && problem.Kind() == KindLeaving
+}
+
 func decode(response *resty.Response, value any) error {
 	if response.IsError() {
 		return responseError(response)
--- a/core/dogwoodadminapi/types.go
+++ b/core/dogwoodadminapi/types.go
@@ -38,6 +38,7 @@
 	KindNotAllowed   = "not-allowed"   // the path does not support the method
 	KindInternal     = "internal"      // an internal error of the daemon
 	KindNotReady     = "not-ready"     // the daemon has not yet read its state
+	KindLeaving      = "leaving"       // the daemon shuts down; nothing was changed, and other daemons serve
 	KindUnsupported  = "not-available" // the daemon runs without the component that serves the path
 )
 
--- a/core/dogwooddaemon/admin.go
+++ b/core/dogwooddaemon/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"errors"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -18,6 +19,7 @@
 	"dogwoodmux.example/core/duty/dogwoodowner"
 	"dogwoodmux.example/core/edge/dogwoodadmin"
 	"dogwoodmux.example/core/edge/dogwoodplatform"
+	"dogwoodmux.example/core/edge/dogwoodserver"
 )
 
 func init() {
@@ -34,7 +36,7 @@
 
 // startAdmin serves operators' requests even while the daemon isn't ready to serve callers,
 // because operators need its status then.
-func startAdmin(ctx context.Context, kernel *dogwoodkernel.Kernel, environment *environment) (*dogwoodkernel.ValuePart[*http.Server], error) {
+func startAdmin(ctx context.Context, kernel *dogwoodkernel.Kernel, environment *environment) (*dogwoodkernel.ValuePart[*dogwoodserver.Server], error) {
 	needs := dogwoodkernel.Needs{Kernel: kernel}
 	changes := dogwoodkernel.Need[*changes](&needs, pluginChanges)
 	members := dogwoodkernel.Need[members](&needs, pluginMembers)
@@ -62,14 +64,42 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{
+	server := newOperatorsServer(ctx, handler, logger)
+	listener = server.Track(listener)
+	environment.leaveHooks.add(server.StartDraining)
+	kernel.Go(pluginAdmin, func(ctx context.Context) error { return serveOperators(ctx, handler, server, listener) })
+	return &dogwoodkernel.ValuePart[*dogwoodserver.Server]{Value: server, OnStop: func(ctx context.Context) error {
+		return drainOperators(ctx, handler, server)
+	}}, nil
+}
+
+func newOperatorsServer(ctx context.Context, handler *dogwoodadmin.Server, logger hclog.Logger) *dogwoodserver.Server {
+	return dogwoodserver.New(ctx, &http.Server{
 		Handler: handler, ReadHeaderTimeout: adminHeaderTimeout, IdleTimeout: adminIdleTimeout,
 		ErrorLog: logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}, dogwoodserver.Options{Shutdown: errShutdown, Logger: logger})
+}
+
+// serveOperators serves operators until the context ends, then ends their requests.
+func serveOperators(ctx context.Context, handler *dogwoodadmin.Server, server *dogwoodserver.Server, listener net.Listener) error {
+	return serveUntil(ctx, server, listener, func() { _ = drainOperators(ctx, handler, server) })
+}
+
+// drainOperators rejects new requests and waits for those in progress and for the connections of operators, until the context ends
+// and then for answerTime.
+func drainOperators(ctx context.Context, handler *dogwoodadmin.Server, server *dogwoodserver.Server) error {
+	server.StartDraining()
+	handler.RejectRequests()
+	if handler.Await(ctx) && server.Drain(ctx) == nil {
+		return nil
 	}
-	serveHTTP(kernel, pluginAdmin, server, listener)
-	return &dogwoodkernel.ValuePart[*http.Server]{Value: server, OnStop: func(ctx context.Context) error {
-		return closeServer(ctx, server)
-	}}, nil
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
+	defer cancel()
+	server.End()
+	if err := server.Drain(ctx); err != nil {
+		return errors.Join(Error.Wrap(err), server.Close(ctx))
+	}
+	return nil
 }
 
 // overview gathers the status of all daemons.
--- a/core/dogwooddaemon/serve.go
+++ b/core/dogwooddaemon/serve.go
@@ -81,38 +81,13 @@
 	return dogwoodserver.New(ctx, edge.Server(), dogwoodserver.Options{Shutdown: errShutdown, Logger: logger})
 }
 
-// server serves the connections of a listener.
-type server interface {
-	Serve(listener net.Listener) error
-}
-
-// serveHTTP starts a background task that runs a server until the kernel stops.
-func serveHTTP(kernel *dogwoodkernel.Kernel, name string, server *http.Server, listener net.Listener) {
-	kernel.Go(name, func(ctx context.Context) error {
-		return serveUntil(ctx, server, listener, func() { _ = closeServer(ctx, server) })
-	})
-}
-
-// closeServer waits for the requests in progress until the context ends, and then for answerTime.
-func closeServer(ctx context.Context, server *http.Server) error {
-	if server.Shutdown(ctx) == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		return errors.Join(Error.Wrap(err), server.Close())
-	}
-	return nil
-}
-
 // serveCallers serves callers until the context ends, then ends their requests.
 func serveCallers(ctx context.Context, edge *dogwoodcaller.Edge, server *dogwoodserver.Server, listener net.Listener) error {
 	return serveUntil(ctx, server, listener, func() { _ = endRequests(ctx, edge, server) })
 }
 
 // serveUntil runs a server until the context ends, and then end, which closes it.
-func serveUntil(ctx context.Context, server server, listener net.Listener, end func()) error {
+func serveUntil(ctx context.Context, server *dogwoodserver.Server, listener net.Listener, end func()) error {
 	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(ended)
--- a/core/edge/dogwoodadmin/server.go
+++ b/core/edge/dogwoodadmin/server.go
@@ -14,6 +14,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -86,6 +87,9 @@
 	options Options
 	key     [sha256.Size]byte
 	mux     *http.ServeMux
+	// rejecting is set once further requests are rejected, and running the number of requests that have arrived and are served.
+	rejecting atomic.Bool
+	running   atomic.Int64
 }
 
 // New returns a Server with a handler for each path of the API.
@@ -112,7 +116,7 @@
 		"GET /debug/vars":                        expvar.Handler().ServeHTTP,
 	}
 	for pattern, handler := range withKey {
-		server.mux.HandleFunc(pattern, server.requireKey(handler))
+		server.mux.HandleFunc(pattern, server.requireKey(server.unlessLeaving(handler)))
 	}
 	server.mux.HandleFunc("GET /healthz", serveLiveness)
 	server.mux.HandleFunc("GET /readyz", server.serveReadiness)
@@ -123,7 +127,6 @@
 
 // ServeHTTP serves one request.
 func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	request.Body = http.MaxBytesReader(writer, request.Body, maxBodyBytes)
 	server.mux.ServeHTTP(writer, request)
 }
 
@@ -149,6 +152,10 @@
 }
 
 func (server *Server) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
+	if server.rejecting.Load() {
+		writeLeaving(writer)
+		return
+	}
 	if server.options.Ready != nil {
 		if err := server.options.Ready(); err != nil {
 			writeProblem(writer, http.StatusServiceUnavailable, dogwoodadminapi.KindNotReady, err.Error())
--- a/core/edge/dogwoodadmin/views.go
+++ b/core/edge/dogwoodadmin/views.go
@@ -47,13 +47,23 @@
 func (server *Server) getStatus(writer http.ResponseWriter, request *http.Request) {
 	ctx, cancel := context.WithTimeout(request.Context(), statusTimeout)
 	defer cancel()
-	writeJSON(writer, server.options.Overview.Status(ctx))
+	writeReport(writer, request, server.options.Overview.Status(ctx))
 }
 
 func (server *Server) getBurn(writer http.ResponseWriter, request *http.Request) {
 	ctx, cancel := context.WithTimeout(request.Context(), statusTimeout)
 	defer cancel()
-	writeJSON(writer, server.options.Burn.Report(ctx))
+	writeReport(writer, request, server.options.Burn.Report(ctx))
+}
+
+// writeReport answers with what the daemons have reported. A request that was ended meanwhile is refused, since daemons that have
+// not reported yet would be shown as silent.
+func writeReport(writer http.ResponseWriter, request *http.Request, report any) {
+	if request.Context().Err() != nil {
+		writeLeaving(writer)
+		return
+	}
+	writeJSON(writer, report)
 }
 
 func (server *Server) getEntry(writer http.ResponseWriter, request *http.Request) {
--- a/dogwoodctl/dogwoodcommand/exit.go
+++ b/dogwoodctl/dogwoodcommand/exit.go
@@ -49,6 +49,7 @@
 	{dogwoodadminapi.KindRefused, ExitRefused},
 	{dogwoodadminapi.KindUnavailable, ExitUnavailable},
 	{dogwoodadminapi.KindNotReady, ExitUnavailable},
+	{dogwoodadminapi.KindLeaving, ExitUnavailable},
 	{dogwoodadminapi.KindUnknown, ExitUnknown},
 }
 
