Accept all that waits at a listener that stops, however long that takes

Callers whose connections waited at the listener of a daemon that shut down were reset, with their requests unread, if the process was slow to accept them.

Cause: a listener that stops closed after 100 ms, whatever waited there. And an accept whose deadline passes before it begins, as in a process that is seldom run, fails without a try; after such a failure the next one got the same millisecond.

Change: after 100 ms the listener closes as soon as no connection waits, and an accept is tried again with 100 ms if one does.

--- a/core/edge/dogwoodserver/listener.go
+++ b/core/edge/dogwoodserver/listener.go
@@ -15,7 +15,7 @@
 const (
 	// emptyQueueTime is how long a listener that stops waits for a connection. None comes in that time if its queue is empty.
 	emptyQueueTime = time.Millisecond
-	// maxStopTime bounds the time for which a listener that stops accepts connections.
+	// maxStopTime bounds the time for which a listener that stops waits for connections. After it, those that wait are accepted.
 	maxStopTime = 100 * time.Millisecond
 )
 
@@ -24,7 +24,7 @@
 type listener struct {
 	net.Listener
 	server *Server
-	// stopAt is when it closes at the latest, in nanoseconds since 1970; 0 until it is to stop.
+	// stopAt is when it closes even if connections keep coming, in nanoseconds since 1970; 0 until it is to stop.
 	stopAt atomic.Int64
 	closed atomic.Bool
 }
@@ -49,8 +49,7 @@
 func (listener *listener) setDeadline(deadline time.Time) {
 	accepting, ok := listener.Listener.(deadlineSetter)
 	if !ok || accepting.SetDeadline(deadline) != nil {
-		listener.closed.Store(true)
-		_ = listener.Close() // it may be closed already
+		_ = listener.Close() // Accept fails then
 	}
 }
 
@@ -58,10 +57,11 @@
 
 // Accept waits for the next connection.
 func (listener *listener) Accept() (net.Conn, error) {
+	wait := emptyQueueTime
 	for {
 		stopAt := listener.stopAt.Load()
 		if stopAt != 0 {
-			listener.setDeadline(time.Now().Add(emptyQueueTime))
+			listener.setDeadline(time.Now().Add(wait))
 		}
 		accepted, err := listener.Listener.Accept()
 		switch {
@@ -71,8 +71,9 @@
 			return nil, err //nolint:wrapcheck // net/http asks for the error's type
 		case stopAt == 0 && errors.Is(err, os.ErrDeadlineExceeded):
 			continue // it is to stop now
-		case time.Now().UnixNano() < stopAt && listener.hasWaiting():
-			continue // the deadline had passed before it was accepted
+		case listener.hasWaiting():
+			wait = maxStopTime // the deadline had passed before it was accepted
+			continue
 		}
 		listener.closed.Store(true)
 		_ = listener.Close() // it may be closed already
@@ -97,12 +98,12 @@
 	return err == nil && count > 0
 }
 
-// track returns a connection that the server tracks. It makes the listener close if it has accepted for too long; the server must
-// know the connection by then, since it takes its connections and listeners that are closed for all that there is.
+// track returns a connection that the server tracks. It makes the listener close if it has accepted for too long and none waits; the
+// server must know the connection by then, since it takes its connections and listeners that are closed for all that there is.
 func (listener *listener) track(accepted net.Conn) net.Conn {
 	connection := &connection{Conn: accepted, waiting: time.Now()}
 	listener.server.add(connection)
-	if stopAt := listener.stopAt.Load(); stopAt != 0 && time.Now().UnixNano() > stopAt {
+	if stopAt := listener.stopAt.Load(); stopAt != 0 && time.Now().UnixNano() > stopAt && !listener.hasWaiting() {
 		listener.closed.Store(true)
 		_ = listener.Close() // it may be closed already
 	}
--- a/core/edge/dogwoodserver/server_test.go
+++ b/core/edge/dogwoodserver/server_test.go
@@ -360,39 +360,57 @@
 	}
 }
 
-// pausedListener pauses before its first accepts, for longer than their deadlines.
-type pausedListener struct {
+// slowListener is a listener whose Accept takes some time before it tries, and after it has accepted a connection.
+type slowListener struct {
 	*net.TCPListener
-	pauses int
+	before, after time.Duration
 }
 
-func (paused *pausedListener) Accept() (net.Conn, error) {
-	if paused.pauses > 0 {
-		paused.pauses--
-		time.Sleep(2 * emptyQueueTime)
+func (slowListener *slowListener) Accept() (net.Conn, error) {
+	time.Sleep(slowListener.before)
+	accepted, err := slowListener.TCPListener.Accept()
+	if err == nil {
+		time.Sleep(slowListener.after)
 	}
-	return paused.TCPListener.Accept()
+	return accepted, err
 }
 
-// Guards against connections that wait at the listener when it closes, as the process was not run between setting the deadline and
-// accepting.
-func TestStoppedListenerAcceptsWaitingConnectionsAfterAPause(t *testing.T) {
-	fixture := newFixture(t, answers)
-	accepting, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	fixture.address = accepting.Addr().String()
-	caller := fixture.dial(t)
-	caller.write(t, request)
-	paused := &pausedListener{TCPListener: accepting.(*net.TCPListener), pauses: 3}
-	stopped := newListener(paused, fixture.Server)
-	stopped.stop()
-	if err := fixture.server.Serve(stopped); !errors.Is(err, http.ErrServerClosed) {
-		t.Errorf("got %v, want that the listener has closed", err)
+// Guards against connections that wait at a listener which stops, and are reset with their requests as the process is slow to accept
+// them.
+func TestSlowListenerThatStopsAcceptsWaitingConnections(t *testing.T) {
+	tests := []struct {
+		name          string
+		before, after time.Duration
+	}{
+		{"each accept begins after its deadline", 2 * emptyQueueTime, 0},
+		{"all take longer than the time to stop", 0, maxStopTime / 5},
 	}
-	if status, err := caller.read(); status != http.StatusOK || err != nil {
-		t.Errorf("got %d, %v, want 200", status, err)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			const callers = 20
+			fixture := newFixture(t, answers)
+			accepting, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			fixture.address = accepting.Addr().String()
+			var waiting []*caller
+			for range callers {
+				caller := fixture.dial(t)
+				caller.write(t, request)
+				waiting = append(waiting, caller)
+			}
+			stopped := newListener(&slowListener{TCPListener: accepting, before: test.before, after: test.after}, fixture.Server)
+			stopped.stop()
+			if err := fixture.server.Serve(stopped); !errors.Is(err, http.ErrServerClosed) {
+				t.Errorf("got %v, want that the listener has closed", err)
+			}
+			for number, caller := range waiting {
+				if status, err := caller.read(); status != http.StatusOK || err != nil {
+					t.Errorf("caller %d: got %d, %v, want 200", number, status, err)
+				}
+			}
+		})
 	}
 }
 
