Take no failure without the endpoint's seal for an answer

What callers saw: if what answered at an endpoint's address was no endpoint (its address used again, a proxy, a program that starts), an unsealed 503 without Dogwoodmux-Not-Executed reached the caller as 503. That status promises that the request has not run and never will, which nobody who could know had said. A caller that may not send its request twice then did so.

Cause: Response.isForeign covered 200 to 499 alone. run.isAnswer took any status from 500 on for the answer to a route of kind Once, and endpointFailed sent it as the final error of a request that may be repeated, or of a stream.

Evidence: found by a review, by reading, and shown by its trial tests.

Fix: any other answer without a seal is none: the caller gets 502 with the daemon's own problem, outcome unknown, or another try where the route allows it, as it had before.

--- a/core/duty/dogwoodrelay/relay.go
+++ b/core/duty/dogwoodrelay/relay.go
@@ -168,11 +168,10 @@
 	FaultyHelper netip.AddrPort
 }
 
-// isForeign reports whether the response is no answer of an endpoint although it has the status of one: a success, a redirect or a
-// client error that is not genuine. Whatever sent it may have passed the request on.
+// isForeign reports whether the response is no endpoint's answer: it is not genuine, and says neither that the request did not begin nor that
+// it was for another endpoint. Whatever sent it may have passed the request on, whatever its status promises.
 func (response *Response) isForeign() bool {
-	return response.Status >= http.StatusOK && response.Status < http.StatusInternalServerError &&
-		!response.Genuine && !response.NotRun && !response.OtherInstance
+	return !response.Genuine && !response.NotRun && !response.OtherInstance
 }
 
 // Endpoints sends requests to endpoints. Its errors are *NotSent and *Broken.
--- a/core/duty/dogwoodrelay/relay_test.go
+++ b/core/duty/dogwoodrelay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -236,6 +237,70 @@
 	}
 }
 
+// Guards against a failure without the endpoint's seal that is passed on: as a 503 it would promise that a request has not run which may have.
+// Refusals that say so, and an endpoint's own failures, count as before.
+func TestUnsealedFailureIsNoAnswer(t *testing.T) {
+	once := func() *Request { return plainRequest(dogwoodroute.Once) }
+	repeatable := func() *Request { return plainRequest(dogwoodroute.Idempotent) }
+	unresumable := func() *Request {
+		request := streamRequest()
+		request.Route.Resumable = false
+		return request
+	}
+	unsealed := func(status int) step {
+		return func(ctx context.Context) (*Response, error) {
+			response, err := responds(status, "failed")(ctx)
+			response.Genuine = false
+			return response, err
+		}
+	}
+	answers := responds(http.StatusOK, "id: 1\ndata: a\n\n")
+	type testCase struct {
+		name    string
+		request func() *Request
+		steps   []step
+		// wantStatus is the status that the caller gets, 0 for a failure whose run is wantRun.
+		wantStatus int
+		wantRun    dogwoodfleet.RunState
+		wantSends  int
+	}
+	tests := []testCase{
+		{"503 that says it has not run", once, []step{notRun(503), answers}, 200, "", 2},
+		{"503 that says it has not run, from all", once, []step{notRun(503)}, 0, dogwoodfleet.NotRun, maxTries},
+		{"503 that says it has not run, then one that does not", once, []step{notRun(503), unsealed(503)}, 0, dogwoodfleet.RunUnknown, 2},
+		{"an endpoint's own 503", once, []step{responds(503, "failed"), answers}, 503, "", 1},
+		{"an endpoint's own 503, from all", repeatable, []step{responds(503, "failed")}, 503, "", 2},
+		{"an endpoint's own 503 after an unsealed one", repeatable, []step{unsealed(503), responds(503, "failed")}, 503, "", 2},
+	}
+	for _, status := range []int{408, 429, 500, 502, 503, 504} {
+		tests = append(tests,
+			testCase{fmt.Sprintf("%d to a call that may not be repeated", status), once, []step{unsealed(status), answers}, 0, dogwoodfleet.RunUnknown, 1},
+			testCase{fmt.Sprintf("%d to a stream that may not be resumed", status), unresumable, []step{unsealed(status), answers}, 0, dogwoodfleet.RunUnknown, 1},
+			testCase{fmt.Sprintf("%d to a call that may be repeated", status), repeatable, []step{unsealed(status), answers}, 200, "", 2},
+			testCase{fmt.Sprintf("%d to a stream that may be resumed", status), streamRequest, []step{unsealed(status), answers}, 200, "", 2},
+			testCase{fmt.Sprintf("%d from all to a call that may be repeated", status), repeatable, []step{unsealed(status)}, 0, dogwoodfleet.RunUnknown, 2},
+			testCase{fmt.Sprintf("%d from all to a stream that may be resumed", status), streamRequest, []step{unsealed(status)}, 0, dogwoodfleet.RunUnknown, 2},
+		)
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runRelayTest(t, nil, test.steps, func(t *testing.T, fixture *fixture) {
+				err := fixture.relay.Serve(t.Context(), test.request(), fixture.answer)
+				if got := fixture.answer.status; got != test.wantStatus {
+					t.Errorf("got status %d, error %v, want status %d", got, err, test.wantStatus)
+				}
+				var failure *Failure
+				if test.wantStatus == 0 && (!errors.As(err, &failure) || failure.Run != test.wantRun) {
+					t.Errorf("got error %v, want a failure whose run is %s", err, test.wantRun)
+				}
+				if got := len(fixture.endpoints.sent()); got != test.wantSends {
+					t.Errorf("got %d sends, want %d", got, test.wantSends)
+				}
+			})
+		})
+	}
+}
+
 // Both servers answer an idempotent call with a failure. The caller must get it unchanged.
 func TestServerFailureIsForwarded(t *testing.T) {
 	runRelayTest(t, nil, []step{responds(500, "failed")}, func(t *testing.T, fixture *fixture) {
