Write answers that their endpoints have ended until a shutdown closes connections

A caller that read slowly lost the rest of an answer that the daemon held whole: at 0.92 of the grace period the answer was cut, though its endpoint had ended it long before and its connection stayed open until 0.95. The line in the log blamed the shutdown.

Cause: endForCaller of the answer buffer stopped each answer that had begun, as its context ended with ErrShutdown, without a look at whether the endpoint had ended it.

Change: an answer that the endpoint has ended without an error is written on until it is whole or a write fails. A write that fails since the daemon has closed the connection is a cut for the shutdown; any other still means that the caller is gone. Answers that are not whole are cut at 0.92 as before. No handler outlives the server's Close, as the write in progress ends with the connection.

An answer that another daemon passes back to this one is not held here and still cut at 0.92 (read from the code).

--- a/core/duty/dogwoodrelay/answerbuffer.go
+++ b/core/duty/dogwoodrelay/answerbuffer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -62,6 +63,8 @@
 	// ended is true once no further chunk follows, dropped if chunks were discarded before they were written, and finished
 	// once the writer has returned after all chunks.
 	ended, dropped, finished bool
+	// whole is true once the endpoint has ended the answer without an error, and shutdown once the daemon has ended its requests.
+	whole, shutdown bool
 	// err is why the writer stopped early; nil if it did not.
 	err error
 	// waitsForReader is true while the writer has nothing to write, and behindSince the end of the last such time.
@@ -283,7 +286,7 @@
 // writeAll writes the answer to the caller until it ends or is stopped.
 func (buffer *answerBuffer) writeAll() {
 	if err := buffer.answer.Begin(buffer.status, buffer.header); err != nil {
-		buffer.stop(errors.Join(ErrCallerGone, err))
+		buffer.stop(buffer.writeError(err))
 		return
 	}
 	for {
@@ -294,7 +297,7 @@
 		for rest := chunk; len(rest) > 0; {
 			part := rest[:min(len(rest), maxWriteBytes)]
 			if err := buffer.answer.Write(part); err != nil {
-				buffer.stop(errors.Join(ErrCallerGone, err))
+				buffer.stop(buffer.writeError(err))
 				return
 			}
 			rest = rest[len(part):]
@@ -304,6 +307,17 @@
 	}
 }
 
+// writeError returns why the writer stops after a write has failed. A daemon that shuts down closes the connections on which answers are
+// still written; otherwise a write fails because the caller is gone.
+func (buffer *answerBuffer) writeError(err error) error {
+	buffer.mutex.Lock()
+	defer buffer.mutex.Unlock()
+	if buffer.shutdown && errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("%w: %w: %w", ErrCut, ErrShutdown, err)
+	}
+	return errors.Join(ErrCallerGone, err)
+}
+
 // next waits for the next chunk. It returns false at the end.
 func (buffer *answerBuffer) next() ([]byte, bool) {
 	for {
@@ -358,13 +372,17 @@
 }
 
 // endForCaller ends the answer after the end of its caller's context. If the daemon shuts down, an answer that has not begun still
-// goes to the caller, and so does a failure in its place.
+// goes to the caller, and so does a failure in its place. One that the endpoint has ended is written until its connection is closed.
 func (buffer *answerBuffer) endForCaller(ctx context.Context) {
 	if !IsShutdown(ctx) {
 		buffer.stop(ErrCallerGone)
 		return
 	}
-	if buffer.hasBegun() {
+	buffer.mutex.Lock()
+	buffer.shutdown = true
+	isPartial := buffer.begun && !buffer.whole
+	buffer.mutex.Unlock()
+	if isPartial {
 		buffer.stop(fmt.Errorf("%w: %w", ErrCut, ErrShutdown))
 	}
 }
@@ -389,7 +407,7 @@
 		buffer.stop(err)
 	}
 	buffer.mutex.Lock()
-	buffer.ended = true
+	buffer.ended, buffer.whole = true, err == nil
 	buffer.mutex.Unlock()
 	notify(buffer.filled)
 	_ = buffer.writer.Wait() // it returns no error
