Send the body of a refused request within the second for which it is read

TestRefusalArrivesBesideUnreadBody (core/dogwooddaemon) failed once beside a load of 37: "sending the body: write: broken pipe", in a case of 1.35 s. The daemon reads the body of a refused request for a second. The test pauses ten times for 60 ms, and the delays of a busy machine added up to more than that second: the test sent what nobody had promised to read.

The parts are now sent at fixed times after the start, so that delays don't add up; the check is as before, and names how long the body was sent for.

--- a/core/dogwooddaemon/shutdown_test.go
+++ b/core/dogwooddaemon/shutdown_test.go
@@ -312,15 +312,16 @@
 				length = "Transfer-Encoding: chunked"
 			}
 			conn := fixture.open(t, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer key\r\n%s\r\n\r\n", test.target, length))
-			// The caller reads the answer once it has sent the body.
-			for range parts {
-				time.Sleep(test.pause)
+			// The caller reads the answer once it has sent the body, within the second for which the daemon reads it.
+			begun := time.Now()
+			for number := range parts {
+				time.Sleep(time.Until(begun.Add(time.Duration(number+1) * test.pause)))
 				part := strings.Repeat("b", test.bytes/parts)
 				if test.chunked {
 					part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
 				}
 				if _, err := io.WriteString(conn, part); err != nil {
-					t.Errorf("sending the body: %v", err)
+					t.Errorf("sending the body for %s: %v", time.Since(begun), err)
 					break
 				}
 			}
