--- a/core/edge/dogwoodserver/connection.go
+++ b/core/edge/dogwoodserver/connection.go
@@ -15,12 +15,8 @@
 	maxKeptHead = 2 << 10
 	// backgroundReadBytes is the size of net/http's reads in the background; all its others are larger.
 	backgroundReadBytes = 1
-	// unknownLength is the length of a body that has none in its head, or whose head was not kept whole.
-	unknownLength = -1
 )
 
-var endOfHead = []byte("\r\n\r\n")
-
 // connection is an accepted connection that counts the bytes of requests for which no handler runs.
 type connection struct {
 	net.Conn
@@ -38,15 +34,6 @@
 	// received is the number of bytes received of a request that no handler has yet, and head the first of them.
 	received int
 	head     []byte
-	// dropped is the number of bytes received behind head that were not kept.
-	dropped int
-	// bodyLeft is how much of the body of the request that is handled was not received, unknownLength if that is not known.
-	bodyLeft int64
-	// followed is the number of bytes received after that request, and next the first of them.
-	followed int
-	next     []byte
-	// last is true once the last handler has ended: what arrives then was sent after the answer.
-	last bool
 	// callerGone is true if the caller closed the connection, or it broke.
 	callerGone bool
 	// released is true from release until bytes arrive.
@@ -89,7 +76,6 @@
 		connection.callerGone = true
 	}
 	if connection.handled {
-		connection.follow(data)
 		return
 	}
 	connection.received += len(data)
@@ -97,8 +83,7 @@
 		connection.released = false
 		_ = connection.SetReadDeadline(time.Now().Add(maxArrival)) // the next read fails if this does
 	}
-	kept := min(len(data), maxKeptHead-len(connection.head))
-	connection.head, connection.dropped = append(connection.head, data[:kept]...), connection.dropped+len(data)-kept
+	connection.head = append(connection.head, data[:min(len(data), maxKeptHead-len(connection.head))]...)
 }
 
 // Write records an answer that no handler writes.
@@ -110,56 +95,18 @@
 	return count, err //nolint:wrapcheck // net/http asks for the error's type
 }
 
-// begin records that a handler has the request, whose body has the given length.
-func (connection *connection) begin(length int64) {
+// begin records that a handler has the request.
+func (connection *connection) begin() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	connection.bodyLeft, connection.followed, connection.next = unknownLength, 0, connection.next[:0]
-	if end := bytes.Index(connection.head, endOfHead); end >= 0 && length != unknownLength {
-		end += len(endOfHead)
-		connection.bodyLeft = length
-		connection.follow(connection.head[end:])
-		inBody := min(connection.bodyLeft, int64(connection.dropped))
-		connection.bodyLeft -= inBody
-		if beyond := connection.dropped - int(inBody); beyond > len("\r\n") { // some callers end a body with an empty line
-			connection.followed += beyond
-		}
-	}
-	connection.handled, connection.received, connection.head, connection.dropped = true, 0, connection.head[:0], 0
-}
-
-// follow records bytes received after the head of the request that is handled. The mutex is held.
-func (connection *connection) follow(data []byte) {
-	if connection.bodyLeft == unknownLength || connection.last {
-		return
-	}
-	inBody := min(connection.bodyLeft, int64(len(data)))
-	connection.bodyLeft -= inBody
-	data = data[inBody:]
-	if connection.followed == 0 {
-		data = bytes.TrimLeft(data, "\r\n") // an empty line begins no request
-	}
-	connection.followed += len(data)
-	connection.next = append(connection.next, data[:min(len(data), maxKeptHead-len(connection.next))]...)
-}
-
-// end records that a handler has ended whose answer closes the connection. A request that has arrived behind it gets no answer.
-func (connection *connection) end() {
-	connection.mutex.Lock()
-	defer connection.mutex.Unlock()
-	if connection.bodyLeft == 0 {
-		connection.follow(connection.peek(maxKeptHead))
-	}
-	connection.last = true
+	connection.handled, connection.received, connection.head = true, 0, connection.head[:0]
 }
 
 // idle records that the request has ended, and the connection waits for the next one.
 func (connection *connection) idle() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	connection.handled, connection.received, connection.answered = false, 0, false
-	connection.head, connection.dropped = append(connection.head[:0], connection.next...), connection.followed-len(connection.next)
-	connection.followed, connection.next = 0, connection.next[:0]
+	connection.handled, connection.received, connection.head, connection.answered = false, 0, connection.head[:0], false
 	connection.waiting, connection.released = time.Now(), false
 }
 
@@ -214,26 +161,21 @@
 
 // hasUnread reports whether bytes have arrived that were not read. It is false for a connection without a descriptor: a pipe
 // holds no bytes.
-func (connection *connection) hasUnread() bool { return len(connection.peek(1)) > 0 }
-
-// peek returns the first bytes that have arrived and were not read, up to size.
-func (connection *connection) peek(size int) []byte {
+func (connection *connection) hasUnread() bool {
 	descriptors, ok := connection.Conn.(syscall.Conn)
 	if !ok {
-		return nil
+		return false
 	}
 	raw, err := descriptors.SyscallConn()
 	if err != nil {
-		return nil
+		return false
 	}
-	buffer, count := make([]byte, size), 0
-	controlErr := raw.Control(func(descriptor uintptr) {
-		count, _, err = syscall.Recvfrom(int(descriptor), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	count := 0
+	err = raw.Control(func(descriptor uintptr) {
+		var first [1]byte
+		count, _, err = syscall.Recvfrom(int(descriptor), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	if controlErr != nil || err != nil {
-		return nil
-	}
-	return buffer[:count]
+	return err == nil && count > 0
 }
 
 // isArriving reports whether a part of a request has arrived that no handler has.
@@ -255,10 +197,7 @@
 func (connection *connection) unhandled() unhandledRequest {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	if connection.handled {
-		return unhandledRequest{received: connection.followed, head: connection.next, callerGone: connection.callerGone}
-	}
-	if connection.answered {
+	if connection.handled || connection.answered {
 		return unhandledRequest{}
 	}
 	return unhandledRequest{received: connection.received, head: connection.head, callerGone: connection.callerGone}
@@ -266,7 +205,7 @@
 
 // headerValue returns the value of a header of the request that begins with the given bytes, empty if it is not among them.
 func headerValue(head []byte, header string) string {
-	head, _, _ = bytes.Cut(head, endOfHead)
+	head, _, _ = bytes.Cut(head, []byte("\r\n\r\n"))
 	for line := range bytes.SplitSeq(head, []byte("\r\n")) {
 		name, value, found := bytes.Cut(line, []byte(":"))
 		if found && bytes.EqualFold(name, []byte(header)) {
--- a/core/edge/dogwoodserver/server.go
+++ b/core/edge/dogwoodserver/server.go
@@ -66,9 +66,8 @@
 	wrapper := &Server{server: server, options: options, end: func() { end(options.Shutdown) }, connections: map[*connection]struct{}{}}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, received *http.Request) {
-		connection, isTracked := received.Context().Value(connectionKey{}).(*connection)
-		if isTracked {
-			connection.begin(received.ContentLength)
+		if connection, ok := received.Context().Value(connectionKey{}).(*connection); ok {
+			connection.begin()
 		}
 		wrapper.running.Add(1)
 		defer wrapper.running.Add(-1)
@@ -76,9 +75,6 @@
 			writer.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(writer, received)
-		if isTracked && (received.Close || writer.Header().Get("Connection") == "close") {
-			connection.end()
-		}
 	})
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	connContext := server.ConnContext
