Bound what a listener that stops accepts, and how long late requests may arrive

- With no descriptor left for a caller that waits, the listener tried to accept without a pause until the server was closed: 153,694 tries in a second.
Any error counted as a deadline that had passed.
Only that counts now; another error closes the listener.
It accepts those that wait for at most a second now.
The time for a further try doubles, so that one of any slowness succeeds.
- A connection accepted more than a second after the start of the drain was closed while its request arrived.
The second counts from the first byte of the request now.

--- a/core/edge/dogwoodserver/connection.go
+++ b/core/edge/dogwoodserver/connection.go
@@ -34,6 +34,8 @@
 	// received is the number of bytes received of a request that no handler has yet, and head the first of them.
 	received int
 	head     []byte
+	// arriving is when the first of them were received.
+	arriving time.Time
 	// callerGone is true if the caller closed the connection, or it broke.
 	callerGone bool
 	// released is true from release until bytes arrive.
@@ -64,7 +66,18 @@
 		return
 	}
 	connection.bufferSize = max(connection.bufferSize, size)
-	connection.received = max(connection.received, connection.bufferSize-size)
+	connection.receive(connection.bufferSize - size - connection.received)
+}
+
+// receive counts bytes of a request that no handler has yet. The mutex is held.
+func (connection *connection) receive(count int) {
+	if count <= 0 {
+		return
+	}
+	if connection.received == 0 {
+		connection.arriving = time.Now()
+	}
+	connection.received += count
 }
 
 // record records the result of a read.
@@ -78,7 +91,7 @@
 	if connection.handled {
 		return
 	}
-	connection.received += len(data)
+	connection.receive(len(data))
 	if len(data) > 0 && connection.released {
 		connection.released = false
 		_ = connection.SetReadDeadline(time.Now().Add(maxArrival)) // the next read fails if this does
@@ -178,11 +191,11 @@
 	return err == nil && count > 0
 }
 
-// isArriving reports whether a part of a request has arrived that no handler has.
-func (connection *connection) isArriving() bool {
+// isLate reports whether a part of a request arrived maxArrival ago or earlier that no handler has.
+func (connection *connection) isLate() bool {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	return !connection.handled && connection.received > 0
+	return !connection.handled && connection.received > 0 && time.Since(connection.arriving) >= maxArrival
 }
 
 // unhandledRequest is a request, or a part of one, that no handler had and nothing answered.
--- a/core/edge/dogwoodserver/listener.go
+++ b/core/edge/dogwoodserver/listener.go
@@ -15,8 +15,10 @@
 const (
 	// emptyQueueTime is how long a listener that stops waits for a connection. None comes in that time if its queue is empty.
 	emptyQueueTime = time.Millisecond
-	// maxStopTime bounds the time for which a listener that stops waits for connections. After it, those that wait are accepted.
-	maxStopTime = 100 * time.Millisecond
+	// maxStopTime bounds the time for which a listener that stops waits for connections, and maxAcceptTime that for which it accepts
+	// those that wait.
+	maxStopTime   = 100 * time.Millisecond
+	maxAcceptTime = time.Second
 )
 
 // listener accepts connections that the server tracks. Once it is to stop, it accepts those that wait and closes: the kernel
@@ -24,7 +26,7 @@
 type listener struct {
 	net.Listener
 	server *Server
-	// stopAt is when it closes even if connections keep coming, in nanoseconds since 1970; 0 until it is to stop.
+	// stopAt is when it waits for no more connections, in nanoseconds since 1970; 0 until it is to stop.
 	stopAt atomic.Int64
 	closed atomic.Bool
 }
@@ -71,8 +73,8 @@
 			return nil, err //nolint:wrapcheck // net/http asks for the error's type
 		case stopAt == 0 && errors.Is(err, os.ErrDeadlineExceeded):
 			continue // it is to stop now
-		case listener.hasWaiting():
-			wait = maxStopTime // the deadline had passed before it was accepted
+		case errors.Is(err, os.ErrDeadlineExceeded) && listener.mayAcceptMore(stopAt):
+			wait = min(2*wait, maxStopTime) // the deadline had passed before Accept tried
 			continue
 		}
 		listener.closed.Store(true)
@@ -81,6 +83,11 @@
 	}
 }
 
+// mayAcceptMore reports whether a connection waits that a listener accepts although it waits for none any more.
+func (listener *listener) mayAcceptMore(stopAt int64) bool {
+	return time.Since(time.Unix(0, stopAt)) < maxAcceptTime-maxStopTime && listener.hasWaiting()
+}
+
 // hasWaiting reports whether a connection waits. It is false for a listener without a descriptor.
 func (listener *listener) hasWaiting() bool {
 	descriptors, ok := listener.Listener.(syscall.Conn)
@@ -103,7 +110,7 @@
 func (listener *listener) track(accepted net.Conn) net.Conn {
 	connection := &connection{Conn: accepted, waiting: time.Now()}
 	listener.server.add(connection)
-	if stopAt := listener.stopAt.Load(); stopAt != 0 && time.Now().UnixNano() > stopAt && !listener.hasWaiting() {
+	if stopAt := listener.stopAt.Load(); stopAt != 0 && time.Now().UnixNano() > stopAt && !listener.mayAcceptMore(stopAt) {
 		listener.closed.Store(true)
 		_ = listener.Close() // it may be closed already
 	}
--- a/core/edge/dogwoodserver/server.go
+++ b/core/edge/dogwoodserver/server.go
@@ -179,8 +179,8 @@
 	}
 }
 
-// release releases all connections that wait for a request. If late, it also closes those of requests that no handler has. It
-// returns the number of open connections and listeners.
+// release releases all connections that wait for a request. If late, it also closes those of requests that began to arrive maxArrival ago
+// and that no handler has. It returns the number of open connections and listeners.
 func (server *Server) release(late bool) int {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
@@ -192,7 +192,7 @@
 	}
 	for connection := range server.connections {
 		connection.release()
-		if late && connection.isArriving() {
+		if late && connection.isLate() {
 			_ = connection.Close() // it may be closed already
 		}
 	}
--- a/core/edge/dogwoodserver/server_test.go
+++ b/core/edge/dogwoodserver/server_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -324,6 +325,104 @@
 	}
 }
 
+// hookedListener is a listener whose Accept calls a function first. If that returns an error, so does Accept.
+type hookedListener struct {
+	*net.TCPListener
+	hook func() error
+}
+
+func (hookedListener *hookedListener) Accept() (net.Conn, error) {
+	if err := hookedListener.hook(); err != nil {
+		return nil, err
+	}
+	return hookedListener.TCPListener.Accept()
+}
+
+// drainWith drains a server of its own whose listener calls a hook before each accept, and returns how long that took.
+func drainWith(t *testing.T, accepting *net.TCPListener, hook func() error) time.Duration {
+	t.Helper()
+	fixture := newFixture(t, answers)
+	served := fixture.dial(t)
+	served.write(t, request)
+	if status, err := served.read(); status != http.StatusOK || err != nil {
+		t.Fatalf("got %d, %v, want 200", status, err)
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	stopped := fixture.Track(&hookedListener{TCPListener: accepting, hook: hook})
+	group.Go(func() { _ = fixture.Serve(stopped) }) // it ends with the drain
+	taken := fixture.drain(t)
+	_ = fixture.Close(context.Background()) // the drain has been checked
+	return taken
+}
+
+func listenTCP(t *testing.T) *net.TCPListener {
+	t.Helper()
+	accepting, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return accepting
+}
+
+// Guards against a listener that stops and tries to accept for ever, as the process has no descriptor for the caller that waits.
+func TestStoppedListenerThatCannotAcceptCloses(t *testing.T) {
+	accepting := listenTCP(t)
+	caller, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", accepting.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	accepts := 0
+	taken := drainWith(t, accepting, func() error {
+		accepts++
+		return syscall.EMFILE
+	})
+	if limit := maxFirstBytes + maxStopTime; accepts > 10 || taken > limit {
+		t.Errorf("got %d tries in %s, want few, within %s", accepts, taken, limit)
+	}
+}
+
+// Guards against a listener that stops and goes on accepting as long as new callers come.
+func TestStoppedListenerClosesWhileCallersCome(t *testing.T) {
+	accepting := listenTCP(t)
+	taken := drainWith(t, accepting, func() error {
+		for range 2 {
+			if caller, err := net.DialTimeout("tcp", accepting.Addr().String(), time.Second); err == nil {
+				_ = caller.Close()
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+		return nil
+	})
+	if limit := maxAcceptTime + maxFirstBytes + 300*time.Millisecond; taken > limit {
+		t.Errorf("got a drain of %s, want at most %s", taken, limit)
+	}
+}
+
+// Guards against a request that is closed while it arrives, since its connection was accepted late in the drain.
+func TestDrainGivesLateRequestsTimeToArrive(t *testing.T) {
+	fixture := newFixture(t, answers)
+	kept := fixture.dial(t)
+	kept.write(t, request[:10]) // keeps the drain from its end for maxArrival
+	caller := fixture.dial(t)
+	var group sync.WaitGroup
+	group.Go(func() {
+		time.Sleep(maxFirstBytes / 2)
+		for _, part := range []string{request[:5], request[5:8]} {
+			_, _ = io.WriteString(caller, part) // the answer shows whether it arrived
+			time.Sleep(maxArrival * 45 / 100)
+		}
+		time.Sleep(maxArrival * 5 / 100)
+		_, _ = io.WriteString(caller, request[8:])
+		if status, err := caller.read(); status != http.StatusOK || err != nil {
+			t.Errorf("got %d, %v, want 200", status, err)
+		}
+	})
+	fixture.drain(t)
+	group.Wait()
+}
+
 // closeHook is a listener that calls a function as it closes.
 type closeHook struct {
 	*net.TCPListener
