Tell operators of a lost answer rather than of a daemon that leaves

If the first daemon's answer to a change was lost and the second one left, dogwoodctl said that nothing was changed since the daemon was ending, although the change may have been made: the last refusal replaced the error of the lost answer. It doesn't any more.

Found by a review. Before, TestOperatorsClientTellsOfALostAnswer printed an error that names the daemon's end.

--- a/core/dogwoodadminapi/client.go
+++ b/core/dogwoodadminapi/client.go
@@ -145,7 +145,9 @@
 		if !isLeaving(err) {
 			return value, err
 		}
-		lastErr = err
+		if lastErr == nil { // an answer that was lost says more: the request may have run
+			lastErr = err
+		}
 	}
 	if lastErr == nil {
 		lastErr = errors.New("no address given")
--- a/core/dogwooddaemon/operators_test.go
+++ b/core/dogwooddaemon/operators_test.go
@@ -249,3 +249,34 @@
 		t.Errorf("got %v, want an error that no daemon answers, as the only one leaves", err)
 	}
 }
+
+// Guards against an operator who is told that a daemon refused a change of which another one's answer was lost: it may have been made.
+func TestOperatorsClientTellsOfALostAnswer(t *testing.T) {
+	losing, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer func() { _ = losing.Close() }()
+	group.Go(func() {
+		for {
+			connection, err := losing.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = connection.Read(make([]byte, 1))
+			_ = connection.Close()
+		}
+	})
+	leaving := startOperatorsFixture(t, &operatorsStandin{}, tcpNetwork{})
+	leaving.handler.RejectRequests()
+	addresses := []netip.AddrPort{losing.Addr().(*net.TCPAddr).AddrPort(), leaving.listener.Addr().(*net.TCPAddr).AddrPort()}
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	_, err = dogwoodadminapi.NewClient(transport, addresses, "key").Text(t.Context())
+	var unreachable *dogwoodadminapi.Unreachable
+	if !errors.As(err, &unreachable) || strings.Contains(err.Error(), "ending") {
+		t.Errorf("got %v, want the error of the answer that was lost", err)
+	}
+}
