--- a/core/dogwooddaemon/serve.go
+++ b/core/dogwooddaemon/serve.go
@@ -50,8 +50,9 @@
 	}}, nil
 }
 
-// serveOnceReady serves callers once the daemon is ready, and rejects those that wait if it leaves or the context ends before. Until it has the operators' latest changes, it might admit
-// requests under a text that was replaced long ago. Callers wait in the listener's backlog meanwhile.
+// serveOnceReady serves callers once the daemon is ready, and rejects those that wait if it leaves or the context ends before. Until it
+// has the operators' latest changes, it might admit requests under a text that was replaced long ago. Callers wait in the listener's
+// backlog meanwhile.
 func serveOnceReady(ctx context.Context, ready, leaving <-chan struct{}, edge *dogwoodcaller.Edge, server *dogwoodserver.Server, listener net.Listener) error {
 	select {
 	case <-ready:
