Test daemons beside clients that keep to no limits, and list what is red

What callers saw: a process ran out of memory while clients sent heads of very many short lines, heads over the limit or without end.

dogwoodcrowd sends such heads, pipelined ones and connections without a request to a daemon that runs as a process of its own, on each of its listeners, and checks that it lives, stays within the memory and the descriptors of its settings (64 MB, 600) and answers an ordinary request afterwards. Crowds and bounds are fixed here, before the product changes.

--- a/dogwoodload/dogwoodsoakprocess/process.go
+++ b/dogwoodload/dogwoodsoakprocess/process.go
@@ -127,6 +127,12 @@
 	return kilobytes << 10, nil
 }
 
+// Descriptors returns the number of descriptors that the process has open.
+func (process *Process) Descriptors() (int, error) {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", process.command.Process.Pid))
+	return len(entries), Error.Wrap(err)
+}
+
 // Running reports whether the process has not ended yet.
 func (process *Process) Running() bool {
 	select {
--- a/script/test.sh
+++ b/script/test.sh
@@ -1,7 +1,9 @@
 #!/bin/sh
-# Runs all tests of the packages given with the race detector, in two groups. Tests and subtests that
+# Runs all tests of the packages given with the race detector, in three groups. Tests and subtests that
 # KNOWN-RED.txt names at the start of a line are left out.
 #
+# Tests of crowds, which measure the memory of a daemon's process, run last and alone.
+#
 # Tests that pause time run on one thread. The runtime keeps one race context for all timers of a
 # synctest bubble and enters it without a lock wherever a timer that is due is armed or read, so that
 # two threads at once spoil the detector's own memory: the process then dies with SIGSEGV, "CHECK
@@ -15,7 +17,8 @@
 
 all=$(go list "$@")
 one=$(go list -f "$paused" "$@" | tr ' ' '\n' | sort -u | sed '/^$/d')
-many=$(printf '%s\n' "$all" | grep -vxF "$one" || true)
+alone=$(printf '%s\n' "$all" | grep '/dogwoodcrowd$' || true)
+many=$(printf '%s\n' "$all" | grep -vxF "$one" | grep -vxF "$alone" || true)
 
 red='^none$'
 if [ -f KNOWN-RED.txt ]; then
@@ -29,4 +32,6 @@
 [ -z "$many" ] || go test -race -timeout 20m -skip "$red" $many || status=$?
 # shellcheck disable=SC2086
 [ -z "$one" ] || go test -race -cpu 1 -timeout 20m -skip "$red" $one || status=$?
+# shellcheck disable=SC2086
+[ -z "$alone" ] || go test -race -p 1 -count=1 -timeout 20m -skip "$red" $alone || status=$?
 exit $status
