Count the heads of requests before they are parsed

What callers saw: a process that exceeded its memory, with all its requests, while a few hundred clients sent heads of legal size that consist of very many short lines.

Cause: a head of 16 KiB with 2,500 lines takes 250 KB once net/http has parsed it, and as much for each copy that a daemon makes of it. Heads that arrive, heads of requests that are refused and copies counted toward nothing; requests in progress count 128 KiB each, from the arrival of their bodies on.

Change: a connection counts bytes and lines of what it has read of a head before net/http gets it, and reserves what they take in an account of the daemon's budget, an eighth of its memory. The reservation lasts until the request has ended, with the copies that its handler makes. When the account is used up, the head that holds most of those that still arrive is refused with 503. Small heads have a quarter for themselves, and one that is alone is always admitted. The server can also bound connections and read its bound of a head anew; the daemon uses neither yet.

Connections in tests have a server, which holds the limits.

--- a/core/decision/dogwoodbuffer/bounds.go
+++ b/core/decision/dogwoodbuffer/bounds.go
@@ -42,6 +42,8 @@
 type Bounds struct {
 	// Daemon bounds all that is held, Answer what is held for one answer.
 	Daemon, Answer int64
+	// Heads bounds what the heads of requests take, from their first byte until the requests have ended.
+	Heads int64
 	// Requests bounds the number of requests in progress; 0 means no bound.
 	Requests int
 }
@@ -52,7 +54,7 @@
 	if memory > 0 {
 		daemon = memory / memoryPerBound
 	}
-	bounds := Bounds{Daemon: daemon, Answer: max(daemon/answersPerBound, minAnswerBytes)}
+	bounds := Bounds{Daemon: daemon, Answer: max(daemon/answersPerBound, minAnswerBytes), Heads: daemon}
 	if memory > 0 {
 		bounds.Requests = int(max(memory/memoryPerRequests/requestBytes, 1))
 	}
--- a/core/decision/dogwoodbuffer/budget.go
+++ b/core/decision/dogwoodbuffer/budget.go
@@ -21,7 +21,10 @@
 	answers map[*Answer]struct{}
 	// answerBytes and bodyBytes are held by answers and by bodies.
 	answerBytes, bodyBytes int64
-	// opened counts the answers that were opened.
+	// heads are the heads that arrive and are not cut. headBytes are held by all heads.
+	heads     map[*Head]struct{}
+	headBytes int64
+	// opened counts the answers and the heads that were opened.
 	opened uint64
 	// requests is the number of requests in progress. It exceeds its bound while answers that were cut for others end.
 	requests int
@@ -29,7 +32,7 @@
 
 // New returns a budget that nothing is counted toward.
 func New(bounds Bounds) *Budget {
-	return &Budget{bounds: bounds, answers: map[*Answer]struct{}{}}
+	return &Budget{bounds: bounds, answers: map[*Answer]struct{}{}, heads: map[*Head]struct{}{}}
 }
 
 // SetBounds replaces the bounds. What is held stays; the next reservation is checked against the new bounds.
--- a/core/decision/dogwoodbuffer/budget_test.go
+++ b/core/decision/dogwoodbuffer/budget_test.go
@@ -18,11 +18,11 @@
 		memory int64
 		want   Bounds
 	}{
-		{"unknown memory", 0, Bounds{Daemon: 8 << 20, Answer: 512 << 10}},
-		{"the smallest daemon of S", 136_000_000, Bounds{Daemon: 17_000_000, Answer: 1_062_500, Requests: 518}},
-		{"the largest daemon", 536_000_000, Bounds{Daemon: 67_000_000, Answer: 4_187_500, Requests: 2044}},
-		{"little memory", 8 << 20, Bounds{Daemon: 1 << 20, Answer: 64 << 10, Requests: 32}},
-		{"very little memory", 4 << 20, Bounds{Daemon: 512 << 10, Answer: 64 << 10, Requests: 16}},
+		{"unknown memory", 0, Bounds{Daemon: 8 << 20, Answer: 512 << 10, Heads: 8 << 20}},
+		{"the smallest daemon of S", 136_000_000, Bounds{Daemon: 17_000_000, Answer: 1_062_500, Heads: 17_000_000, Requests: 518}},
+		{"the largest daemon", 536_000_000, Bounds{Daemon: 67_000_000, Answer: 4_187_500, Heads: 67_000_000, Requests: 2044}},
+		{"little memory", 8 << 20, Bounds{Daemon: 1 << 20, Answer: 64 << 10, Heads: 1 << 20, Requests: 32}},
+		{"very little memory", 4 << 20, Bounds{Daemon: 512 << 10, Answer: 64 << 10, Heads: 512 << 10, Requests: 16}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/edge/dogwoodserver/connection.go
+++ b/core/edge/dogwoodserver/connection.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"dogwoodmux.example/core/decision/dogwoodbuffer"
 )
 
 const (
@@ -20,6 +22,14 @@
 // connection is an accepted connection that counts the bytes of requests for which no handler runs.
 type connection struct {
 	net.Conn
+	server *Server
+
+	// counter counts the head that arrives, and account holds its bytes from the first of them until the request has ended; nil before.
+	// Both are used by the goroutine that serves the connection.
+	counter headCounter
+	account *dogwoodbuffer.Head
+	// end holds the last bytes that were read.
+	end [2]byte
 
 	mutex sync.Mutex
 	// waiting is when the connection was accepted, or its last request ended.
@@ -42,17 +52,28 @@
 	released bool
 	// answered is true if something was written without a handler: net/http answers invalid requests itself.
 	answered bool
+	// evicted is true once the connection is to be closed for a new one, unless a request is handled.
+	evicted bool
+	// refused is true from a refusal of a request that has not arrived until the connection is closed.
+	refused bool
 }
 
 // Read counts what it reads while no handler runs. It fails on a connection that was released, unless bytes have arrived.
 func (connection *connection) Read(target []byte) (int, error) {
 	connection.beginRead(len(target))
+	if connection.isEvicted() {
+		return 0, connection.refuse(errTooManyConnections)
+	}
 	count, err := connection.Conn.Read(target)
 	if errors.Is(err, os.ErrDeadlineExceeded) && connection.isReleased() && connection.hasUnread() {
 		_ = connection.SetReadDeadline(time.Now().Add(maxArrival)) // the read fails if this does
 		count, err = connection.Conn.Read(target)
 	}
 	connection.record(target[:count], err)
+	if refused := connection.admit(target[:count]); refused != nil {
+		return 0, connection.refuse(refused)
+	}
+	connection.recordEnd(target[:count])
 	return count, err //nolint:wrapcheck // net/http asks for the error's type
 }
 
@@ -66,7 +87,18 @@
 		return
 	}
 	connection.bufferSize = max(connection.bufferSize, size)
-	connection.receive(connection.bufferSize - size - connection.received)
+	buffered := connection.bufferSize - size - connection.received
+	if connection.received == 0 && buffered > 0 {
+		connection.counter.resume(buffered, connection.end[max(0, len(connection.end)-buffered):])
+	}
+	connection.receive(buffered)
+}
+
+// recordEnd keeps the last bytes that were read.
+func (connection *connection) recordEnd(data []byte) {
+	for _, last := range data[max(0, len(data)-len(connection.end)):] {
+		connection.end[0], connection.end[1] = connection.end[1], last
+	}
 }
 
 // receive counts bytes of a request that no handler has yet. The mutex is held.
@@ -113,12 +145,55 @@
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
 	connection.handled, connection.received, connection.head = true, 0, connection.head[:0]
+	if connection.evicted {
+		connection.evicted = false
+		_ = connection.SetReadDeadline(time.Time{}) // evict has set it; the body is read without one
+	}
+}
+
+func (connection *connection) isHandled() bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	return connection.handled
+}
+
+// evict makes the connection end unless a request is handled or has just arrived. It reports whether the connection ends.
+func (connection *connection) evict() bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if connection.handled || connection.received == 0 && connection.hasUnread() {
+		return false
+	}
+	connection.evicted = true
+	connection.interrupt()
+	return true
+}
+
+func (connection *connection) isEvicted() bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	return connection.evicted
+}
+
+// isUnused reports whether no part of a request has arrived since the last one.
+func (connection *connection) isUnused() bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	return connection.received == 0
+}
+
+// waitingSince returns since when the connection has had no request that is handled, and false if it has one or is being evicted.
+func (connection *connection) waitingSince() (time.Time, bool) {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	return connection.waiting, !connection.handled && !connection.evicted
 }
 
 // idle records that the request has ended, and the connection waits for the next one.
 func (connection *connection) idle() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
+	connection.endHead()
 	connection.handled, connection.received, connection.head, connection.answered = false, 0, connection.head[:0], false
 	connection.waiting, connection.released = time.Now(), false
 }
--- a/core/edge/dogwoodserver/leftdeadline_test.go
+++ b/core/edge/dogwoodserver/leftdeadline_test.go
@@ -54,7 +54,7 @@
 // Guards against a connection on which a handler runs, and whose reads fail since it was released before.
 func TestBegunRequestIsNotReleased(t *testing.T) {
 	sending, accepted := newPair(t)
-	connection := &connection{Conn: accepted}
+	connection := &connection{Conn: accepted, server: &Server{}}
 	connection.idle()
 	connection.release() // the request is in the buffer of net/http by now
 	connection.begin()
@@ -111,7 +111,7 @@
 func TestSecondReleaseEndsNoRead(t *testing.T) {
 	sending, accepted := newPair(t)
 	hooked := &hookedConn{Conn: accepted}
-	connection := &connection{Conn: hooked}
+	connection := &connection{Conn: hooked, server: &Server{}}
 	hooked.beforeRead = func(number int) {
 		connection.release()
 		if number == 1 { // the read that fails for the release; the request arrives before it is known
--- a/core/edge/dogwoodserver/listener.go
+++ b/core/edge/dogwoodserver/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -67,6 +68,9 @@
 		}
 		accepted, err := listener.Listener.Accept()
 		switch {
+		case err == nil && !listener.server.makeRoom():
+			listener.reject(accepted)
+			continue
 		case err == nil:
 			return listener.track(accepted), nil
 		case listener.stopAt.Load() == 0:
@@ -105,10 +109,18 @@
 	return err == nil && count > 0
 }
 
+// reject closes a connection for which there is no room.
+func (listener *listener) reject(accepted net.Conn) {
+	listener.server.recordRefusal(errTooManyConnections, accepted.RemoteAddr())
+	_ = accepted.SetWriteDeadline(time.Now().Add(refuseTime))                       // the write fails if this does
+	_, _ = io.WriteString(accepted, listener.server.refusal(errTooManyConnections)) // the client may be gone
+	_ = accepted.Close()
+}
+
 // track returns a connection that the server tracks. It makes the listener close if it has accepted for too long and none waits; the
 // server must know the connection by then, since it takes its connections and listeners that are closed for all that there is.
 func (listener *listener) track(accepted net.Conn) net.Conn {
-	connection := &connection{Conn: accepted, waiting: time.Now()}
+	connection := &connection{Conn: accepted, server: listener.server, waiting: time.Now()}
 	listener.server.add(connection)
 	if stopAt := listener.stopAt.Load(); stopAt != 0 && time.Now().UnixNano() > stopAt && !listener.mayAcceptMore(stopAt) {
 		listener.closed.Store(true)
--- a/core/edge/dogwoodserver/server.go
+++ b/core/edge/dogwoodserver/server.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,12 +15,16 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
 
+	"dogwoodmux.example/core/decision/dogwoodbuffer"
 	"dogwoodmux.example/core/dogwoodkernel"
 )
 
 // Error is the class of this package's errors.
 var Error = errs.Class("server")
 
+// refusals counts the requests that were refused before they had arrived, and the connections that were closed for others, by the reason.
+var refusals = expvar.NewMap("HeadRefusals")
+
 // unhandled counts the connections that were closed with bytes of a request that no handler had and nothing answered.
 var unhandled = expvar.NewInt("UnhandledRequests")
 
@@ -31,6 +36,11 @@
 	// maxFirstBytes is how long a connection that is new, or whose last request has ended, may take to bring the first bytes
 	// of a request to a server that drains.
 	maxFirstBytes = 200 * time.Millisecond
+	// maxRoomWait bounds how long a new connection waits for the end of one that is closed for it, and roomCheck is how often that is checked.
+	maxRoomWait = 250 * time.Millisecond
+	roomCheck   = time.Millisecond
+	// refusalLogInterval is the least time between two lines about refused requests.
+	refusalLogInterval = time.Second
 )
 
 // Server is an HTTP server. It is safe for concurrent use.
@@ -42,6 +52,8 @@
 	// running is the number of handlers that run.
 	running  atomic.Int64
 	draining atomic.Bool
+	// refused is the number of refusals by recordRefusal, and refusalLogged when it logged one, in nanoseconds since 1970.
+	refused, refusalLogged atomic.Int64
 
 	mutex       sync.Mutex
 	connections map[*connection]struct{}
@@ -57,7 +69,18 @@
 	Shutdown error
 	// RequestID is the header by which callers name their requests, empty if there is none.
 	RequestID string
-	Logger    hclog.Logger
+	// Memory counts what the heads of requests take; nil if they are not counted. Copies is how often the handler copies a head.
+	Memory *dogwoodbuffer.Budget
+	Copies int
+	// MaxHeadBytes returns the bound of a head in bytes, which may change at any time; nil for that of the http.Server.
+	MaxHeadBytes func() int
+	// MaxConnections returns the bound of open connections, which may change at any time; nil or 0 for none. At the bound, the connection
+	// that has waited for a request for longest is closed for a new one.
+	MaxConnections func() int
+	// RetryAfter is the header of refusals for want of memory or connections, and RefusalHeader has further ones.
+	RetryAfter    string
+	RefusalHeader http.Header
+	Logger        hclog.Logger
 }
 
 // New returns a server that serves requests as server does. The contexts of its requests don't end with ctx.
@@ -68,6 +91,10 @@
 	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, received *http.Request) {
 		if connection, ok := received.Context().Value(connectionKey{}).(*connection); ok {
 			connection.begin()
+			if err := connection.complete(received); err != nil {
+				wrapper.writeRefusal(writer, received, err)
+				return
+			}
 		}
 		wrapper.running.Add(1)
 		defer wrapper.running.Add(-1)
@@ -114,6 +141,84 @@
 	server.connections[connection] = struct{}{}
 }
 
+// makeRoom reports whether a further connection may be opened. At the bound, it evicts the one that has waited for a request for longest and
+// waits a moment until that is closed.
+func (server *Server) makeRoom() bool {
+	if server.options.MaxConnections == nil {
+		return true
+	}
+	most := server.options.MaxConnections()
+	if most <= 0 || server.countConnections() < most {
+		return true
+	}
+	for deadline := time.Now().Add(maxRoomWait); time.Now().Before(deadline); time.Sleep(roomCheck) {
+		open := server.countConnections()
+		if open < most {
+			return true
+		}
+		if open-server.countEvicted() >= most && !server.evictLongestWaiting() {
+			return false
+		}
+	}
+	return false
+}
+
+func (server *Server) countConnections() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return len(server.connections)
+}
+
+// countEvicted returns the number of connections that are being evicted.
+func (server *Server) countEvicted() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	evicted := 0
+	for connection := range server.connections {
+		if connection.isEvicted() {
+			evicted++
+		}
+	}
+	return evicted
+}
+
+// evictLongestWaiting evicts the connection that has had no request that is handled for longest, and on which none has just arrived. It
+// reports whether there are connections without a request that is handled.
+func (server *Server) evictLongestWaiting() bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	var waiting []waitingConnection
+	for connection := range server.connections {
+		if since, ok := connection.waitingSince(); ok {
+			waiting = append(waiting, waitingConnection{connection, since})
+		}
+	}
+	slices.SortFunc(waiting, func(a, b waitingConnection) int { return a.since.Compare(b.since) })
+	for _, oldest := range waiting {
+		if oldest.evict() {
+			break
+		}
+	}
+	return len(waiting) > 0
+}
+
+// waitingConnection is a connection that has had no request that is handled since a time.
+type waitingConnection struct {
+	*connection
+	since time.Time
+}
+
+// recordRefusal counts a refused request or connection. It logs the first one, and then one each refusalLogInterval at most.
+func (server *Server) recordRefusal(reason error, from any) {
+	refusals.Add(reason.Error(), 1)
+	count, now := server.refused.Add(1), time.Now().UnixNano()
+	last := server.refusalLogged.Load()
+	if now-last < int64(refusalLogInterval) || !server.refusalLogged.CompareAndSwap(last, now) {
+		return
+	}
+	server.options.Logger.Warn("Requests are refused before they have arrived.", "why", reason, "from", from, "refused", count)
+}
+
 // onState follows the states of connections.
 func (server *Server) onState(accepted net.Conn, state http.ConnState) {
 	connection, ok := accepted.(*connection)
@@ -127,6 +232,7 @@
 		server.mutex.Lock()
 		delete(server.connections, connection)
 		server.mutex.Unlock()
+		connection.endHead()
 		if request := connection.unhandled(); request.received > 0 {
 			unhandled.Add(1)
 			server.options.Logger.Info("A connection was closed with a request that was not handled.",
--- a/core/edge/dogwoodserver/server_test.go
+++ b/core/edge/dogwoodserver/server_test.go
@@ -153,7 +153,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = accepted.Close() }()
-	connection := &connection{Conn: accepted}
+	connection := &connection{Conn: accepted, server: &Server{}}
 	buffer := make([]byte, 10)
 	connection.expire()
 	if count, err := connection.Read(buffer); count != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
