Bound the handshakes of other daemons

What callers saw: nothing yet; clients that connect to the port for other daemons and send nothing opened 918 descriptors of 600.

Cause: a connection has two seconds to show the key, and nothing bounded how many are within them.

Change: at the bound, the oldest connection that has not shown the key is closed for a new one. Those that have shown it are not counted.

Evidence: TestDaemonWithstandsCrowdOnEachListener/peers/nothing failed with 918 descriptors of 600 and passes; TestHandshakesAreBounded opens 30 silent connections and gets a call answered beside them.

--- a/core/edge/dogwoodpeer/server.go
+++ b/core/edge/dogwoodpeer/server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,14 +25,22 @@
 // pingService is the name under which the receiver that answers pings is registered.
 const pingService = "Ping"
 
+// droppedHandshakes counts the connections that were closed for others before they had proved that they have the key.
+var droppedHandshakes = expvar.NewInt("DroppedHandshakes")
+
 // Server answers calls from peers.
 type Server struct {
 	key    []byte
 	logger hclog.Logger
 	rpc    *rpc.Server
 
+	// maxHandshakes returns the bound of connections that have not proved that they have the key; nil for none.
+	maxHandshakes func() int
+
 	mutex       sync.Mutex
 	connections map[net.Conn]struct{}
+	// handshakes are the connections that have not proved that they have the key, the oldest first.
+	handshakes []net.Conn
 }
 
 // NewServer returns a server that accepts only peers that have the key.
@@ -47,6 +57,10 @@
 	return server
 }
 
+// LimitHandshakes bounds the connections that have not proved that they have the key. At the bound, the oldest of them is closed for a new
+// one. It must be called before Serve.
+func (server *Server) LimitHandshakes(most func() int) { server.maxHandshakes = most }
+
 // Register makes the receiver's methods callable as "name.Method". They must have the form
 // that net/rpc requires, may run concurrently and must bound their own running time, because
 // the server can't detect that a caller has given up.
@@ -80,6 +94,7 @@
 			continue
 		}
 		backoff.Reset()
+		server.beginHandshake(conn)
 		group.Go(func() { server.serve(ctx, conn) })
 	}
 }
@@ -95,9 +110,12 @@
 		server.mutex.Unlock()
 	}()
 	if ctx.Err() != nil {
+		server.endHandshake(conn)
 		return
 	}
-	if err := acceptHandshake(conn, server.key); err != nil {
+	err := acceptHandshake(conn, server.key)
+	server.endHandshake(conn)
+	if err != nil {
 		level := hclog.Debug // a failed handshake need not mean a wrong key: the caller may have given up
 		if errors.Is(err, errKeyMismatch) {
 			level = hclog.Warn
@@ -108,6 +126,30 @@
 	server.serveCalls(&idleConn{Conn: conn})
 }
 
+// beginHandshake records a connection whose handshake begins, and closes the oldest one if there are too many.
+func (server *Server) beginHandshake(conn net.Conn) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.handshakes = append(server.handshakes, conn)
+	if server.maxHandshakes == nil {
+		return
+	}
+	for len(server.handshakes) > max(server.maxHandshakes(), 1) {
+		_ = server.handshakes[0].Close() // it may be closed already
+		server.handshakes = server.handshakes[1:]
+		droppedHandshakes.Add(1)
+	}
+}
+
+// endHandshake records that a connection's handshake has ended.
+func (server *Server) endHandshake(conn net.Conn) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if index := slices.Index(server.handshakes, conn); index >= 0 {
+		server.handshakes = slices.Delete(server.handshakes, index, index+1)
+	}
+}
+
 func (server *Server) closeConnections() {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
