Bound what clients of dogwoodmuxd's listeners take

What callers saw: nothing yet; the same clients as on the users' platform take dogwoodmuxd's callers', operators' and peers' listeners beyond any memory, operators' with heads of up to 1 MiB.

Cause: its settings named no memory and no descriptors, its servers had none of the limits, and the operators' listener went by net/http's default bound.

Change: MemoryMB and FileDescriptors in its settings, the account of heads, a share of the connections for callers and operators and the bound of handshakes; 16 KiB for operators' heads. Refusals are problems, as its callers know them. A daemon whose memory is bounded collects garbage when the heap has grown by half, as on the users' platform, and returns free memory from three quarters of its memory on.

--- a/core/dogwooddaemon/admin.go
+++ b/core/dogwooddaemon/admin.go
@@ -30,6 +30,8 @@
 	// adminHeaderTimeout and adminIdleTimeout limit operators' slow and idle connections.
 	adminHeaderTimeout = 5 * time.Second
 	adminIdleTimeout   = time.Minute
+	// adminHeadBytes bounds the head of an operator's request.
+	adminHeadBytes = 16 << 10
 )
 
 var errNotReady = errors.New("the operators' changes are not learnt yet")
@@ -64,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := newOperatorsServer(ctx, handler, logger)
+	server := newOperatorsServer(ctx, handler, environment.limits, logger)
 	listener = server.Track(listener)
 	environment.leaveHooks.add(server.StartDraining)
 	kernel.Go(pluginAdmin, func(ctx context.Context) error { return serveOperators(ctx, handler, server, listener) })
@@ -73,11 +75,11 @@
 	}}, nil
 }
 
-func newOperatorsServer(ctx context.Context, handler *dogwoodadmin.Server, logger hclog.Logger) *dogwoodserver.Server {
+func newOperatorsServer(ctx context.Context, handler *dogwoodadmin.Server, limits *limits, logger hclog.Logger) *dogwoodserver.Server {
 	return dogwoodserver.New(ctx, &http.Server{
 		Handler: handler, ReadHeaderTimeout: adminHeaderTimeout, IdleTimeout: adminIdleTimeout,
 		ErrorLog: logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}, dogwoodserver.Options{Shutdown: errShutdown, Logger: logger})
+	}, limits.options(adminHeadBytes, limits.connections.Directory, logger))
 }
 
 // serveOperators serves operators until the context ends, then ends their requests.
--- a/core/dogwooddaemon/daemon.go
+++ b/core/dogwooddaemon/daemon.go
@@ -43,6 +43,7 @@
 	place      dogwoodfleet.Place
 	adminKey   string
 	peerKey    string
+	limits     *limits
 	leaveHooks *leaveHooks
 	// cutHooks are called before a daemon that is killed closes its connections.
 	cutHooks *leaveHooks
@@ -99,6 +100,7 @@
 		place:      dogwoodfleet.Place{Region: settings.Region, DataCentre: settings.DataCentre},
 		adminKey:   adminKey,
 		peerKey:    peerKey,
+		limits:     newLimits(settings),
 		leaveHooks: &leaveHooks{},
 		cutHooks:   &leaveHooks{},
 	}, nil
--- a/core/dogwooddaemon/operators_test.go
+++ b/core/dogwooddaemon/operators_test.go
@@ -18,6 +18,7 @@
 
 	"dogwoodmux.example/core/decision/dogwoodburn"
 	"dogwoodmux.example/core/dogwoodadminapi"
+	"dogwoodmux.example/core/dogwoodsettings"
 	"dogwoodmux.example/core/edge/dogwoodadmin"
 	"dogwoodmux.example/core/edge/dogwoodserver"
 	"dogwoodmux.example/core/state/dogwoodchange"
@@ -63,7 +64,7 @@
 		t.Fatal(err)
 	}
 	handler := dogwoodadmin.New(dogwoodadmin.Options{Key: "key", Changes: standin, Burn: standin, Logger: logger})
-	fixture := &operatorsFixture{handler: handler, server: newOperatorsServer(t.Context(), handler, logger)}
+	fixture := &operatorsFixture{handler: handler, server: newOperatorsServer(t.Context(), handler, newLimits(&dogwoodsettings.Daemon{}), logger)}
 	fixture.listener = fixture.server.Track(listener)
 	fixture.start(t.Context(), t, func(ctx context.Context) error {
 		return serveOperators(ctx, fixture.handler, fixture.server, fixture.listener)
--- a/core/dogwooddaemon/peer.go
+++ b/core/dogwooddaemon/peer.go
@@ -28,6 +28,7 @@
 		Client: dogwoodpeer.NewClient(ctx, environment.peerKey, dialer, logger),
 		server: dogwoodpeer.NewServer(environment.peerKey, logger),
 	}
+	peer.server.LimitHandshakes(func() int { return environment.limits.connections.Handshakes })
 	return &dogwoodkernel.ValuePart[*peerRPC]{Value: peer, OnStop: func(context.Context) error {
 		peer.Close()
 		return nil
--- a/core/dogwooddaemon/serve.go
+++ b/core/dogwooddaemon/serve.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := newCallersServer(ctx, edge, kernel.Named(pluginServe))
+	server := newCallersServer(ctx, edge, environment.limits, kernel.Named(pluginServe))
 	listener = server.Track(listener)
 	environment.cutHooks.add(edge.Cut)
 	ready, leaving := changes.duty.Ready(), make(chan struct{})
@@ -78,8 +78,10 @@
 // errShutdown is the cause with which the contexts of requests end.
 var errShutdown = errors.New("this daemon is ending")
 
-func newCallersServer(ctx context.Context, edge *dogwoodcaller.Edge, logger hclog.Logger) *dogwoodserver.Server {
-	return dogwoodserver.New(ctx, edge.Server(), dogwoodserver.Options{Shutdown: errShutdown, Logger: logger})
+func newCallersServer(ctx context.Context, edge *dogwoodcaller.Edge, limits *limits, logger hclog.Logger) *dogwoodserver.Server {
+	options := limits.options(dogwoodcaller.MaxHeadBytes, limits.connections.Callers, logger)
+	options.Copies = headCopies
+	return dogwoodserver.New(ctx, edge.Server(), options)
 }
 
 // serveCallers serves callers until the context ends, then ends their requests.
--- a/core/dogwooddaemon/serve_test.go
+++ b/core/dogwooddaemon/serve_test.go
@@ -127,7 +127,7 @@
 	fixture.edge = dogwoodcaller.New(dogwoodcaller.Options{
 		Text: func() *dogwoodsettings.Text { return text }, Dispatcher: dispatcher, Logger: logger,
 	})
-	fixture.server = newCallersServer(ctx, fixture.edge, logger)
+	fixture.server = newCallersServer(ctx, fixture.edge, newLimits(&dogwoodsettings.Daemon{}), logger)
 	listener, err := newSeverableNetwork(network).Listen(ctx, netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		t.Fatal(err)
--- a/core/dogwoodsettings/checkdaemon.go
+++ b/core/dogwoodsettings/checkdaemon.go
@@ -9,6 +9,13 @@
 // PolicyBaseline is the Daemon.Policy that serves as the reference in measurements.
 const PolicyBaseline = "Baseline"
 
+const (
+	// minMemoryMB is the least memory in which a daemon runs, and minDescriptors the least number of descriptors. The largest values are far
+	// above those of any VM.
+	minMemoryMB, maxMemoryMB       = 32, 1_000_000
+	minDescriptors, maxDescriptors = 300, 100_000_000
+)
+
 var logLevels = []string{"", "trace", "debug", "info", "warn", "error"}
 
 func checkDaemon(daemon *Daemon, report *report) {
@@ -25,6 +32,12 @@
 	if daemon.Policy != "" && daemon.Policy != PolicyBaseline {
 		report.add("Policy", "is %q, where %q belongs, or nothing", daemon.Policy, PolicyBaseline)
 	}
+	if daemon.MemoryMB != 0 && (daemon.MemoryMB < minMemoryMB || daemon.MemoryMB > maxMemoryMB) {
+		report.add("MemoryMB", "is %d, where %d to %d belong, or nothing", daemon.MemoryMB, minMemoryMB, maxMemoryMB)
+	}
+	if daemon.FileDescriptors != 0 && (daemon.FileDescriptors < minDescriptors || daemon.FileDescriptors > maxDescriptors) {
+		report.add("FileDescriptors", "is %d, where %d to %d belong, or nothing", daemon.FileDescriptors, minDescriptors, maxDescriptors)
+	}
 }
 
 // checkOwnAddresses reports addresses that are missing, used twice or not dialable by
--- a/core/dogwoodsettings/daemon.go
+++ b/core/dogwoodsettings/daemon.go
@@ -24,6 +24,10 @@
 	// Policy is "" for the product's policy, or "Baseline" for the reference in measurements:
 	// first come, first served, at a randomly chosen endpoint.
 	Policy string `json:",omitempty"`
+	// MemoryMB is the memory that the process may use, in MB of 1,000,000 bytes, and FileDescriptors the number of descriptors. They bound
+	// what the clients of its listeners may take; 0 means that they are not known.
+	MemoryMB        int `json:",omitempty"`
+	FileDescriptors int `json:",omitempty"`
 }
 
 // Platform holds the addresses of the platform's services and the key for them.
--- a/core/edge/dogwoodcaller/caller.go
+++ b/core/edge/dogwoodcaller/caller.go
@@ -49,8 +49,8 @@
 	maxPromptBytes = 8 << 20
 	// maxCallBytes bounds the body of a call to a plain service.
 	maxCallBytes = 1 << 20
-	// maxHeaderBytes bounds the header of a request.
-	maxHeaderBytes = 32 << 10
+	// MaxHeadBytes bounds the head of a request.
+	MaxHeadBytes = 32 << 10
 	// headerTimeout bounds the time for reading a request's header.
 	headerTimeout = 5 * time.Second
 	// bodyTimeout bounds the time for reading a body: 8 MB at 2 Mbit/s, for callers with a
@@ -133,7 +133,7 @@
 		Handler:           edge,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    2 * MaxHeadBytes, // the connection refuses larger heads before
 		ErrorLog:          edge.options.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		// net/http would answer OPTIONS * with a success of its own.
 		DisableGeneralOptionsHandler: true,
--- a/core/edge/dogwoodserver/head.go
+++ b/core/edge/dogwoodserver/head.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -193,16 +194,24 @@
 
 // refusal returns the answer to a request that is refused before it has arrived.
 func (server *Server) refusal(reason error) string {
-	status, body := refusalStatus(reason), refusalText(reason)
+	status := refusalStatus(reason)
+	mediaType, body := server.refusalBody(reason)
 	var answer strings.Builder
 	_, _ = fmt.Fprintf(&answer, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
-	_ = server.refusalHeader(reason, len(body)).Write(&answer) // writing to a Builder does not fail
+	_ = server.refusalHeader(reason, mediaType, len(body)).Write(&answer) // writing to a Builder does not fail
 	return answer.String() + "\r\n" + body
 }
 
-func refusalText(reason error) string { return "not run: " + reason.Error() + "\n" }
+// refusalBody returns the media type and the body of a refusal.
+func (server *Server) refusalBody(reason error) (mediaType, body string) {
+	detail := "not run: " + reason.Error()
+	if server.options.RefusalBody == nil {
+		return "text/plain; charset=utf-8", detail + "\n"
+	}
+	return server.options.RefusalBody(refusalStatus(reason), detail)
+}
 
-func (server *Server) refusalHeader(reason error, length int) http.Header {
+func (server *Server) refusalHeader(reason error, mediaType string, length int) http.Header {
 	header := http.Header{}
 	if refusalStatus(reason) == http.StatusServiceUnavailable {
 		header.Set("Retry-After", server.options.RetryAfter)
@@ -211,16 +220,16 @@
 		}
 	}
 	header.Set("Connection", "close")
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	header.Set("Content-Length", fmt.Sprint(length))
+	header.Set("Content-Type", mediaType)
+	header.Set("Content-Length", strconv.Itoa(length))
 	return header
 }
 
 // writeRefusal answers a request that was parsed and can't be held.
 func (server *Server) writeRefusal(writer http.ResponseWriter, received *http.Request, reason error) {
 	server.recordRefusal(reason, received.RemoteAddr)
-	body := refusalText(reason)
-	for name, values := range server.refusalHeader(reason, len(body)) {
+	mediaType, body := server.refusalBody(reason)
+	for name, values := range server.refusalHeader(reason, mediaType, len(body)) {
 		writer.Header()[name] = values
 	}
 	writer.WriteHeader(refusalStatus(reason))
--- a/core/edge/dogwoodserver/server.go
+++ b/core/edge/dogwoodserver/server.go
@@ -80,7 +80,9 @@
 	// RetryAfter is the header of refusals for want of memory or connections, and RefusalHeader has further ones.
 	RetryAfter    string
 	RefusalHeader http.Header
-	Logger        hclog.Logger
+	// RefusalBody returns the media type and the body of a refusal; nil for plain text.
+	RefusalBody func(status int, detail string) (mediaType, body string)
+	Logger      hclog.Logger
 }
 
 // New returns a server that serves requests as server does. The contexts of its requests don't end with ctx.
--- a/dogwoodload/dogwoodcrowd/crowd_test.go
+++ b/dogwoodload/dogwoodcrowd/crowd_test.go
@@ -18,6 +18,7 @@
 	"dogwoodmux.example/core/dogwoodkernel"
 	"dogwoodmux.example/dogwoodload/dogwoodsoakprocess"
 	"dogwoodmux.example/platform/dogwoodstandin"
+	"dogwoodmux.example/platform/dogwoodwire"
 )
 
 // The bounds of the tests are the settings of their daemons. The crowds are small, and so are the settings.
@@ -39,8 +40,8 @@
 	key          = "k1"
 )
 
-// program is the daemon's program, built once without the race detector, which multiplies a process's memory.
-var program string
+// program and muxdProgram are the daemons' programs, built once without the race detector, which multiplies a process's memory.
+var program, muxdProgram string
 
 func TestMain(m *testing.M) {
 	os.Exit(run(m))
@@ -53,9 +54,9 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
-	program = filepath.Join(directory, "platform")
-	if output, err := exec.Command("go", "build", "-o", program, "dogwoodmux.example/platform").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "building the daemon: %v\n%s", err, output)
+	program, muxdProgram = filepath.Join(directory, "platform"), filepath.Join(directory, "dogwoodmuxd")
+	if output, err := exec.Command("go", "build", "-o", directory, "dogwoodmux.example/platform", "dogwoodmux.example/dogwoodmuxd").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "building the daemons: %v\n%s", err, output)
 		return 1
 	}
 	return m.Run()
@@ -63,9 +64,43 @@
 
 // site is a daemon in a process of its own, with a store and endpoints in the test's process.
 type site struct {
+	process
 	settings dogwoodstandin.DaemonSettings
-	daemon   *dogwoodsoakprocess.Process
-	log      string
+}
+
+// process is a daemon's process with its log.
+type process struct {
+	daemon *dogwoodsoakprocess.Process
+	log    string
+}
+
+// start starts the daemon. It is killed at the end of the test.
+func (process *process) start(t *testing.T, spec dogwoodsoakprocess.Spec) {
+	t.Helper()
+	process.log = filepath.Join(t.TempDir(), "daemon.log")
+	spec.Name, spec.Log = "daemon", process.log
+	var group dogwoodsoakprocess.Group
+	t.Cleanup(group.KillAll)
+	var err error
+	if process.daemon, err = group.Start(t.Context(), spec); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// ask sends an ordinary request until it is answered with success or answerWithin has passed. It returns the last status; 0 for none.
+func ask(t *testing.T, address netip.AddrPort, head string) (status int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), answerWithin)
+	defer cancel()
+	for {
+		report, err := Run(ctx, &Options{Address: address, Clients: 1, Script: Script{First: []byte(head), Rest: []byte("\r\n")}})
+		for got := range report.Statuses {
+			status = got
+		}
+		if err != nil || status == http.StatusOK || !dogwoodkernel.Sleep(ctx, 100*time.Millisecond) {
+			return status
+		}
+	}
 }
 
 // newSite returns a site whose daemon serves.
@@ -140,17 +175,11 @@
 	if err := os.WriteFile(file, encoded, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	site.log = filepath.Join(directory, "daemon.log")
-	var group dogwoodsoakprocess.Group
-	t.Cleanup(group.KillAll)
-	site.daemon, err = group.Start(t.Context(), dogwoodsoakprocess.Spec{
-		Name: "daemon", Path: program, Arguments: []string{"serve", "-metrics", fmt.Sprint(metricsPort)},
-		Environment: []string{dogwoodstandin.SettingsVariable + "=" + file}, Log: site.log,
+	site.process.start(t, dogwoodsoakprocess.Spec{
+		Path: program, Arguments: []string{"serve", "-metrics", fmt.Sprint(metricsPort)},
+		Environment: []string{dogwoodstandin.SettingsVariable + "=" + file},
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if status := site.ask(t, ""); status != http.StatusOK {
+	if status := site.ask(t); status != http.StatusOK {
 		t.Fatalf("got status %d of a new daemon, want 200: %s", status, site.logEnd())
 	}
 }
@@ -164,38 +193,23 @@
 	return head.String()
 }
 
-// ask sends an ordinary request, with further lines in its head, until it is answered with success or answerWithin has passed. It
-// returns the last status; 0 for none.
-func (site *site) ask(t *testing.T, lines string) (status int) {
+func (site *site) ask(t *testing.T) int {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), answerWithin)
-	defer cancel()
-	for {
-		report, err := Run(ctx, &Options{
-			Address: site.settings.CallersAddress(), Clients: 1,
-			Script: Script{First: []byte(requestStart("/plain/x?y=1") + lines), Rest: []byte("\r\n")},
-		})
-		for got := range report.Statuses {
-			status = got
-		}
-		if err != nil || status == http.StatusOK || !dogwoodkernel.Sleep(ctx, 100*time.Millisecond) {
-			return status
-		}
-	}
+	return ask(t, site.settings.CallersAddress(), requestStart("/plain/x?y=1"))
 }
 
 // logEnd returns the end of the daemon's log.
-func (site *site) logEnd() string {
-	log, err := os.ReadFile(site.log)
+func (process *process) logEnd() string {
+	log, err := os.ReadFile(process.log)
 	if err != nil {
 		return err.Error()
 	}
 	return string(log[max(0, len(log)-2000):])
 }
 
-// play sends crowds at the same time and checks that the daemon lives, stays within its settings and answers an ordinary request
+// withstand sends crowds at the same time and checks that the daemon lives, stays within its settings and answers an ordinary request
 // afterwards.
-func (site *site) play(t *testing.T, crowds ...*Options) {
+func (process *process) withstand(t *testing.T, ask func(t *testing.T) int, crowds ...*Options) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -203,7 +217,7 @@
 	var sampling, playing errgroup.Group
 	sampling.Go(func() error {
 		for dogwoodkernel.Sleep(ctx, 20*time.Millisecond) {
-			if open, err := site.daemon.Descriptors(); err == nil {
+			if open, err := process.daemon.Descriptors(); err == nil {
 				most = max(most, open)
 			}
 		}
@@ -219,14 +233,14 @@
 	if err := playing.Wait(); err != nil {
 		t.Error(err)
 	}
-	status := site.ask(t, "")
-	peak, err := site.daemon.PeakResidentBytes()
+	status := ask(t)
+	peak, err := process.daemon.PeakResidentBytes()
 	cancel()
 	_ = sampling.Wait() // it returns no error
 	t.Logf("peak %d kB, %d descriptors", peak>>10, most)
 	switch {
-	case !site.daemon.Running():
-		t.Fatalf("got a daemon that has ended, want that it lives: %s", site.logEnd())
+	case !process.daemon.Running():
+		t.Fatalf("got a daemon that has ended, want that it lives: %s", process.logEnd())
 	case err != nil:
 		t.Fatal(err)
 	}
@@ -237,10 +251,15 @@
 		t.Errorf("got %d open descriptors, want at most %d", most, descriptors)
 	}
 	if status != http.StatusOK {
-		t.Errorf("got status %d for an ordinary request afterwards, want 200: %s", status, site.logEnd())
+		t.Errorf("got status %d for an ordinary request afterwards, want 200: %s", status, process.logEnd())
 	}
 }
 
+func (site *site) play(t *testing.T, crowds ...*Options) {
+	t.Helper()
+	site.withstand(t, site.ask, crowds...)
+}
+
 // crowd returns the options of a crowd that sends a script to an address.
 func crowd(address netip.AddrPort, script Script) *Options {
 	options := &Options{Address: address, Script: script, Clients: crowdSize, Rounds: rounds, Hold: holdFor}
@@ -260,8 +279,8 @@
 	return []listener{
 		{"callers", settings.CallersAddress(), "GET /plain/x HTTP/1.1\r\nHost: " + host + "\r\n"},
 		{"forwards", at(settings.Peer().Port() + 1), "GET /plain/x HTTP/1.1\r\nHost: " + host + "\r\n"},
-		{"directory", settings.Directory(), "GET /dogwoodmux/resolve?name=a HTTP/1.1\r\nHost: a\r\n"},
-		{"readiness", settings.Readiness(), "GET /dogwoodmux/readiness HTTP/1.1\r\nHost: a\r\n"},
+		{"directory", settings.Directory(), "GET " + dogwoodwire.DirectoryPath + "?name=a HTTP/1.1\r\nHost: a\r\n"},
+		{"readiness", settings.Readiness(), "GET " + dogwoodwire.ReadinessPath + " HTTP/1.1\r\nHost: a\r\n"},
 		{"metrics", at(metricsPort), "GET /metrics HTTP/1.1\r\nHost: a\r\n"},
 		{"peers", settings.Peer(), "GET / HTTP/1.1\r\nHost: a\r\n"},
 	}
@@ -369,7 +388,7 @@
 			}
 		})
 	}
-	if got := site.ask(t, ""); got != http.StatusOK {
+	if got := site.ask(t); got != http.StatusOK {
 		t.Errorf("got status %d, want 200: %s", got, site.logEnd())
 	}
 }
--- a/dogwoodmuxd/dogwoodserve/serve.go
+++ b/dogwoodmuxd/dogwoodserve/serve.go
@@ -6,6 +6,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -21,6 +22,16 @@
 // lists of daemons. A daemon exits as soon as its requests have ended.
 const defaultGrace = dogwoodsettings.LongestDeadline + time.Minute
 
+const (
+	// gcPercent is the growth of the heap over the live heap, in percent, that triggers a garbage collection of a daemon whose memory is
+	// bounded. With Go's default, garbage may take as much as all that is counted toward its bounds.
+	gcPercent = 50
+	// memoryLimitShare is the share of a daemon's memory from which the runtime returns free memory at once. What is counted toward the
+	// bounds stays well below it.
+	memoryLimitShare = 0.75
+	bytesPerMB       = 1_000_000
+)
+
 // Options holds the flags and dependencies of serve.
 type Options struct {
 	Factory  *dogwoodfactory.Factory
@@ -68,6 +79,10 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", options.Settings, err)
 	}
+	if settings.MemoryMB > 0 {
+		debug.SetGCPercent(gcPercent)
+		debug.SetMemoryLimit(int64(memoryLimitShare * bytesPerMB * float64(settings.MemoryMB)))
+	}
 	daemon, err := options.Factory.Start(ctx, dogwooddaemon.Options{
 		Settings: settings, Logger: options.Factory.Logger(settings.LogLevel),
 	})
