Bound the bytes of queued log lines

What callers saw: nothing; found on reading what a client's head reaches.

Cause: the ring of log lines is bounded by their number, 1,024. A line names the request's ID, which may be as long as a head, and more in JSON: a log that is not read could hold some hundred MB of such lines.

Change: queued lines hold at most 2 MiB; further ones are counted as dropped, as when the ring is full.

Evidence: TestQueuedLinesAreBoundedInBytes got 320 lines of 64 KiB, all that were written, without the bound; now 32, and one that is written.

--- a/core/dogwoodlog/writer.go
+++ b/core/dogwoodlog/writer.go
@@ -22,6 +22,9 @@
 const (
 	// ringLines is the capacity of the ring, which a busy daemon fills in a few seconds.
 	ringLines = 1024
+	// ringBytes bounds what the queued lines hold. Lines have a few hundred bytes; one that names what a client has sent, such as a request's ID,
+	// may have a hundred times as many.
+	ringBytes = 2 << 20
 	// sampleThreshold is the number of queued lines from which ordinary lines are sampled.
 	sampleThreshold = ringLines / 2
 	// sampleOneIn means that one request in this many keeps its ordinary lines. With 10, the log
@@ -43,8 +46,10 @@
 
 // Writer queues lines for a target writer. It is safe for concurrent use.
 type Writer struct {
-	ring    *dogwoodring.Ring[[]byte]
-	target  io.Writer
+	ring   *dogwoodring.Ring[[]byte]
+	target io.Writer
+	// queued is the number of bytes in the ring.
+	queued  atomic.Int64
 	dropped atomic.Int64
 	sampled atomic.Int64
 }
@@ -54,13 +59,15 @@
 	return &Writer{ring: dogwoodring.New[[]byte]("Log", ringLines, dogwoodring.Reject), target: target}
 }
 
-// Write queues a line. It never fails: if the ring is full, the line is counted as dropped.
+// Write queues a line. It never fails: if the ring is full, or its lines would hold more than ringBytes, the line is counted as dropped.
 func (writer *Writer) Write(line []byte) (int, error) {
 	if writer.ring.Len() >= sampleThreshold && sampledOut(line) {
 		writer.sampled.Add(1)
 		return len(line), nil
 	}
-	if !writer.ring.Put(append([]byte(nil), line...)) {
+	size := int64(len(line))
+	if writer.queued.Add(size) > ringBytes || !writer.ring.Put(append([]byte(nil), line...)) {
+		writer.queued.Add(-size)
 		writer.dropped.Add(1)
 	}
 	return len(line), nil
@@ -108,6 +115,7 @@
 // write writes a line and any counts to the target. Errors of the target are ignored, as
 // there is nowhere to report them.
 func (writer *Writer) write(line []byte) {
+	writer.queued.Add(-int64(len(line)))
 	_, _ = writer.target.Write(line)
 	dropped, sampled := writer.dropped.Swap(0), writer.sampled.Swap(0)
 	if dropped > 0 {
--- a/core/dogwoodlog/writer_test.go
+++ b/core/dogwoodlog/writer_test.go
@@ -102,3 +102,21 @@
 		_, _ = writer.Write(line)
 	}
 }
+
+// Guards against lines that name what a client has sent, such as a request's ID of many kilobytes, and that take a process's memory while
+// its log is not read.
+func TestQueuedLinesAreBoundedInBytes(t *testing.T) {
+	const lineBytes = 64 << 10
+	line := append(bytes.Repeat([]byte("a"), lineBytes-1), '\n')
+	got := writeWhileBlocked(t, func(writer *Writer) {
+		for range 10 * ringBytes / lineBytes {
+			_, _ = writer.Write(line) // it never fails
+		}
+	})
+	if count := strings.Count(got, string(line)); count < ringBytes/lineBytes || count > ringBytes/lineBytes+1 { // one is being written
+		t.Errorf("got %d lines of %d bytes, want %d bytes of them", count, lineBytes, ringBytes)
+	}
+	if !strings.Contains(got, "Log lines were dropped.") {
+		t.Error("got no line about those that were dropped")
+	}
+}
