Send clients that keep to no limits in the soak

Cause: the soak's callers send what ordinary ones do, so that it could not find heads or connections that take a daemon's memory.

It is a fault of the daemon for all checks but those of its memory and its life, and of its descriptors, which are sampled too and have a check of their own. The settings name 2,870 descriptors.

--- a/dogwoodload/dogwoodcrowd/crowd_test.go
+++ b/dogwoodload/dogwoodcrowd/crowd_test.go
@@ -278,7 +278,7 @@
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(settings.Address, port) }
 	return []listener{
 		{"callers", settings.CallersAddress(), "GET /plain/x HTTP/1.1\r\nHost: " + host + "\r\n"},
-		{"forwards", at(settings.Peer().Port() + 1), "GET /plain/x HTTP/1.1\r\nHost: " + host + "\r\n"},
+		{"forwards", settings.Forwards(), "GET /plain/x HTTP/1.1\r\nHost: " + host + "\r\n"},
 		{"directory", settings.Directory(), "GET " + dogwoodwire.DirectoryPath + "?name=a HTTP/1.1\r\nHost: a\r\n"},
 		{"readiness", settings.Readiness(), "GET " + dogwoodwire.ReadinessPath + " HTTP/1.1\r\nHost: a\r\n"},
 		{"metrics", at(metricsPort), "GET /metrics HTTP/1.1\r\nHost: a\r\n"},
--- a/dogwoodload/dogwoodsoak/daemon.go
+++ b/dogwoodload/dogwoodsoak/daemon.go
@@ -36,6 +36,7 @@
 	storeMutex   sync.Mutex // held while its connection to the store is broken
 	callersMutex sync.Mutex // held while its callers' connections are broken
 	cutOffMutex  sync.Mutex // held while it is cut off from the endpoints
+	crowdMutex   sync.Mutex // held while a crowd is at its listeners
 }
 
 func (site *site) addDaemon(ctx context.Context, number int) error {
@@ -51,7 +52,7 @@
 	daemon := &daemon{name: name, file: site.path(name + ".toml"), storeProxy: store}
 	daemon.settings = dogwoodstandin.DaemonSettings{
 		VM: name, DataCentre: dataCentres[number%len(dataCentres)], DataCentres: dataCentres, Address: address,
-		Store: store.Address(), FirstStart: true, Bounds: daemonBounds, MemoryMB: daemonMemoryMB,
+		Store: store.Address(), FirstStart: true, Bounds: daemonBounds, MemoryMB: daemonMemoryMB, FileDescriptors: daemonDescriptors,
 	}
 	if daemon.callersProxy, err = site.startProxy(ctx, daemon.settings.CallersAddress()); err != nil {
 		return err
@@ -110,6 +111,8 @@
 		return site.reload(ctx, daemon)
 	case dogwoodsoakplan.DaemonCutOff:
 		return site.cutOffDaemon(ctx, daemon, step.For)
+	case dogwoodsoakplan.CrowdComes:
+		return site.recordFault(&daemon.crowdMutex, daemonFault(daemon), func() error { return sendCrowd(ctx, daemon, step) })
 	case dogwoodsoakplan.StoreUnreachable:
 		return site.breakDaemonLink(ctx, &daemon.storeMutex, daemon, daemon.storeProxy, dogwoodsoakproxy.Fault{Refused: true}, step.For)
 	case dogwoodsoakplan.StoreMute:
--- a/dogwoodload/dogwoodsoak/loads.go
+++ b/dogwoodload/dogwoodsoak/loads.go
@@ -18,8 +18,8 @@
 	slow, hot, ranks sync.Mutex
 }
 
-// memoryInterval is the time between two samples of the daemons' memory.
-const memoryInterval = 100 * time.Millisecond
+// sampleInterval is the time between two samples of the daemons' memory and descriptors.
+const sampleInterval = 100 * time.Millisecond
 
 // runCallers runs all callers until the context ends and their last requests have ended.
 func (site *site) runCallers(ctx context.Context, seed uint64) *errgroup.Group {
@@ -112,19 +112,24 @@
 	return err
 }
 
-// sampleMemory records the largest resident set of each daemon's process until the context ends.
-func (site *site) sampleMemory(ctx context.Context) error {
-	largest := make([]dogwoodsoakcheck.Memory, len(site.daemons))
-	for dogwoodkernel.Sleep(ctx, memoryInterval) {
+// sampleProcesses records the largest resident set and the most open descriptors of each daemon's process until the context ends.
+func (site *site) sampleProcesses(ctx context.Context) error {
+	largest, most := make([]dogwoodsoakcheck.Memory, len(site.daemons)), make([]dogwoodsoakcheck.Descriptors, len(site.daemons))
+	for dogwoodkernel.Sleep(ctx, sampleInterval) {
 		for i, daemon := range site.daemons {
-			bytes, err := daemon.sampled.Load().ResidentBytes()
+			process := daemon.sampled.Load()
+			bytes, err := process.ResidentBytes()
 			if err == nil && bytes > largest[i].Bytes { // a process that has ended has no resident set
 				largest[i] = dogwoodsoakcheck.Memory{Daemon: daemon.name, Bytes: bytes, At: time.Now()}
 			}
+			open, err := process.Descriptors()
+			if err == nil && open > most[i].Open {
+				most[i] = dogwoodsoakcheck.Descriptors{Daemon: daemon.name, Open: open, At: time.Now()}
+			}
 		}
 	}
 	site.mutex.Lock()
 	defer site.mutex.Unlock()
-	site.recorded.Memory = largest
+	site.recorded.Memory, site.recorded.Descriptors = largest, most
 	return nil
 }
--- a/dogwoodload/dogwoodsoak/parameters.go
+++ b/dogwoodload/dogwoodsoak/parameters.go
@@ -55,7 +55,9 @@
 	slowBodyRate = 160 << 10
 	// daemonMemoryMB is the memory of the smallest of the users' daemons.
 	daemonMemoryMB = 136
-	megabyte       = 1 << 20
+	// daemonDescriptors is the number of descriptors of the smallest of the users' daemons.
+	daemonDescriptors = 2870
+	megabyte          = 1 << 20
 )
 
 const (
@@ -94,7 +96,7 @@
 		ChangeWindow: 2 * time.Second, TextSlack: time.Second,
 		Grace: daemonBounds.Grace, AcceptsFor: 3 * time.Second, StopSlack: 200 * time.Millisecond, RefusalSlack: time.Second,
 		Recovery: recovery, ServedShare: 0.25,
-		DaemonMemory: daemonMemoryMB * megabyte, AnswerBuffer: daemonMemoryMB * megabyte / 8 / 16,
+		DaemonMemory: daemonMemoryMB * megabyte, DaemonDescriptors: daemonDescriptors, AnswerBuffer: daemonMemoryMB * megabyte / 8 / 16,
 		StarvationWindow: 5 * time.Second, StarvationCalls: 10, StarvationServed: 4, StarvationShare: 0.1,
 	}
 )
--- a/dogwoodload/dogwoodsoak/soak.go
+++ b/dogwoodload/dogwoodsoak/soak.go
@@ -196,7 +196,7 @@
 	defer stopSupervising()
 	var supervisor errgroup.Group
 	supervisor.Go(func() error { return site.superviseEndpoints(supervisorContext) })
-	supervisor.Go(func() error { return site.sampleMemory(supervisorContext) })
+	supervisor.Go(func() error { return site.sampleProcesses(supervisorContext) })
 	callersContext, stopSending := context.WithCancel(ctx)
 	defer stopSending()
 	callers := site.runCallers(callersContext, options.Seed)
@@ -229,7 +229,8 @@
 	return report, nil
 }
 
-// drawSteps returns the steps of the time in which something fails, and the changes of the load. These don't depend on the cut-offs.
+// drawSteps returns the steps of the time in which something fails, and the changes of the load. These don't depend on the cut-offs and the
+// crowds.
 func (options *Options) drawSteps(shape dogwoodsoakplan.Shape) (steps, loads []dogwoodsoakplan.Step) {
 	if options.steps != nil {
 		return options.steps, nil
@@ -241,7 +242,10 @@
 	if !options.steadyLoad {
 		loads = dogwoodsoakplan.DrawLoads(options.Seed, shape, warmUp, lastEnd(steps), lastEnd(steps)+recovery-time.Second)
 	}
-	return slices.Concat(steps, dogwoodsoakplan.DrawCutOffs(options.Seed, shape, warmUp, options.For-tail)), loads
+	return slices.Concat(
+		steps, dogwoodsoakplan.DrawCutOffs(options.Seed, shape, warmUp, options.For-tail),
+		dogwoodsoakplan.DrawCrowds(options.Seed, shape, warmUp, options.For-tail),
+	), loads
 }
 
 // lastEnd returns the time at which the last of the steps ends.
--- a/dogwoodload/dogwoodsoakcheck/check.go
+++ b/dogwoodload/dogwoodsoakcheck/check.go
@@ -40,6 +40,7 @@
 	{"CrashRetries", crashRetries},
 	{"MemoryHeld", memoryHeld},
 	{"DaemonMemory", daemonMemory},
+	{"DaemonDescriptors", daemonDescriptors},
 	{"EndpointMemory", endpointMemory},
 	{"SlowAnswer", slowAnswer},
 	{"Starved", starved},
--- a/dogwoodload/dogwoodsoakcheck/check_test.go
+++ b/dogwoodload/dogwoodsoakcheck/check_test.go
@@ -24,7 +24,7 @@
 	ChangeWindow: 2 * time.Second, TextSlack: time.Second,
 	Grace: 6 * time.Second, AcceptsFor: 3 * time.Second, StopSlack: 200 * time.Millisecond, RefusalSlack: time.Second,
 	Recovery: 12 * time.Second, ServedShare: 0.25,
-	DeliverySlack: 2 * time.Second, DaemonMemory: 1000, AnswerBuffer: 500,
+	DeliverySlack: 2 * time.Second, DaemonMemory: 1000, DaemonDescriptors: 10, AnswerBuffer: 500,
 	StarvationWindow: 5 * time.Second, StarvationCalls: 5, StarvationServed: 3, StarvationShare: 0.2,
 }
 
@@ -372,6 +372,10 @@
 			history.Memory = []Memory{{Daemon: "d", Bytes: 1001, At: after(7)}}
 		}, "DaemonMemory"},
 		{"a daemon takes all of its memory", func(history *History) { history.Memory = []Memory{{Daemon: "d", Bytes: 1000, At: after(7)}} }, ""},
+		{"a daemon opens more descriptors than it has", func(history *History) {
+			history.Descriptors = []Descriptors{{Daemon: "d", Open: 11, At: after(7)}}
+		}, "DaemonDescriptors"},
+		{"a daemon opens all of its descriptors", func(history *History) { history.Descriptors = []Descriptors{{Daemon: "d", Open: 10, At: after(7)}} }, ""},
 		{"requests end an endpoint", func(history *History) {
 			history.OutOfMemory = []OutOfMemory{{Endpoint: "e", At: after(20)}}
 			history.fault(Fault{Endpoint: "e"}, 19.9, 21)
--- a/dogwoodload/dogwoodsoakcheck/history.go
+++ b/dogwoodload/dogwoodsoakcheck/history.go
@@ -48,6 +48,8 @@
 	ServedShare float64
 	// DaemonMemory bounds the resident set of a daemon's process, in bytes.
 	DaemonMemory int
+	// DaemonDescriptors bounds the open descriptors of a daemon's process.
+	DaemonDescriptors int
 	// AnswerBuffer is the size of answers up to which a caller that reads slowly must not be cut; a larger one may visibly be.
 	AnswerBuffer int
 	// Within each StarvationWindow in which nothing is wrong, each customer and each rank that sends StarvationCalls prompts or
@@ -179,6 +181,13 @@
 	At     time.Time
 }
 
+// Descriptors is the largest number of open descriptors of a daemon's process that was seen.
+type Descriptors struct {
+	Daemon string
+	Open   int
+	At     time.Time
+}
+
 // Span is a period in which something was wrong, whether the checks count it as a fault or not.
 type Span struct{ From, To time.Time }
 
@@ -286,6 +295,7 @@
 	Written     []Written
 	OutOfMemory []OutOfMemory
 	Memory      []Memory
+	Descriptors []Descriptors
 	Wrong       []Span
 	Ranks       []Ranks
 	// Calm is the time when the last fault ended, Planned that from which daemons were only shut down and changed; zero for never.
--- a/dogwoodload/dogwoodsoakcheck/memory.go
+++ b/dogwoodload/dogwoodsoakcheck/memory.go
@@ -16,6 +16,18 @@
 	return findings
 }
 
+func daemonDescriptors(analysis *analysis) []Finding {
+	var findings []Finding
+	for _, descriptors := range analysis.Descriptors {
+		if descriptors.Open > analysis.bounds.DaemonDescriptors {
+			findings = append(findings, Finding{
+				Detail: fmt.Sprintf("%s had %d descriptors open, %d allowed", descriptors.Daemon, descriptors.Open, analysis.bounds.DaemonDescriptors), At: descriptors.At,
+			})
+		}
+	}
+	return findings
+}
+
 // ownFaultMargin is how long before an endpoint's end the fault that stands for this end may begin: the soak sees the end of a
 // process up to this time later, and dates the fault back.
 const ownFaultMargin = 200 * time.Millisecond
--- a/dogwoodload/dogwoodsoakplan/plan.go
+++ b/dogwoodload/dogwoodsoakplan/plan.go
@@ -88,6 +88,8 @@
 	HotCustomer Kind = "HotCustomer"
 	// RanksDiffer publishes a text with ranks of routes and customers that differ, and restores the one without.
 	RanksDiffer Kind = "RanksDiffer"
+	// CrowdComes makes clients that keep to no limits connect to all listeners of a daemon.
+	CrowdComes Kind = "CrowdComes"
 	// TakenOut takes a data centre out of service and brings it back after the duration.
 	TakenOut Kind = "TakenOut"
 )
@@ -182,6 +184,11 @@
 	{TextChanged, Store, 3, 0, 0, 0},
 }
 
+// crowdKinds lists the kinds that DrawCrowds draws, from a random source of their own.
+var crowdKinds = []traits{
+	{CrowdComes, Daemon, 1, 2 * second, 4 * second, second},
+}
+
 // loadKinds lists the kinds that change the load. They are drawn by DrawLoads, independently of all others, so that the faults of
 // a seed stay as they were before there were such kinds.
 var loadKinds = []traits{
@@ -252,6 +259,9 @@
 	// cutOffInterval and cutOffSeriesShare correspond to stepInterval and seriesShare for cutOffKinds.
 	cutOffInterval    = 3 * time.Second
 	cutOffSeriesShare = 0.25
+	// crowdInterval and crowdSeriesShare correspond to stepInterval and seriesShare for crowdKinds.
+	crowdInterval    = 8 * time.Second
+	crowdSeriesShare = 0.25
 	// calmShare is the probability of each of calmKinds after the last fault.
 	calmShare = 0.7
 )
@@ -288,6 +298,15 @@
 	return steps
 }
 
+// DrawCrowds returns the times at which clients that keep to no limits come, in order of time. All of them start and end between from and
+// until.
+func DrawCrowds(seed uint64, shape Shape, from, until time.Duration) []Step {
+	crowds := sequence{rand.New(rand.NewPCG(seed+7, seed)), crowdKinds, crowdInterval, crowdSeriesShare}
+	steps := crowds.draw(shape, from, until)
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
+
 // DrawLoads returns the changes of a seed's load in order of time. Those beside the faults start and end between from and calm,
 // and those after the last fault between calm and until.
 func DrawLoads(seed uint64, shape Shape, from, calm, until time.Duration) []Step {
@@ -352,7 +371,7 @@
 
 // SubjectOf returns what a kind of step acts on.
 func SubjectOf(kind Kind) Subject {
-	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds, garbleKinds, loadKinds, cutOffKinds, plannedKinds) {
+	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds, garbleKinds, loadKinds, cutOffKinds, crowdKinds, plannedKinds) {
 		if candidate.kind == kind {
 			return candidate.subject
 		}
--- a/dogwoodload/dogwoodsoakplan/plan_test.go
+++ b/dogwoodload/dogwoodsoakplan/plan_test.go
@@ -37,7 +37,7 @@
 	drawn := map[Kind]bool{}
 	for seed := range uint64(200) {
 		garbles := DrawGarbles(seed, shape, from, until)
-		steps := slices.Concat(Draw(seed, shape, from, until), garbles, DrawCutOffs(seed, shape, from, until), DrawLoads(seed, shape, from, until-20*time.Second, until))
+		steps := slices.Concat(Draw(seed, shape, from, until), garbles, DrawCutOffs(seed, shape, from, until), DrawCrowds(seed, shape, from, until), DrawLoads(seed, shape, from, until-20*time.Second, until))
 		slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 		for i, step := range steps {
 			drawn[step.Kind] = true
@@ -61,7 +61,7 @@
 			}
 		}
 	}
-	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds, garbleKinds, loadKinds, cutOffKinds, plannedKinds) {
+	for _, candidate := range slices.Concat(kinds, busyKinds, crashKinds, limitKinds, backoffKinds, garbleKinds, loadKinds, cutOffKinds, crowdKinds, plannedKinds) {
 		if !drawn[candidate.kind] {
 			t.Errorf("no seed of 200 draws %s", candidate.kind)
 		}
