--- a/core/decision/dogwoodbuffer/head.go
+++ b/core/decision/dogwoodbuffer/head.go
@@ -6,8 +6,7 @@
 	// smallHeadShare is the part of the bound of heads that only small ones may use, so that those of ordinary callers find room beside
 	// large ones.
 	smallHeadShare = 4
-	// headLineBytes is what a line of a parsed head takes: an entry of its map, the name and the value's slice. Measured for lines of a few
-	// bytes with names of their own, with the garbage of a map that grows.
+	// headLineBytes is what a line of a parsed head takes: an entry of its map, the name, the value's slice and garbage of the map as it grows.
 	headLineBytes = 128
 	// headCopies is how often a byte of a head is held: in the connection's buffer and in the strings of the parsed head.
 	headCopies = 2
