--- a/core/decision/dogwoodbuffer/head.go
+++ b/core/decision/dogwoodbuffer/head.go
@@ -116,13 +116,6 @@
 	return nil
 }
 
-// IsCut reports whether the head was dropped.
-func (head *Head) IsCut() bool {
-	head.budget.mutex.Lock()
-	defer head.budget.mutex.Unlock()
-	return head.isCut
-}
-
 // Close takes all bytes off a head whose request has ended.
 func (head *Head) Close() {
 	head.budget.mutex.Lock()
--- a/core/edge/dogwoodserver/server_test.go
+++ b/core/edge/dogwoodserver/server_test.go
@@ -48,21 +48,7 @@
 
 func newFixture(t *testing.T, handler http.HandlerFunc) *fixture {
 	t.Helper()
-	accepting, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	fixture := &fixture{address: accepting.Addr().String()}
-	logger := hclog.New(&hclog.LoggerOptions{Output: &fixture.log, JSONFormat: true})
-	fixture.Server = New(t.Context(), &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute},
-		Options{Shutdown: errLeaving, RequestID: "Request-Id", Logger: logger})
-	var group sync.WaitGroup
-	group.Go(func() { _ = fixture.Serve(accepting) }) // it ends with the server
-	t.Cleanup(func() {
-		_ = fixture.Close(context.Background())
-		group.Wait()
-	})
-	return fixture
+	return newLimitedFixture(t, handler, func(options *Options) { options.RequestID = "Request-Id" })
 }
 
 // caller is an open connection of a caller.
--- a/dogwoodload/dogwoodcrowd/crowd_test.go
+++ b/dogwoodload/dogwoodcrowd/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -258,6 +259,31 @@
 func (site *site) play(t *testing.T, crowds ...*Options) {
 	t.Helper()
 	site.withstand(t, site.ask, crowds...)
+	site.awaitHeadsReleased(t)
+}
+
+// awaitHeadsReleased waits until the daemon counts no more for heads than that of the request that asks for it.
+func (site *site) awaitHeadsReleased(t *testing.T) {
+	t.Helper()
+	const ownHead = 8 << 10
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: exchangeTimeout}
+	url := fmt.Sprintf("http://%s:%d/metrics", site.settings.Address, metricsPort)
+	page, got := "", -1
+	for deadline := time.Now().Add(answerWithin); got < 0 || got > ownHead; dogwoodkernel.Sleep(t.Context(), 100*time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("got %d bytes of heads after the crowd, want at most %d: %.300s", got, ownHead, page)
+		}
+		response, err := client.Get(url)
+		if err != nil {
+			continue
+		}
+		content, _ := io.ReadAll(response.Body) // what is missing is asked for again
+		_ = response.Body.Close()
+		page = string(content)
+		if _, after, found := strings.Cut(page, "\nHeadBytes "); found {
+			_, _ = fmt.Sscan(after, &got)
+		}
+	}
 }
 
 // crowd returns the options of a crowd that sends a script to an address.
