--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -15,6 +15,7 @@
 
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(site *site) (bool, error){
+	"crowded":     crowded,
 	"turned-away": turnedAway,
 }
 
--- a/review/standins-2/site.go
+++ b/review/standins-2/site.go
@@ -48,6 +48,9 @@
 	servers []*server
 	client  *http.Client
 
+	// memory and files are the memory in MB and the descriptors of a machine.
+	memory, files int
+
 	mutex  sync.Mutex
 	record *os.File
 	began  time.Time
@@ -75,6 +78,7 @@
 		return nil, err
 	}
 	site := &site{
+		memory: 284, files: 4100,
 		trouble: trouble, folder: folder, private: private, store: dogwoodstandin.NewStore(), record: record, began: time.Now(),
 		client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
 	}
@@ -171,7 +175,7 @@
 	}
 	daemon.settings = dogwoodstandin.DaemonSettings{
 		VM: fmt.Sprintf("front-%d", number+1), DataCentre: dataCentres[number%len(dataCentres)], DataCentres: dataCentres,
-		Address: freeAddress(), Store: store, FirstStart: true, MemoryMB: 284, FileDescriptors: 4100,
+		Address: freeAddress(), Store: store, FirstStart: true, MemoryMB: site.memory, FileDescriptors: site.files,
 		Bounds: dogwoodstandin.Bounds{
 			Revoke: revokeWithin, Grace: grace, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryAllowance: retryAllowance, DirectoryTTL: 5 * time.Second,
 		},
@@ -306,15 +310,19 @@
 
 // addServer starts a server that answers after some work and records each run.
 func (site *site) addServer(id, service, zone string, slots int, work time.Duration, arrived func(dogwoodstandin.Arrival)) error {
+	return site.addServerWith(dogwoodstandin.EndpointOptions{
+		ID: id, Service: service, DataCentre: zone, Slots: slots, Work: work, MemoryTokens: dogwoodstandin.EngineMemoryTokens, Record: arrived,
+	})
+}
+
+// addServerWith starts a server at a free port.
+func (site *site) addServerWith(options dogwoodstandin.EndpointOptions) error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	added := &server{id: id, service: service}
-	added.standin = dogwoodstandin.NewEndpoint(dogwoodstandin.EndpointOptions{
-		ID: id, Service: service, DataCentre: zone, AnnouncedAddress: netip.MustParseAddrPort(listener.Addr().String()),
-		Slots: slots, Work: work, MemoryTokens: dogwoodstandin.EngineMemoryTokens, Record: arrived,
-	})
+	options.AnnouncedAddress = netip.MustParseAddrPort(listener.Addr().String())
+	added := &server{id: options.ID, service: options.Service, standin: dogwoodstandin.NewEndpoint(options)}
 	site.servers = append(site.servers, added)
 	httpServer := &http.Server{Handler: added.standin, ErrorLog: log.New(io.Discard, "", 0)}
 	go func() { _ = httpServer.Serve(listener) }()
