--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -16,6 +16,7 @@
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(site *site) (bool, error){
 	"crowded":     crowded,
+	"last-key":    lastKey,
 	"turned-away": turnedAway,
 }
 
