--- a/review/standins-2/crowded.go
+++ b/review/standins-2/crowded.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"dogwoodmux.example/platform/dogwoodstandin"
@@ -25,8 +26,8 @@
 	eventInterval = 200 * time.Millisecond
 	engines       = 60
 	engineSlots   = 16
-	// quiet is the time before the loss of a machine, lossFor that in which streams are watched after it.
-	quiet, lossFor = 15 * time.Second, 12 * time.Second
+	// quiet is the time before a machine is stopped, watched that in which streams are watched after it.
+	quiet, watched = 15 * time.Second, 15 * time.Second
 	// retries is how often a requester tries a request again, and pauseAfterFailure its pause before the next request if that failed too.
 	retries           = 1
 	pauseAfterFailure = time.Second
@@ -57,7 +58,7 @@
 	return stream.err == nil && stream.after+stream.events == streamEvents
 }
 
-// crowded shows what becomes of streams at a machine that gets the requesters of another one, which is killed.
+// crowded shows what becomes of streams at a machine that gets the requesters of another one, which is stopped and started again.
 func crowded(site *site) (bool, error) {
 	site.memory, site.files = smallMemory, smallFiles
 	for i := range engines {
@@ -105,13 +106,23 @@
 		})
 	}
 	time.Sleep(quiet)
-	lostAt := time.Since(began)
-	lost := site.daemons[1]
+	stoppedAt := time.Since(began)
+	stopped := site.daemons[1]
 	if site.trouble {
-		site.note("%s is killed", lost.name())
-		_ = lost.process.Process.Kill()
+		site.note("%s gets SIGTERM", stopped.name())
+		if err := stopped.process.Process.Signal(syscall.SIGTERM); err != nil {
+			return false, err
+		}
+		group.Go(func() {
+			<-stopped.exited
+			site.note("%s has ended and is started again", stopped.name())
+			stopped.settings.FirstStart = false
+			if err := site.start(stopped); err != nil {
+				site.note("it can't be started: %v", err)
+			}
+		})
 	}
-	time.Sleep(lossFor)
+	time.Sleep(watched)
 	cancel()
 	group.Wait()
 	stayed := site.daemons[0]
@@ -119,7 +130,7 @@
 	for _, stream := range all {
 		site.note("stream %s at %s, kept channel %t, sent %.3f, ended %.3f: status %d, %d events, longest pause %d ms, error %v",
 			stream.id, stream.daemon.name(), stream.kept, stream.sent.Seconds(), stream.ended.Seconds(), stream.status, stream.events, stream.maxPause.Milliseconds(), stream.err)
-		if stream.daemon == stayed && stream.sent > lostAt {
+		if stream.daemon == stayed && stream.sent > stoppedAt {
 			sentAfter++
 			if stream.isWhole() {
 				wholeAfter++
@@ -138,7 +149,7 @@
 			}
 		}
 	}
-	site.say("at %s, which nothing happened to: %d whole streams, %d refused requests, %d streams cut midway, %d of them on kept channels; after the loss %d of %d streams that were sent there were whole",
+	site.say("at %s, which nothing happened to: %d whole streams, %d refused requests, %d streams cut midway, %d of them on kept channels; after the stop %d of %d streams that were sent there were whole",
 		stayed.name(), whole, refused, cut, count, wholeAfter, sentAfter)
 	return count <= allowedLost, nil
 }
@@ -153,8 +164,7 @@
 	after int
 }
 
-// next sends a request and reads its answer as it arrives. After a failure, the next one is sent over a new channel, to the other machine if
-// this one is gone.
+// next sends a request and reads its answer as it arrives. After a failure, the next one is sent over a new channel, to the other machine.
 func (requester *requester) next() *stream {
 	if requester.client == nil {
 		requester.client = &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true}}
@@ -196,13 +206,18 @@
 	return stream
 }
 
-// leave drops the channel. gone is true if the machine does not answer, so that the other one is used from now on.
+// leave drops the channel. The next request is sent to the other machine, as requesters leave out the one that failed them.
 func (requester *requester) leave(gone bool) {
 	requester.client.CloseIdleConnections()
 	requester.client = nil
 	if gone {
 		time.Sleep(50 * time.Millisecond)
-		requester.daemon = requester.site.daemons[0]
+	}
+	for _, daemon := range requester.site.daemons {
+		if daemon != requester.daemon {
+			requester.daemon = daemon
+			return
+		}
 	}
 }
 
