Tell a reset connection from one closed in order

Cause: a socket reports a reset once, to the read or the write that comes first. If the write gets it, the next read ends as after a plain close. net/http closes the connection for the write's error, but whoever reads the body has got io.EOF by then, which is the proper end of an answer without a length.

Change: core/dogwoodtransport wraps the connections of all HTTP clients. A read that ends returns an error if a write has failed, unless it failed with EPIPE, which Linux returns if the close of the other side came before the reset. A write may have taken the reset and not have returned yet, so the read waits for the write in progress, but not if the state of the socket shows that the connection still accepts writes: after a close in order, the upload may go on for long. Messages of net/rpc carry their length, so that one that is cut can't be decoded.

A server that closes without having read the upload resets the connection or not, depending on what has arrived.

--- a/core/edge/dogwoodengine/engine.go
+++ b/core/edge/dogwoodengine/engine.go
@@ -24,6 +24,7 @@
 
 	"dogwoodmux.example/core/dogwoodfleet"
 	"dogwoodmux.example/core/dogwoodkernel"
+	"dogwoodmux.example/core/dogwoodtransport"
 )
 
 // Error is the class of this package's errors.
@@ -71,13 +72,13 @@
 		dialer := &net.Dialer{Timeout: options.SilenceTimeout}
 		options.Dial = dialer.DialContext
 	}
-	transport := &http.Transport{
+	transport := dogwoodtransport.New(&http.Transport{
 		DialContext:        options.Dial,
 		DisableKeepAlives:  true, // see the package comment
 		DisableCompression: true,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	})
 	client := resty.NewWithClient(&http.Client{Transport: transport}).
 		SetRetryCount(0).
 		SetRedirectPolicy(resty.RedirectPolicyFunc(func(*http.Request, []*http.Request) error {
--- a/core/edge/dogwoodplatform/client.go
+++ b/core/edge/dogwoodplatform/client.go
@@ -22,6 +22,7 @@
 	"github.com/sony/gobreaker/v2"
 	"github.com/zeebo/errs"
 
+	"dogwoodmux.example/core/dogwoodtransport"
 	"dogwoodmux.example/core/state/dogwoodtable"
 )
 
@@ -122,7 +123,7 @@
 }
 
 func newRest(options Options) *resty.Client {
-	transport := &http.Transport{
+	transport := dogwoodtransport.New(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			connection, err := options.Dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -137,7 +138,7 @@
 		// With a proxy, a failure to connect to the platform could not be distinguished from a
 		// failure after the call was sent.
 		Proxy: nil,
-	}
+	})
 	rest := resty.NewWithClient(&http.Client{Transport: transport})
 	rest.SetRetryCount(0)
 	rest.SetRedirectPolicy(resty.NoRedirectPolicy())
--- a/core/edge/dogwoodservice/brokenanswer_test.go
+++ b/core/edge/dogwoodservice/brokenanswer_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 )
@@ -78,3 +80,39 @@
 	read, err := io.ReadAll(response.Body)
 	return string(read), response.Header.Get("X-Value"), err
 }
+
+// resetConn is a connection that answers while a call is written, and is then reset. The write gets the error, and the reads end.
+type resetConn struct {
+	net.Conn
+	answer       *strings.Reader
+	once         sync.Once
+	begun, ended chan struct{}
+}
+
+func (conn *resetConn) Read(target []byte) (int, error) {
+	<-conn.begun
+	count, err := conn.answer.Read(target)
+	if err != nil {
+		conn.once.Do(func() { close(conn.ended) })
+	}
+	return count, err
+}
+
+func (conn *resetConn) Write([]byte) (int, error) {
+	close(conn.begun)
+	<-conn.ended
+	return 0, &net.OpError{Op: "write", Net: "tcp", Err: syscall.ECONNRESET}
+}
+
+func (*resetConn) Close() error { return nil }
+
+// Guards against an answer without a length that counts as whole although its connection was reset while the call was written.
+func TestAnswerResetDuringACallIsNeverWhole(t *testing.T) {
+	client := New(func(context.Context, string, string) (net.Conn, error) {
+		answer := strings.NewReader("HTTP/1.1 200 OK\r\n\r\nthe whole answer")
+		return &resetConn{answer: answer, begun: make(chan struct{}), ended: make(chan struct{})}, nil
+	})
+	if got, _, err := call(t, client); err == nil {
+		t.Errorf("got %q as the whole answer, want an error", got)
+	}
+}
--- a/core/edge/dogwoodservice/service.go
+++ b/core/edge/dogwoodservice/service.go
@@ -22,6 +22,7 @@
 	"github.com/zeebo/errs"
 
 	"dogwoodmux.example/core/dogwoodfleet"
+	"dogwoodmux.example/core/dogwoodtransport"
 )
 
 // Error is the class of this package's errors.
@@ -81,7 +82,7 @@
 // Client calls plain services. It is safe for concurrent use.
 type Client struct {
 	dial      DialFunc
-	transport *http.Transport
+	transport *dogwoodtransport.Transport
 }
 
 // New returns a client. A nil dial means TCP.
@@ -92,12 +93,12 @@
 	}
 	return &Client{
 		dial: dial,
-		transport: &http.Transport{
+		transport: dogwoodtransport.New(&http.Transport{
 			DialContext:            dial,
 			DisableKeepAlives:      true, // see the package comment
 			DisableCompression:     true, // the body is forwarded unchanged
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		}),
 	}
 }
 
--- a/dogwoodctl/dogwoodfactory/factory.go
+++ b/dogwoodctl/dogwoodfactory/factory.go
@@ -15,6 +15,7 @@
 	"golang.org/x/term"
 
 	"dogwoodmux.example/core/dogwoodadminapi"
+	"dogwoodmux.example/core/dogwoodtransport"
 )
 
 // The environment variables that are used if the corresponding flag is not set.
@@ -58,7 +59,7 @@
 		Addresses: os.Getenv(EnvironmentAddresses),
 		Key:       os.Getenv(EnvironmentKey),
 		Author:    os.Getenv("USER"),
-		Transport: &http.Transport{},
+		Transport: dogwoodtransport.New(&http.Transport{}),
 		NewID:     uuid.NewString,
 	}
 }
