Refuse answers whose head has a malformed name

Callers got a 200 of an answer whose head held `X Broken: 1`, without that line, and with `Content-Length : 2` they got four bytes of a body that the endpoint had announced as two.

Cause: net/http keeps a name that holds blanks as it is. Such a header is found under no name and is dropped as the answer is written, so that a length with a blank counts as none. A line that begins with a blank was joined to the value of the line before it.

Change: the connections of dogwoodtransport check the names of each head as it was sent, those of informational answers too, on kept connections from the moment at which a request takes the connection. A malformed one ends the answer with MalformedAnswer; the run counts as broken off, so that the caller gets 502 or another run where the route allows it. RFC 9112 (section 5.2) allows a proxy to refuse folded lines. The error is returned by each later read, as net/http reads on after an error at the end of a line. Trailers are checked at the end of the body, as net/http gives them. Such an answer still shows that its endpoint runs and is reached, as before.

--- a/core/dogwoodtransport/connection.go
+++ b/core/dogwoodtransport/connection.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -16,6 +17,9 @@
 	// writing has an element during a write. It guards writeErr, the error of the first write that failed.
 	writing  chan struct{}
 	writeErr error
+	// awaitsHead is true if a request is about to be sent after others, so that the next bytes are those of a head.
+	awaitsHead atomic.Bool
+	head       headCheck
 }
 
 func newConnection(conn net.Conn) *connection {
@@ -25,6 +29,12 @@
 // Read reads a part of an answer.
 func (connection *connection) Read(target []byte) (int, error) {
 	count, err := connection.Conn.Read(target)
+	if connection.awaitsHead.Swap(false) {
+		connection.head = headCheck{}
+	}
+	if failure := connection.head.add(target[:count]); failure != nil {
+		return 0, failure
+	}
 	if errors.Is(err, io.EOF) {
 		if failure := connection.failure(); failure != nil {
 			return count, Error.New("the connection broke: %w", failure)
--- a/core/dogwoodtransport/transport.go
+++ b/core/dogwoodtransport/transport.go
@@ -4,8 +4,12 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"strings"
 
 	"github.com/zeebo/errs"
 )
@@ -33,3 +37,40 @@
 	}
 	return &Transport{Transport: base}
 }
+
+// RoundTrip sends a request. The error wraps a *MalformedAnswer if an answer came that HTTP does not allow, and so may an error of its
+// body.
+func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if connection, ok := info.Conn.(*connection); ok && info.Reused {
+			connection.awaitsHead.Store(true)
+		}
+	}})
+	response, err := transport.Transport.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, err //nolint:wrapcheck // net/http wraps it
+	}
+	if len(response.TransferEncoding) > 0 {
+		response.Body = &trailedBody{ReadCloser: response.Body, response: response}
+	}
+	return response, nil
+}
+
+// trailedBody is a body in chunks, at whose end net/http adds the trailer to the response.
+type trailedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read reads a part of the body. Its end is an error if the trailer has a name that is none.
+func (body *trailedBody) Read(target []byte) (int, error) {
+	count, err := body.ReadCloser.Read(target)
+	if errors.Is(err, io.EOF) {
+		for name := range body.response.Trailer {
+			if strings.Contains(name, " ") { // net/http accepts no other invalid character
+				return count, Error.Wrap(&MalformedAnswer{Reason: reasonName})
+			}
+		}
+	}
+	return count, err //nolint:wrapcheck // io.EOF must stay itself
+}
--- a/core/edge/dogwoodengine/brokenanswer_test.go
+++ b/core/edge/dogwoodengine/brokenanswer_test.go
@@ -147,3 +147,38 @@
 		events = append(events, string(event.Data))
 	}
 }
+
+// Guards against an engine's list, and the beginning of a stream, in an answer that HTTP does not allow.
+func TestMalformedAnswerIsNotRead(t *testing.T) {
+	const body = `{"Instance":"i1","MemoryTokens":1234}`
+	tests := []struct{ name, status, line string }{
+		{"a blank in a name", "200 OK", "X Broken: 1\r\n"},
+		{"a blank after the length", "200 OK", "Content-Length : 2\r\n"},
+		{"a blank before a name", "200 OK", " X-Broken: 1\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var group sync.WaitGroup
+				defer group.Wait()
+				client := New(Options{Dial: func(context.Context, string, string) (net.Conn, error) {
+					near, far := net.Pipe()
+					group.Go(func() {
+						answerOnce(far, fmt.Sprintf("HTTP/1.1 %s\r\nContent-Type: application/json\r\n%sContent-Length: %d\r\n\r\n%s", test.status, test.line, len(body), body))
+					})
+					return near, nil
+				}})
+				defer client.Close(t.Context())
+				endpoint := dogwoodfleet.Endpoint{ID: "engine", Instance: "i-1234", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+				if state, err := client.State(t.Context(), endpoint); err == nil {
+					t.Errorf("got %+v, want an error", state)
+				}
+				_, err := client.Start(t.Context(), endpoint, Run{ID: "r1", Path: PathChat, Body: []byte(`{}`)})
+				var answered *Answered
+				if err == nil || errors.As(err, &answered) {
+					t.Errorf("got %v, want an error that leaves open whether the request began", err)
+				}
+			})
+		})
+	}
+}
--- a/core/edge/dogwoodplatform/brokenanswer_test.go
+++ b/core/edge/dogwoodplatform/brokenanswer_test.go
@@ -111,3 +111,24 @@
 		}
 	}
 }
+
+// Guards against a row, or a write, whose answer is one that HTTP does not allow and that counts as given.
+func TestMalformedAnswerIsNotRead(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	tests := []struct{ name, status, line string }{
+		{"a blank in a name", "200 OK", "X Broken: 1\r\n"},
+		{"a blank after the length", "200 OK", "Content-Length : 2\r\n"},
+		{"a blank before a name", "200 OK", " X-Broken: 1\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			dialer := &cutDialer{answer: "HTTP/1.1 " + test.status + "\r\nETag: \"1234\"\r\n" + test.line + "Content-Length: 4\r\n\r\nbody"}
+			client := New(Options{Tables: address, Objects: address, VMs: address, Weights: address, Dialer: dialer})
+			defer dialer.group.Wait()
+			defer client.Close()
+			if row, _, err := client.Read(t.Context(), "table", "key"); err == nil {
+				t.Errorf("got the row %+v, want an error", row)
+			}
+		})
+	}
+}
--- a/core/edge/dogwoodservice/brokenanswer_test.go
+++ b/core/edge/dogwoodservice/brokenanswer_test.go
@@ -116,3 +116,30 @@
 		t.Errorf("got %q as the whole answer, want an error", got)
 	}
 }
+
+// Guards against an answer that HTTP does not allow and that reaches a caller, with another body than the endpoint meant or with a
+// status that ends the daemon's own answer.
+func TestMalformedAnswerIsNotRead(t *testing.T) {
+	tests := []struct{ name, status, line string }{
+		{"a blank in a name", "200 OK", "X Broken: 1\r\n"},
+		{"a blank after the length", "200 OK", "Content-Length : 2\r\n"},
+		{"a blank before a name", "200 OK", "X-Odd: 1\r\n X-Broken: 1\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var group sync.WaitGroup
+			defer group.Wait()
+			client := New(func(context.Context, string, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				group.Go(func() {
+					answerOnce(far, "HTTP/1.1 "+test.status+"\r\n"+test.line+"Content-Length: 16\r\n\r\nthe whole answer")
+				})
+				return near, nil
+			})
+			var broken *BrokenError
+			if got, _, err := call(t, client); !errors.As(err, &broken) {
+				t.Errorf("got %q and %v, want a BrokenError", got, err)
+			}
+		})
+	}
+}
