Refuse answers without a final status in all clients

An answer with the status 000, 001, 099 or 101 counted as an answer where dogwoodmuxd calls plain services and engines, and dogwoodctl showed what such an answer held as the operators' text.

Cause: net/http returns any status of three digits, and 101 as the final one; only the clients of the users' platform looked at it (CheckAnswer).

Change: the check moves to dogwoodtransport, for all clients. The status 600 or 999 of an endpoint is passed on as before.

--- a/core/dogwoodtransport/head_test.go
+++ b/core/dogwoodtransport/head_test.go
@@ -126,3 +126,36 @@
 		})
 	}
 }
+
+// Guards against an answer without a final status that counts as one.
+func TestAnswerNeedsAFinalStatus(t *testing.T) {
+	tests := []struct {
+		status        string
+		wantMalformed bool
+	}{
+		{"000", true},
+		{"001", true},
+		{"099", true},
+		{"+99", true},
+		{"101", true},
+		{"200", false},
+		{"599", false},
+		{"999", false},
+	}
+	for _, test := range tests {
+		t.Run(test.status, func(t *testing.T) {
+			var group sync.WaitGroup
+			defer group.Wait()
+			transport := New(&http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				group.Go(func() { answerInTurn(far, "HTTP/1.1 "+test.status+" Odd\r\nContent-Length: 2\r\n\r\nok") })
+				return near, nil
+			}})
+			got, err := post(t, transport, "10.0.0.1:80", strings.NewReader("body"))
+			var malformed *MalformedAnswer
+			if errors.As(err, &malformed) != test.wantMalformed || !test.wantMalformed && (got != "ok" || err != nil) {
+				t.Errorf("got %q and %v, want it malformed %t", got, err, test.wantMalformed)
+			}
+		})
+	}
+}
--- a/core/dogwoodtransport/transport.go
+++ b/core/dogwoodtransport/transport.go
@@ -50,6 +50,10 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // net/http wraps it
 	}
+	if response.StatusCode < http.StatusOK {
+		_ = response.Body.Close() // the body is not used
+		return nil, Error.Wrap(&MalformedAnswer{Reason: "it has no final status"})
+	}
 	if len(response.TransferEncoding) > 0 {
 		response.Body = &trailedBody{ReadCloser: response.Body, response: response}
 	}
--- a/core/edge/dogwoodengine/brokenanswer_test.go
+++ b/core/edge/dogwoodengine/brokenanswer_test.go
@@ -155,6 +155,9 @@
 		{"a blank in a name", "200 OK", "X Broken: 1\r\n"},
 		{"a blank after the length", "200 OK", "Content-Length : 2\r\n"},
 		{"a blank before a name", "200 OK", " X-Broken: 1\r\n"},
+		{"status 000", "000 Odd", ""},
+		{"status 099", "099 Odd", ""},
+		{"status 101", "101 Switching Protocols", ""},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
