Bound the answers of engines and of the platform in dogwoodmuxd

An engine that answered a control call (load, list, cache events, orders, cancels) with bytes without end had them read into memory until the call's time limit of 2 s; the platform's tables, objects and VM list the same, for 1 s. Heads were bounded.

Cause: the two resty clients had no limit on a response's body.

Change: 8 MiB for engines' control calls, and 96 MiB for the platform, of which the largest answer, a page of 256 rows of 256 KiB, has 86 MiB in base64.

--- a/core/edge/dogwoodengine/engine.go
+++ b/core/edge/dogwoodengine/engine.go
@@ -34,8 +34,12 @@
 // they have nothing else to send, so four comments in a row must be missing.
 const DefaultSilenceTimeout = 2 * time.Second
 
-// maxHeadBytes bounds the head of an engine's answer, which has a few hundred bytes.
-const maxHeadBytes = 8 << 10
+const (
+	// maxHeadBytes bounds the head of an engine's answer, which has a few hundred bytes.
+	maxHeadBytes = 8 << 10
+	// maxAnswerBytes bounds the answer to a control call. The longest are lists of some thousand requests or cache events.
+	maxAnswerBytes = 8 << 20
+)
 
 // Options configure a client.
 type Options struct {
@@ -81,6 +85,7 @@
 	})
 	client := resty.NewWithClient(&http.Client{Transport: transport}).
 		SetRetryCount(0).
+		SetResponseBodyLimit(maxAnswerBytes).
 		SetRedirectPolicy(resty.RedirectPolicyFunc(func(*http.Request, []*http.Request) error {
 			// Following a redirect could run the request a second time at another server.
 			return http.ErrUseLastResponse
--- a/core/edge/dogwoodplatform/client.go
+++ b/core/edge/dogwoodplatform/client.go
@@ -55,6 +55,8 @@
 	maxIdleConnections = 32
 	// maxHeadBytes bounds the head of an answer.
 	maxHeadBytes = 16 << 10
+	// maxAnswerBytes bounds an answer. The largest is a page of 256 rows of 256 KiB each, in base64.
+	maxAnswerBytes = 96 << 20
 )
 
 // Dialer opens connections. net.Dialer implements it; tests use pipes.
@@ -141,6 +143,7 @@
 	})
 	rest := resty.NewWithClient(&http.Client{Transport: transport})
 	rest.SetRetryCount(0)
+	rest.SetResponseBodyLimit(maxAnswerBytes)
 	rest.SetRedirectPolicy(resty.NoRedirectPolicy())
 	rest.SetLogger(discardLogger{})
 	if options.Key != "" {
