Bound the messages of other daemons

A message without end of another daemon was read into memory up to the 1 GiB that the encoding allows, in a process that may have 136 MB.

Cause: gob reads what a message's length announces.

Change: a message may have 32 MiB, calls and replies. The largest hold a copy of the operators' text, of which the store's answer has 16 MiB at most in base64. Beyond the bound the connection is closed.

--- a/core/edge/dogwoodpeer/clientcodec.go
+++ b/core/edge/dogwoodpeer/clientcodec.go
@@ -59,7 +59,7 @@
 
 // ReadResponseHeader reads the header of a reply.
 func (clientCodec *clientCodec) ReadResponseHeader(response *rpc.Response) error {
-	if err := clientCodec.decoder.Decode(response); err != nil {
+	if err := clientCodec.decode(response); err != nil {
 		return err //nolint:wrapcheck // net/rpc compares it with io.EOF
 	}
 	clientCodec.reading, clientCodec.isReading, clientCodec.lastRead = response.Seq, true, time.Now()
@@ -68,7 +68,7 @@
 
 // ReadResponseBody reads the rest of a reply, and drops it if body is nil.
 func (clientCodec *clientCodec) ReadResponseBody(body any) error {
-	err := clientCodec.decoder.Decode(body)
+	err := clientCodec.decode(body)
 	clientCodec.isReading = false
 	clientCodec.mutex.Lock()
 	delete(clientCodec.watched, clientCodec.reading)
--- a/core/edge/dogwoodpeer/codec.go
+++ b/core/edge/dogwoodpeer/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/gob"
+	"errors"
 	"io"
 	"net"
 	"net/rpc"
@@ -11,20 +12,67 @@
 	"dogwoodmux.example/core/dogwoodkernel"
 )
 
+// maxMessageBytes bounds a message. The largest hold a copy of the operators' text or of the endpoints' table.
+const maxMessageBytes = 32 << 20
+
 // codec is a connection in the encoding of net/rpc's clients.
 type codec struct {
-	conn    net.Conn
-	decoder *gob.Decoder
+	conn     net.Conn
+	messages *messageInput
+	decoder  *gob.Decoder
 
 	mutex   sync.Mutex
 	buffer  *bufio.Writer
 	encoder *gob.Encoder
 }
 
-// newCodec returns a codec that reads from input, which may count what comes over the connection.
-func newCodec(conn net.Conn, input io.Reader) *codec {
-	buffer := bufio.NewWriter(conn)
-	return &codec{conn: conn, decoder: gob.NewDecoder(input), buffer: buffer, encoder: gob.NewEncoder(buffer)}
+// newCodec returns a codec that reads from reader, which may count what comes over the connection.
+func newCodec(conn net.Conn, reader byteReader) *codec {
+	buffer, messages := bufio.NewWriter(conn), &messageInput{reader: reader}
+	return &codec{conn: conn, messages: messages, decoder: gob.NewDecoder(messages), buffer: buffer, encoder: gob.NewEncoder(buffer)}
+}
+
+// decode decodes a message. It fails if the message exceeds its bound.
+func (codec *codec) decode(message any) error {
+	codec.messages.left = maxMessageBytes
+	return codec.decoder.Decode(message) //nolint:wrapcheck // net/rpc compares it with io.EOF
+}
+
+// byteReader is a reader that gob does not wrap in a buffer.
+type byteReader interface {
+	io.Reader
+	io.ByteReader
+}
+
+// messageInput reads messages up to their bound.
+type messageInput struct {
+	reader byteReader
+	// left is how many bytes the message may still have.
+	left int
+}
+
+var errMessageTooLarge = errors.New("the message is too large")
+
+// Read reads a part of a message.
+func (input *messageInput) Read(target []byte) (int, error) {
+	if input.left == 0 {
+		return 0, errMessageTooLarge
+	}
+	count, err := input.reader.Read(target[:min(len(target), input.left)])
+	input.left -= count
+	return count, err //nolint:wrapcheck // io.EOF must stay itself
+}
+
+// ReadByte reads a byte of a message.
+func (input *messageInput) ReadByte() (byte, error) {
+	if input.left == 0 {
+		return 0, errMessageTooLarge
+	}
+	read, err := input.reader.ReadByte()
+	if err == nil {
+		input.left--
+	}
+	return read, err //nolint:wrapcheck // as above
 }
 
 // write sends a response. If it fails or panics, the connection is closed, since the client could not decode
@@ -68,7 +116,7 @@
 // ReadRequestBody reads the arguments.
 func (call *incomingCall) ReadRequestBody(arguments any) error {
 	defer call.finishReading()
-	return call.codec.decoder.Decode(arguments)
+	return call.codec.decode(arguments)
 }
 
 // WriteResponse sends the response.
@@ -82,13 +130,13 @@
 // serveCalls answers the calls of a connection until it ends, each in a goroutine of its own, and waits for
 // those that are still running. Unlike rpc.Server.ServeConn it survives methods that panic.
 func (server *Server) serveCalls(conn net.Conn) {
-	codec := newCodec(conn, conn)
+	codec := newCodec(conn, bufio.NewReader(conn))
 	var group sync.WaitGroup
 	defer group.Wait()
 	for {
 		argumentsRead := make(chan struct{})
 		call := &incomingCall{codec: codec, finishReading: sync.OnceFunc(func() { close(argumentsRead) })}
-		if err := codec.decoder.Decode(&call.header); err != nil {
+		if err := codec.decode(&call.header); err != nil {
 			server.logger.Debug("A peer's connection has ended.", "from", conn.RemoteAddr(), "error", err)
 			return
 		}
