--- a/core/dogwoodtransport/connection.go
+++ b/core/dogwoodtransport/connection.go
@@ -54,8 +54,8 @@
 	return count, err //nolint:wrapcheck // forwards the call
 }
 
-// failure returns why a connection whose reads have ended was not closed in order, or nil if it was. The write in progress is waited for,
-// since it may be about to return the reason. While the connection accepts writes, there is none, and a write may go on for long.
+// failure returns why a connection whose reads have ended was not closed in order, or nil if it was. A write in progress may be about to
+// return the reason and is waited for, unless the connection still accepts writes: it was not reset then, and the write may take long.
 func (connection *connection) failure() error {
 	if acceptsWrites(connection.Conn) {
 		select {
--- a/core/dogwoodtransport/transport.go
+++ b/core/dogwoodtransport/transport.go
@@ -55,19 +55,19 @@
 		return nil, Error.Wrap(&MalformedAnswer{Reason: "it has no final status"})
 	}
 	if len(response.TransferEncoding) > 0 {
-		response.Body = &trailedBody{ReadCloser: response.Body, response: response}
+		response.Body = &trailerBody{ReadCloser: response.Body, response: response}
 	}
 	return response, nil
 }
 
-// trailedBody is a body in chunks, at whose end net/http adds the trailer to the response.
-type trailedBody struct {
+// trailerBody is a body in chunks, at whose end net/http adds the trailer to the response.
+type trailerBody struct {
 	io.ReadCloser
 	response *http.Response
 }
 
 // Read reads a part of the body. Its end is an error if the trailer has a name that is none.
-func (body *trailedBody) Read(target []byte) (int, error) {
+func (body *trailerBody) Read(target []byte) (int, error) {
 	count, err := body.ReadCloser.Read(target)
 	if errors.Is(err, io.EOF) {
 		for name := range body.response.Trailer {
