--- a/script/test.sh
+++ b/script/test.sh
@@ -22,7 +22,7 @@
 
 red='^none$'
 if [ -f KNOWN-RED.txt ]; then
-	red=$(sed -n 's/^\(Test[A-Za-z0-9/-]*\):.*/\1/p' KNOWN-RED.txt | sed 's#/#$/^#; s#.*#^&$#' | paste -sd '|' -)
+	red=$(sed -n 's/^\(Test[A-Za-z0-9_/-]*\):.*/\1/p' KNOWN-RED.txt | sed 's#/#$/^#; s#.*#^&$#' | paste -sd '|' -)
 	red=${red:-^none$} # no entry names a test
 fi
 
