Cut streams for new requests only if their callers don't read

Cause: a caller counted as behind since the account of its answer had last been empty. The account holds the chunk that is kept for the next event, so it is never empty after the first one, and each stream older than a second was behind. Without that chunk, a queue that is never empty, a large event or an answer that comes faster than its link had the same effect.

Change: a caller is behind while a write to it is in progress, since the bytes that are written were added, or since it last took 64 KiB if that is later. The line of a cut names what decided it: the bytes held and not taken, since when, the bound (Requests is a new one) and the request that reached it. A cut for the daemon's bytes has a message of its own.

Tests: with the old code TestCallersThatReadAreNotCutForRequests failed in five of six cases, the first four after exactly one second, and TestCallersThatDoNotReadAreCutForRequests in the line of the log. The cases of TestRequestsInProgressAreBounded state what a caller was offered and has taken in place of what is held, with the same bounds, and two more: callers that have taken all are not cut.

--- a/core/decision/dogwoodbuffer/bounds.go
+++ b/core/decision/dogwoodbuffer/bounds.go
@@ -33,11 +33,23 @@
 	requestBytes = 128 << 10
 	// memoryPerRequests is the process's memory as a multiple of what all requests in progress may take.
 	memoryPerRequests = 2
-	// maxBehind is how long a stream may hold bytes without a pause before its caller counts as one that reads slowly when there are
-	// too many requests.
+	// maxBehind is how long the caller of a stream may be behind before the stream is cut when there are too many requests.
 	maxBehind = time.Second
 )
 
+// Bound names a bound for which answers are cut, as in the metrics and in the log.
+type Bound string
+
+// The bounds for which answers are cut.
+const (
+	// BoundAnswer is the bound of the bytes of one answer.
+	BoundAnswer Bound = "Answer"
+	// BoundDaemon is the bound of the bytes that the daemon holds.
+	BoundDaemon Bound = "Daemon"
+	// BoundRequests is the bound of the requests in progress.
+	BoundRequests Bound = "Requests"
+)
+
 // Bounds are the bounds of a Budget in bytes.
 type Bounds struct {
 	// Daemon bounds all that is held, Answer what is held for one answer.
--- a/core/decision/dogwoodbuffer/budget.go
+++ b/core/decision/dogwoodbuffer/budget.go
@@ -45,12 +45,12 @@
 // BeginRequest counts a request in progress until its end is reported with EndRequest. If there are too many, the stream whose
 // caller has been behind for longest is cut in its place, provided that this is maxBehind at least. Otherwise it returns
 // ErrDaemonBound and counts nothing.
-func (budget *Budget) BeginRequest() error {
-	slowest, err := budget.beginRequest()
+func (budget *Budget) BeginRequest(id string) error {
+	slowest, err := budget.beginRequest(id)
 	if slowest.answer == nil {
 		return err
 	}
-	slowest.answer.cut(slowest.held)
+	slowest.answer.cut(slowest.cut)
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	budget.requests++
@@ -58,7 +58,7 @@
 }
 
 // beginRequest counts a request, or returns the stream that is to be cut before it is counted.
-func (budget *Budget) beginRequest() (slowest victim, err error) {
+func (budget *Budget) beginRequest(id string) (slowest victim, err error) {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	if budget.bounds.Requests == 0 || budget.requests < budget.bounds.Requests {
@@ -66,22 +66,20 @@
 		return victim{}, nil
 	}
 	answer := budget.slowest()
-	if answer == nil || time.Since(answer.behindSince) < maxBehind {
+	if answer == nil || time.Since(answer.offeredSince) < maxBehind {
 		return victim{}, ErrDaemonBound
 	}
-	slowest = victim{answer, answer.held}
-	budget.drop(answer)
-	return slowest, nil
+	return budget.drop(answer, BoundRequests, id), nil
 }
 
 // slowest returns the stream whose caller has been behind for longest.
 func (budget *Budget) slowest() *Answer {
 	var slowest *Answer
 	for answer := range budget.answers {
-		if answer.behindSince.IsZero() {
+		if answer.offeredSince.IsZero() || answer.offeredWhole {
 			continue
 		}
-		if slowest == nil || cmp.Or(answer.behindSince.Compare(slowest.behindSince), cmp.Compare(answer.number, slowest.number)) < 0 {
+		if slowest == nil || cmp.Or(answer.offeredSince.Compare(slowest.offeredSince), cmp.Compare(answer.number, slowest.number)) < 0 {
 			slowest = answer
 		}
 	}
@@ -109,27 +107,81 @@
 	return budget.answerBytes, budget.bodyBytes
 }
 
+// Cut says why an answer is cut.
+type Cut struct {
+	// Bound is the bound that was reached.
+	Bound Bound
+	// Held are the bytes that were held for the answer.
+	Held int64
+	// Behind is how long the caller had been behind; 0 for one that keeps up.
+	Behind time.Duration
+	// For is the ID of the request that reached the bound.
+	For string
+}
+
 // Answer counts the bytes that are held for one answer.
 type Answer struct {
 	budget *Budget
+	// request is the ID of the answer's request.
+	request string
 	// cut is called once if the answer is to be cut.
-	cut func(held int64)
+	cut func(cut Cut)
 	// number orders answers by when they were opened.
 	number uint64
 	// held are the answer's bytes. isCut is true once the answer was cut, from when on it holds nothing.
 	held  int64
 	isCut bool
-	// behindSince is when a stream began to hold bytes; zero for an answer that holds none, or that is read whole before any of it is sent.
-	behindSince time.Time
+	// offeredSince is since when the caller is behind; zero if it is offered no bytes. offeredWhole is true if these are of an answer that
+	// was read whole before any of it was sent.
+	offeredSince time.Time
+	offeredWhole bool
 }
 
-// NewAnswer returns an answer that holds nothing. cut is called with the bytes that the answer holds if it is to be cut, at most
-// once, and possibly by the reservation of another answer. It must drop these bytes soon and may not call Reserve.
-func (budget *Budget) NewAnswer(cut func(held int64)) *Answer {
+// NewAnswer returns an answer that holds nothing. cut is called if the answer is to be cut, at most once, and possibly by the
+// reservation of another answer. It must drop the answer's bytes soon and may not call Reserve.
+func (budget *Budget) NewAnswer(request string, cut func(cut Cut)) *Answer {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	budget.opened++
-	return &Answer{budget: budget, cut: cut, number: budget.opened}
+	return &Answer{budget: budget, request: request, cut: cut, number: budget.opened}
+}
+
+// Offer records that the caller of a stream is offered bytes, and counts as behind since the given time until Taken is called.
+func (answer *Answer) Offer(since time.Time) {
+	answer.offer(since, false)
+}
+
+// OfferWhole is Offer for an answer that was read whole before any of it is sent. It is not cut for a request.
+func (answer *Answer) OfferWhole(since time.Time) {
+	answer.offer(since, true)
+}
+
+func (answer *Answer) offer(since time.Time, whole bool) {
+	answer.budget.mutex.Lock()
+	defer answer.budget.mutex.Unlock()
+	answer.offeredSince, answer.offeredWhole = since, whole
+}
+
+// Taken records that the caller has taken the bytes that it was offered.
+func (answer *Answer) Taken() {
+	answer.budget.mutex.Lock()
+	defer answer.budget.mutex.Unlock()
+	answer.offeredSince = time.Time{}
+}
+
+// Behind returns how long the caller has been behind, 0 for one that keeps up.
+func (answer *Answer) Behind() time.Duration {
+	answer.budget.mutex.Lock()
+	defer answer.budget.mutex.Unlock()
+	return answer.behind()
+}
+
+// behind is Behind. The mutex is held.
+func (answer *Answer) behind() time.Duration {
+	if answer.offeredSince.IsZero() {
+		return 0
+	}
+	return time.Since(answer.offeredSince)
 }
 
 // Reserve counts bytes toward the answer. It returns ErrAnswerBound if the answer would hold more than its bound, unless it
@@ -148,15 +200,15 @@
 func (answer *Answer) reserve(bytes int64, bounded bool) error {
 	victims, err := answer.budget.reserveAnswer(answer, bytes, bounded)
 	for _, victim := range victims {
-		victim.answer.cut(victim.held)
+		victim.answer.cut(victim.cut)
 	}
 	return err
 }
 
-// victim is an answer that is to be cut, with the bytes that it holds.
+// victim is an answer that is to be cut.
 type victim struct {
 	answer *Answer
-	held   int64
+	cut    Cut
 }
 
 // reserveAnswer counts bytes toward an answer and returns the answers that are to be cut for it.
@@ -169,16 +221,11 @@
 	if bounded && answer.held > 0 && answer.held+bytes > budget.bounds.Answer {
 		return nil, ErrAnswerBound
 	}
-	if bounded && answer.held == 0 && bytes > 0 {
-		answer.behindSince = time.Now()
-	}
 	answer.held += bytes
 	budget.answerBytes += bytes
 	budget.answers[answer] = struct{}{}
 	for budget.answerBytes > budget.answerBound() {
-		largest := budget.largest()
-		victims = append(victims, victim{largest, largest.held})
-		budget.drop(largest)
+		victims = append(victims, budget.drop(budget.largest(), BoundDaemon, answer.request))
 	}
 	if answer.isCut {
 		return victims, ErrDaemonBound
@@ -202,8 +249,15 @@
 	return largest
 }
 
-// drop counts an answer as one that holds nothing and gets no further bytes.
-func (budget *Budget) drop(answer *Answer) {
+// drop cuts an answer for a request that has reached a bound.
+func (budget *Budget) drop(answer *Answer, bound Bound, request string) victim {
+	cut := Cut{Bound: bound, Held: answer.held, Behind: answer.behind(), For: request}
+	budget.close(answer)
+	return victim{answer, cut}
+}
+
+// close counts an answer as one that holds nothing and gets no further bytes.
+func (budget *Budget) close(answer *Answer) {
 	delete(budget.answers, answer)
 	budget.answerBytes -= answer.held
 	answer.held, answer.isCut = 0, true
@@ -226,7 +280,6 @@
 	budget.answerBytes -= bytes
 	if answer.held == 0 {
 		delete(budget.answers, answer)
-		answer.behindSince = time.Time{}
 	}
 }
 
@@ -235,7 +288,7 @@
 	budget := answer.budget
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	budget.drop(answer)
+	budget.close(answer)
 }
 
 // ReserveBody counts bytes of a request's body. It returns ErrDaemonBound, and counts nothing, if bodies or the daemon would
--- a/core/decision/dogwoodbuffer/budget_test.go
+++ b/core/decision/dogwoodbuffer/budget_test.go
@@ -77,7 +77,7 @@
 			var cut []int
 			var answers []*Answer
 			for i := range 20 {
-				answers = append(answers, budget.NewAnswer(func(int64) { cut = append(cut, i) }))
+				answers = append(answers, budget.NewAnswer("", func(Cut) { cut = append(cut, i) }))
 			}
 			for i, operation := range test.operations {
 				cut = nil
@@ -115,7 +115,7 @@
 		cuts, bodies := map[int]int{}, int64(0)
 		var answers []*Answer
 		for i := range 10 {
-			answers = append(answers, budget.NewAnswer(func(int64) { cuts[i]++ }))
+			answers = append(answers, budget.NewAnswer("", func(Cut) { cuts[i]++ }))
 		}
 		for range 500 {
 			answer, bytes := answers[random.IntN(len(answers))], random.Int64N(150)
@@ -153,7 +153,7 @@
 	budget := New(Bounds{Daemon: 1600, Answer: 100})
 	cut := 0
 	for range 10 {
-		if err := budget.NewAnswer(func(int64) { cut++ }).Reserve(100); err != nil {
+		if err := budget.NewAnswer("", func(Cut) { cut++ }).Reserve(100); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -161,7 +161,7 @@
 	if cut != 0 {
 		t.Errorf("got %d answers cut by the change itself, want none", cut)
 	}
-	err := budget.NewAnswer(func(int64) { cut++ }).Reserve(50)
+	err := budget.NewAnswer("", func(Cut) { cut++ }).Reserve(50)
 	if held, _ := budget.Held(); err != nil || cut != 8 || held != 250 {
 		t.Errorf("got %v, %d answers cut and %d bytes, want no error, 8 and 250", err, cut, held)
 	}
@@ -208,11 +208,13 @@
 
 // Guards against a daemon that takes as many requests as callers send, and against one that cuts callers that read for new ones.
 func TestRequestsInProgressAreBounded(t *testing.T) {
-	// stream is an answer in progress that began to hold its bytes before the request comes.
+	// stream is an answer in progress whose caller was offered its bytes before the request comes.
 	type stream struct {
 		held   int64
 		before time.Duration
 		whole  bool
+		// taken is true if the caller has taken all bytes, and the answer holds what it keeps for the next ones.
+		taken bool
 	}
 	tests := []struct {
 		name    string
@@ -220,10 +222,12 @@
 		want    error
 		cut     []int
 	}{
-		{"room", []stream{{100, time.Minute, false}, {0, 0, false}}, nil, nil},
-		{"the caller that is behind for longest is cut", []stream{{900, 2 * time.Second, false}, {100, 3 * time.Second, false}, {0, 0, false}}, nil, []int{1}},
-		{"all callers read", []stream{{60_000, maxBehind - 1, false}, {100, 0, false}, {0, 0, false}}, ErrDaemonBound, nil},
-		{"an answer that is read whole", []stream{{60_000, time.Minute, true}, {0, 0, false}, {0, 0, false}}, ErrDaemonBound, nil},
+		{"room", []stream{{held: 100, before: time.Minute}, {}}, nil, nil},
+		{"the caller that is behind for longest is cut", []stream{{held: 900, before: 2 * time.Second}, {held: 100, before: 3 * time.Second}, {}}, nil, []int{1}},
+		{"a caller that is behind, beside one that has taken all", []stream{{held: 900, before: maxBehind}, {held: 2 << 10, before: time.Minute, taken: true}, {}}, nil, []int{0}},
+		{"all callers read", []stream{{held: 60_000, before: maxBehind - 1}, {held: 100}, {}}, ErrDaemonBound, nil},
+		{"all callers have taken all", []stream{{held: 2 << 10, before: time.Minute, taken: true}, {held: 60_000, before: time.Minute, taken: true}, {}}, ErrDaemonBound, nil},
+		{"an answer that is read whole", []stream{{held: 60_000, before: time.Minute, whole: true}, {}, {}}, ErrDaemonBound, nil},
 		{"answers have not begun", []stream{{}, {}, {}}, ErrDaemonBound, nil},
 	}
 	for _, test := range tests {
@@ -232,23 +236,32 @@
 				budget, now := New(Bounds{Daemon: 1 << 20, Answer: 128 << 10, Requests: 3}), time.Now()
 				var cut []int
 				for i, stream := range test.streams {
-					if err := budget.BeginRequest(); err != nil {
+					if err := budget.BeginRequest("a request"); err != nil {
 						t.Fatal(err)
 					}
-					answer := budget.NewAnswer(func(int64) { cut = append(cut, i) })
-					reserve := answer.Reserve
+					answer := budget.NewAnswer("a request", func(got Cut) {
+						cut = append(cut, i)
+						if want := (Cut{Bound: BoundRequests, Held: stream.held, Behind: stream.before, For: "a new one"}); got != want {
+							t.Errorf("got %+v, want %+v", got, want)
+						}
+					})
+					reserve, offer := answer.Reserve, answer.Offer
 					if stream.whole {
-						reserve = answer.ReserveWhole
+						reserve, offer = answer.ReserveWhole, answer.OfferWhole
 					}
 					time.AfterFunc(time.Minute-stream.before, func() {
 						if err := reserve(stream.held); err != nil && stream.held > 0 {
 							t.Error(err)
 						}
+						offer(time.Now())
+						if stream.taken || stream.held == 0 {
+							answer.Taken()
+						}
 					})
 				}
 				time.Sleep(time.Until(now.Add(time.Minute)))
 				synctest.Wait()
-				if err := budget.BeginRequest(); !errors.Is(err, test.want) {
+				if err := budget.BeginRequest("a new one"); !errors.Is(err, test.want) {
 					t.Errorf("got %v, want %v", err, test.want)
 				}
 				if !slices.Equal(cut, test.cut) {
@@ -256,10 +269,36 @@
 				}
 				budget.EndRequest()
 				budget.EndRequest()
-				if err := budget.BeginRequest(); err != nil {
+				if err := budget.BeginRequest("a later one"); err != nil {
 					t.Errorf("got %v after two requests have ended, want room", err)
 				}
 			})
 		})
 	}
 }
+
+// Guards against callers that read and are cut since a changed setting allows fewer requests than are in progress.
+func TestFewerRequestsThanInProgressCutNoCallerThatReads(t *testing.T) {
+	budget := New(Bounds{Daemon: 1 << 20, Answer: 128 << 10, Requests: 4})
+	for range 4 {
+		if err := budget.BeginRequest(""); err != nil {
+			t.Fatal(err)
+		}
+		answer := budget.NewAnswer("", func(cut Cut) { t.Errorf("got an answer cut: %+v", cut) })
+		if err := answer.Reserve(2 << 10); err != nil {
+			t.Fatal(err)
+		}
+		answer.Offer(time.Now().Add(-time.Minute))
+		answer.Taken()
+	}
+	budget.SetBounds(Bounds{Daemon: 1 << 20, Answer: 128 << 10, Requests: 2})
+	for _, inProgress := range []int{4, 3, 2} {
+		if err := budget.BeginRequest(""); !errors.Is(err, ErrDaemonBound) || budget.Requests() != inProgress {
+			t.Errorf("got %v and %d requests in progress, want ErrDaemonBound and %d", err, budget.Requests(), inProgress)
+		}
+		budget.EndRequest()
+	}
+	if err := budget.BeginRequest(""); err != nil {
+		t.Errorf("got %v with one request in progress of 2 allowed, want room", err)
+	}
+}
--- a/core/duty/dogwoodrelay/answerbuffer.go
+++ b/core/duty/dogwoodrelay/answerbuffer.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -20,7 +21,7 @@
 	// chunks of a caller that is far behind, of which there are few then.
 	chunkBytes    = 2 << 10
 	maxChunkBytes = 32 << 10
-	// maxWriteBytes is the size of the parts in which a large chunk is written, each of which shows that the caller reads.
+	// maxWriteBytes is the size of the parts in which a large chunk is written. A caller that has taken as much reads on.
 	maxWriteBytes = 64 << 10
 	// maxStall is how long an answer at its bound may wait for its caller to take some of it. It covers the retransmission
 	// of a lost packet. Endpoints cut off an answer that stays unread for two seconds.
@@ -67,20 +68,54 @@
 	whole, shutdown bool
 	// err is why the writer stopped early; nil if it did not.
 	err error
-	// waitsForReader is true while the writer has nothing to write, and behindSince the end of the last such time.
-	waitsForReader bool
-	behindSince    time.Time
+	// untaken is the number of bytes that were added and that the caller has not taken.
+	untaken atomic.Int64
+	// progress is used by the writer alone.
+	progress readProgress
+}
+
+// readProgress records whether a caller that does not take each byte at once reads on.
+type readProgress struct {
+	// bytes were taken since at, the time at which the caller had taken another maxWriteBytes.
+	bytes int
+	at    time.Time
+}
+
+// record records that the caller has taken some bytes.
+func (progress *readProgress) record(bytes int) {
+	progress.bytes += bytes
+	if progress.bytes >= maxWriteBytes {
+		progress.bytes, progress.at = 0, time.Now()
+	}
+}
+
+// behindSince returns since when a caller is behind that is offered bytes which were added at a time: since then, or since it last had
+// taken another maxWriteBytes.
+func (progress *readProgress) behindSince(added time.Time) time.Time {
+	if progress.at.After(added) {
+		return progress.at
+	}
+	return added
+}
+
+// chunk holds a part of an answer.
+type chunk struct {
+	data []byte
+	// added is when the first of its bytes was added.
+	added time.Time
+	// whole is true if it was read whole before it was added.
+	whole bool
 }
 
 // chunkQueue is a queue of chunks. The zero value is empty.
 type chunkQueue struct {
-	chunks [][]byte
-	// head is the index of the first chunk. Those before it are nil.
+	chunks []chunk
+	// head is the index of the first chunk. Those before it are empty.
 	head int
 }
 
 // add adds a chunk at the end.
-func (queue *chunkQueue) add(chunk []byte) {
+func (queue *chunkQueue) add(chunk chunk) {
 	if queue.head > 0 && len(queue.chunks) == cap(queue.chunks) {
 		queue.chunks = append(queue.chunks[:0], queue.chunks[queue.head:]...)
 		clear(queue.chunks[len(queue.chunks):cap(queue.chunks)])
@@ -90,33 +125,33 @@
 }
 
 // last returns the last chunk, nil for none.
-func (queue *chunkQueue) last() *[]byte {
+func (queue *chunkQueue) last() *chunk {
 	if queue.head == len(queue.chunks) {
 		return nil
 	}
 	return &queue.chunks[len(queue.chunks)-1]
 }
 
-// take removes the first chunk and returns it, nil for none.
-func (queue *chunkQueue) take() []byte {
+// take removes the first chunk and returns it, or false for none.
+func (queue *chunkQueue) take() (chunk, bool) {
 	if queue.head == len(queue.chunks) {
-		return nil
+		return chunk{}, false
 	}
-	chunk := queue.chunks[queue.head]
-	queue.chunks[queue.head] = nil // so that it is not kept in memory
+	first := queue.chunks[queue.head]
+	queue.chunks[queue.head] = chunk{} // so that it is not kept in memory
 	queue.head++
 	if queue.head == len(queue.chunks) {
 		queue.chunks, queue.head = queue.chunks[:0], 0
 	}
-	return chunk
+	return first, true
 }
 
 func newAnswerBuffer(relay *Relay, request string, answer Answer, cancel context.CancelFunc) *answerBuffer {
 	buffer := &answerBuffer{
 		relay: relay, request: request, answer: answer, cancel: cancel,
-		filled: make(chan struct{}, 1), taken: make(chan struct{}, 1), behindSince: time.Now(),
+		filled: make(chan struct{}, 1), taken: make(chan struct{}, 1),
 	}
-	buffer.account = relay.options.Buffers.NewAnswer(func(held int64) { buffer.cut(boundDaemon, held) })
+	buffer.account = relay.options.Buffers.NewAnswer(request, buffer.cut)
 	return buffer
 }
 
@@ -162,7 +197,7 @@
 	if err := buffer.reserve(ctx, int64(size)); err != nil {
 		return err
 	}
-	return buffer.push(append(make([]byte, 0, size), data...))
+	return buffer.push(chunk{data: append(make([]byte, 0, size), data...), added: time.Now()})
 }
 
 // fill copies data to the last chunk or to the spare one. If it fits neither, it returns the size of the chunk that is needed.
@@ -174,14 +209,15 @@
 	}
 	size = chunkBytes
 	if last := buffer.queue.last(); last != nil {
-		if cap(*last)-len(*last) >= len(data) {
-			*last = append(*last, data...)
+		if cap(last.data)-len(last.data) >= len(data) {
+			last.data = append(last.data, data...)
+			buffer.untaken.Add(int64(len(data)))
 			return 0, nil
 		}
-		size = min(max(2*cap(*last), chunkBytes), maxChunkBytes)
+		size = min(max(2*cap(last.data), chunkBytes), maxChunkBytes)
 	}
 	if buffer.spare != nil && cap(buffer.spare) >= len(data) {
-		buffer.add(append(buffer.spare, data...))
+		buffer.add(chunk{data: append(buffer.spare, data...), added: time.Now()})
 		buffer.spare = nil
 		return 0, nil
 	}
@@ -189,16 +225,14 @@
 }
 
 // add adds a chunk and wakes the writer. The caller holds the mutex.
-func (buffer *answerBuffer) add(chunk []byte) {
-	if buffer.waitsForReader {
-		buffer.waitsForReader, buffer.behindSince = false, time.Now()
-	}
+func (buffer *answerBuffer) add(chunk chunk) {
+	buffer.untaken.Add(int64(len(chunk.data)))
 	buffer.queue.add(chunk)
 	notify(buffer.filled)
 }
 
 // push adds a chunk whose capacity is reserved.
-func (buffer *answerBuffer) push(chunk []byte) error {
+func (buffer *answerBuffer) push(chunk chunk) error {
 	buffer.mutex.Lock()
 	if buffer.err == nil {
 		buffer.add(chunk)
@@ -207,7 +241,7 @@
 	}
 	err := buffer.err
 	buffer.mutex.Unlock()
-	buffer.account.Release(int64(cap(chunk)))
+	buffer.account.Release(int64(cap(chunk.data)))
 	return err
 }
 
@@ -220,7 +254,7 @@
 		buffer.account.Release(int64(cap(data)))
 		return nil
 	}
-	return buffer.push(data)
+	return buffer.push(chunk{data: data, added: time.Now(), whole: true})
 }
 
 // reserve reserves bytes of the account. It waits for the caller if the answer's bound is reached.
@@ -242,7 +276,9 @@
 		case <-buffer.taken:
 			timer.Reset(maxStall)
 		case <-timer.C:
-			buffer.cut(boundAnswer, buffer.account.Held())
+			buffer.cut(dogwoodbuffer.Cut{
+				Bound: dogwoodbuffer.BoundAnswer, Held: buffer.account.Held(), Behind: buffer.account.Behind(), For: buffer.request,
+			})
 			return buffer.failure()
 		case <-ctx.Done():
 			return ContextError(ctx, dogwoodfleet.WasRun)
@@ -294,19 +330,35 @@
 		if !ok {
 			return
 		}
-		for rest := chunk; len(rest) > 0; {
+		for rest := chunk.data; len(rest) > 0; {
 			part := rest[:min(len(rest), maxWriteBytes)]
-			if err := buffer.answer.Write(part); err != nil {
+			if err := buffer.writePart(&chunk, part); err != nil {
 				buffer.stop(buffer.writeError(err))
 				return
 			}
 			rest = rest[len(part):]
-			notify(buffer.taken)
 		}
-		buffer.recycle(chunk)
+		buffer.recycle(chunk.data)
 	}
 }
 
+// writePart writes a part of a chunk to the caller.
+func (buffer *answerBuffer) writePart(chunk *chunk, part []byte) error {
+	offer := buffer.account.Offer
+	if chunk.whole {
+		offer = buffer.account.OfferWhole
+	}
+	offer(buffer.progress.behindSince(chunk.added))
+	defer buffer.account.Taken()
+	if err := buffer.answer.Write(part); err != nil {
+		return err
+	}
+	buffer.progress.record(len(part))
+	buffer.untaken.Add(-int64(len(part)))
+	notify(buffer.taken)
+	return nil
+}
+
 // writeError returns why the writer stops after a write has failed. A daemon that shuts down closes the connections on which answers are
 // still written; otherwise a write fails because the caller is gone.
 func (buffer *answerBuffer) writeError(err error) error {
@@ -319,20 +371,19 @@
 }
 
 // next waits for the next chunk. It returns false at the end.
-func (buffer *answerBuffer) next() ([]byte, bool) {
+func (buffer *answerBuffer) next() (chunk, bool) {
 	for {
 		buffer.mutex.Lock()
-		if chunk := buffer.queue.take(); chunk != nil {
+		if chunk, ok := buffer.queue.take(); ok {
 			buffer.mutex.Unlock()
 			return chunk, true
 		}
-		buffer.waitsForReader = true
 		// A caller that has the whole answer may disconnect before the endpoint's end of the answer has been seen.
 		buffer.finished = buffer.ended && buffer.err == nil || errors.Is(buffer.err, ErrCallerGone) && !buffer.dropped
 		done := buffer.ended || buffer.err != nil
 		buffer.mutex.Unlock()
 		if done {
-			return nil, false
+			return chunk{}, false
 		}
 		<-buffer.filled
 	}
@@ -387,17 +438,19 @@
 	}
 }
 
-// cut stops the answer since a bound of the memory for slow callers is reached.
-func (buffer *answerBuffer) cut(bound string, held int64) {
-	buffer.mutex.Lock()
-	behind := time.Since(buffer.behindSince)
-	buffer.mutex.Unlock()
-	if !buffer.stop(fmt.Errorf("%w: the caller reads too slowly: the bound of the %s is reached", ErrCut, bound)) {
+// cut stops the answer since a bound is reached.
+func (buffer *answerBuffer) cut(cut dogwoodbuffer.Cut) {
+	message, cause := "An answer was cut, since its caller reads too slowly.", "the caller reads too slowly"
+	if cut.Bound == dogwoodbuffer.BoundDaemon {
+		message, cause = "An answer was cut, since it held most of what the daemon may hold.", "this daemon holds too much of answers"
+	}
+	untaken := buffer.untaken.Load()
+	if !buffer.stop(fmt.Errorf("%w: %s: the bound of the %s is reached", ErrCut, cause, cut.Bound)) {
 		return
 	}
-	bufferCuts.Add(bound, 1)
-	buffer.relay.options.Logger.Warn("An answer was cut, since its caller reads too slowly.", "request", buffer.request,
-		"bytes", held, "for", behind, "bound", bound)
+	bufferCuts.Add(string(cut.Bound), 1)
+	buffer.relay.options.Logger.Warn(message, "request", buffer.request, "bytes", cut.Held, "untaken", untaken, "for", cut.Behind,
+		"bound", cut.Bound, "by", cut.For)
 }
 
 // finish waits until the writer has written the answer, which has ended at the endpoint with an error or nil. It returns the
--- a/core/duty/dogwoodrelay/counters.go
+++ b/core/duty/dogwoodrelay/counters.go
@@ -13,12 +13,6 @@
 // bufferCuts counts the answers that were cut, by the bound that was reached.
 var bufferCuts = expvar.NewMap("BufferCuts")
 
-// The bounds for which answers are cut, as in the metrics and in the log.
-const (
-	boundAnswer = "Answer"
-	boundDaemon = "Daemon"
-)
-
 // Names of the latency metrics.
 const (
 	// metricPlaceWait is the time that a try waits for a placement.
--- a/core/duty/dogwoodrelay/run.go
+++ b/core/duty/dogwoodrelay/run.go
@@ -209,10 +209,10 @@
 		return nil
 	}
 	if run.account == nil {
-		run.account = run.attempt.relay.options.Buffers.NewAnswer(func(held int64) {
+		run.account = run.attempt.relay.options.Buffers.NewAnswer(run.attempt.request.ID, func(cut dogwoodbuffer.Cut) {
 			counters.Add("EndedForMemory", 1)
 			run.attempt.relay.options.Logger.Warn("A run was ended, since too much of its answer has to be held.", "request", run.attempt.request.ID,
-				"endpoint", run.placement.Endpoint.ID, "bytes", held)
+				"endpoint", run.placement.Endpoint.ID, "bytes", cut.Held, "by", cut.For)
 			run.cancel(errDaemonFull)
 		})
 	}
--- a/core/duty/dogwoodrelay/slowcaller_test.go
+++ b/core/duty/dogwoodrelay/slowcaller_test.go
@@ -177,7 +177,7 @@
 					t.Errorf("got %v after %s, want ErrCut after %s", err, served.after, maxStall)
 				}
 				lines := strings.Count(log.String(), "An answer was cut")
-				if !strings.Contains(log.String(), "request=r1 bytes=") || !strings.Contains(log.String(), "for=1s bound=Answer") || lines != 1 {
+				if !strings.Contains(log.String(), "request=r1 bytes=") || !strings.Contains(log.String(), "for=1s bound=Answer by=r1") || lines != 1 {
 					t.Errorf("got the log %s, want one line for the cut", log.String())
 				}
 				fixture.takeSlots(t, 3*testEngine.Slots)
@@ -540,3 +540,100 @@
 		fixture.takeSlots(t, 3*testEngine.Slots)
 	})
 }
+
+// Guards against the cut of a stream whose caller takes each byte, for a request that the daemon could refuse before it runs.
+func TestCallersThatReadAreNotCutForRequests(t *testing.T) {
+	const observed, answerTime = 20 * time.Second, 10 * time.Second
+	largeEvents := func() step {
+		large := "id: %d\ndata: " + strings.Repeat("x", 10*maxWriteBytes) + "\n\n"
+		return pauses(fmt.Sprintf(large, 1), answerTime/2, fmt.Sprintf(large, 2))
+	}
+	plain := func() *Request { return plainRequest(dogwoodroute.Once) }
+	tests := []struct {
+		name    string
+		request func() *Request
+		answer  step
+		// delay is how long the caller takes for each write.
+		delay time.Duration
+	}{
+		{"events one at a time", streamRequest, endless(200 * time.Millisecond), 0},
+		{"a queue that is never empty", streamRequest, endless(time.Millisecond), 3 * time.Millisecond},
+		{"large events in many parts", streamRequest, largeEvents(), maxStall / 5},
+		{"a large stream over a slow link", streamRequest, responds(200, eventsUpTo(60_000)), maxStall / 10},
+		{"a whole answer in many parts", plain, responds(200, strings.Repeat("x", maxHeldBytes)), maxStall * 4 / 5},
+		{"a large plain answer in many parts", plain, responds(200, strings.Repeat("x", 3*maxHeldBytes)), maxStall / 5},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runRelayTest(t, testEngine, []step{test.answer}, func(t *testing.T, fixture *fixture) {
+				log := &lockedBuffer{}
+				fixture.relay.options.Logger = hclog.New(&hclog.LoggerOptions{Output: log})
+				fixture.setBounds(dogwoodbuffer.Bounds{Daemon: 32 << 20, Answer: 2 << 20, Requests: 1})
+				budget := fixture.relay.options.Buffers
+				if err := budget.BeginRequest("r1"); err != nil {
+					t.Fatal(err)
+				}
+				ctx, leave := context.WithCancel(t.Context())
+				request := test.request()
+				request.Deadline = time.Now().Add(2 * observed)
+				served := fixture.serve(ctx, request, &slowCaller{recorder: fixture.answer, delay: test.delay})
+				for began := time.Now(); time.Since(began) < observed; time.Sleep(maxStall / 50) {
+					if err := budget.BeginRequest("r2"); !errors.Is(err, dogwoodbuffer.ErrDaemonBound) {
+						t.Errorf("got %v after %s, want the new request refused; the log is %s", err, time.Since(began), log)
+						break
+					}
+				}
+				leave()
+				if err := served.wait(); err != nil && !errors.Is(err, ErrCallerGone) || strings.Contains(log.String(), "was cut") {
+					t.Errorf("got %v and the log %s, want no cut", err, log)
+				}
+			})
+		})
+	}
+}
+
+// Guards against callers that stop reading, or read little, and keep the places of new requests, and against a line that does not
+// say what decided the cut.
+func TestCallersThatDoNotReadAreCutForRequests(t *testing.T) {
+	tests := []struct {
+		name  string
+		delay time.Duration
+		// after is how long the answer has been written when it is cut first.
+		after time.Duration
+		want  string
+	}{
+		{"reads nothing", time.Hour, maxStall, "untaken=145180 for=1s bound=Requests by=r2"},
+		{"reads less than the least", maxStall * 9 / 10, 0, "bound=Requests by=r2"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runRelayTest(t, testEngine, []step{endless(7 * time.Millisecond)}, func(t *testing.T, fixture *fixture) {
+				log := &lockedBuffer{}
+				fixture.relay.options.Logger = hclog.New(&hclog.LoggerOptions{Output: log})
+				fixture.setBounds(dogwoodbuffer.Bounds{Daemon: 32 << 20, Answer: 2 << 20, Requests: 1})
+				budget := fixture.relay.options.Buffers
+				if err := budget.BeginRequest("r1"); err != nil {
+					t.Fatal(err)
+				}
+				served := fixture.serve(t.Context(), streamRequest(), &slowCaller{recorder: fixture.answer, delay: test.delay})
+				began := time.Now()
+				for budget.BeginRequest("r2") != nil {
+					time.Sleep(time.Millisecond)
+					if time.Since(began) > 2*maxStall {
+						t.Fatal("got the place kept, want the answer cut")
+					}
+				}
+				if after := time.Since(began); test.after > 0 && after != test.after {
+					t.Errorf("got the answer cut after %s, want %s", after, test.after)
+				}
+				if err := served.wait(); !errors.Is(err, ErrCut) {
+					t.Errorf("got %v, want ErrCut", err)
+				}
+				if !strings.Contains(log.String(), "reads too slowly") || !strings.Contains(log.String(), test.want) {
+					t.Errorf("got the log %s, want %s", log, test.want)
+				}
+				time.Sleep(2 * test.delay) // until the last write of the test has returned
+			})
+		})
+	}
+}
