Need keys by a text whose list of customers is empty

Cause: whether keys are needed was read from the number of customers, so that an empty list, or null, counted as a text without the list.

A text that names no list still needs no keys.

--- a/core/decision/dogwoodroute/route.go
+++ b/core/decision/dogwoodroute/route.go
@@ -100,7 +100,14 @@
 	services     map[dogwoodfleet.Service]Service
 	customers    map[keyDigest]dogwoodfleet.Customer
 	ranks        map[dogwoodfleet.Customer]int
-	requiresKeys bool
+	keysRequired bool
+}
+
+// Access says who may send requests.
+type Access struct {
+	// KeysRequired is true if requests for routes that are not public need a key, also if no customer has one.
+	KeysRequired bool
+	Customers    []Customer
 }
 
 // Customer holds a customer's name and keys.
@@ -121,16 +128,15 @@
 	return rank*routeRanks + min(max(route.Rank, 0), routeRanks-1)
 }
 
-// NewTable returns a Table of the given routes, services and customers. Keys are required if
-// there is at least one customer.
-func NewTable(version int64, limits Limits, routes []Route, services []Service, customers []Customer) *Table {
+// NewTable returns a Table of the given routes, services and customers.
+func NewTable(version int64, limits Limits, routes []Route, services []Service, access Access) *Table {
 	table := &Table{
 		Version: version, Limits: limits,
 		routes:       map[string][]Route{},
 		services:     map[dogwoodfleet.Service]Service{},
 		customers:    map[keyDigest]dogwoodfleet.Customer{},
 		ranks:        map[dogwoodfleet.Customer]int{},
-		requiresKeys: len(customers) > 0,
+		keysRequired: access.KeysRequired,
 	}
 	for _, route := range routes {
 		table.routes[route.Host] = append(table.routes[route.Host], route)
@@ -141,7 +147,7 @@
 	for _, service := range services {
 		table.services[service.Name] = service
 	}
-	for _, customer := range customers {
+	for _, customer := range access.Customers {
 		for _, key := range customer.Keys {
 			table.customers[sha256.Sum256([]byte(key))] = customer.Name
 		}
@@ -177,7 +183,7 @@
 
 // NeedsKey reports whether requests for the route need a key.
 func (table *Table) NeedsKey(route *Route) bool {
-	return table.requiresKeys && !route.Public
+	return table.keysRequired && !route.Public
 }
 
 // Customer returns the customer that the key belongs to, or false if the key is unknown.
--- a/core/decision/dogwoodroute/route_test.go
+++ b/core/decision/dogwoodroute/route_test.go
@@ -14,7 +14,7 @@
 			{Name: "long", Host: "a.example", Prefix: "/x/y/", Public: true, Splits: []Split{{Service: "one", Weight: 90}, {Service: "two", Weight: 10}}},
 		},
 		[]Service{{Name: "one", ColdPerSecond: 36}},
-		[]Customer{{Name: "house", Keys: []string{"k1", "k2"}}},
+		Access{KeysRequired: true, Customers: []Customer{{Name: "house", Keys: []string{"k1", "k2"}}}},
 	)
 }
 
@@ -57,11 +57,36 @@
 	}
 }
 
+// Guards against a text that lets everybody in, since the list of customers that it has is empty.
+func TestAccess(t *testing.T) {
+	tests := []struct {
+		name   string
+		access Access
+		want   bool
+	}{
+		{"no list", Access{}, false},
+		{"an empty list", Access{KeysRequired: true}, true},
+		{"a customer without keys", Access{KeysRequired: true, Customers: []Customer{{Name: "house"}}}, true},
+		{"a customer with a key", Access{KeysRequired: true, Customers: []Customer{{Name: "house", Keys: []string{"k1"}}}}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := NewTable(1, Limits{}, nil, nil, test.access)
+			if got := table.NeedsKey(&Route{}); got != test.want {
+				t.Errorf("got a key needed: %t, want %t", got, test.want)
+			}
+			if table.NeedsKey(&Route{Public: true}) {
+				t.Error("got a key needed for a public route, want none")
+			}
+		})
+	}
+}
+
 // Guards against a customer's rank that has no effect where the route has one, and the other way round.
 func TestRank(t *testing.T) {
 	rank := 0
 	route := Route{Host: "a.example", Prefix: "/", Rank: 2}
-	table := NewTable(1, Limits{}, []Route{route}, nil, []Customer{{Name: "urgent", Rank: &rank}, {Name: "other"}})
+	table := NewTable(1, Limits{}, []Route{route}, nil, Access{KeysRequired: true, Customers: []Customer{{Name: "urgent", Rank: &rank}, {Name: "other"}}})
 	tests := []struct {
 		customer dogwoodfleet.Customer
 		want     int
--- a/core/state/dogwoodview/view_test.go
+++ b/core/state/dogwoodview/view_test.go
@@ -27,7 +27,7 @@
 }
 
 func table(version int64) *dogwoodroute.Table {
-	return dogwoodroute.NewTable(version, dogwoodroute.Limits{}, nil, []dogwoodroute.Service{{Name: "s"}}, nil)
+	return dogwoodroute.NewTable(version, dogwoodroute.Limits{}, nil, []dogwoodroute.Service{{Name: "s"}}, dogwoodroute.Access{})
 }
 
 func server(id string) Server {
