Take no customer for an empty key

By a text with an empty key among a customer's, requests without a key ran as that customer's: they are looked up by the empty text, for which the table held the customer.

The table leaves empty keys out.

--- a/core/decision/dogwoodroute/route.go
+++ b/core/decision/dogwoodroute/route.go
@@ -149,6 +149,9 @@
 	}
 	for _, customer := range access.Customers {
 		for _, key := range customer.Keys {
+			if key == "" { // a request without a key has none of a customer
+				continue
+			}
 			table.customers[sha256.Sum256([]byte(key))] = customer.Name
 		}
 		if customer.Rank != nil {
--- a/core/decision/dogwoodroute/route_test.go
+++ b/core/decision/dogwoodroute/route_test.go
@@ -82,6 +82,17 @@
 	}
 }
 
+// Guards against requests without a key that run as those of a customer with an empty one.
+func TestEmptyKeyIsNoKey(t *testing.T) {
+	table := NewTable(1, Limits{}, nil, nil, Access{KeysRequired: true, Customers: []Customer{{Name: "house", Keys: []string{"", "k1"}}}})
+	if got, ok := table.Customer(""); ok {
+		t.Errorf("got the customer %q for a request without a key, want none", got)
+	}
+	if got, ok := table.Customer("k1"); !ok || got != "house" {
+		t.Errorf("got %q, %v for the other key, want house", got, ok)
+	}
+}
+
 // Guards against a customer's rank that has no effect where the route has one, and the other way round.
 func TestRank(t *testing.T) {
 	rank := 0
