Send no requests to services without weight

A route whose services all have the weight 0 sent every request to the last of them: that is the result if none is drawn, which was meant for what rounding leaves over. Found while the lists of the text were looked at after the empty list of customers; no caller reported it.

TestServiceWithoutWeightIsNotPicked failed before ("got two" for two weights of 0, and a panic for a route without services).

--- a/core/decision/dogwoodroute/route.go
+++ b/core/decision/dogwoodroute/route.go
@@ -56,19 +56,24 @@
 	Splits []Split
 }
 
-// Pick selects a service for one request at random, by weight.
+// Pick selects a service for one request at random, by weight. It returns "", which no endpoint has, if no service has a weight above 0.
 func (route *Route) Pick(random *rand.Rand) dogwoodfleet.Service {
 	total := 0.0
 	for _, split := range route.Splits {
-		total += split.Weight
+		total += max(split.Weight, 0)
 	}
 	remaining := random.Float64() * total
+	var picked dogwoodfleet.Service
 	for _, split := range route.Splits {
+		if split.Weight <= 0 {
+			continue
+		}
+		picked = split.Service // also if rounding leaves some of the weight
 		if remaining -= split.Weight; remaining < 0 {
-			return split.Service
+			break
 		}
 	}
-	return route.Splits[len(route.Splits)-1].Service
+	return picked
 }
 
 // Service holds the configuration of a service's endpoints.
--- a/core/decision/dogwoodroute/route_test.go
+++ b/core/decision/dogwoodroute/route_test.go
@@ -113,6 +113,32 @@
 	}
 }
 
+// Guards against requests for a service to which the text sends none.
+func TestServiceWithoutWeightIsNotPicked(t *testing.T) {
+	tests := []struct {
+		name   string
+		splits []Split
+		want   dogwoodfleet.Service
+	}{
+
+		{"no split", nil, ""},
+		{"no weight", []Split{{"one", 0}, {"two", 0}}, ""},
+		{"the first has none", []Split{{"one", 0}, {"two", 0.1}}, "two"},
+		{"the last has none", []Split{{"one", 0.1}, {"two", 0}}, "one"},
+		{"a weight below zero", []Split{{"one", 1}, {"two", -1}}, "one"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			route, random := Route{Splits: test.splits}, rand.New(rand.NewPCG(1, 1))
+			for range 1000 {
+				if got := route.Pick(random); got != test.want {
+					t.Fatalf("got %q, want %q", got, test.want)
+				}
+			}
+		})
+	}
+}
+
 func TestSplitsByWeight(t *testing.T) {
 	route, _ := testTable().Route("a.example", "/x/y/1")
 	random := rand.New(rand.NewPCG(1, 1))
