Let a customer with an empty list of services call none

In dogwoodmuxd's operators' text, a customer from whose Services the last one was taken away could call every service: an empty list was read as one that is left out, the cause of the empty list of customers. No caller reported it.

A missing list still means all services, an empty one means none (401, not run). The new cases of TestRejectionsBeforeDispatch were dispatched before.

--- a/core/dogwoodsettings/text.go
+++ b/core/dogwoodsettings/text.go
@@ -79,8 +79,8 @@
 	// RequestsPerSecond and TokensPerSecond are limits over all entry daemons together; 0 means no limit.
 	RequestsPerSecond float64 `json:",omitempty"`
 	TokensPerSecond   float64 `json:",omitempty"`
-	// Services lists the services that the customer may call; empty means all.
-	Services []dogwoodfleet.Service `json:",omitempty"`
+	// Services lists the services that the customer may call; nil means all, an empty list none.
+	Services []dogwoodfleet.Service `json:",omitzero"`
 }
 
 // Service returns the service with the given name.
--- a/core/edge/dogwoodcaller/caller_test.go
+++ b/core/edge/dogwoodcaller/caller_test.go
@@ -52,7 +52,7 @@
 }
 
 func newTestEdge(fake *fakeDispatcher) *Edge {
-	digest := sha256.Sum256([]byte("key"))
+	digest, unlistedDigest := sha256.Sum256([]byte("key")), sha256.Sum256([]byte("unlisted"))
 	text := &dogwoodsettings.Text{
 		Services: []dogwoodsettings.Service{
 			{
@@ -71,6 +71,7 @@
 		},
 		Customers: []dogwoodsettings.Customer{
 			{Name: "customer", KeySHA256: []string{hex.EncodeToString(digest[:])}, Services: []dogwoodfleet.Service{"pool", "desk"}},
+			{Name: "unlisted", KeySHA256: []string{hex.EncodeToString(unlistedDigest[:])}, Services: []dogwoodfleet.Service{}},
 		},
 	}
 	return New(Options{
@@ -112,6 +113,8 @@
 		{name: "long prompt", method: "POST", target: "/v1/completions", body: `{"model":"model","prompt":"` + strings.Repeat("x", 500) + `"}`, wantStatus: 413, wantReason: dogwoodfleet.ReasonTooLarge},
 		{name: "large body", method: "POST", target: "/services/desk/holds", body: strings.Repeat("x", maxCallBytes+1), wantStatus: 413, wantReason: dogwoodfleet.ReasonTooLarge},
 		{name: "service of another customer", method: "GET", target: "/services/secret/x", wantStatus: 401, wantReason: dogwoodfleet.ReasonKey},
+		{name: "service of a customer with an empty list", method: "GET", target: "/services/desk/counter", header: []string{"Authorization", "Bearer unlisted"}, wantStatus: 401, wantReason: dogwoodfleet.ReasonKey},
+		{name: "model of a customer with an empty list", method: "POST", target: "/v1/chat/completions", body: promptBody, header: []string{"Authorization", "Bearer unlisted"}, wantStatus: 401, wantReason: dogwoodfleet.ReasonKey},
 		{name: "no such service", method: "GET", target: "/services/none/x", wantStatus: 400, wantReason: dogwoodfleet.ReasonBadRequest},
 		{name: "engine pool as plain service", method: "GET", target: "/services/pool/x", wantStatus: 400, wantReason: dogwoodfleet.ReasonBadRequest},
 		{name: "long idempotency key", method: "POST", target: "/services/desk/holds", header: []string{"Idempotency-Key", strings.Repeat("k", maxKeyLength+1)}, wantStatus: 400, wantReason: dogwoodfleet.ReasonBadRequest},
--- a/core/edge/dogwoodcaller/request.go
+++ b/core/edge/dogwoodcaller/request.go
@@ -87,13 +87,13 @@
 }
 
 // allowedService returns the named service, or an error if it does not exist or the customer
-// may not call it. A customer without a list of services may call all.
+// may not call it. A customer without a list of services may call all, one with an empty list none.
 func (exchange *exchange) allowedService(name dogwoodfleet.Service) (*dogwoodsettings.Service, error) {
 	service, ok := exchange.text.Service(name)
 	if !ok {
 		return nil, badRequest("no such service: " + string(name))
 	}
-	if allowed := exchange.customer.Services; len(allowed) > 0 && !slices.Contains(allowed, name) {
+	if allowed := exchange.customer.Services; allowed != nil && !slices.Contains(allowed, name) {
 		return nil, &dogwooddispatch.Failure{Reason: dogwoodfleet.ReasonKey, Run: dogwoodfleet.NotRun, Detail: "this API key may not call " + string(name)}
 	}
 	exchange.service = name
