--- a/core/duty/dogwoodrelay/retry_test.go
+++ b/core/duty/dogwoodrelay/retry_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"dogwoodmux.example/core/decision/dogwoodenginetime"
 	"dogwoodmux.example/core/decision/dogwoodpacking"
 	"dogwoodmux.example/core/decision/dogwoodretry"
 	"dogwoodmux.example/core/decision/dogwoodroute"
@@ -95,3 +96,28 @@
 		}
 	})
 }
+
+// Guards against a route without attempts whose requests are sent without a bound, or never.
+func TestRouteWithoutAttemptsRunsOnce(t *testing.T) {
+	for _, attempts := range []int{0, -1} {
+		runRelayTest(t, testEngine, []step{breaksOff(firstEvents)}, func(t *testing.T, fixture *fixture) {
+			request := plainRequest(dogwoodroute.Idempotent)
+			request.Route.Attempts = attempts
+			err := fixture.relay.Serve(t.Context(), request, fixture.answer)
+			if got, want := len(fixture.endpoints.sends), 1; err == nil || got != want {
+				t.Errorf("%d attempts: got %v and %d sends, want an error and %d", attempts, err, got, want)
+			}
+		})
+	}
+}
+
+// Guards against an engine without figures, or with odd ones, that ends the daemon or gets no requests.
+func TestEngineWithoutFiguresIsUsed(t *testing.T) {
+	for _, engine := range []*dogwoodenginetime.Engine{{}, {Slots: -1, MemoryTokens: -1, TokensPerSecond: -1, Chunk: -1, Stride: -1}} {
+		runRelayTest(t, engine, []step{responds(200, firstEvents)}, func(t *testing.T, fixture *fixture) {
+			if err := fixture.relay.Serve(t.Context(), streamRequest(), fixture.answer); err != nil || fixture.answer.body.String() != firstEvents {
+				t.Errorf("%+v: got %v and %q, want the answer", *engine, err, fixture.answer.body.String())
+			}
+		})
+	}
+}
