--- a/core/decision/dogwoodbuffer/budget.go
+++ b/core/decision/dogwoodbuffer/budget.go
@@ -42,9 +42,9 @@
 	budget.bounds = bounds
 }
 
-// BeginRequest counts a request in progress until its end is reported with EndRequest. If there are too many, the stream whose
-// caller has been behind for longest is cut in its place, provided that this is maxBehind at least. Otherwise it returns
-// ErrDaemonBound and counts nothing.
+// BeginRequest counts the request with the given ID as one in progress until its end is reported with EndRequest. If there are too
+// many, the stream whose caller has been behind for longest is cut in its place, provided that this is maxBehind at least. Otherwise
+// it returns ErrDaemonBound and counts nothing.
 func (budget *Budget) BeginRequest(id string) error {
 	slowest, err := budget.beginRequest(id)
 	if slowest.answer == nil {
@@ -66,7 +66,7 @@
 		return victim{}, nil
 	}
 	answer := budget.slowest()
-	if answer == nil || time.Since(answer.offeredSince) < maxBehind {
+	if answer == nil || time.Since(answer.behindSince) < maxBehind {
 		return victim{}, ErrDaemonBound
 	}
 	return budget.drop(answer, BoundRequests, id), nil
@@ -76,10 +76,10 @@
 func (budget *Budget) slowest() *Answer {
 	var slowest *Answer
 	for answer := range budget.answers {
-		if answer.offeredSince.IsZero() || answer.offeredWhole {
+		if answer.behindSince.IsZero() || answer.isWhole {
 			continue
 		}
-		if slowest == nil || cmp.Or(answer.offeredSince.Compare(slowest.offeredSince), cmp.Compare(answer.number, slowest.number)) < 0 {
+		if slowest == nil || cmp.Or(answer.behindSince.Compare(slowest.behindSince), cmp.Compare(answer.number, slowest.number)) < 0 {
 			slowest = answer
 		}
 	}
@@ -131,10 +131,10 @@
 	// held are the answer's bytes. isCut is true once the answer was cut, from when on it holds nothing.
 	held  int64
 	isCut bool
-	// offeredSince is since when the caller is behind; zero if it is offered no bytes. offeredWhole is true if these are of an answer that
-	// was read whole before any of it was sent.
-	offeredSince time.Time
-	offeredWhole bool
+	// behindSince is since when the caller is behind; zero while it is offered no bytes. isWhole is true if they are of an answer that was
+	// read whole before any of it was sent.
+	behindSince time.Time
+	isWhole     bool
 }
 
 // NewAnswer returns an answer that holds nothing. cut is called if the answer is to be cut, at most once, and possibly by the
@@ -159,14 +159,14 @@
 func (answer *Answer) offer(since time.Time, whole bool) {
 	answer.budget.mutex.Lock()
 	defer answer.budget.mutex.Unlock()
-	answer.offeredSince, answer.offeredWhole = since, whole
+	answer.behindSince, answer.isWhole = since, whole
 }
 
 // Taken records that the caller has taken the bytes that it was offered.
 func (answer *Answer) Taken() {
 	answer.budget.mutex.Lock()
 	defer answer.budget.mutex.Unlock()
-	answer.offeredSince = time.Time{}
+	answer.behindSince = time.Time{}
 }
 
 // Behind returns how long the caller has been behind, 0 for one that keeps up.
@@ -178,10 +178,10 @@
 
 // behind is Behind. The mutex is held.
 func (answer *Answer) behind() time.Duration {
-	if answer.offeredSince.IsZero() {
+	if answer.behindSince.IsZero() {
 		return 0
 	}
-	return time.Since(answer.offeredSince)
+	return time.Since(answer.behindSince)
 }
 
 // Reserve counts bytes toward the answer. It returns ErrAnswerBound if the answer would hold more than its bound, unless it
--- a/core/decision/dogwoodroute/route_test.go
+++ b/core/decision/dogwoodroute/route_test.go
@@ -120,7 +120,6 @@
 		splits []Split
 		want   dogwoodfleet.Service
 	}{
-
 		{"no split", nil, ""},
 		{"no weight", []Split{{"one", 0}, {"two", 0}}, ""},
 		{"the first has none", []Split{{"one", 0}, {"two", 0.1}}, "two"},
