--- a/core/duty/dogwoodrelay/slowcaller_test.go
+++ b/core/duty/dogwoodrelay/slowcaller_test.go
@@ -541,6 +541,18 @@
 	})
 }
 
+// allowOneRequest makes the request r1 the only one that may be in progress. It returns the budget and the relay's log from now on.
+func (fixture *fixture) allowOneRequest(t *testing.T) (*dogwoodbuffer.Budget, *lockedBuffer) {
+	t.Helper()
+	log := &lockedBuffer{}
+	fixture.relay.options.Logger = hclog.New(&hclog.LoggerOptions{Output: log})
+	fixture.setBounds(dogwoodbuffer.Bounds{Daemon: 32 << 20, Answer: 2 << 20, Requests: 1})
+	if err := fixture.relay.options.Buffers.BeginRequest("r1"); err != nil {
+		t.Fatal(err)
+	}
+	return fixture.relay.options.Buffers, log
+}
+
 // Guards against the cut of a stream whose caller takes each byte, for a request that the daemon could refuse before it runs.
 func TestCallersThatReadAreNotCutForRequests(t *testing.T) {
 	const observed, answerTime = 20 * time.Second, 10 * time.Second
@@ -566,13 +578,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			runRelayTest(t, testEngine, []step{test.answer}, func(t *testing.T, fixture *fixture) {
-				log := &lockedBuffer{}
-				fixture.relay.options.Logger = hclog.New(&hclog.LoggerOptions{Output: log})
-				fixture.setBounds(dogwoodbuffer.Bounds{Daemon: 32 << 20, Answer: 2 << 20, Requests: 1})
-				budget := fixture.relay.options.Buffers
-				if err := budget.BeginRequest("r1"); err != nil {
-					t.Fatal(err)
-				}
+				budget, log := fixture.allowOneRequest(t)
 				ctx, leave := context.WithCancel(t.Context())
 				request := test.request()
 				request.Deadline = time.Now().Add(2 * observed)
@@ -608,13 +614,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			runRelayTest(t, testEngine, []step{endless(7 * time.Millisecond)}, func(t *testing.T, fixture *fixture) {
-				log := &lockedBuffer{}
-				fixture.relay.options.Logger = hclog.New(&hclog.LoggerOptions{Output: log})
-				fixture.setBounds(dogwoodbuffer.Bounds{Daemon: 32 << 20, Answer: 2 << 20, Requests: 1})
-				budget := fixture.relay.options.Buffers
-				if err := budget.BeginRequest("r1"); err != nil {
-					t.Fatal(err)
-				}
+				budget, log := fixture.allowOneRequest(t)
 				served := fixture.serve(t.Context(), streamRequest(), &slowCaller{recorder: fixture.answer, delay: test.delay})
 				began := time.Now()
 				for budget.BeginRequest("r2") != nil {
