Test streams whose events are further apart than a caller may be behind

With the end of an offer taken out of the budget, TestRequestsInProgressAre- Bounded failed, but TestCallersThatReadAreNotCutForRequests passed, as its events came more often than once a second. The new case fails then, and passes on the code as it is.

--- a/core/duty/dogwoodrelay/slowcaller_test.go
+++ b/core/duty/dogwoodrelay/slowcaller_test.go
@@ -569,6 +569,7 @@
 		delay time.Duration
 	}{
 		{"events one at a time", streamRequest, endless(200 * time.Millisecond), 0},
+		{"events further apart than a caller may be behind", streamRequest, endless(maxStall * 6 / 5), 0},
 		{"a queue that is never empty", streamRequest, endless(time.Millisecond), 3 * time.Millisecond},
 		{"large events in many parts", streamRequest, largeEvents(), maxStall / 5},
 		{"a large stream over a slow link", streamRequest, responds(200, eventsUpTo(60_000)), maxStall / 10},
